--- /dev/null
+++ b/src/lynxlanding/__init__.py
@@ -0,0 +1,1 @@
+"""Serving for large models whose replicas span several VMs."""
--- /dev/null
+++ b/src/lynxlanding/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission queue, deadlines and workspace shares."""
--- /dev/null
+++ b/src/lynxlanding/configuration/snapshot.py
@@ -0,0 +1,33 @@
+"""The configuration objects of one revision."""
+
+import dataclasses
+
+from lynxlanding.configuration import kinds
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Snapshot:
+    """All objects of one accepted revision; never changed after construction.
+
+    Parameters
+    ----------
+    revision : int
+        Number of the revision; 0 is the empty configuration.
+    digest : str
+        SHA-256 of the revision object, hexadecimal.
+    objects : dict of str to dict of str to Spec
+        Objects by kind and name.
+    """
+
+    revision: int
+    digest: str
+    objects: dict
+
+    def of_kind(self, kind):
+        """Return the objects of a kind by name."""
+        return self.objects.get(kind, {})
+
+
+def empty():
+    """Return the snapshot of revision 0."""
+    return Snapshot(0, "", {kind: {} for kind in kinds.SPEC_BY_KIND})
--- /dev/null
+++ b/src/lynxlanding/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring and life cycle of the node process."""
--- /dev/null
+++ b/src/lynxlanding/drain/__init__.py
@@ -0,0 +1,1 @@
+"""Leaving endpoints and planned stops."""
--- /dev/null
+++ b/src/lynxlanding/errors/platform.py
@@ -0,0 +1,79 @@
+"""Failures of the platform's object API, VM list and weight store."""
+
+from lynxlanding.errors import base
+
+
+class PlatformError(base.LynxlandingError):
+    """Root of the platform's failures."""
+
+    type_name = "platform_error"
+
+
+class StoreUnavailable(PlatformError):
+    """The store refused or never received the call; nothing was changed."""
+
+    type_name = "store_unavailable"
+
+
+class StoreOutcomeUnknown(PlatformError):
+    """The call may or may not have taken effect; read the object again to find out."""
+
+    type_name = "store_outcome_unknown"
+
+
+class StoreRateLimited(StoreUnavailable):
+    """The store refused the call because its call rate was exceeded; nothing was changed."""
+
+    type_name = "store_rate_limited"
+
+
+class ObjectNotFound(PlatformError):
+    """The object does not exist."""
+
+    type_name = "object_not_found"
+
+
+class ObjectExists(PlatformError):
+    """An object to be created exists already."""
+
+    type_name = "object_exists"
+
+
+class VersionConflict(PlatformError):
+    """A conditional update or delete named a version that is not the current one."""
+
+    type_name = "version_conflict"
+
+
+class WatchExpired(PlatformError):
+    """The version to watch from is no longer kept; list the objects again."""
+
+    type_name = "watch_expired"
+
+
+class ValueTooLarge(PlatformError):
+    """The value exceeds the store's limit of 1 MB."""
+
+    type_name = "value_too_large"
+
+
+class MalformedPlatformAnswer(StoreOutcomeUnknown):
+    """The platform's response could not be decoded."""
+
+    type_name = "malformed_platform_answer"
+
+
+class WeightPermitDenied(PlatformError):
+    """The weight store's rate limit is reached.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Seconds after which a permit may be requested again.
+    """
+
+    type_name = "weight_permit_denied"
+
+    def __init__(self, retry_after_s):
+        super().__init__(f"weight store permit denied; retry after {retry_after_s} s")
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/src/lynxlanding/errors/settings.py
@@ -0,0 +1,22 @@
+"""Failures in the daemon's settings file."""
+
+from lynxlanding.errors import base
+
+
+class SettingsError(base.LynxlandingError):
+    """A settings file cannot be used.
+
+    Parameters
+    ----------
+    path : str
+        Path of the offending key, such as ``listen.port``.
+    reason : str
+        What is wrong with it.
+    """
+
+    type_name = "settings_error"
+
+    def __init__(self, path, reason):
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
--- /dev/null
+++ b/src/lynxlanding/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""WSGI applications for callers and peers."""
--- /dev/null
+++ b/src/lynxlanding/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Replica groups: placement, repair, fencing and serving evidence."""
--- /dev/null
+++ b/src/lynxlanding/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Node list, gossip, failure detection and the peer transport."""
--- /dev/null
+++ b/src/lynxlanding/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and the service-level burn report."""
--- /dev/null
+++ b/src/lynxlanding/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Query and command language, admin API and lynxctl."""
--- /dev/null
+++ b/src/lynxlanding/platform/http_store.py
@@ -0,0 +1,127 @@
+"""Object store client over HTTP."""
+
+import json
+
+import urllib3
+
+from lynxlanding.errors import platform as platform_errors
+from lynxlanding.platform import object_store, stored_object, watch_batch
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 5.0
+# A long poll is cut by the client this long after the server should have answered.
+WATCH_MARGIN_S = 5.0
+
+_REFUSALS = {
+    404: platform_errors.ObjectNotFound,
+    409: platform_errors.ObjectExists,
+    410: platform_errors.WatchExpired,
+    412: platform_errors.VersionConflict,
+    413: platform_errors.ValueTooLarge,
+    429: platform_errors.StoreRateLimited,
+    503: platform_errors.StoreUnavailable,
+}
+
+
+class HttpObjectStore:
+    """``ObjectStore`` over the platform's HTTP API.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the object API.
+    pool : urllib3.PoolManager
+        Connection pool; retries are disabled for each call, since only callers of this class
+        know whether a repeat is safe.
+    """
+
+    def __init__(self, url, pool):
+        self._url = url.rstrip("/")
+        self._pool = pool
+
+    def get(self, kind, name):
+        """Return an object; raises ``ObjectNotFound``."""
+        return _decode_object(self._call("GET", f"/objects/{kind}/{name}", changes=False))
+
+    def list(self, kind):
+        """Return all objects of a kind and the store version to watch from."""
+        answer = self._call("GET", f"/objects/{kind}", changes=False)
+        items = []
+        for item in answer["items"]:
+            items.append(_decode_object(item))
+        return items, answer["version"]
+
+    def create(self, kind, name, value):
+        """Create an object; raises ``ObjectExists`` or ``ValueTooLarge``."""
+        return _decode_object(self._call("POST", f"/objects/{kind}/{name}", value))
+
+    def update(self, kind, name, value, version):
+        """Replace the value if ``version`` is current; raises ``VersionConflict``."""
+        return _decode_object(self._call("PUT", f"/objects/{kind}/{name}", value, version))
+
+    def delete(self, kind, name, version):
+        """Delete the object if ``version`` is current; raises ``VersionConflict``."""
+        self._call("DELETE", f"/objects/{kind}/{name}", None, version)
+
+    def watch(self, kind, after, timeout_s):
+        """Wait up to ``timeout_s`` seconds for changes; raises ``WatchExpired``."""
+        path = f"/watch/{kind}?after={after}&timeout_ms={int(timeout_s * 1000)}"
+        answer = self._call("GET", path, changes=False, read_timeout_s=timeout_s + WATCH_MARGIN_S)
+        puts = []
+        deletes = []
+        for event in answer["events"]:
+            if event["type"] == "delete":
+                deletes.append(event["name"])
+                continue
+            puts.append(_decode_object(event))
+        return watch_batch.WatchBatch(puts, deletes, answer["version"])
+
+    def _call(
+        self, method, path, value=None, version=None, *, changes=True, read_timeout_s=READ_TIMEOUT_S
+    ):
+        headers = {}
+        body = None
+        if value is not None:
+            body = json.dumps(value).encode()
+            headers["Content-Type"] = "application/json"
+            if len(body) > object_store.MAX_VALUE_BYTES:
+                raise platform_errors.ValueTooLarge(f"{path}: {len(body)} bytes")
+        if version is not None:
+            headers["If-Match"] = str(version)
+        try:
+            response = self._pool.request(
+                method,
+                self._url + path,
+                body=body,
+                headers=headers,
+                retries=False,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            )
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
+            raise platform_errors.StoreUnavailable(f"{method} {path}: {e}") from e
+        except urllib3.exceptions.HTTPError as e:
+            if changes:
+                raise platform_errors.StoreOutcomeUnknown(f"{method} {path}: {e}") from e
+            raise platform_errors.StoreUnavailable(f"{method} {path}: {e}") from e
+        refusal = _REFUSALS.get(response.status)
+        if refusal is not None:
+            raise refusal(f"{method} {path}: status {response.status}")
+        if response.status >= 300:
+            if changes:
+                raise platform_errors.StoreOutcomeUnknown(f"{method} {path}: {response.status}")
+            raise platform_errors.StoreUnavailable(f"{method} {path}: {response.status}")
+        if response.status == 204 or not response.data:
+            return None
+        try:
+            return json.loads(response.data)
+        except ValueError as e:
+            raise platform_errors.MalformedPlatformAnswer(f"{method} {path}: {e}") from e
+
+
+def _decode_object(answer):
+    try:
+        return stored_object.StoredObject(
+            answer["kind"], answer["name"], answer["version"], answer["value"]
+        )
+    except (KeyError, TypeError) as e:
+        raise platform_errors.MalformedPlatformAnswer(f"object without field {e}") from e
--- /dev/null
+++ b/src/lynxlanding/platform/memory_store.py
@@ -0,0 +1,106 @@
+"""In-memory object store with fault switches, for tests of decision modules."""
+
+import copy
+
+from lynxlanding.errors import platform as platform_errors
+from lynxlanding.platform import stored_object, watch_batch
+
+
+class MemoryObjectStore:
+    """``ObjectStore`` in memory.
+
+    Attributes
+    ----------
+    unavailable : bool
+        Every call raises ``StoreUnavailable`` while set.
+    lose_answers : int
+        Number of following changes that take effect but raise ``StoreOutcomeUnknown``.
+    calls : dict of str to int
+        Number of calls by method name.
+    """
+
+    def __init__(self):
+        self.unavailable = False
+        self.lose_answers = 0
+        self.calls = {}
+        self._objects = {}
+        self._log = []
+        self._version = 0
+
+    def get(self, kind, name):
+        """Return an object; raises ``ObjectNotFound``."""
+        self._begin("get")
+        found = self._objects.get((kind, name))
+        if found is None:
+            raise platform_errors.ObjectNotFound(f"{kind}/{name}")
+        return copy.deepcopy(found)
+
+    def list(self, kind):
+        """Return all objects of a kind and the store version."""
+        self._begin("list")
+        items = []
+        for (item_kind, _), item in sorted(self._objects.items()):
+            if item_kind == kind:
+                items.append(copy.deepcopy(item))
+        return items, self._version
+
+    def create(self, kind, name, value):
+        """Create an object; raises ``ObjectExists``."""
+        self._begin("create")
+        if (kind, name) in self._objects:
+            raise platform_errors.ObjectExists(f"{kind}/{name}")
+        return self._put(kind, name, value)
+
+    def update(self, kind, name, value, version):
+        """Replace the value if ``version`` is current; raises ``VersionConflict``."""
+        self._begin("update")
+        self._check_version(kind, name, version)
+        return self._put(kind, name, value)
+
+    def delete(self, kind, name, version):
+        """Delete the object if ``version`` is current; raises ``VersionConflict``."""
+        self._begin("delete")
+        self._check_version(kind, name, version)
+        del self._objects[(kind, name)]
+        self._version += 1
+        self._log.append((self._version, kind, name, None))
+        self._finish()
+
+    def watch(self, kind, after, timeout_s):
+        """Return the changes since ``after`` without waiting."""
+        self._begin("watch")
+        puts = []
+        deletes = []
+        for version, item_kind, name, item in self._log:
+            if version <= after or item_kind != kind:
+                continue
+            if item is None:
+                deletes.append(name)
+                continue
+            puts.append(copy.deepcopy(item))
+        return watch_batch.WatchBatch(puts, deletes, self._version)
+
+    def _begin(self, method):
+        self.calls[method] = self.calls.get(method, 0) + 1
+        if self.unavailable:
+            raise platform_errors.StoreUnavailable("the store is unavailable")
+
+    def _check_version(self, kind, name, version):
+        found = self._objects.get((kind, name))
+        if found is None:
+            raise platform_errors.ObjectNotFound(f"{kind}/{name}")
+        if found.version != version:
+            raise platform_errors.VersionConflict(f"{kind}/{name} is at version {found.version}")
+
+    def _put(self, kind, name, value):
+        self._version += 1
+        item = stored_object.StoredObject(kind, name, self._version, copy.deepcopy(value))
+        self._objects[(kind, name)] = item
+        self._log.append((self._version, kind, name, item))
+        self._finish()
+        return copy.deepcopy(item)
+
+    def _finish(self):
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise platform_errors.StoreOutcomeUnknown("the store's answer was lost")
--- /dev/null
+++ b/src/lynxlanding/platform/object_store.py
@@ -0,0 +1,39 @@
+"""Interface of the platform's object API."""
+
+from typing import Any, Protocol
+
+from lynxlanding.platform import stored_object, watch_batch
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class ObjectStore(Protocol):
+    """Versioned objects with conditional updates and watches.
+
+    Every call may raise ``errors.platform.StoreUnavailable`` (nothing changed). Changing calls
+    may raise ``errors.platform.StoreOutcomeUnknown`` (the change may have taken effect).
+    """
+
+    def get(self, kind: str, name: str) -> stored_object.StoredObject:
+        """Return an object; raises ``ObjectNotFound``."""
+        ...
+
+    def list(self, kind: str) -> tuple[list[stored_object.StoredObject], int]:
+        """Return all objects of a kind and the store version to watch from."""
+        ...
+
+    def create(self, kind: str, name: str, value: Any) -> stored_object.StoredObject:
+        """Create an object; raises ``ObjectExists`` or ``ValueTooLarge``."""
+        ...
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> stored_object.StoredObject:
+        """Replace the value if ``version`` is current; raises ``VersionConflict``."""
+        ...
+
+    def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete the object if ``version`` is current; raises ``VersionConflict``."""
+        ...
+
+    def watch(self, kind: str, after: int, timeout_s: float) -> watch_batch.WatchBatch:
+        """Wait up to ``timeout_s`` seconds for changes; raises ``WatchExpired``."""
+        ...
--- /dev/null
+++ b/src/lynxlanding/platform/watch_batch.py
@@ -0,0 +1,24 @@
+"""Changes returned by one watch call."""
+
+import dataclasses
+
+from lynxlanding.platform import stored_object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WatchBatch:
+    """Changes of one kind since a version.
+
+    Parameters
+    ----------
+    puts : list of StoredObject
+        Created and updated objects, oldest first.
+    deletes : list of str
+        Names of deleted objects.
+    version : int
+        Version to continue from.
+    """
+
+    puts: list[stored_object.StoredObject]
+    deletes: list[str]
+    version: int
--- /dev/null
+++ b/src/lynxlanding/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Request identity, claims, attempts and the stream relay."""
--- /dev/null
+++ b/src/lynxlanding/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Failure classification and the retry budget."""
--- /dev/null
+++ b/src/lynxlanding/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Version and adapter changes and the wind-down plan."""
--- /dev/null
+++ b/src/lynxlanding/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoint view and routing policies."""
--- /dev/null
+++ b/src/lynxlanding/settings/daemon_settings.py
@@ -0,0 +1,151 @@
+"""Settings of one node."""
+
+from typing import Annotated
+
+import pydantic
+
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+Seconds = Annotated[float, pydantic.Field(gt=0, le=1e6, allow_inf_nan=False)]
+
+
+class Section(pydantic.BaseModel):
+    """Root of the sections; unknown keys are refused by name."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class ListenSettings(Section):
+    """Addresses that the node listens on.
+
+    Attributes
+    ----------
+    host : str
+        IP address of both listeners.
+    port : int
+        Port for callers.
+    peer_port : int
+        Port for other nodes and operators.
+    """
+
+    host: str = "127.0.0.1"
+    port: Port
+    peer_port: Port
+
+
+class PlatformSettings(Section):
+    """Base URLs of the platform's services."""
+
+    object_api: str
+    vm_list: str | None = None
+    weight_store: str | None = None
+
+
+class RequestSettings(Section):
+    """Limits of requests.
+
+    Attributes
+    ----------
+    default_timeout_s, max_timeout_s : float
+        Deadline without the header, and the largest one that is accepted.
+    max_body_bytes, max_header_bytes : int
+        Larger requests are refused.
+    concurrency : int
+        Requests that the node handles at once.
+    idle_timeout_s : float
+        An incomplete request is abandoned after this long without a byte.
+    """
+
+    default_timeout_s: Seconds = 60.0
+    max_timeout_s: Seconds = 600.0
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 30)] = 4 << 20
+    max_header_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 20)] = 32 << 10
+    concurrency: Annotated[int, pydantic.Field(ge=1, le=10_000)] = 1000
+    idle_timeout_s: Seconds = 10.0
+
+
+class RoutingSettings(Section):
+    """Routing of requests to endpoints.
+
+    Attributes
+    ----------
+    policy : str
+        One of ``random``, ``two_choices``, ``least_loaded``, ``prefix_affinity``.
+    report_interval_s : float
+        Interval between load polls of one endpoint.
+    """
+
+    policy: str = "prefix_affinity"
+    report_interval_s: Seconds = 0.5
+
+
+class DrainSettings(Section):
+    """Graceful shutdown of the node.
+
+    Attributes
+    ----------
+    unready_s : float
+        Time between becoming unready and closing the listener, so that the balancer notices.
+    limit_s : float
+        Longest wait for requests in flight.
+    """
+
+    unready_s: Seconds = 2.0
+    limit_s: Seconds = 600.0
+
+
+class MembershipSettings(Section):
+    """Gossip between nodes.
+
+    Attributes
+    ----------
+    peers : tuple of str
+        ``host:port`` of peer listeners to contact when the store is unavailable.
+    exchange_interval_s : float
+        Interval between exchanges with a peer of the own data centre.
+    """
+
+    peers: tuple[str, ...] = ()
+    exchange_interval_s: Seconds = 0.5
+
+
+class ConfigurationSettings(Section):
+    """Propagation of the accepted configuration.
+
+    Attributes
+    ----------
+    uncertain_after_s : float
+        Age of the last confirmation by the store after which the node is uncertain.
+    uncertain_limit_s : float
+        Age after which the node becomes unready.
+    """
+
+    uncertain_after_s: Seconds = 13.0
+    uncertain_limit_s: Seconds = 7200.0
+
+
+class DaemonSettings(Section):
+    """Settings of ``lynxlandingd``.
+
+    Attributes
+    ----------
+    node_id : str
+        Unique name of the node.
+    place : str
+        Data centre of the node.
+    region : str
+        Region of the data centre.
+    seed : int or None
+        Seed of the random state; None takes one from the operating system.
+    """
+
+    node_id: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+    place: Annotated[str, pydantic.Field(min_length=1, max_length=63)]
+    region: str = "default"
+    seed: int | None = None
+    listen: ListenSettings
+    platform: PlatformSettings
+    requests: RequestSettings = RequestSettings()
+    routing: RoutingSettings = RoutingSettings()
+    drain: DrainSettings = DrainSettings()
+    membership: MembershipSettings = MembershipSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
--- /dev/null
+++ b/src/lynxlanding/settings/loading.py
@@ -0,0 +1,42 @@
+"""Reads settings files."""
+
+import pydantic
+import yaml
+
+from lynxlanding.errors import settings as settings_errors
+from lynxlanding.settings import daemon_settings
+
+
+def load(path):
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        Path of the YAML file.
+
+    Returns
+    -------
+    DaemonSettings
+        The checked settings.
+
+    Raises
+    ------
+    errors.settings.SettingsError
+        If the file cannot be read, or a key is unknown, missing or out of range.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = yaml.safe_load(file)
+    except OSError as e:
+        raise settings_errors.SettingsError(path, e.strerror or str(e)) from e
+    except yaml.YAMLError as e:
+        raise settings_errors.SettingsError(path, f"not valid YAML: {e}") from e
+    if not isinstance(document, dict):
+        raise settings_errors.SettingsError(path, "must contain a mapping")
+    try:
+        return daemon_settings.DaemonSettings.model_validate(document)
+    except pydantic.ValidationError as e:
+        first = e.errors()[0]
+        location = ".".join(str(part) for part in first["loc"]) or path
+        raise settings_errors.SettingsError(location, first["msg"]) from e
--- /dev/null
+++ b/src/lynxlanding/settings/tests/test_loading.py
@@ -0,0 +1,39 @@
+import pytest
+
+from lynxlanding.errors import settings as settings_errors
+from lynxlanding.settings import loading
+
+VALID = """
+node_id: n1
+place: changamwe
+listen: {port: 8080, peer_port: 8081}
+platform: {object_api: "http://127.0.0.1:9000"}
+"""
+
+
+def _load(tmp_path, text):
+    path = tmp_path / "node.yaml"
+    path.write_text(text)
+    return loading.load(str(path))
+
+
+def test_loads_valid_settings(tmp_path):
+    settings = _load(tmp_path, VALID)
+    assert settings.listen.port == 8080
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        (VALID + "colour: red", "colour"),
+        (VALID.replace("port: 8080", "port: 80800"), "listen.port"),
+        (VALID.replace("port: 8080", "prot: 8080"), "listen.port"),
+        (VALID + "drain: {limit_s: soon}", "drain.limit_s"),
+        (VALID.replace("node_id: n1", ""), "node_id"),
+    ],
+)
+def test_names_the_wrong_key(tmp_path, text, path):
+    """Guards against a daemon that starts with settings its operator did not mean."""
+    with pytest.raises(settings_errors.SettingsError) as caught:
+        _load(tmp_path, text)
+    assert caught.value.path == path
--- /dev/null
+++ b/src/lynxlanding_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool, history checker and scenarios."""
--- /dev/null
+++ b/src/lynxlanding_bench/main.py
@@ -0,0 +1,14 @@
+"""Command ``lynx-bench``: seeded experiments, each with a JSON result and a table."""
+
+import click
+
+from lynxlanding_bench import result_file
+
+
+@click.group()
+def main():
+    """Run seeded load and experiments."""
+
+
+# Every experiment module defines one click command and is registered here.
+main.add_command(result_file.compare)
