Serve a request from a caller through one of several daemons

The thin path: waitress and urllib3 under gevent, daemons that read and watch config-head, stand-ins of the platform, engines and a plain service as separate processes, a demo and the first multi-process tests.

Its last check fails, as expected: a keyed service call repeated on another node ran twice, since claims are not wired in yet.

--- /dev/null
+++ b/src/lynxlanding/daemon/main.py
@@ -0,0 +1,33 @@
+"""Entry point of ``lynxlandingd``."""
+
+# Cooperative threads: one operating-system thread a stream fails at a node's full load. The patch
+# must come before any other import, and is made nowhere else.
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+import click  # noqa: E402
+
+from lynxlanding.daemon import node  # noqa: E402
+from lynxlanding.errors import settings as settings_errors  # noqa: E402
+from lynxlanding.settings import loading  # noqa: E402
+
+EXIT_SETTINGS = 2
+
+
+@click.command()
+@click.option("--config", required=True, type=click.Path(), help="YAML settings file.")
+def main(config):
+    """Run one node until SIGTERM, then drain and exit."""
+    try:
+        settings = loading.load(config)
+    except settings_errors.SettingsError as e:
+        click.echo(f"lynxlandingd: settings: {e}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    node.Node(settings).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lynxlanding/gateway/caller_app.py
@@ -0,0 +1,126 @@
+"""WSGI application for callers."""
+
+import json
+import logging
+
+import prometheus_client
+
+from lynxlanding.errors import request as request_errors
+from lynxlanding.gateway import json_response, request_parser, stream_aborted
+
+PASSED_HEADERS = ("content-type", "content-language", "location", "etag", "cache-control")
+
+_logger = logging.getLogger(__name__)
+
+
+class CallerApp:
+    """Serves models, plain services and the probes of the balancer.
+
+    Parameters
+    ----------
+    parser : RequestParser
+        Parses requests.
+    node_state : NodeState
+        Configuration, readiness and the requests in flight.
+    runner : RequestRunner
+        Runs requests.
+    """
+
+    def __init__(self, parser, node_state, runner):
+        self._parser = parser
+        self._node_state = node_state
+        self._runner = runner
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        path = environ.get("PATH_INFO", "")
+        if path == "/healthz":
+            return json_response.send(start_response, 200, {"status": "ok"})
+        if path == "/readyz":
+            ready = self._node_state.is_ready
+            document = {"ready": ready, "revision": self._node_state.configuration.revision}
+            return json_response.send(start_response, 200 if ready else 503, document)
+        if path == "/metrics":
+            body = prometheus_client.generate_latest()
+            headers = [
+                ("Content-Type", prometheus_client.CONTENT_TYPE_LATEST),
+                ("Content-Length", str(len(body))),
+            ]
+            start_response("200 OK", headers)
+            return [body]
+        request_id = request_parser.new_request_id()
+        try:
+            if path == "/v1/models":
+                return self._list_models(environ, start_response, request_id)
+            return self._run(environ, start_response, request_id)
+        except request_errors.RequestError as e:
+            _logger.info("request %s refused: %s executed=%s", request_id, e.type_name, e.executed)
+            return json_response.refuse(start_response, e, request_id)
+        except Exception:
+            _logger.exception("request %s failed inside the node", request_id)
+            error = request_errors.RequestError("internal error", executed="unknown")
+            return json_response.refuse(start_response, error, request_id)
+
+    def _list_models(self, environ, start_response, request_id):
+        configuration = self._node_state.configuration
+        request_parser.find_workspace(environ, configuration)
+        models = []
+        for name in sorted(configuration.of_kind("models")):
+            models.append({"id": name, "object": "model", "created": 0, "owned_by": "lynxlanding"})
+        headers = [("X-Request-Id", request_id)]
+        document = {"object": "list", "data": models}
+        return json_response.send(start_response, 200, document, headers)
+
+    def _run(self, environ, start_response, request_id):
+        if not self._node_state.try_begin():
+            raise request_errors.NodeStopping("this node is shutting down", retry_after_s=1.0)
+        started = False
+        try:
+            request = self._parser.parse(environ, self._node_state.configuration, request_id)
+            status, headers, body = self._runner.run(request)
+            response_headers = [("X-Request-Id", request_id)]
+            for name in PASSED_HEADERS:
+                if name in headers:
+                    response_headers.append((name.title(), headers[name]))
+            if not request.stream or status != 200:
+                response_headers.append(("Content-Length", str(sum(len(part) for part in body))))
+                start_response(json_response.status_line(status), response_headers)
+                return body
+            start_response(json_response.status_line(status), response_headers)
+            started = True
+            return _CountedBody(_stream_body(body, request_id), self._node_state)
+        finally:
+            if not started:
+                self._node_state.end()
+
+
+class _CountedBody:
+    """A stream that leaves the count of requests in flight when the server closes it."""
+
+    def __init__(self, body, node_state):
+        self._body = body
+        self._node_state = node_state
+        self._is_open = True
+
+    def __iter__(self):
+        return self._body
+
+    def close(self):
+        """Stop the stream, which also cancels its work at the endpoint."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        try:
+            self._body.close()
+        finally:
+            self._node_state.end()
+
+
+def _stream_body(body, request_id):
+    try:
+        yield from body
+    except request_errors.RequestError as e:
+        _logger.warning("stream %s broke: %s", request_id, e)
+        document = json.dumps(json_response.error_document(e))
+        yield b"event: error\ndata: " + document.encode() + b"\n\n"
+        raise stream_aborted.StreamAborted(str(e)) from e
--- /dev/null
+++ b/src/lynxlanding/requests/endpoint_client.py
@@ -0,0 +1,91 @@
+"""Sends one attempt to an endpoint over urllib3."""
+
+import urllib3
+
+from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.requests import endpoint_response
+
+CONNECT_TIMEOUT_S = 1.0
+# An endpoint that sends nothing for this long is treated as stalled.
+STALL_TIMEOUT_S = 10.0
+READ_SIZE = 65536
+
+
+class EndpointClient:
+    """Sends attempts; never repeats one by itself.
+
+    Parameters
+    ----------
+    pool : urllib3.PoolManager
+        Pool of kept connections for idempotent attempts.
+    """
+
+    def __init__(self, pool):
+        self._pool = pool
+
+    def send(self, address, method, path, headers, body, timeout_s, *, fresh_connection):
+        """Send an attempt and return the beginning of its response.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the endpoint.
+        timeout_s : float
+            Time left until the deadline.
+        fresh_connection : bool
+            Open a new connection. A kept one may have been closed by the endpoint already, and
+            then it cannot be told whether a request sent on it has run.
+
+        Raises
+        ------
+        errors.endpoint.AttemptError
+            If no response arrives.
+        """
+        read_timeout_s = max(0.001, min(timeout_s, STALL_TIMEOUT_S))
+        options = {
+            "body": body,
+            "headers": headers,
+            "retries": False,
+            "redirect": False,
+            "preload_content": False,
+            "decode_content": False,
+            "timeout": urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+        }
+        try:
+            if fresh_connection:
+                host, _, port = address.rpartition(":")
+                pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
+                response = pool.urlopen(method, path, **options)
+            else:
+                response = self._pool.urlopen(method, f"http://{address}{path}", **options)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as e:
+            raise endpoint_errors.ConnectionRefused(f"{address}: {e}") from e
+        except urllib3.exceptions.TimeoutError as e:
+            raise endpoint_errors.AttemptTimedOut(f"{address}: {e}") from e
+        except urllib3.exceptions.HTTPError as e:
+            raise endpoint_errors.ConnectionBroken(f"{address}: {e}") from e
+        lower_headers = {name.lower(): value for name, value in response.headers.items()}
+        return endpoint_response.EndpointResponse(
+            response.status, lower_headers, _read_chunks(response, address)
+        )
+
+
+def _read_chunks(response, address):
+    complete = False
+    try:
+        yield from response.stream(READ_SIZE)
+        complete = True
+    except urllib3.exceptions.TimeoutError as e:
+        raise endpoint_errors.AttemptTimedOut(f"{address}: {e}") from e
+    except urllib3.exceptions.HTTPError as e:
+        raise endpoint_errors.ResponseTruncated(f"{address}: {e}") from e
+    finally:
+        # An incomplete response leaves unread bytes on its connection: close it, which also
+        # cancels the work at the endpoint.
+        if complete:
+            response.release_conn()
+        else:
+            response.close()
--- /dev/null
+++ b/src/lynxlanding_bench/processes.py
@@ -0,0 +1,137 @@
+"""Starts stand-ins and daemons as separate processes and ends them by their id."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import urllib3
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+
+
+class Processes:
+    """Child processes of one run, with their logs in a directory.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Directory of logs and settings files.
+    """
+
+    def __init__(self, directory):
+        self._directory = pathlib.Path(directory)
+        self._running = {}
+
+    @property
+    def directory(self):
+        """Directory of logs and settings files."""
+        return self._directory
+
+    def start(self, name, module, *arguments):
+        """Start ``python -m module arguments`` under ``name``.
+
+        Parameters
+        ----------
+        name : str
+            Name for later calls and for the log file.
+        module : str
+            Module to run.
+        *arguments : object
+            Command-line arguments.
+        """
+        environment = {**os.environ, "OPENBLAS_NUM_THREADS": "1"}
+        with open(self._directory / f"{name}.log", "ab") as log:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *map(str, arguments)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=environment,
+            )
+
+    def start_standin(self, name, *arguments):
+        """Start a stand-in; the arguments are those of ``lynx-standins``."""
+        self.start(name, "lynxlanding_standins.main", *arguments)
+
+    def start_daemon(self, name, settings_path):
+        """Start ``lynxlandingd`` with a settings file."""
+        self.start(name, "lynxlanding.daemon.main", "--config", settings_path)
+
+    def pid(self, name):
+        """Return the process id."""
+        return self._running[name].pid
+
+    def is_running(self, name):
+        """Return whether the process has not ended."""
+        return self._running[name].poll() is None
+
+    def signal(self, name, number):
+        """Send a signal to the process."""
+        os.kill(self._running[name].pid, number)
+
+    def kill(self, name):
+        """Kill the process without notice and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        self._running[name].wait()
+
+    def wait(self, name, timeout_s):
+        """Wait for the end of the process and return its exit code."""
+        return self._running[name].wait(timeout_s)
+
+    def stop_all(self):
+        """End every process that still runs, by its id."""
+        for process in self._running.values():
+            if process.poll() is None:
+                # A stopped process does not act on SIGTERM before it continues.
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._running.values():
+            process.wait(STOP_TIMEOUT_S)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop_all()
+
+
+def free_ports(count):
+    """Return ``count`` consecutive TCP ports that are free on loopback."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            first = probe.getsockname()[1]
+        # The kernel's ephemeral range is avoided, so that outgoing connections take no port.
+        first = 10_000 + first % 20_000
+        if all(_is_free(port) for port in range(first, first + count)):
+            return list(range(first, first + count))
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def wait_for(url, status=200, timeout_s=START_TIMEOUT_S):
+    """Wait until a GET of ``url`` answers with ``status``; raises ``TimeoutError``."""
+    deadline = time.monotonic() + timeout_s
+    pool = urllib3.PoolManager()
+    while time.monotonic() < deadline:
+        try:
+            if pool.request("GET", url, retries=False, timeout=2.0).status == status:
+                return
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"{url} did not answer with {status} within {timeout_s} s")
--- /dev/null
+++ b/src/lynxlanding_standins/main.py
@@ -0,0 +1,129 @@
+"""Command ``lynx-standins``: each stand-in as a process of its own, on loopback only."""
+
+import json
+import socket
+
+import click
+import uvicorn
+
+from lynxlanding_standins import (
+    engine,
+    history_file,
+    object_api,
+    service,
+    vm_list,
+    weight_store,
+)
+
+HOST = "127.0.0.1"
+
+
+@click.group()
+def main():
+    """Run one stand-in for an outside system."""
+
+
+@main.command("object-api")
+@click.option("--port", type=int, required=True)
+@click.option("--reads-per-s", type=float, default=2000.0)
+@click.option("--writes-per-s", type=float, default=300.0)
+def run_object_api(port, reads_per_s, writes_per_s):
+    """Serve the platform's object API."""
+    _serve(object_api.ObjectApi(reads_per_s, writes_per_s).app(), [port])
+
+
+@main.command("vm-list")
+@click.option("--port", type=int, required=True)
+@click.option("--vms", type=click.Path(exists=True), help="JSON file with a list of VMs.")
+@click.option("--lag-s", type=float, default=0.0)
+def run_vm_list(port, vms, lag_s):
+    """Serve the platform's VM list."""
+    entries = []
+    if vms:
+        with open(vms, encoding="utf-8") as file:
+            entries = json.load(file)
+    _serve(vm_list.VmListApi(entries, lag_s).app(), [port])
+
+
+@main.command("weight-store")
+@click.option("--port", type=int, required=True)
+@click.option("--permits-per-s", type=float, default=2.0)
+def run_weight_store(port, permits_per_s):
+    """Serve the platform's weight store."""
+    _serve(weight_store.WeightStoreApi(permits_per_s).app(), [port])
+
+
+@main.command("engine")
+@click.option("--port", type=int, required=True, help="Port of the first engine.")
+@click.option("--count", type=int, default=1, help="Engines, on consecutive ports.")
+@click.option("--model", default=None)
+@click.option("--slots", type=int, default=64)
+@click.option("--queue-limit", type=int, default=64)
+@click.option("--cache-prefixes", type=int, default=256)
+@click.option("--token-interval-ms", type=float, default=25.0)
+@click.option("--prefill-ms", type=float, default=25.0)
+@click.option("--load-ms", type=float, default=200.0)
+@click.option("--report-lag-ms", type=float, default=100.0)
+@click.option("--checks-fencing-number/--ignores-fencing-number", default=True)
+@click.option("--history", type=click.Path(), default=None)
+def run_engine(
+    port,
+    count,
+    model,
+    slots,
+    queue_limit,
+    cache_prefixes,
+    token_interval_ms,
+    prefill_ms,
+    load_ms,
+    report_lag_ms,
+    checks_fencing_number,
+    history,
+):
+    """Serve model engines."""
+    ports = list(range(port, port + count))
+    states = engine.make_states(ports, slots, queue_limit, cache_prefixes, checks_fencing_number)
+    for state in states.values():
+        state.model = model
+    app = engine.EngineApp(
+        states,
+        token_interval_ms / 1000,
+        prefill_ms / 1000,
+        load_ms / 1000,
+        report_lag_ms / 1000,
+        history_file.HistoryFile(history, f"engine-{port}"),
+    )
+    _serve(app, ports)
+
+
+@main.command("service")
+@click.option("--port", type=int, required=True)
+@click.option("--work-ms", type=float, default=20.0)
+@click.option("--history", type=click.Path(), default=None)
+def run_service(port, work_ms, history):
+    """Serve a plain service."""
+    record = history_file.HistoryFile(history, f"service-{port}")
+    _serve(service.ServiceApi(work_ms / 1000, record).app(), [port])
+
+
+def _serve(app, ports):
+    sockets = []
+    for port in ports:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((HOST, port))
+        sockets.append(listener)
+    config = uvicorn.Config(
+        app,
+        log_level="error",
+        access_log=False,
+        lifespan="off",
+        loop="uvloop",
+        timeout_graceful_shutdown=1,
+        backlog=2048,
+    )
+    uvicorn.Server(config).run(sockets=sockets)
+
+
+if __name__ == "__main__":
+    main()
