--- a/src/lynxlanding/errors/request.py
+++ b/src/lynxlanding/errors/request.py
@@ -129,3 +129,18 @@
     type_name = "deadline_exceeded"
     status = 504
     default_executed = EXECUTED_UNKNOWN
+
+
+class ResponseNotKept(RequestError):
+    """The request with this key ran, but its response was too large to be replayed."""
+
+    type_name = "response_not_kept"
+    status = 409
+    default_executed = EXECUTED_YES
+
+
+class SendWindowPassed(RequestError):
+    """The node was held up after the claim for longer than it may wait with sending."""
+
+    type_name = "send_window_passed"
+    status = 503
--- /dev/null
+++ b/src/lynxlanding/requests/owner_lookup.py
@@ -0,0 +1,96 @@
+"""Asks the node that owns a claim for its outcome."""
+
+import json
+from typing import Protocol
+
+import urllib3
+
+from lynxlanding.requests import claim_events, claim_record, node_identity, recorded_response
+
+CONNECT_TIMEOUT_S = 2.0
+# The owner answers this long before the waiting node stops listening, at most a quarter of the
+# wait.
+ANSWER_MARGIN_S = 0.5
+PATH = "/peer/v1/claims/"
+
+_OUTCOMES = claim_record.STATES | {claim_events.PENDING, claim_events.FORGOTTEN}
+
+
+class OwnerLookup(Protocol):
+    """Finds the outcome of a claim at the node that owns it."""
+
+    def ask(
+        self, owner: node_identity.NodeIdentity, token: str, wait_s: float
+    ) -> claim_events.OwnerAnswered:
+        """Wait up to ``wait_s`` seconds for the outcome; never raises."""
+        ...
+
+
+class HttpOwnerLookup:
+    """``OwnerLookup`` over the peer listener.
+
+    Parameters
+    ----------
+    pool : urllib3.PoolManager
+        Connection pool.
+    """
+
+    def __init__(self, pool):
+        self._pool = pool
+
+    def ask(self, owner, token, wait_s):
+        """Wait up to ``wait_s`` seconds for the outcome; never raises."""
+        owner_wait_s = wait_s - min(ANSWER_MARGIN_S, wait_s / 4)
+        try:
+            response = self._pool.request(
+                "GET",
+                f"http://{owner.address}{PATH}{token}?wait_ms={int(owner_wait_s * 1000)}",
+                retries=False,
+                timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, wait_s), total=wait_s),
+            )
+        except urllib3.exceptions.NewConnectionError as e:
+            if isinstance(e.__cause__, ConnectionRefusedError):
+                # Nothing listens at the address: the process that held the claim is gone.
+                return claim_events.OwnerAnswered(claim_events.DEAD)
+            return claim_events.OwnerAnswered(claim_events.UNREACHABLE)
+        except urllib3.exceptions.HTTPError:
+            return claim_events.OwnerAnswered(claim_events.UNREACHABLE)
+        if response.status != 200:
+            return claim_events.OwnerAnswered(claim_events.UNREACHABLE)
+        return decode(response.data, owner)
+
+
+def encode(answer, identity):
+    """Return the response body for a peer.
+
+    Parameters
+    ----------
+    answer : OwnerAnswered
+        Outcome of the claim.
+    identity : NodeIdentity
+        The answering node.
+    """
+    response = None if answer.response is None else answer.response.encode()
+    document = {
+        "incarnation": identity.incarnation,
+        "outcome": answer.outcome,
+        "response": response,
+    }
+    return json.dumps(document).encode()
+
+
+def decode(body, owner):
+    """Return the outcome in a peer's response body."""
+    try:
+        document = json.loads(body)
+        if document["incarnation"] != owner.incarnation:
+            # The node was restarted; the process that held the claim is gone.
+            return claim_events.OwnerAnswered(claim_events.DEAD)
+        response = document["response"]
+        if document["outcome"] not in _OUTCOMES:
+            raise ValueError(f"outcome {document['outcome']!r}")
+        return claim_events.OwnerAnswered(
+            document["outcome"], None if response is None else recorded_response.decode(response)
+        )
+    except (KeyError, TypeError, ValueError):
+        return claim_events.OwnerAnswered(claim_events.UNREACHABLE)
