--- /dev/null
+++ b/src/lynxlanding/retry/retry_actor.py
@@ -0,0 +1,27 @@
+"""Owner of the node's retry budget."""
+
+import pykka
+
+from lynxlanding.retry import retry_policy
+
+
+class RetryActor(pykka.ThreadingActor):
+    """Runs ``RetryPolicy`` in one thread."""
+
+    use_daemon_thread = True
+
+    def __init__(self):
+        super().__init__()
+        self._policy = retry_policy.RetryPolicy()
+
+    def count_request(self):
+        """Count the first attempt of a request."""
+        self._policy.count_request()
+
+    def record_success(self, target, duration_s):
+        """Record the time until a response began, in seconds."""
+        self._policy.record_success(target, duration_s)
+
+    def decide(self, question, now):
+        """Return ``granted`` or the reason of the refusal."""
+        return self._policy.decide(question, now)
