Run requests through claims, execution and the retry budget

A read never waits past the deadline; before, a stalled endpoint could hold a request 10 s longer, and a non-streamed completion of more than 10 s was cut.

Excluding failed endpoints is an argument of RoutingActor.choose: without it, the endpoint with the fewest requests in flight is the dead one again.

make demo before: a keyed call repeated on another node ran twice.

--- a/src/lynxlanding/gateway/caller_app.py
+++ b/src/lynxlanding/gateway/caller_app.py
@@ -8,8 +8,6 @@
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import json_response, request_parser, stream_aborted
 
-PASSED_HEADERS = ("content-type", "content-language", "location", "etag", "cache-control")
-
 _logger = logging.getLogger(__name__)
 
 
@@ -79,9 +77,8 @@
             request = self._parser.parse(environ, self._node_state.configuration, request_id)
             status, headers, body = self._runner.run(request)
             response_headers = [("X-Request-Id", request_id)]
-            for name in PASSED_HEADERS:
-                if name in headers:
-                    response_headers.append((name.title(), headers[name]))
+            for name, value in headers.items():
+                response_headers.append((name.title(), value))
             if not request.stream or status != 200:
                 response_headers.append(("Content-Length", str(sum(len(part) for part in body))))
                 start_response(json_response.status_line(status), response_headers)
--- a/src/lynxlanding/requests/__init__.py
+++ b/src/lynxlanding/requests/__init__.py
@@ -23,7 +23,10 @@
     outcome_writer,
     owner_lookup,
     recorded_response,
+    request_metrics,
+    request_run,
     request_runner,
+    stream_body,
     stream_position,
     write_limit,
 )
@@ -51,7 +54,10 @@
     "outcome_writer",
     "owner_lookup",
     "recorded_response",
+    "request_metrics",
+    "request_run",
     "request_runner",
+    "stream_body",
     "stream_position",
     "write_limit",
 ]
--- a/src/lynxlanding/requests/claim_keeper.py
+++ b/src/lynxlanding/requests/claim_keeper.py
@@ -19,6 +19,7 @@
     claims,
     outcome_write,
     outcome_writer,
+    request_metrics,
 )
 
 ACTOR_TIMEOUT_S = 5.0
@@ -43,9 +44,11 @@
         Writes per second that all nodes together may spend on claims.
     random_state : numpy.random.Generator
         Source of the jitter of background writes.
+    nodes : int
+        Nodes that share the write rate until ``set_members`` is called.
     """
 
-    def __init__(self, store, identity, lookup, fleet_writes_per_s, random_state):
+    def __init__(self, store, identity, lookup, fleet_writes_per_s, random_state, nodes=1):
         self._store = store
         self._identity = identity
         self._lookup = lookup
@@ -53,6 +56,7 @@
         self._members = (identity.node_id,)
         self._actor_ref = claim_actor.ClaimActor.start(fleet_writes_per_s, time.monotonic())
         self._actor = self._actor_ref.proxy()
+        self._actor.set_nodes(nodes, time.monotonic())
         self._writer = outcome_writer.OutcomeWriter(store, self._on_written)
         self._writer.start()
 
@@ -126,6 +130,7 @@
     def record_outcome(self, name, claim, record):
         """Make an outcome known to repeats and write it in the background."""
         self._actor.end(record)
+        request_metrics.UNWRITTEN_OUTCOMES.add(1)
         write = outcome_write.OutcomeWrite(record, claim.version, self._random_state)
         self._writer.submit(name, write)
 
@@ -158,11 +163,14 @@
             eliot.log_message("claims:collection_interrupted", error=str(e))
         return deleted
 
-    def stop(self, limit_s):
-        """Finish the background writes within ``limit_s`` seconds; return how many remain."""
-        remaining = self._writer.stop(limit_s)
+    def wait_written(self, limit_s):
+        """Wait up to ``limit_s`` seconds for background writes; return how many remain."""
+        return self._writer.wait_written(limit_s)
+
+    def stop(self):
+        """Stop; writes that are not finished are lost."""
+        self._writer.stop()
         self._actor_ref.stop()
-        return remaining
 
     def _run(self, name, claim, decision, registered):
         writes = claim_decisions.CreateClaim | claim_decisions.UpdateClaim
@@ -208,6 +216,7 @@
         self._actor.mark_written(record.token, time.monotonic(), claim_registry.KEEP_WRITTEN_S)
 
     def _on_written(self, write):
+        request_metrics.UNWRITTEN_OUTCOMES.add(-1)
         keep_s = claim_registry.KEEP_WRITTEN_S
         if write.was_missing:
             keep_s = claim_registry.KEEP_UNCONFIRMED_S
--- a/src/lynxlanding/requests/endpoint_client.py
+++ b/src/lynxlanding/requests/endpoint_client.py
@@ -9,9 +9,8 @@
 from lynxlanding.requests import attempt_monitor, endpoint_response
 
 CONNECT_TIMEOUT_S = 1.0
-# An endpoint that sends nothing for this long is treated as stalled.
-STALL_TIMEOUT_S = 10.0
 READ_SIZE = 65536
+MIN_TIMEOUT_S = 0.001
 
 
 class EndpointClient:
@@ -36,7 +35,8 @@
         path,
         headers,
         body,
-        timeout_s,
+        deadline,
+        stall_s,
         *,
         fresh_connection,
         has_caller_left=lambda: False,
@@ -47,8 +47,10 @@
         ----------
         address : str
             ``host:port`` of the endpoint.
-        timeout_s : float
-            Time left until the deadline.
+        deadline : float
+            Deadline on the monotonic clock, in seconds.
+        stall_s : float
+            An endpoint that sends nothing for this long is treated as stalled.
         fresh_connection : bool
             Open a new connection. A kept one may have been closed by the endpoint already, and
             then it cannot be told whether a request sent on it has run.
@@ -60,7 +62,7 @@
         errors.endpoint.AttemptError
             If no response arrives.
         """
-        read_timeout_s = max(0.001, min(timeout_s, STALL_TIMEOUT_S))
+        wait_s = max(MIN_TIMEOUT_S, min(deadline - time.monotonic(), stall_s))
         options = {
             "body": body,
             "headers": headers,
@@ -68,7 +70,7 @@
             "redirect": False,
             "preload_content": False,
             "decode_content": False,
-            "timeout": urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            "timeout": urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, wait_s), read=wait_s),
         }
         try:
             if fresh_connection:
@@ -90,8 +92,8 @@
         connection_socket = response.connection.sock if response.connection else None
         attempt = attempt_monitor.MonitoredAttempt(
             lambda: _shut_down(connection_socket),
-            time.monotonic() + timeout_s,
-            STALL_TIMEOUT_S,
+            deadline,
+            stall_s,
             has_caller_left,
         )
         if connection_socket is not None:
--- a/src/lynxlanding/requests/endpoint_response.py
+++ b/src/lynxlanding/requests/endpoint_response.py
@@ -3,6 +3,9 @@
 import dataclasses
 from collections.abc import Iterator
 
+# Headers of endpoints that are passed on to callers and kept for replays.
+PASSED_HEADERS = ("content-type", "content-language", "location", "etag", "cache-control")
+
 
 @dataclasses.dataclass(slots=True)
 class EndpointResponse:
@@ -15,9 +18,22 @@
     headers : dict of str to str
         Headers by lower-case name.
     chunks : Iterator of bytes
-        Body as it arrives; raises ``errors.endpoint.AttemptError`` if it breaks.
+        Body as it arrives; raises ``errors.endpoint.AttemptError`` if it breaks. Closing it cuts
+        the connection unless the body is complete.
     """
 
     status: int
     headers: dict
     chunks: Iterator[bytes]
+
+    @property
+    def retry_after_s(self):
+        """``Retry-After`` in seconds, or None."""
+        try:
+            return max(0.0, float(self.headers["retry-after"]))
+        except (KeyError, ValueError):
+            return None
+
+    def passed_headers(self):
+        """Return the headers for the caller."""
+        return {name: self.headers[name] for name in PASSED_HEADERS if name in self.headers}
--- a/src/lynxlanding/requests/execution.py
+++ b/src/lynxlanding/requests/execution.py
@@ -107,6 +107,10 @@
             raise endpoint_errors.MalformedResponse(f"status {status}")
         return execution_decisions.ReadBody()
 
+    def on_chunk(self, attempt_id, chunk):
+        """Return whether ``chunk`` is exactly the next event and may be forwarded as it is."""
+        return attempt_id == self._attempt_id and self._position.accept_chunk(chunk)
+
     def on_events(self, attempt_id, events):
         """Return the events to forward; raises ``errors.endpoint.AttemptError``."""
         if attempt_id != self._attempt_id:
--- a/src/lynxlanding/requests/outcome_writer.py
+++ b/src/lynxlanding/requests/outcome_writer.py
@@ -55,16 +55,19 @@
             self._unfinished += 1
             self._push(time.monotonic(), name, write)
 
-    def stop(self, limit_s):
-        """Wait up to ``limit_s`` seconds for the writes, then stop; return how many remain."""
+    def wait_written(self, limit_s):
+        """Wait up to ``limit_s`` seconds for the writes; return how many remain."""
         with self._changed:
             self._changed.wait_for(lambda: self._unfinished == 0, limit_s)
+            return self._unfinished
+
+    def stop(self):
+        """End the workers; unfinished writes are lost."""
+        with self._changed:
             self._stopping = True
             self._changed.notify_all()
-            remaining = self._unfinished
         for thread in self._threads:
             thread.join(timeout=1.0)
-        return remaining
 
     def _push(self, due_at, name, write):
         heapq.heappush(self._due, (due_at, next(self._order), name, write))
--- a/src/lynxlanding/requests/owner_lookup.py
+++ b/src/lynxlanding/requests/owner_lookup.py
@@ -61,7 +61,7 @@
 
 
 def encode(answer, identity):
-    """Return the response body for a peer.
+    """Return the JSON value that answers a peer.
 
     Parameters
     ----------
@@ -71,12 +71,11 @@
         The answering node.
     """
     response = None if answer.response is None else answer.response.encode()
-    document = {
+    return {
         "incarnation": identity.incarnation,
         "outcome": answer.outcome,
         "response": response,
     }
-    return json.dumps(document).encode()
 
 
 def decode(body, owner):
--- a/src/lynxlanding/requests/request_runner.py
+++ b/src/lynxlanding/requests/request_runner.py
@@ -1,18 +1,13 @@
-"""Runs a request at the endpoints until its answer is complete or it is given up."""
+"""Runs requests: claims keyed ones, sends attempts and records outcomes."""
 
-import time
-
-from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
-from lynxlanding.requests import caller_request, event_splitter
+from lynxlanding.requests import claim_record, recorded_response, request_metrics, request_run
 
-MAX_ATTEMPTS = 3
-REQUEST_ID = "x-request-id"
-ATTEMPT_ID = "x-attempt-id"
+REPLAYED = "x-replayed"
 
 
 class RequestRunner:
-    """Chooses endpoints, sends attempts and checks their responses.
+    """Entry point of the gateway into the requests package.
 
     Parameters
     ----------
@@ -20,128 +15,58 @@
         Chooses and releases endpoints.
     client : EndpointClient
         Sends attempts.
+    retry : RetryActor proxy
+        Permits retries.
+    claims : ClaimKeeper
+        Claims keyed requests.
     """
 
-    def __init__(self, router, client):
+    def __init__(self, router, client, retry, claims):
         self._router = router
         self._client = client
+        self._retry = retry
+        self._claims = claims
 
     def run(self, request):
         """Run a request.
 
         Returns
         -------
-        tuple of (int, dict, iterator of bytes)
-            Status, headers and body. The body raises ``errors.request.RequestError`` if a
-            stream cannot be completed.
+        tuple of (int, dict, iterable of bytes)
+            Status, headers and body. A stream raises ``errors.request.RequestError`` if it
+            cannot be completed, and is closed by the caller of this method.
+
+        Raises
+        ------
+        errors.request.RequestError
+            If the request is given up.
         """
-        failure = None
-        for attempt in range(MAX_ATTEMPTS):
-            if time.monotonic() >= request.deadline:
-                break
-            address = self._choose(request, failure)
-            try:
-                return self._attempt(request, address, attempt)
-            except endpoint_errors.AttemptError as e:
-                self._router.release(request.request_id, address, failed=True).get()
-                failure = e
-                if not (request.idempotent or e.certainly_not_run):
-                    break
-        raise _final_error(request, failure)
+        if request.idempotent or request.idempotency_key is None:
+            # A non-idempotent request without a key is sent at most once by its execution.
+            return self._make_run(request, None).run()
+        return self._run_keyed(request)
 
-    def _choose(self, request, failure):
-        address = self._router.choose(request).get()
-        if address is None:
-            if failure is not None:
-                raise _final_error(request, failure)
-            raise request_errors.NoEndpoint(
-                f"no endpoint serves {request.target}", retry_after_s=1.0
+    def _run_keyed(self, request):
+        fingerprint = claim_record.fingerprint_of(request.method, request.path, request.body)
+        try:
+            claimed = self._claims.begin(
+                request.workspace, request.idempotency_key, fingerprint, request.deadline
             )
-        return address
-
-    def _attempt(self, request, address, attempt):
-        attempt_id = f"{request.request_id}-{attempt}"
-        timeout_s = request.deadline - time.monotonic()
-        headers = {
-            **request.headers,
-            "X-Request-Id": request.request_id,
-            "X-Attempt-Id": attempt_id,
-            "X-Priority": str(request.priority),
-            "X-Request-Timeout-Ms": str(max(1, int(timeout_s * 1000))),
-        }
-        response = self._client.send(
-            address,
-            request.method,
-            request.path,
-            headers,
-            request.body,
-            timeout_s,
-            fresh_connection=not request.idempotent,
-            has_caller_left=request.has_caller_left,
-        )
-        self._check(request, response, attempt_id)
-        if request.stream and response.status == 200:
-            body = self._relay_events(request, address, response)
-            return response.status, response.headers, body
-        body = b"".join(response.chunks)
-        self._router.release(request.request_id, address, failed=False).get()
-        return response.status, response.headers, [body]
-
-    def _check(self, request, response, attempt_id):
-        if response.headers.get("x-executed") == "no" and response.status in (429, 503):
-            response.chunks.close()
-            raise endpoint_errors.EndpointRefused(response.status)
-        is_model = request.target_kind == caller_request.MODEL
-        echoed = response.headers.get(REQUEST_ID, None if is_model else request.request_id)
-        echoed_attempt = response.headers.get(ATTEMPT_ID, None if is_model else attempt_id)
-        if echoed != request.request_id or echoed_attempt != attempt_id:
-            response.chunks.close()
-            raise endpoint_errors.ResponseMismatch("response to another request")
-        if response.status >= 500 and is_model:
-            response.chunks.close()
-            raise endpoint_errors.MalformedResponse(f"status {response.status}")
-
-    def _relay_events(self, request, address, response):
-        splitter = event_splitter.EventSplitter()
-        expected = 0
-        failed = True
+        except request_errors.RequestError as e:
+            request_metrics.CLAIMS.add(1, {"result": e.type_name})
+            raise
+        if isinstance(claimed, recorded_response.RecordedResponse):
+            request_metrics.CLAIMS.add(1, {"result": "replayed"})
+            return claimed.status, {**dict(claimed.headers), REPLAYED: "true"}, [claimed.body]
+        request_metrics.CLAIMS.add(1, {"result": "claimed"})
         try:
-            for chunk in response.chunks:
-                if splitter.is_empty and event_splitter.is_one_event(chunk, expected):
-                    expected += 1
-                    yield chunk
-                    continue
-                events = splitter.feed(chunk)
-                for event in events:
-                    if event == event_splitter.DONE:
-                        failed = False
-                        continue
-                    if event_splitter.event_id(event) != expected:
-                        raise endpoint_errors.EventGap(f"event {expected} is missing")
-                    expected += 1
-                if events:
-                    yield b"\n\n".join(events) + b"\n\n"
-            if failed:
-                raise endpoint_errors.ResponseTruncated("the stream ended without [DONE]")
-        except endpoint_errors.AttemptError as e:
-            if time.monotonic() > request.deadline:
-                raise request_errors.DeadlineExceeded("the stream passed its deadline") from e
-            raise request_errors.EndpointFailed(f"the stream broke: {e.type_name}") from e
-        finally:
-            response.chunks.close()
-            self._router.release(request.request_id, address, failed=failed)
-
+            status, headers, body = self._make_run(request, claimed).run()
+        except BaseException:
+            claimed.give_up()
+            raise
+        # The outcome is written in the background; the response does not wait for it.
+        claimed.complete(recorded_response.record(status, headers.items(), b"".join(body)))
+        return status, headers, body
 
-def _final_error(request, failure):
-    if failure is None:
-        return request_errors.DeadlineExceeded(
-            "the deadline passed before the request was sent", executed="no"
-        )
-    executed = "no" if failure.certainly_not_run else "unknown"
-    if time.monotonic() >= request.deadline:
-        return request_errors.DeadlineExceeded("the deadline passed", executed=executed)
-    if failure.certainly_not_run:
-        return request_errors.NoEndpoint(
-            f"endpoints of {request.target} refused: {failure.type_name}", retry_after_s=1.0
-        )
-    return request_errors.EndpointFailed(f"the endpoint failed: {failure.type_name}")
+    def _make_run(self, request, ticket):
+        return request_run.RequestRun(request, self._router, self._client, self._retry, ticket)
--- a/src/lynxlanding/requests/stream_position.py
+++ b/src/lynxlanding/requests/stream_position.py
@@ -21,6 +21,13 @@
         """Number of events that were dropped because they had been passed already."""
         return self._duplicates
 
+    def accept_chunk(self, chunk):
+        """Return whether ``chunk`` is exactly the next event, which then counts as passed."""
+        if not event_splitter.is_one_event(chunk, self._expected):
+            return False
+        self._expected += 1
+        return True
+
     def accept(self, events):
         """Return the new events and whether the stream is done.
 
--- a/src/lynxlanding/requests/tests/test_claim_keeper.py
+++ b/src/lynxlanding/requests/tests/test_claim_keeper.py
@@ -48,7 +48,7 @@
         made.append(keeper)
     yield made
     for keeper in made:
-        keeper.stop(1.0)
+        keeper.stop()
 
 
 def _begin(keeper, timeout_s=5.0, fingerprint=FINGERPRINT):
@@ -56,10 +56,7 @@
 
 
 def _wait_written(keeper):
-    end = time.monotonic() + 5.0
-    while keeper.unwritten_outcomes and time.monotonic() < end:
-        time.sleep(0.01)
-    assert keeper.unwritten_outcomes == 0
+    assert keeper.wait_written(5.0) == 0
 
 
 def test_repeat_on_another_node_gets_the_recorded_response(store, keepers):
@@ -172,7 +169,7 @@
         keeper.begin("north", "k10", FINGERPRINT, time.monotonic() + 5)
     assert caught.value.retry_after_s == pytest.approx(10.0, rel=0.1)
     assert store.calls == {"create": 10}
-    keeper.stop(1.0)
+    keeper.stop()
 
 
 def test_expired_claims_are_collected_once(store, keepers):
--- a/src/lynxlanding/routing/routing_actor.py
+++ b/src/lynxlanding/routing/routing_actor.py
@@ -15,9 +15,15 @@
         """Replace the endpoints: a dict of (target kind, target) to a list of addresses."""
         self._endpoints = endpoints
 
-    def choose(self, request):
-        """Return an address and count the request there, or None if there is no endpoint."""
-        addresses = self._endpoints.get((request.target_kind, request.target), [])
+    def choose(self, request, excluded=()):
+        """Return an address and count the request there, or None if there is no endpoint.
+
+        Endpoints in ``excluded`` have failed the same request already.
+        """
+        addresses = []
+        for address in self._endpoints.get((request.target_kind, request.target), []):
+            if address not in excluded:
+                addresses.append(address)
         if not addresses:
             return None
         address = min(addresses, key=lambda item: self._in_flight.get(item, 0))
