--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -66,6 +66,7 @@
             endpoint_client.EndpointClient(pool, self._attempt_monitor),
             retry_actor.RetryActor.start().proxy(),
             self._claims,
+            settings.requests.stall_timeout_s,
         )
         parser = request_parser.RequestParser(settings.requests)
         self._caller_app = caller_app.CallerApp(parser, self._state, runner)
--- a/src/lynxlanding/requests/request_run.py
+++ b/src/lynxlanding/requests/request_run.py
@@ -13,10 +13,6 @@
 )
 from lynxlanding.retry import classification
 
-# Tokens follow each other within milliseconds; an engine that sends nothing for this long is
-# treated as stalled, and its stream is resumed elsewhere.
-STALL_S = 10.0
-
 
 class RequestRun:
     """One request on its way through its attempts; used by one thread.
@@ -31,15 +27,18 @@
         Sends attempts.
     retry : RetryActor proxy
         Permits retries.
+    stall_s : float
+        A stream without a byte for this long is resumed elsewhere, in seconds.
     ticket : ClaimTicket or None
         Claim of a keyed request.
     """
 
-    def __init__(self, request, router, client, retry, ticket=None):
+    def __init__(self, request, router, client, retry, stall_s, ticket=None):
         self._request = request
         self._router = router
         self._client = client
         self._retry = retry
+        self._max_silence_s = stall_s
         self._ticket = ticket
         self._target = (request.target_kind, request.target)
         self._execution = execution.Execution(
@@ -144,9 +143,9 @@
             # Cutting the connection would only turn a late response into an unknown outcome.
             return left_s
         if self._request.stream:
-            return STALL_S
+            return self._max_silence_s
         # Nothing arrives before the whole text is generated; half of the time is left to a retry.
-        return max(STALL_S, left_s / 2)
+        return max(self._max_silence_s, left_s / 2)
 
     def _read(self, response):
         try:
--- a/src/lynxlanding/requests/request_runner.py
+++ b/src/lynxlanding/requests/request_runner.py
@@ -19,13 +19,16 @@
         Permits retries.
     claims : ClaimKeeper
         Claims keyed requests.
+    stall_s : float
+        A stream without a byte for this long is resumed elsewhere, in seconds.
     """
 
-    def __init__(self, router, client, retry, claims):
+    def __init__(self, router, client, retry, claims, stall_s):
         self._router = router
         self._client = client
         self._retry = retry
         self._claims = claims
+        self._stall_s = stall_s
 
     def run(self, request):
         """Run a request.
@@ -69,4 +72,6 @@
         return status, headers, body
 
     def _make_run(self, request, ticket):
-        return request_run.RequestRun(request, self._router, self._client, self._retry, ticket)
+        return request_run.RequestRun(
+            request, self._router, self._client, self._retry, self._stall_s, ticket
+        )
--- a/src/lynxlanding/settings/daemon_settings.py
+++ b/src/lynxlanding/settings/daemon_settings.py
@@ -53,6 +53,8 @@
         Requests that the node handles at once.
     idle_timeout_s : float
         An incomplete request is abandoned after this long without a byte.
+    stall_timeout_s : float
+        An engine that sends nothing for this long is given up and its stream resumed elsewhere.
     claim_writes_per_s : float
         Store writes per second that all nodes together may spend on claims. Nodes share it
         equally.
@@ -64,6 +66,7 @@
     max_header_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 20)] = 32 << 10
     concurrency: Annotated[int, pydantic.Field(ge=1, le=10_000)] = 1000
     idle_timeout_s: Seconds = 10.0
+    stall_timeout_s: Seconds = 10.0
     # The target for the whole fleet is below 100 writes/s for all purposes.
     claim_writes_per_s: Annotated[float, pydantic.Field(gt=0, le=1e6, allow_inf_nan=False)] = 80.0
 
