Add the query and command language of operators

A lark LALR grammar with the contextual lexer gives line, column and the possible continuations of a wrong text; names and types are checked afterwards, with the nearest known name. Ruled out: an Earley grammar, whose errors name a character but not what was expected; keywords as reserved words, because an object named 'to' could then not be changed. Nesting beyond the recursion limit is reported as a mistake.

--- a/src/lynxlanding/operators/__init__.py
+++ b/src/lynxlanding/operators/__init__.py
@@ -1,1 +1,5 @@
-"""Query and command language, admin API and lynxctl."""
+"""Query and command language, admin API and ``lynxctl``."""
+
+from lynxlanding.operators import language, view
+
+__all__ = ["language", "view"]
--- /dev/null
+++ b/src/lynxlanding/operators/language/__init__.py
@@ -0,0 +1,27 @@
+"""Query and command language; no module of this package does I/O."""
+
+from lynxlanding.operators.language import (
+    commands,
+    conditions,
+    difference,
+    evaluation,
+    parsing,
+    position,
+    query,
+    result,
+    tables,
+    translation,
+)
+
+__all__ = [
+    "commands",
+    "conditions",
+    "difference",
+    "evaluation",
+    "parsing",
+    "position",
+    "query",
+    "result",
+    "tables",
+    "translation",
+]
--- /dev/null
+++ b/src/lynxlanding/operators/language/_building.py
@@ -0,0 +1,234 @@
+"""Builds typed statements from the parse tree."""
+
+import datetime
+import json
+
+import lark
+
+from lynxlanding.errors import operators as operator_errors
+from lynxlanding.operators.language import commands, conditions, position, query
+
+_CONSTANTS = {"true": True, "false": False, "none": None}
+
+
+@lark.v_args(inline=True)
+class StatementBuilder(lark.Transformer):
+    """Transformer from the parse tree to statements; raises ``StatementError``."""
+
+    def start(self, *statements):
+        """Return the statements, without the placeholder of the optional last semicolon."""
+        return [statement for statement in statements if statement is not None]
+
+    # Queries
+
+    def query(self, verb, tail):
+        """Combine the head of a query with its clauses."""
+        name, fields, source = verb
+        where, group_by, order_by, limit = tail
+        return query.Query(name, source, fields, where, group_by or (), order_by or (), limit)
+
+    def show_all(self, source):
+        """Return the head of a ``show`` of every column."""
+        return query.SHOW, (), source
+
+    def show_fields(self, fields, source):
+        """Return the head of a ``show`` of named columns."""
+        return query.SHOW, fields, source
+
+    def count(self, source):
+        """Return the head of a ``count``."""
+        return query.COUNT, (), source
+
+    def aggregate(self, verb, field, source):
+        """Return the head of an aggregate."""
+        return str(verb), (field,), source
+
+    def tail(self, where, group_by, order_by, limit):
+        """Return the clauses."""
+        return where, group_by, order_by, limit
+
+    def where(self, condition):
+        """Return the filter."""
+        return condition
+
+    def group_by(self, fields):
+        """Return the columns of the groups."""
+        return fields
+
+    def order_by(self, *orders):
+        """Return the columns of the order."""
+        return orders
+
+    def order(self, field, direction):
+        """Return one column of the order and whether it is descending."""
+        return field, direction == "desc"
+
+    def limit(self, token):
+        """Return the largest number of rows."""
+        return _whole_number(token)
+
+    def fields(self, *fields):
+        """Return column names."""
+        return fields
+
+    def source(self, token):
+        """Return the name of a table."""
+        return _word(token)
+
+    def field(self, token):
+        """Return the name of a column."""
+        return _word(token)
+
+    def or_condition(self, *parts):
+        """Return a disjunction."""
+        return conditions.Or(parts)
+
+    def and_condition(self, *parts):
+        """Return a conjunction."""
+        return conditions.And(parts)
+
+    def negation(self, part):
+        """Return a negation."""
+        return conditions.Not(part)
+
+    def comparison(self, field, operator, value):
+        """Return a comparison."""
+        return conditions.Comparison(field, str(operator), (value,))
+
+    def like(self, field, token):
+        """Return a comparison with a pattern."""
+        return conditions.Comparison(field, "like", (self.text(token),))
+
+    def membership(self, field, *values):
+        """Return a comparison with several values."""
+        return conditions.Comparison(field, "in", values)
+
+    # Commands
+
+    def create_object(self, kind, name, fields):
+        """Return a command that creates an object."""
+        return commands.CreateObject(kind, name, fields)
+
+    def set_fields(self, kind, name, fields):
+        """Return a command that sets fields of an object."""
+        return commands.SetFields(kind, name, fields)
+
+    def delete_object(self, kind, name):
+        """Return a command that deletes an object."""
+        return commands.DeleteObject(kind, name)
+
+    def drain_endpoint(self, address, reason):
+        """Return a command that drains an endpoint."""
+        text = "" if reason is None else self.text(reason).value
+        return commands.DrainEndpoint(_word(address), text)
+
+    def undrain_endpoint(self, address):
+        """Return a command that ends the drain of an endpoint."""
+        return commands.UndrainEndpoint(_word(address))
+
+    def scale_group(self, name, replicas):
+        """Return a command that changes the number of replicas."""
+        return commands.ScaleGroup(name, _whole_word(replicas))
+
+    def change_version(self, model, version):
+        """Return a command that changes the version that serves."""
+        return commands.ChangeVersion(model, version)
+
+    def schedule_winddown(self, model, date, steps):
+        """Return a command that schedules a wind-down."""
+        return commands.ScheduleWinddown(model, self.datetime(date), steps or ())
+
+    def cancel_winddown(self, model):
+        """Return a command that cancels a wind-down."""
+        return commands.CancelWinddown(model)
+
+    def steps(self, *steps):
+        """Return the steps of a wind-down."""
+        return steps
+
+    def step(self, at, replicas):
+        """Return one step of a wind-down."""
+        return self.datetime(at), _whole_word(replicas)
+
+    def kind(self, token):
+        """Return the name of a kind."""
+        return _word(token)
+
+    def name(self, token):
+        """Return the name of an object."""
+        if token.type == "STRING":
+            return self.text(token)
+        return _word(token)
+
+    def assignments(self, *assignments):
+        """Return assignments."""
+        return assignments
+
+    def assignment(self, field, _equals, value):
+        """Return one assignment."""
+        return _word(field), value
+
+    # Values
+
+    def text(self, token):
+        """Return a quoted text."""
+        try:
+            return position.Word(json.loads(token), token.line, token.column)
+        except ValueError as e:
+            raise operator_errors.StatementError(
+                token.line, token.column, f"invalid escape sequence in {token}"
+            ) from e
+
+    def number(self, token):
+        """Return a number."""
+        value = float(token)
+        if value.is_integer() and str(token).lstrip("-").isdigit():
+            value = int(token)
+        return position.Word(value, token.line, token.column)
+
+    def datetime(self, token):
+        """Return a moment; a time without an offset is UTC."""
+        try:
+            moment = datetime.datetime.fromisoformat(str(token))
+        except ValueError as e:
+            raise operator_errors.StatementError(
+                token.line, token.column, f"{token} is not a time: {e}"
+            ) from e
+        if moment.tzinfo is None:
+            moment = moment.replace(tzinfo=datetime.UTC)
+        return position.Word(moment, token.line, token.column)
+
+    def word(self, token):
+        """Return an unquoted word; true, false and none are constants."""
+        return position.Word(_CONSTANTS.get(str(token), str(token)), token.line, token.column)
+
+    @lark.v_args(inline=False, meta=True)
+    def list(self, meta, values):
+        """Return a list of values."""
+        items = tuple(value.value for value in values if value is not None)
+        return position.Word(items, meta.line, meta.column)
+
+    @lark.v_args(inline=False, meta=True)
+    def map(self, meta, assignments):
+        """Return a map."""
+        pairs = {field.value: value.value for field, value in assignments}
+        return position.Word(pairs, meta.line, meta.column)
+
+
+def _word(token):
+    return position.Word(str(token), token.line, token.column)
+
+
+def _whole_number(token):
+    return _whole_word(token).value
+
+
+def _whole_word(token):
+    if not str(token).isdigit():
+        raise operator_errors.StatementError(
+            token.line,
+            token.column,
+            f"unexpected {str(token)!r}",
+            ("a whole number of at least 0",),
+        )
+    return position.Word(int(token), token.line, token.column)
--- /dev/null
+++ b/src/lynxlanding/operators/language/conditions.py
@@ -0,0 +1,35 @@
+"""Conditions of ``where``."""
+
+import dataclasses
+
+from lynxlanding.operators.language import position
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Comparison:
+    """``field operator value``; for ``in``, ``values`` holds the alternatives."""
+
+    field: position.Word
+    operator: str
+    values: tuple[position.Word, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class And:
+    """All parts hold."""
+
+    parts: tuple
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Or:
+    """At least one part holds."""
+
+    parts: tuple
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Not:
+    """The part does not hold."""
+
+    part: object
--- /dev/null
+++ b/src/lynxlanding/operators/view/cluster_view.py
@@ -0,0 +1,32 @@
+"""All tables of the cluster at one moment."""
+
+import dataclasses
+
+from lynxlanding.operators.view import rows
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClusterView:
+    """Tables that queries read, as one node sees the cluster.
+
+    Parameters
+    ----------
+    node : str
+        Node that gathered the view.
+    revision : int
+        Configuration revision of that node.
+    uncertain : bool
+        Whether the store has not confirmed the revision recently.
+    """
+
+    node: str
+    revision: int
+    uncertain: bool = False
+    endpoints: tuple[rows.EndpointRow, ...] = ()
+    groups: tuple[rows.GroupRow, ...] = ()
+    workspaces: tuple[rows.WorkspaceRow, ...] = ()
+    models: tuple[rows.ModelRow, ...] = ()
+    nodes: tuple[rows.NodeRow, ...] = ()
+    services: tuple[rows.ServiceRow, ...] = ()
+    drains: tuple[rows.DrainRow, ...] = ()
+    winddown: tuple[rows.WinddownRow, ...] = ()
--- /dev/null
+++ b/src/lynxlanding/operators/view/rows.py
@@ -0,0 +1,119 @@
+"""Row types of the tables that queries read.
+
+The field names are the column names of the query language. Durations are in seconds.
+"""
+
+import dataclasses
+import datetime
+
+SERVING = "serving"
+LEAVING = "leaving"
+INCOMPLETE = "incomplete"
+LOADING = "loading"
+UNREACHABLE = "unreachable"
+EJECTED = "ejected"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointRow:
+    """One endpoint; ``leaving_because`` names the sources that say that it is leaving."""
+
+    address: str
+    service: str
+    model: str
+    version: str
+    place: str
+    fabric_domain: str
+    group: str
+    state: str
+    leaving_because: str
+    slots: int
+    running: int
+    queued: int
+    in_flight: int
+    accelerators: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GroupRow:
+    """One replica group; ``stranded_s`` is how long it has been incomplete."""
+
+    group: str
+    model: str
+    version: str
+    place: str
+    fabric_domain: str
+    epoch: int
+    state: str
+    vms: int
+    vms_missing: int
+    accelerators: int
+    stranded_accelerators: int
+    stranded_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WorkspaceRow:
+    """One workspace with what it is owed."""
+
+    workspace: str
+    owed_requests_per_s: float
+    owed_tokens_per_s: float
+    until: datetime.datetime | None
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ModelRow:
+    """One model with its desired and its serving replicas."""
+
+    model: str
+    version: str
+    vms_per_replica: int
+    replicas: int
+    endpoints_serving: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeRow:
+    """One node of the system."""
+
+    node: str
+    place: str
+    region: str
+    state: str
+    revision: int
+    uncertain: bool
+    heartbeat_age_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceRow:
+    """One service with the number of its endpoints."""
+
+    service: str
+    kind: str
+    model: str
+    endpoints: int
+    endpoints_serving: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DrainRow:
+    """One accepted drain; ``in_flight`` counts the requests that this node still has there."""
+
+    drain: str
+    address: str
+    reason: str
+    in_flight: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WinddownRow:
+    """One step of a wind-down plan; ``due`` tells whether its moment has passed."""
+
+    model: str
+    at: datetime.datetime
+    replicas: int
+    date: datetime.datetime
+    due: bool
