Add lynxctl and the admin API

The client makes the change id and repeats with it after a lost answer; the node looks the id up before it translates the statements, because 'create' fails against a revision that already holds its effect. A 503 means that nothing was changed, but after an attempt with an unknown outcome the client still reports the outcome as unknown. Objects that statements name are part of the change even if equal in this node's revision: a first version took 'scale group g to 3' as done against an old revision, while the head had another value.

--- a/src/lynxlanding/errors/operators.py
+++ b/src/lynxlanding/errors/operators.py
@@ -42,11 +42,20 @@
 
 
 class NodeUnreachable(OperatorError):
-    """The node did not answer; a change may or may not have taken effect."""
+    """No node could be reached, so nothing was changed."""
 
     type_name = "node_unreachable"
 
 
+class ChangeOutcomeUnknown(OperatorError):
+    """No node told whether a submitted change was accepted.
+
+    Submitting the same change id again is safe and reports the outcome.
+    """
+
+    type_name = "change_outcome_unknown"
+
+
 def _join(expected):
     if len(expected) == 1:
         return expected[0]
--- a/src/lynxlanding/operators/language/tests/test_translation.py
+++ b/src/lynxlanding/operators/language/tests/test_translation.py
@@ -125,3 +125,10 @@
         ("delete", "drains/manual", ""),
     ]
     assert (lines[0].before, lines[0].after) == (3, 5)
+
+
+def test_unchanged_object_is_part_of_the_change():
+    """Guards against a command that is taken as done because the node's revision is old."""
+    assert _translate("scale group g to 3").puts == {
+        ("groups", "g"): specs.GroupSpec(model="m", replicas=3)
+    }
--- a/src/lynxlanding/operators/language/translation.py
+++ b/src/lynxlanding/operators/language/translation.py
@@ -65,17 +65,18 @@
     def __init__(self, snapshot):
         self._base = snapshot
         self._objects = {kind: dict(snapshot.of_kind(kind)) for kind in kinds.SPEC_BY_KIND}
+        # Objects that statements name are part of the change even if they stay as they are in
+        # this revision. A later revision may have changed them, and the commit finds that out.
+        self._touched = set()
 
     def change(self):
         change = ConfigurationChange()
-        for kind, objects in self._objects.items():
-            before = self._base.of_kind(kind)
-            for name, spec in objects.items():
-                if before.get(name) != spec:
-                    change.puts[kind, name] = spec
-            for name in before:
-                if name not in objects:
-                    change.deletes.add((kind, name))
+        for kind, name in sorted(self._touched):
+            spec = self._objects[kind].get(name)
+            if spec is not None:
+                change.puts[kind, name] = spec
+            elif name in self._base.of_kind(kind):
+                change.deletes.add((kind, name))
         return change
 
     @functools.singledispatchmethod
@@ -103,16 +104,16 @@
     def _(self, statement: commands.DeleteObject):
         kind = _find_kind(statement.kind)
         self._existing(kind, statement.name)
-        del self._objects[kind][statement.name.value]
+        self._delete(kind, statement.name.value)
 
     @apply.register
     def _(self, statement: commands.DrainEndpoint):
         address = statement.address.value
         if self._drains_of(address):
             raise _error(statement.address, f"endpoint {address} is being drained already")
-        self._objects["drains"][drain_name(address)] = specs.DrainSpec(
-            address=address, reason=statement.reason
-        )
+        name = drain_name(address)
+        self._touched.add(("drains", name))
+        self._objects["drains"][name] = specs.DrainSpec(address=address, reason=statement.reason)
 
     @apply.register
     def _(self, statement: commands.UndrainEndpoint):
@@ -125,7 +126,7 @@
                 known,
             )
         for name in names:
-            del self._objects["drains"][name]
+            self._delete("drains", name)
 
     @apply.register
     def _(self, statement: commands.ScaleGroup):
@@ -159,8 +160,9 @@
             previous = at.value
             steps.append({"at": at.value, "replicas": replicas.value})
         for name in self._winddowns_of(model):
-            del self._objects["winddowns"][name]
+            self._delete("winddowns", name)
         document = {"model": model, "date": statement.date.value, "steps": tuple(steps)}
+        self._touched.add(("winddowns", model))
         self._objects["winddowns"][model] = _build("winddowns", document, {}, statement.model)
 
     @apply.register
@@ -172,7 +174,11 @@
                 statement.model, f"no wind-down of model {statement.model.value} exists", known
             )
         for name in names:
-            del self._objects["winddowns"][name]
+            self._delete("winddowns", name)
+
+    def _delete(self, kind, name):
+        self._touched.add((kind, name))
+        del self._objects[kind][name]
 
     def _drains_of(self, address):
         drains = self._objects["drains"].items()
@@ -198,6 +204,7 @@
                 raise _error(field, f"field {field.value!r} is given twice")
             places[field.value] = value
             document[field.value] = value.value
+        self._touched.add((kind, name.value))
         self._objects[kind][name.value] = _build(kind, document, places, name)
 
 
--- /dev/null
+++ b/src/lynxlanding/operators/lynxctl.py
@@ -0,0 +1,308 @@
+"""Command ``lynxctl``: queries and changes through the admin API of any node."""
+
+import getpass
+import json
+import pathlib
+import sys
+import time
+import uuid
+
+import click
+import urllib3
+
+from lynxlanding.errors import operators as operator_errors
+from lynxlanding.errors import settings as settings_errors
+from lynxlanding.operators import _burn_output, admin_client, exit_codes, formatting
+from lynxlanding.operators.language import evaluation, parsing
+from lynxlanding.settings import loading
+
+WATCH_INTERVAL_S = 1.0
+_CODE_BY_STATUS = {
+    400: exit_codes.INVALID,
+    422: exit_codes.INVALID,
+    409: exit_codes.CONFLICT,
+    503: exit_codes.NOT_ACCEPTED,
+}
+_ADVICE = {
+    "revision_conflict": "look at it with 'lynxctl history', adapt the file and apply it again",
+    "store_not_confirmed": "nothing was changed; try again when the store answers, or use another"
+    " --node",
+    "store_unavailable": "nothing was changed; try again later",
+    "store_rate_limited": "nothing was changed; try again later",
+    "invalid_object": "nothing was changed; correct the statement and apply the file again",
+}
+
+
+@click.group()
+@click.option(
+    "--node",
+    "nodes",
+    multiple=True,
+    envvar="LYNXCTL_NODE",
+    metavar="URL",
+    help="Peer listener of a node, such as http://10.0.0.5:8081; may be repeated.",
+)
+@click.option("--output", type=click.Choice(["table", "json"]), default="table")
+@click.pass_context
+def main(context, nodes, output):
+    """Ask what serves, what is stranded and what is leaving, and change the configuration."""
+    context.obj = {"nodes": nodes, "output": output}
+
+
+@main.command()
+@click.argument("text")
+@click.option("--watch", is_flag=True, help="Repeat the query until interrupted.")
+@click.option("--interval", default=WATCH_INTERVAL_S, type=click.FloatRange(min=0.1))
+@click.pass_obj
+def query(settings, text, watch, interval):
+    """Run the queries in TEXT, such as "show stranded"."""
+    try:
+        for statement in parsing.parse_queries(text):
+            evaluation.check(statement)
+    except operator_errors.StatementError as e:
+        _fail(exit_codes.INVALID, str(e), _marked(text, e))
+    client = _client(settings)
+    while True:
+        status, answer = _reach(client.query, text)
+        if not watch or status == 200:
+            _check(status, answer)
+            _print_query(settings, answer)
+        if not watch:
+            return
+        time.sleep(interval)
+
+
+@main.command()
+@click.argument("file", type=click.File("r", encoding="utf-8"))
+@click.option("--dry-run", is_flag=True, help="Check and show the difference; change nothing.")
+@click.option("--author", default=None, help="Name for the history (default: login name).")
+@click.option("--change-id", default=None, help="Id of an earlier submission to repeat.")
+@click.option("--watch", is_flag=True, help="Wait until every live node has the change.")
+@click.option("--watch-limit", default=60.0, type=click.FloatRange(min=1), metavar="SECONDS")
+@click.pass_obj
+def apply(settings, file, dry_run, author, change_id, watch, watch_limit):
+    """Apply the commands in FILE ("-" reads the input) as one change."""
+    text = _read(file)
+    try:
+        parsing.parse_commands(text)
+    except operator_errors.StatementError as e:
+        _fail(exit_codes.INVALID, f"{file.name}: {e}", _marked(text, e))
+    client = _client(settings)
+    document = {
+        "text": text,
+        "author": author or _login_name(),
+        "change_id": change_id or uuid.uuid4().hex,
+        "dry_run": dry_run,
+    }
+    advice = f"repeat with --change-id {document['change_id']}; a repeat is applied only once"
+    try:
+        status, answer = _reach(client.apply, document)
+    except operator_errors.ChangeOutcomeUnknown as e:
+        _fail(exit_codes.OUTCOME_UNKNOWN, f"it is not known whether the change is in: {e}", advice)
+    except KeyboardInterrupt:
+        _fail(exit_codes.OUTCOME_UNKNOWN, "interrupted before the answer", advice)
+    _check(status, answer, f"{file.name}: ", text)
+    _print_change(settings, answer)
+    if watch and answer["accepted"]:
+        _wait_in_effect(client, answer["revision"], watch_limit)
+
+
+@main.command()
+@click.option("--limit", default=20, type=click.IntRange(1, 1000))
+@click.pass_obj
+def history(settings, limit):
+    """Show the last accepted changes, newest first."""
+    status, answer = _reach(_client(settings).read, f"history?limit={limit}")
+    _check(status, answer)
+    if settings["output"] == "json":
+        click.echo(json.dumps(answer, indent=1))
+        return
+    rows = []
+    for entry in answer["changes"]:
+        moment = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(entry["accepted_at"]))
+        statements = " ".join(entry["statements"].split())
+        rows.append(
+            (entry["revision"], moment, entry["author"], entry["change_id"], statements[:80])
+        )
+    columns = ("revision", "accepted", "author", "change", "statements")
+    click.echo(formatting.format_table(columns, rows))
+
+
+@main.command("check-config")
+@click.argument("file", type=click.File("r", encoding="utf-8"))
+@click.pass_obj
+def check_config(settings, file):
+    """Check FILE: settings of a node (.yaml, .yml), or commands (any other name).
+
+    With --node, commands are also checked against the configuration of that node.
+    """
+    text = _read(file)
+    if pathlib.Path(file.name).suffix in (".yaml", ".yml"):
+        try:
+            loading.load(file.name)
+        except settings_errors.SettingsError as e:
+            _fail(exit_codes.INVALID, f"{file.name}: {e}", "correct this key and check again")
+        click.echo(f"{file.name}: settings are valid")
+        return
+    try:
+        parsing.parse_commands(text)
+    except operator_errors.StatementError as e:
+        _fail(exit_codes.INVALID, f"{file.name}: {e}", _marked(text, e))
+    if not settings["nodes"]:
+        click.echo(f"{file.name}: syntax is valid; give --node to check names against a node")
+        return
+    document = {
+        "text": text,
+        "author": _login_name(),
+        "change_id": uuid.uuid4().hex,
+        "dry_run": True,
+    }
+    status, answer = _reach(_client(settings).apply, document)
+    _check(status, answer, f"{file.name}: ", text)
+    click.echo(f"{file.name}: valid against revision {answer['revision']}")
+
+
+@main.group()
+def report():
+    """Show reports."""
+
+
+@report.command()
+@click.option("--plot", type=click.Path(dir_okay=False), help="Also write a plot (PNG or SVG).")
+@click.pass_obj
+def burn(settings, plot):
+    """Show how fast each service-level objective uses up its error budget."""
+    status, answer = _reach(_client(settings).read, "burn")
+    _check(status, answer)
+    if plot is not None:
+        try:
+            _burn_output.write_plot(answer, plot)
+        except ImportError:
+            _fail(exit_codes.USAGE, "--plot needs matplotlib", "install lynxlanding[bench]")
+    if settings["output"] == "json":
+        click.echo(json.dumps(answer, indent=1))
+        return
+    click.echo(_burn_output.format_burn(answer))
+
+
+def _client(settings):
+    if not settings["nodes"]:
+        _fail(
+            exit_codes.USAGE,
+            "no node is given",
+            "pass --node http://HOST:PEER_PORT before the command, or set LYNXCTL_NODE",
+        )
+    for node in settings["nodes"]:
+        if not node.startswith(("http://", "https://")):
+            _fail(exit_codes.USAGE, f"--node {node} is not a URL", f"write http://{node}")
+    return admin_client.AdminClient(settings["nodes"], urllib3.PoolManager())
+
+
+def _read(file):
+    try:
+        return file.read()
+    except UnicodeDecodeError as e:
+        return _fail(
+            exit_codes.INVALID, f"{file.name} is not UTF-8 text: {e}", "save the file as UTF-8"
+        )
+
+
+def _login_name():
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError, ImportError):
+        return _fail(exit_codes.USAGE, "the login name is unknown", "pass --author NAME")
+
+
+def _reach(call, argument):
+    try:
+        return call(argument)
+    except operator_errors.NodeUnreachable as e:
+        return _fail(
+            exit_codes.UNREACHABLE,
+            f"no node answered: {e}",
+            "nothing was changed; check --node (it names the peer port) and try again",
+        )
+
+
+def _check(status, answer, prefix="", text=""):
+    if status == 200:
+        return
+    error = answer.get("error", {})
+    advice = _ADVICE.get(error.get("type"), "")
+    if error.get("type") == "statement_error" and text:
+        mistake = operator_errors.StatementError(error["line"], error["column"], "")
+        advice = _marked(text, mistake)
+    code = _CODE_BY_STATUS.get(status, exit_codes.UNEXPECTED)
+    _fail(code, prefix + error.get("message", f"status {status}"), advice)
+
+
+def _fail(code, message, advice=""):
+    click.echo(f"lynxctl: {message}", err=True)
+    if advice:
+        click.echo(advice, err=True)
+    sys.exit(code)
+
+
+def _marked(text, error):
+    lines = text.splitlines() or [""]
+    line = lines[min(error.line, len(lines)) - 1].replace("\t", " ")
+    return f"  {line}\n  {' ' * (error.column - 1)}^"
+
+
+def _print_query(settings, answer):
+    if settings["output"] == "json":
+        click.echo(json.dumps(answer, indent=1))
+        return
+    for index, table in enumerate(answer["results"]):
+        if index:
+            click.echo()
+        click.echo(formatting.format_table(table["columns"], table["rows"]))
+    note = f"{answer['node']}, revision {answer['revision']}"
+    if answer["uncertain"]:
+        note += ", not confirmed by the store recently"
+    click.echo(f"({note})", err=True)
+
+
+def _print_change(settings, answer):
+    if settings["output"] == "json":
+        click.echo(json.dumps(answer, indent=1))
+        return
+    if answer["difference"]:
+        rows = []
+        for line in answer["difference"]:
+            rows.append(tuple(line[column] for column in _DIFFERENCE_COLUMNS))
+        click.echo(formatting.format_table(_DIFFERENCE_COLUMNS, rows))
+    if not answer["accepted"]:
+        click.echo(f"dry run against revision {answer['revision']}; nothing was changed")
+        return
+    repeated = ", accepted before" if answer["repeated"] else ""
+    click.echo(f"revision {answer['revision']} (change {answer['change_id']}{repeated})")
+
+
+_DIFFERENCE_COLUMNS = ("action", "object", "field", "before", "after")
+
+
+def _wait_in_effect(client, revision, limit_s):
+    started = time.monotonic()
+    missing = ["all nodes"]
+    while time.monotonic() - started < limit_s:
+        status, answer = _reach(
+            client.query, f"show node of nodes where revision < {revision} and state = alive"
+        )
+        if status == 200:
+            missing = [row[0] for row in answer["results"][0]["rows"]]
+            if not missing:
+                click.echo(f"in effect on every live node after {time.monotonic() - started:.1f} s")
+                return
+        time.sleep(0.2)
+    _fail(
+        exit_codes.NOT_IN_EFFECT,
+        f"revision {revision} is accepted, but not in effect after {limit_s:g} s on "
+        + ", ".join(missing),
+        "look at these nodes with 'show nodes'; the change itself needs no repeat",
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lynxlanding/operators/tests/fakes.py
@@ -0,0 +1,84 @@
+"""Fakes behind the ports of the admin API."""
+
+import time
+
+from lynxlanding.configuration import snapshot, specs
+from lynxlanding.errors import configuration as configuration_errors
+from lynxlanding.operators import history_entry
+from lynxlanding.operators.view import cluster_view, rows
+
+
+class FakeConfiguration:
+    """``ConfigurationPort`` in memory; ``fail_after_commit`` loses that many answers."""
+
+    def __init__(self):
+        self.entries = []
+        self.fail_after_commit = 0
+        self.error = None
+        self.groups = {"g": specs.GroupSpec(model="m", replicas=3)}
+
+    def snapshot(self):
+        objects = {"groups": dict(self.groups), "models": {"m": specs.ModelSpec(version="v1")}}
+        return snapshot.Snapshot(len(self.entries) + 1, "", objects)
+
+    def find_change(self, change_id):
+        for entry in self.entries:
+            if entry.change_id == change_id:
+                return entry
+        return None
+
+    def validate(self, request):
+        for (kind, name), spec in request.change.puts.items():
+            if kind == "groups" and spec.model != "m":
+                raise configuration_errors.InvalidObject(f"groups/{name}.model", "no such model")
+
+    def commit(self, request):
+        self.validate(request)
+        if self.error is not None:
+            raise self.error
+        revision = len(self.entries) + 2
+        self.entries.append(
+            history_entry.HistoryEntry(
+                revision, request.change_id, request.author, time.time(), request.statements
+            )
+        )
+        for (_, name), spec in request.change.puts.items():
+            self.groups[name] = spec
+        if self.fail_after_commit > 0:
+            self.fail_after_commit -= 1
+            raise configuration_errors.CommitOutcomeUnknown("the store's answer was lost")
+        return revision
+
+    def history(self, limit):
+        return list(reversed(self.entries))[:limit]
+
+
+class FakeView:
+    def cluster_view(self):
+        endpoint = rows.EndpointRow(
+            "10.0.0.1:80", "desk", "m", "v1", "east", "f1", "g-1", "serving", "", 8, 2, 0, 2, 8
+        )
+        return cluster_view.ClusterView("n1", 4, endpoints=(endpoint,))
+
+
+class FakeBurn:
+    def burn_report(self):
+        return {
+            "generated_at": 0.0,
+            "period_s": 2592000,
+            "windows_s": [300, 3600],
+            "nodes": [{"node": "n2", "age_s": 600.0, "is_late": True}],
+            "rows": [
+                {
+                    "objective": "first_token",
+                    "scope": "service",
+                    "name": "desk",
+                    "target": 0.95,
+                    "good": 90,
+                    "bad": 10,
+                    "budget_left": -1.0,
+                    "burn": {"300": 2.0, "3600": None},
+                    "alert": "page",
+                }
+            ],
+        }
