Add the scenario language and its runner

Failure runs need stand-ins and nodes as separate processes, faults at known moments and a history that is judged afterwards. A lark grammar gives position and expectation of mistakes; indexes are checked before anything starts. The runner records calls, answers, faults and planned stops; the stand-ins now record the endpoint and the arrival of each piece of work, because waiting in an engine's queue is not new work on a leaving endpoint. An endpoint's own clock and the callers' clock are one, since all processes share a machine.

--- a/src/lynxlanding_bench/caller.py
+++ b/src/lynxlanding_bench/caller.py
@@ -33,6 +33,10 @@
         Times between arrivals after the first token.
     finished_at : float
         End in seconds of the monotonic clock.
+    text : str
+        Text that was received.
+    request_id : str or None
+        Value of ``X-Request-Id``.
     """
 
     result: str
@@ -41,6 +45,8 @@
     first_token_s: float | None = None
     gaps_s: list[float] = dataclasses.field(default_factory=list)
     finished_at: float = 0.0
+    text: str = ""
+    request_id: str | None = None
 
 
 class Caller:
@@ -73,6 +79,7 @@
         try:
             response = self._post("/v1/completions", body, headers, preload=False)
             outcome.status = response.status
+            outcome.request_id = response.headers.get("X-Request-Id")
             if response.status != 200:
                 outcome.result = REFUSED
                 outcome.executed = response.headers.get("X-Executed")
@@ -100,6 +107,7 @@
             return outcome
         finally:
             outcome.finished_at = time.monotonic()
+            outcome.text = "".join(text)
             if response is not None:
                 response.close()
         if done:
--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -3,6 +3,7 @@
 import click
 
 from lynxlanding_bench import node_load, result_file
+from lynxlanding_bench.scenario import command
 
 
 @click.group()
@@ -13,3 +14,4 @@
 # Every experiment module defines one click command and is registered here.
 main.add_command(result_file.compare)
 main.add_command(node_load.command)
+main.add_command(command.scenarios)
--- a/src/lynxlanding_bench/processes.py
+++ b/src/lynxlanding_bench/processes.py
@@ -27,6 +27,7 @@
     def __init__(self, directory):
         self._directory = pathlib.Path(directory)
         self._running = {}
+        self._commands = {}
 
     @property
     def directory(self):
@@ -45,6 +46,7 @@
         *arguments : object
             Command-line arguments.
         """
+        self._commands[name] = (module, arguments)
         environment = {**os.environ, "OPENBLAS_NUM_THREADS": "1"}
         with open(self._directory / f"{name}.log", "ab") as log:
             self._running[name] = subprocess.Popen(
@@ -55,6 +57,11 @@
                 env=environment,
             )
 
+    def restart(self, name):
+        """Start a process that has ended again, with the same arguments."""
+        module, arguments = self._commands[name]
+        self.start(name, module, *arguments)
+
     def start_standin(self, name, *arguments):
         """Start a stand-in; the arguments are those of ``lynx-standins``."""
         self.start(name, "lynxlanding_standins.main", *arguments)
--- a/src/lynxlanding_standins/engine.py
+++ b/src/lynxlanding_standins/engine.py
@@ -113,6 +113,7 @@
             await _send_json(send, 503, {"error": {"type": "refused"}}, refusal)
             return
         request = _CompletionRequest(headers, body, scope["path"].startswith("/v1/chat"))
+        request.endpoint = "{}:{}".format(*scope["server"])
         task = asyncio.ensure_future(self._generate(state, request, identity, send))
         # A closed connection cancels the generation and frees the slot.
         watcher = asyncio.ensure_future(_wait_for_disconnect(receive))
@@ -131,6 +132,8 @@
                 request_id=request.request_id,
                 attempt_id=request.attempt_id,
                 engine=state.instance,
+                endpoint=request.endpoint,
+                arrived=request.arrived,
                 first=request.first,
                 group=state.group,
             )
@@ -175,7 +178,9 @@
         self._is_chat = is_chat
         self.prompt = json.dumps(body["messages"]) if is_chat else str(body["prompt"])
         self._digest = xxhash.xxh32(self.prompt).hexdigest()
-        self._created = int(time.time())
+        self.arrived = time.time()
+        self.endpoint = None
+        self._created = int(self.arrived)
 
     def token(self, index):
         return f"{self._digest}.{index} "
--- a/src/lynxlanding_standins/service.py
+++ b/src/lynxlanding_standins/service.py
@@ -89,6 +89,7 @@
                 method=request.method,
                 path=request.url.path,
                 reference=reference,
+                endpoint="{}:{}".format(*request.scope["server"]),
                 request_id=identity["X-Request-Id"],
             )
             await asyncio.sleep(self._work_s)
