Add metrics, structured logs and the burn report

Service-level counts are kept in buckets of 1 min, 10 min, 2 h and 1 d and written to slo/{node} each 60 s. Each incarnation of a node writes its own part whole, so that lost answers, restarts and paused processes count nothing twice. Streams are recorded once at their end, not once a token.

Tried first: one dict per bucket and one list call over all slo objects. Now the report reads one object after the other, found by an index that nodes join once a day, and adds arrays.

--- a/src/lynxlanding/observability/__init__.py
+++ b/src/lynxlanding/observability/__init__.py
@@ -1,1 +1,19 @@
-"""Metrics, logs and the service-level burn report."""
+"""Metrics, structured logs and the burn report of service-level objectives."""
+
+from lynxlanding.observability import (
+    burn,
+    logs,
+    metrics,
+    request_observer,
+    request_summary,
+    request_timer,
+)
+
+__all__ = [
+    "burn",
+    "logs",
+    "metrics",
+    "request_observer",
+    "request_summary",
+    "request_timer",
+]
--- /dev/null
+++ b/src/lynxlanding/observability/burn/__init__.py
@@ -0,0 +1,25 @@
+"""Burn of the error budgets of service-level objectives."""
+
+from lynxlanding.observability.burn import (
+    burn_actor,
+    calculation,
+    counts,
+    group_observation,
+    objectives,
+    reporter,
+    slo_object,
+    totals,
+    writer,
+)
+
+__all__ = [
+    "burn_actor",
+    "calculation",
+    "counts",
+    "group_observation",
+    "objectives",
+    "reporter",
+    "slo_object",
+    "totals",
+    "writer",
+]
--- /dev/null
+++ b/src/lynxlanding/observability/burn/calculation.py
@@ -0,0 +1,97 @@
+"""Burn rates and remaining error budgets.
+
+The burn rate over a window is the share of bad events divided by the share that the objective
+allows: at 1 the budget lasts exactly for the period. Windows and thresholds of the alerts follow
+"The Site Reliability Workbook" (Beyer et al., 2018), chapter 5.
+"""
+
+from lynxlanding.observability.burn import objectives
+
+PERIOD_S = 2_592_000
+# Window -> bucket of the tier that serves it.
+WINDOWS = {300: 60, 3600: 60, 21_600: 600, 259_200: 7200}
+PERIOD_BUCKET_S = 86_400
+# (short window, long window, burn rate that both must reach, alert), most urgent first.
+ALERTS = (
+    (300, 3600, 14.4, "page"),
+    (3600, 21_600, 6.0, "page"),
+    (21_600, 259_200, 1.0, "ticket"),
+)
+SCOPES = ("service", "workspace", "place")
+_ORDER = (
+    objectives.WHOLE_ANSWER,
+    objectives.FIRST_TOKEN,
+    objectives.TOKEN_INTERVAL,
+    objectives.GROUP_DOWNTIME,
+    objectives.STRANDED,
+)
+
+
+def calculate(counts, targets, now):
+    """Return one row for each counted objective, scope and name.
+
+    A window starts at the beginning of its oldest bucket, so it is up to one bucket longer than
+    its name says. Buckets that begin after ``now`` (of nodes whose clocks run ahead) are left out.
+
+    Parameters
+    ----------
+    counts : BurnCounts
+        Counts of all nodes.
+    targets : dict of str to float
+        Target share of good events by objective.
+    now : float
+        Seconds since the epoch.
+
+    Returns
+    -------
+    list of dict
+        JSON values; ``burn`` is None for a window without events.
+    """
+    rows = []
+    for key in sorted(counts.keys(), key=_sort_key):
+        objective, scope, name = key
+        if objective not in targets:
+            continue
+        allowed = 1.0 - targets[objective]
+        burn = {}
+        for window, size in WINDOWS.items():
+            good, bad = _sum_window(counts, key, size, window, now)
+            burn[window] = _rate(good, bad, allowed)
+        good, bad = _sum_window(counts, key, PERIOD_BUCKET_S, PERIOD_S, now)
+        budget = (good + bad) * allowed
+        rows.append(
+            {
+                "objective": objective,
+                "scope": scope,
+                "name": name,
+                "target": targets[objective],
+                "good": good,
+                "bad": bad,
+                "budget_left": 1.0 - bad / budget if budget else None,
+                "burn": {str(window): value for window, value in burn.items()},
+                "alert": _alert(burn),
+            }
+        )
+    return rows
+
+
+def _sum_window(counts, key, size, window, now):
+    return counts.sum(key, size, int((now - window) // size), int(now // size))
+
+
+def _rate(good, bad, allowed):
+    if good + bad == 0:
+        return None
+    return (bad / (good + bad)) / allowed
+
+
+def _alert(burn):
+    for short, long, limit, alert in ALERTS:
+        if (burn[short] or 0.0) >= limit and (burn[long] or 0.0) >= limit:
+            return alert
+    return ""
+
+
+def _sort_key(key):
+    objective, scope, name = key
+    return _ORDER.index(objective), SCOPES.index(scope), name
--- a/src/lynxlanding/settings/daemon_settings.py
+++ b/src/lynxlanding/settings/daemon_settings.py
@@ -131,6 +131,70 @@
     uncertain_limit_s: Seconds = 7200.0
 
 
+class LatencyObjective(Section):
+    """Objective for a latency.
+
+    Attributes
+    ----------
+    threshold_s : float
+        Largest latency of a good event.
+    target : float
+        Share of the events that must be good.
+    """
+
+    threshold_s: Seconds
+    target: Annotated[float, pydantic.Field(gt=0, lt=1)]
+
+
+class ShareObjective(Section):
+    """Objective for a share of events or of time.
+
+    Attributes
+    ----------
+    target : float
+        Share that must be good.
+    """
+
+    target: Annotated[float, pydantic.Field(gt=0, lt=1)]
+
+
+class ObjectivesSettings(Section):
+    """Service-level objectives over 30 days.
+
+    Attributes
+    ----------
+    first_token : LatencyObjective
+        Time from the arrival of a request to the first token.
+    token_interval : LatencyObjective
+        Time between two tokens.
+    whole_answer : ShareObjective
+        Requests that are answered as a whole.
+    group_downtime : ShareObjective
+        Time of the replica groups in which they serve.
+    stranded : ShareObjective
+        Time of the held accelerators in which they can serve.
+    write_interval_s : float
+        Interval between writes of the counts to the store.
+    """
+
+    first_token: LatencyObjective = LatencyObjective(threshold_s=0.67, target=0.95)
+    token_interval: LatencyObjective = LatencyObjective(threshold_s=0.025, target=0.95)
+    whole_answer: ShareObjective = ShareObjective(target=0.999)
+    group_downtime: ShareObjective = ShareObjective(target=0.999)
+    stranded: ShareObjective = ShareObjective(target=0.99)
+    write_interval_s: Seconds = 60.0
+
+    def targets(self):
+        """Return the targets by objective."""
+        return {
+            "first_token": self.first_token.target,
+            "token_interval": self.token_interval.target,
+            "whole_answer": self.whole_answer.target,
+            "group_downtime": self.group_downtime.target,
+            "stranded": self.stranded.target,
+        }
+
+
 class DaemonSettings(Section):
     """Settings of ``lynxlandingd``.
 
@@ -157,3 +221,4 @@
     drain: DrainSettings = DrainSettings()
     membership: MembershipSettings = MembershipSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    objectives: ObjectivesSettings = ObjectivesSettings()
