Count, log and export the requests of a node

The gateway times each request and passes one summary at its end to the metrics, the burn counts and the log. A caller that hangs up is counted as abandoned, and its stream still closes the endpoint's connection, which 'yield from' did before and a plain loop does not: the relay is closed explicitly. The [DONE] event is not a token.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from lynxlanding.configuration import configuration_actor, revision_reader
-from lynxlanding.daemon import endpoint_targets, node_state
+from lynxlanding.daemon import endpoint_targets, node_observability, node_state
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
 from lynxlanding.platform import http_store
@@ -69,13 +69,22 @@
             settings.requests.stall_timeout_s,
         )
         parser = request_parser.RequestParser(settings.requests)
-        self._caller_app = caller_app.CallerApp(parser, self._state, runner)
+        self._observability = node_observability.NodeObservability(
+            settings, self._store, self._state
+        )
+        self._caller_app = caller_app.CallerApp(
+            parser,
+            self._state,
+            runner,
+            self._observability.request_observer,
+            self._observability.metrics,
+        )
         self._peer_app = peer_app.PeerApp()
         self._peer_app.register(owner_lookup.PATH, claim_app.ClaimApp(self._claims))
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then drain."""
-        logging.basicConfig(level=logging.WARNING)
+        self._observability.start()
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         listen = self._settings.listen
@@ -90,9 +99,11 @@
         threading.Thread(target=self._watch_configuration, daemon=True).start()
         threading.Thread(target=self._collect_claims, daemon=True).start()
         self._stop.wait()
+        self._observability.begin_stop()
         self._drain()
         for server in servers:
             server.close()
+        self._observability.stop()
         pykka.ActorRegistry.stop_all(timeout=2)
 
     def _on_signal(self, number, frame):
--- a/src/lynxlanding/gateway/caller_app.py
+++ b/src/lynxlanding/gateway/caller_app.py
@@ -2,11 +2,11 @@
 
 import json
 import logging
-
-import prometheus_client
+import time
 
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import json_response, request_parser, stream_aborted
+from lynxlanding.observability import request_summary
 
 _logger = logging.getLogger(__name__)
 
@@ -22,12 +22,18 @@
         Configuration, readiness and the requests in flight.
     runner : RequestRunner
         Runs requests.
+    observer : RequestObserver
+        Counts and logs each finished request.
+    metrics : Metrics
+        Served at ``/metrics``.
     """
 
-    def __init__(self, parser, node_state, runner):
+    def __init__(self, parser, node_state, runner, observer, metrics):
         self._parser = parser
         self._node_state = node_state
         self._runner = runner
+        self._observer = observer
+        self._metrics = metrics
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -39,24 +45,29 @@
             document = {"ready": ready, "revision": self._node_state.configuration.revision}
             return json_response.send(start_response, 200 if ready else 503, document)
         if path == "/metrics":
-            body = prometheus_client.generate_latest()
-            headers = [
-                ("Content-Type", prometheus_client.CONTENT_TYPE_LATEST),
-                ("Content-Length", str(len(body))),
-            ]
+            content_type, body = self._metrics.render()
+            headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
             start_response("200 OK", headers)
             return [body]
         request_id = request_parser.new_request_id()
+        timer = self._observer.begin(request_id)
         try:
             if path == "/v1/models":
                 return self._list_models(environ, start_response, request_id)
-            return self._run(environ, start_response, request_id)
+            return self._run(environ, start_response, request_id, timer)
         except request_errors.RequestError as e:
-            _logger.info("request %s refused: %s executed=%s", request_id, e.type_name, e.executed)
+            timer.on_status(e.status)
+            has_left = environ.get("waitress.client_disconnected")
+            result = request_summary.REFUSED
+            if has_left is not None and has_left():
+                result = request_summary.ABANDONED
+            self._observer.end(timer, result, e.type_name, e.executed)
             return json_response.refuse(start_response, e, request_id)
         except Exception:
             _logger.exception("request %s failed inside the node", request_id)
             error = request_errors.RequestError("internal error", executed="unknown")
+            timer.on_status(error.status)
+            self._observer.end(timer, request_summary.REFUSED, error.type_name, error.executed)
             return json_response.refuse(start_response, error, request_id)
 
     def _list_models(self, environ, start_response, request_id):
@@ -69,23 +80,27 @@
         document = {"object": "list", "data": models}
         return json_response.send(start_response, 200, document, headers)
 
-    def _run(self, environ, start_response, request_id):
+    def _run(self, environ, start_response, request_id, timer):
         if not self._node_state.try_begin():
             raise request_errors.NodeStopping("this node is shutting down", retry_after_s=1.0)
         started = False
         try:
             request = self._parser.parse(environ, self._node_state.configuration, request_id)
+            timer.identify(request.workspace, request.target, request.stream)
             status, headers, body = self._runner.run(request)
+            timer.on_status(status)
             response_headers = [("X-Request-Id", request_id)]
             for name, value in headers.items():
                 response_headers.append((name.title(), value))
             if not request.stream or status != 200:
                 response_headers.append(("Content-Length", str(sum(len(part) for part in body))))
                 start_response(json_response.status_line(status), response_headers)
+                self._observer.end(timer, request_summary.WHOLE)
                 return body
             start_response(json_response.status_line(status), response_headers)
             started = True
-            return _CountedBody(_stream_body(body, request_id), self._node_state)
+            stream = _stream_body(body, request, timer, self._observer)
+            return _CountedBody(stream, self._node_state, timer, self._observer)
         finally:
             if not started:
                 self._node_state.end()
@@ -94,9 +109,11 @@
 class _CountedBody:
     """A stream that leaves the count of requests in flight when the server closes it."""
 
-    def __init__(self, body, node_state):
+    def __init__(self, body, node_state, timer, observer):
         self._body = body
         self._node_state = node_state
+        self._timer = timer
+        self._observer = observer
         self._is_open = True
 
     def __iter__(self):
@@ -111,13 +128,24 @@
             self._body.close()
         finally:
             self._node_state.end()
+            # A stream that ended by itself was counted before.
+            self._observer.end(self._timer, request_summary.ABANDONED)
 
 
-def _stream_body(body, request_id):
+def _stream_body(body, request, timer, observer):
     try:
-        yield from body
+        for chunk in body:
+            timer.on_chunk(chunk, time.monotonic())
+            yield chunk
+        observer.end(timer, request_summary.WHOLE)
     except request_errors.RequestError as e:
-        _logger.warning("stream %s broke: %s", request_id, e)
+        _logger.warning("stream %s broke: %s", request.request_id, e)
+        has_left = request.has_caller_left()
+        result = request_summary.ABANDONED if has_left else request_summary.BROKEN
+        observer.end(timer, result, e.type_name, e.executed)
         document = json.dumps(json_response.error_document(e))
         yield b"event: error\ndata: " + document.encode() + b"\n\n"
         raise stream_aborted.StreamAborted(str(e)) from e
+    finally:
+        # A caller that leaves closes this generator, and the endpoint's connection with it.
+        body.close()
--- a/src/lynxlanding/observability/request_observer.py
+++ b/src/lynxlanding/observability/request_observer.py
@@ -31,7 +31,9 @@
         return request_timer.RequestTimer(request_id, time.monotonic(), self._gap_threshold_s)
 
     def end(self, timer, result, error_type="", executed=""):
-        """Count and log a request that ends now."""
+        """Count and log a request that ends now; only the first call for a timer counts."""
+        if timer.is_finished:
+            return
         summary = timer.finish(result, time.monotonic(), error_type, executed)
         self._metrics.record_request(summary)
         # The actor counts on its own time; a request does not wait for it.
--- a/src/lynxlanding/observability/request_timer.py
+++ b/src/lynxlanding/observability/request_timer.py
@@ -3,6 +3,7 @@
 from lynxlanding.observability import request_summary
 
 EVENT_END = b"\n\n"
+LAST_EVENT = b"data: [DONE]\n\n"
 
 
 class RequestTimer:
@@ -16,6 +17,11 @@
         Arrival, in seconds of the monotonic clock.
     gap_threshold_s : float
         Gaps between events above this are counted as slow.
+
+    Attributes
+    ----------
+    is_finished : bool
+        Whether the summary was made.
     """
 
     __slots__ = (
@@ -30,6 +36,7 @@
         "_status",
         "_tokens",
         "_workspace",
+        "is_finished",
     )
 
     def __init__(self, request_id, now, gap_threshold_s):
@@ -44,6 +51,7 @@
         self._last_at = now
         self._tokens = 0
         self._slow_gaps = 0
+        self.is_finished = False
 
     def identify(self, workspace, service, is_stream):
         """Note for whom the request is."""
@@ -66,6 +74,8 @@
             self._slow_gaps += 1
         self._last_at = now
         self._tokens += chunk.count(EVENT_END)
+        if chunk.endswith(LAST_EVENT):
+            self._tokens -= 1
 
     def finish(self, result, now, error_type="", executed=""):
         """Return the summary of the request.
@@ -79,6 +89,7 @@
         error_type, executed : str, optional
             Type and ``X-Executed`` of a refusal or failure.
         """
+        self.is_finished = True
         return request_summary.RequestSummary(
             self._request_id,
             self._workspace,
--- a/src/lynxlanding/routing/routing_actor.py
+++ b/src/lynxlanding/routing/routing_actor.py
@@ -34,3 +34,7 @@
         """Take an attempt out of the counts."""
         del request_id, failed
         self._in_flight[address] -= 1
+
+    def in_flight(self):
+        """Return the number of own requests in flight by address."""
+        return dict(self._in_flight)
