Commit configuration changes through one conditional update of the head

A change writes immutable, content-addressed parts and a revision, then updates config-head/current once. A lost answer is settled by reading the head or the revision chain for the change id; a lost race is tried again on the new head unless the winner touched the same objects.

Commits and collections are generators that yield store calls, so tests step several of them in any order between two calls.

Ruled out: deleting orphans after a grace time (a paused commit can outlive any grace time). Instead a collection counts itself in the head and deletes only the versions it listed, and a commit renews the version of each part that exists. Ruled out: the manifest inside the revision (a long history could not be listed, and a peer that holds the parent needs only the changed keys); it is a part of its own.

--- a/src/lynxlanding/configuration/__init__.py
+++ b/src/lynxlanding/configuration/__init__.py
@@ -1,5 +1,41 @@
 """Configuration objects, commits, snapshots and their propagation."""
 
-from lynxlanding.configuration import kinds, snapshot, specs
+from lynxlanding.configuration import (
+    capacity,
+    change,
+    change_ids,
+    commit,
+    difference,
+    garbage,
+    head,
+    history,
+    kinds,
+    part_cache,
+    plan,
+    repository,
+    revision,
+    snapshot,
+    specs,
+    store_calls,
+    validation,
+)
 
-__all__ = ["kinds", "snapshot", "specs"]
+__all__ = [
+    "capacity",
+    "change",
+    "change_ids",
+    "commit",
+    "difference",
+    "garbage",
+    "head",
+    "history",
+    "kinds",
+    "part_cache",
+    "plan",
+    "repository",
+    "revision",
+    "snapshot",
+    "specs",
+    "store_calls",
+    "validation",
+]
--- /dev/null
+++ b/src/lynxlanding/configuration/commit.py
@@ -0,0 +1,275 @@
+"""Commits a change: immutable parts and revision, then one conditional update of the head."""
+
+import dataclasses
+
+from lynxlanding.configuration import (
+    change_ids,
+    encoding,
+    history,
+    part,
+    plan,
+    repository,
+    revision,
+    store_calls,
+    store_layout,
+)
+from lynxlanding.errors import configuration as configuration_errors
+from lynxlanding.errors import platform as platform_errors
+
+# Each lost race costs one attempt. With three operators and a collection racing, more than a
+# handful of losses in a row means that the head changes faster than it can be read.
+MAX_ATTEMPTS = 20
+MAX_PART_ATTEMPTS = 10
+
+COMMITTED = "committed"
+REPEATED = "repeated"
+NO_DIFFERENCE = "no_difference"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CommitResult:
+    """Outcome of an accepted change.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that contains the change.
+    digest : str or None
+        Digest of that revision; None if it was found in the history and is not the head.
+    outcome : {"committed", "repeated", "no_difference"}
+        Whether this submission was accepted, an earlier one with the same id had been, or the
+        change alters nothing and created no revision.
+    entries : list of DifferenceEntry
+        What the change altered; empty if it was found in the head or its history.
+    """
+
+    revision: int
+    digest: str | None
+    outcome: str
+    entries: list
+
+
+def commit(change, now, cache=None, capacity=None):
+    """Commit a change; a procedure of ``store_calls``.
+
+    A change is accepted if the head update succeeded, or if the head or its history names the
+    change id. A change that loses the race for the head is validated again on the new head, unless
+    the winner touched the same objects.
+
+    Parameters
+    ----------
+    change : Change
+        What to commit.
+    now : float
+        UNIX seconds.
+    cache : PartCache or None
+        Objects that need not be read again.
+    capacity : Capacity or None
+        VMs that exist, for validation.
+
+    Returns
+    -------
+    CommitResult
+        The accepted revision.
+
+    Raises
+    ------
+    errors.configuration.InvalidObject
+        If the change is invalid; nothing changed.
+    errors.configuration.RevisionConflict
+        If another change of the same objects was accepted first; nothing changed.
+    errors.configuration.CommitOutcomeUnknown
+        If the outcome of the head update could not be read back.
+    errors.platform.StoreUnavailable
+        If the store could not be used before the head update was sent; nothing changed.
+    """
+    if not change_ids.ACCEPTED_PATTERN.fullmatch(change.change_id):
+        raise configuration_errors.InvalidObject("change_id", "must match [0-9A-Za-z._-]{1,64}")
+    attempt = _Attempt(change, now, cache, capacity)
+    missing = None
+    for _ in range(MAX_ATTEMPTS):
+        try:
+            result = yield from attempt.run()
+        except platform_errors.ObjectNotFound as e:
+            # Collected after the head moved on; the next attempt reads the new head.
+            missing = e
+            continue
+        except platform_errors.PlatformError as e:
+            # An update whose answer was lost may still take effect while the head is at the
+            # version it named, so only a later head proves that it did not.
+            if attempt.is_pending:
+                raise configuration_errors.CommitOutcomeUnknown(
+                    f"change {change.change_id}: the outcome could not be read: {e}"
+                ) from e
+            raise
+        if result is not None:
+            return result
+    if attempt.is_pending:
+        raise configuration_errors.CommitOutcomeUnknown(
+            f"change {change.change_id}: the store lost {MAX_ATTEMPTS} answers"
+        )
+    if missing is not None:
+        raise missing
+    raise configuration_errors.RevisionConflict(*attempt.last_winner)
+
+
+class _Attempt:
+    """State that one submission carries from attempt to attempt."""
+
+    def __init__(self, change, now, cache, capacity):
+        self._change = change
+        self._now = now
+        self._cache = cache
+        self._capacity = capacity
+        self._base_number = change.base_revision
+        self._pending = False
+        self._pending_version = None
+        self._lost_answer = False
+        self._last_winner = ("", 0)
+
+    @property
+    def is_pending(self):
+        """Whether a head update with a lost answer may still take effect."""
+        return self._pending
+
+    @property
+    def last_winner(self):
+        """Change id and revision of the last change in the head."""
+        return self._last_winner
+
+    def run(self):
+        """Return the result, or None if another attempt is needed."""
+        change = self._change
+        current, version = yield from repository.read_head()
+        if current.changes:
+            self._last_winner = current.changes[-1][:2]
+        accepted = yield from history.find_change(current, change.change_id)
+        if accepted is not None:
+            yield from self._check_same_request(current, accepted)
+            digest = current.digest if accepted == current.number else None
+            outcome = COMMITTED if self._lost_answer else REPEATED
+            return CommitResult(accepted, digest, outcome, [])
+        if self._pending and version != self._pending_version:
+            self._pending = False
+        if self._base_number is None:
+            self._base_number = current.number
+        if current.number != self._base_number:
+            yield from self._check_overlap(current)
+        base, manifest = yield from repository.load_snapshot(current.digest, self._cache)
+        planned = plan.make(change, base, self._now, self._capacity)
+        if planned.problems:
+            raise planned.problems[0]
+        if not planned.entries:
+            return CommitResult(current.number, current.digest, NO_DIFFERENCE, [])
+        # Times never decrease along the chain, so that a search for a change id may stop at the
+        # first revision that is older than the id, also where a paused node commits late.
+        time = max(self._now, current.changes[-1][2]) if current.changes else self._now
+        digest = yield from self._write_revision(current, manifest, planned, time)
+        successor = current.successor(current.number + 1, digest, change.change_id, time)
+        document = successor.to_document()
+        try:
+            if version is None:
+                yield store_calls.Create(store_layout.HEADS, store_layout.CURRENT, document)
+            else:
+                yield store_calls.Update(
+                    store_layout.HEADS, store_layout.CURRENT, document, version
+                )
+        except (
+            platform_errors.VersionConflict,
+            platform_errors.ObjectExists,
+            platform_errors.ObjectNotFound,
+        ):
+            return None
+        except platform_errors.StoreOutcomeUnknown:
+            self._pending, self._pending_version, self._lost_answer = True, version, True
+            return None
+        return CommitResult(successor.number, digest, COMMITTED, planned.entries)
+
+    def _check_overlap(self, current):
+        try:
+            later = yield from history.changes_since(current, self._base_number)
+        except platform_errors.ObjectNotFound as e:
+            raise configuration_errors.InvalidObject(
+                "base_revision", f"{self._base_number} is older than the kept history"
+            ) from e
+        touched = self._change.keys()
+        for winner in reversed(later):
+            if touched & winner.changed.keys():
+                raise configuration_errors.RevisionConflict(winner.change_id, winner.number)
+
+    def _check_same_request(self, current, number):
+        try:
+            later = yield from history.changes_since(current, number - 1)
+        except platform_errors.ObjectNotFound:
+            return
+        if later and later[-1].request != self._change.request_digest():
+            raise configuration_errors.InvalidObject(
+                "change_id",
+                f"{self._change.change_id} was used for other objects in revision {number}",
+            )
+
+    def _write_revision(self, current, manifest, planned, time):
+        """Create the parts and the revision; returns the revision's digest."""
+        new_manifest = dict(manifest)
+        changed = {}
+        for entry in planned.entries:
+            kind, name = encoding.split_key(entry.key)
+            if entry.action == "delete":
+                del new_manifest[entry.key]
+                changed[entry.key] = None
+                continue
+            document = part.from_spec(kind, name, planned.objects[kind][name])
+            digest = encoding.digest(document)
+            yield from _ensure(store_layout.PARTS, digest, document)
+            new_manifest[entry.key] = digest
+            changed[entry.key] = digest
+        manifest_document = part.from_manifest(new_manifest)
+        manifest_digest = encoding.digest(manifest_document)
+        try:
+            yield from _ensure(store_layout.PARTS, manifest_digest, manifest_document)
+        except platform_errors.ValueTooLarge as e:
+            raise configuration_errors.InvalidObject(
+                "manifest", f"{len(new_manifest)} objects exceed the store's limit of 1 MB"
+            ) from e
+        document = revision.Revision(
+            current.number + 1,
+            current.digest,
+            self._change.change_id,
+            self._change.request_digest(),
+            self._change.author,
+            time,
+            self._change.statements,
+            changed,
+            manifest_digest,
+        ).to_document()
+        digest = encoding.digest(document)
+        yield from _ensure(store_layout.REVISIONS, digest, document)
+        return digest
+
+
+def _ensure(kind, digest, document):
+    """Create an immutable object, or renew the version of one that exists.
+
+    An object that exists may be an orphan that a garbage collection is about to delete. The
+    collection deletes only the version that it listed, so the new version keeps the object.
+    """
+    for _ in range(MAX_PART_ATTEMPTS):
+        try:
+            yield store_calls.Create(kind, digest, document)
+        except platform_errors.ObjectExists:
+            pass
+        except platform_errors.StoreOutcomeUnknown:
+            continue
+        else:
+            return
+        try:
+            found = yield store_calls.Get(kind, digest)
+            yield store_calls.Update(kind, digest, document, found.version)
+        except (
+            platform_errors.ObjectNotFound,
+            platform_errors.VersionConflict,
+            platform_errors.StoreOutcomeUnknown,
+        ):
+            continue
+        return
+    raise platform_errors.StoreUnavailable(f"{kind}/{digest} could not be written")
--- /dev/null
+++ b/src/lynxlanding/configuration/history.py
@@ -0,0 +1,92 @@
+"""Reads the chain of accepted revisions: who changed what, when, at which version."""
+
+from lynxlanding.configuration import change_ids, head, repository
+from lynxlanding.errors import configuration as configuration_errors
+from lynxlanding.errors import platform as platform_errors
+
+# Largest difference between the clock that issued a change id and those of committing nodes.
+CLOCK_MARGIN_S = 300.0
+# Revisions that garbage collection keeps: about 3.7 days at 2,700 changes per day.
+KEPT_REVISIONS = 10_000
+
+
+def read(limit=20, before=None):
+    """Return accepted revisions, newest first.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of revisions.
+    before : str or None
+        Digest of a revision: the list continues with its parent. None starts at the head.
+
+    Returns
+    -------
+    list of Revision
+        Fewer than ``limit`` at the end of the kept history.
+    """
+    if before is None:
+        current, _ = yield from repository.read_head()
+        digest = current.digest
+    else:
+        digest = (yield from repository.read_revision(before)).parent
+    revisions = []
+    while digest and len(revisions) < limit:
+        try:
+            found = yield from repository.read_revision(digest)
+        except platform_errors.ObjectNotFound:
+            break
+        revisions.append(found)
+        digest = found.parent
+    return revisions
+
+
+def find_change(current, change_id):
+    """Return the number of the revision that a change created, or None if it was not accepted.
+
+    The head names the last changes. Before them, the chain is read back to the time at which the
+    id was issued; an id without a time is searched in the whole kept history.
+
+    Raises
+    ------
+    errors.configuration.InvalidObject
+        If the id is older than the kept history, so that nothing can be said about it.
+    """
+    for known_id, number, _ in current.changes:
+        if known_id == change_id:
+            return number
+    if len(current.changes) < head.KEPT_CHANGES:
+        return None
+    issued_at = change_ids.issued_at(change_id)
+    earliest = None if issued_at is None else issued_at - CLOCK_MARGIN_S
+    if earliest is not None and current.changes[0][2] < earliest:
+        return None
+    digest = current.digest
+    while digest:
+        try:
+            found = yield from repository.read_revision(digest)
+        except platform_errors.ObjectNotFound as e:
+            if issued_at is None:
+                return None
+            raise configuration_errors.InvalidObject(
+                "change_id", f"{change_id} is older than the kept history; generate a new id"
+            ) from e
+        if found.change_id == change_id:
+            return found.number
+        if earliest is not None and found.time < earliest:
+            return None
+        digest = found.parent
+    return None
+
+
+def changes_since(current, number):
+    """Return the revisions after a number, newest first."""
+    revisions = []
+    digest = current.digest
+    while digest:
+        found = yield from repository.read_revision(digest)
+        if found.number <= number:
+            break
+        revisions.append(found)
+        digest = found.parent
+    return revisions
--- a/src/lynxlanding/configuration/kinds.py
+++ b/src/lynxlanding/configuration/kinds.py
@@ -1,5 +1,7 @@
 """Kinds of configuration objects."""
 
+import re
+
 from lynxlanding.configuration import specs
 
 SPEC_BY_KIND = {
@@ -12,3 +14,5 @@
     "winddowns": specs.WinddownSpec,
     "drains": specs.DrainSpec,
 }
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
--- /dev/null
+++ b/src/lynxlanding/configuration/plan.py
@@ -0,0 +1,80 @@
+"""Dry run: what a change would alter, and what is wrong with it."""
+
+import dataclasses
+import datetime
+
+from lynxlanding.configuration import difference, encoding, part, validation
+from lynxlanding.errors import configuration as configuration_errors
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """Outcome of validating a change against one snapshot.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the change was validated against.
+    objects : dict of str to dict of str to Spec
+        Objects after the change, by kind and name.
+    entries : list of DifferenceEntry
+        What the change alters.
+    problems : list of InvalidObject
+        What is wrong; empty if the change can be committed.
+    """
+
+    revision: int
+    objects: dict
+    entries: list
+    problems: list
+
+
+def make(change, base, now, capacity=None):
+    """Validate a change against a snapshot.
+
+    Parameters
+    ----------
+    change : Change
+        Puts and deletes.
+    base : Snapshot
+        Snapshot that the change applies to.
+    now : float
+        UNIX seconds.
+    capacity : Capacity or None
+        VMs that exist; None skips the rules that need them.
+
+    Returns
+    -------
+    Plan
+        Difference and problems; nothing is written.
+    """
+    found = []
+    objects = {}
+    for kind, specs_by_name in base.objects.items():
+        objects[kind] = dict(specs_by_name)
+    for kind, name in change.deletes:
+        if (kind, name) in change.puts:
+            found.append(
+                configuration_errors.InvalidObject(
+                    encoding.key(kind, name), "is both put and deleted by the change"
+                )
+            )
+            continue
+        if objects.get(kind, {}).pop(name, None) is None:
+            found.append(
+                configuration_errors.InvalidObject(encoding.key(kind, name), "does not exist")
+            )
+    put_keys = set()
+    for (kind, name), document in change.puts.items():
+        try:
+            spec = part.parse_spec(kind, name, document)
+        except configuration_errors.InvalidObject as e:
+            found.append(e)
+            continue
+        objects[kind][name] = spec
+        if base.of_kind(kind).get(name) != spec:
+            put_keys.add(encoding.key(kind, name))
+    if not found:
+        moment = datetime.datetime.fromtimestamp(now, datetime.UTC)
+        found = validation.problems(objects, put_keys, moment, capacity)
+    return Plan(base.revision, objects, difference.between(base.objects, objects), found)
--- a/src/lynxlanding/configuration/specs.py
+++ b/src/lynxlanding/configuration/specs.py
@@ -48,10 +48,14 @@
         Version that serves.
     vms_per_replica : int
         Number of VMs that one replica spans.
+    replica_requests_per_s, replica_tokens_per_s : float or None
+        Capacity of one replica; where all models state it, owed capacity is checked against it.
     """
 
     version: Name
     vms_per_replica: Annotated[int, pydantic.Field(ge=1, le=64)] = 1
+    replica_requests_per_s: Rate | None = None
+    replica_tokens_per_s: Rate | None = None
 
 
 class VersionSpec(Spec):
--- /dev/null
+++ b/src/lynxlanding/configuration/tests/test_commit_schedules.py
@@ -0,0 +1,69 @@
+import pytest
+
+from lynxlanding.configuration import commit, history, store_calls
+from lynxlanding.configuration.tests import schedules
+from lynxlanding.errors import platform as platform_errors
+from lynxlanding.platform import memory_store
+
+SCHEDULES = 1000
+MUTATION_SCHEDULES = 100
+
+
+class UnconditionalStore(memory_store.MemoryObjectStore):
+    """A store whose updates ignore the version."""
+
+    def _check_version(self, kind, name, version):
+        pass
+
+
+def _ensure_without_renewal(kind, digest, document):
+    try:
+        yield store_calls.Create(kind, digest, document)
+    except (platform_errors.ObjectExists, platform_errors.StoreOutcomeUnknown):
+        pass
+
+
+def _find_nothing(current, change_id):
+    del current, change_id
+    return None
+    yield
+
+
+def _violations(seeds, store_type=memory_store.MemoryObjectStore):
+    found = []
+    for seed in seeds:
+        store, operators = schedules.run(seed, store_type())
+        violations = schedules.check(store, operators)
+        if violations:
+            found.append((seed, violations))
+    return found
+
+
+def test_no_change_is_lost_reverted_or_half_applied():
+    """Guards G8 against racing operators, lost answers, outages, crashes and collections."""
+    assert _violations(range(SCHEDULES)) == []
+
+
+def test_schedules_find_a_store_without_conditional_updates():
+    """Guards against schedules too tame to lose a change when updates are unconditional."""
+    assert _violations(range(MUTATION_SCHEDULES), UnconditionalStore)
+
+
+def test_schedules_find_a_missing_search_for_the_change_id(monkeypatch):
+    """Guards against schedules that never repeat a change whose answer was lost."""
+    monkeypatch.setattr(history, "find_change", _find_nothing)
+    assert _violations(range(MUTATION_SCHEDULES))
+
+
+def test_schedules_find_a_missing_renewal_of_parts(monkeypatch):
+    """Guards against schedules in which a collection never meets a commit that reuses a part."""
+    monkeypatch.setattr(commit, "_ensure", _ensure_without_renewal)
+    assert _violations(range(MUTATION_SCHEDULES))
+
+
+@pytest.mark.parametrize("seed", [3, 17])
+def test_schedules_are_reproducible(seed):
+    """Guards against a schedule that cannot be run again from its seed."""
+    first, _ = schedules.run(seed)
+    second, _ = schedules.run(seed)
+    assert first.list("config-head") == second.list("config-head")
--- /dev/null
+++ b/src/lynxlanding/configuration/validation.py
@@ -0,0 +1,126 @@
+"""Validation across configuration objects, in one place.
+
+``specs`` checks the fields of one object; this module checks what one object says about another
+and about the VMs that exist.
+"""
+
+from lynxlanding.configuration import _capacity_rules, _schedule_rules, encoding
+from lynxlanding.errors import configuration as configuration_errors
+
+# Kind, field and kind referred to. The graph of kinds has one cycle, models <-> versions, which
+# is closed by the rule that a model's version belongs to that model.
+REFERENCES = (
+    ("models", "version", "versions"),
+    ("versions", "model", "models"),
+    ("adapters", "model", "models"),
+    ("groups", "model", "models"),
+    ("groups", "adapters", "adapters"),
+    ("services", "model", "models"),
+    ("winddowns", "model", "models"),
+)
+
+
+def problems(objects, changed, now, capacity=None):
+    """Return what is wrong with a set of objects.
+
+    Parameters
+    ----------
+    objects : dict of str to dict of str to Spec
+        Objects by kind and name, after the change.
+    changed : set of str
+        Keys of the objects that the change puts. Dates are checked on these only: an object that
+        was valid when it was accepted does not block later changes as time passes.
+    now : datetime.datetime
+        Present time, with a time zone.
+    capacity : Capacity or None
+        VMs that exist; None skips the rules that need them.
+
+    Returns
+    -------
+    list of InvalidObject
+        All problems, in order of kind and name.
+    """
+    found = []
+    _check_references(objects, found)
+    _check_ownership(objects, found)
+    _check_services(objects, found)
+    _check_tokens(objects, found)
+    _schedule_rules.check(objects, changed, now, found)
+    _capacity_rules.check(objects, now, capacity, found)
+    return found
+
+
+def _check_references(objects, found):
+    for kind, field, target_kind in REFERENCES:
+        targets = objects.get(target_kind, {})
+        for name, spec in sorted(objects.get(kind, {}).items()):
+            value = getattr(spec, field)
+            referred = value if isinstance(value, tuple) else (value,)
+            for target in referred:
+                if target is None or target in targets:
+                    continue
+                found.append(
+                    configuration_errors.InvalidObject(
+                        f"{encoding.key(kind, name)}.{field}",
+                        f"refers to {encoding.key(target_kind, target)}, which does not exist",
+                    )
+                )
+
+
+def _check_ownership(objects, found):
+    versions, adapters = objects.get("versions", {}), objects.get("adapters", {})
+    for name, model in sorted(objects.get("models", {}).items()):
+        version = versions.get(model.version)
+        if version is not None and version.model != name:
+            found.append(
+                configuration_errors.InvalidObject(
+                    f"models/{name}.version",
+                    f"version {model.version} belongs to model {version.model}",
+                )
+            )
+    for name, group in sorted(objects.get("groups", {}).items()):
+        for adapter_name in group.adapters:
+            adapter = adapters.get(adapter_name)
+            if adapter is not None and adapter.model != group.model:
+                found.append(
+                    configuration_errors.InvalidObject(
+                        f"groups/{name}.adapters",
+                        f"adapter {adapter_name} belongs to model {adapter.model}",
+                    )
+                )
+
+
+def _check_services(objects, found):
+    service_by_endpoint = {}
+    for name, service in sorted(objects.get("services", {}).items()):
+        path = f"services/{name}"
+        if service.kind == "model" and service.model is None:
+            found.append(
+                configuration_errors.InvalidObject(f"{path}.model", "kind model requires a model")
+            )
+        if service.kind == "plain" and service.model is not None:
+            found.append(
+                configuration_errors.InvalidObject(f"{path}.model", "kind plain has no model")
+            )
+        for endpoint in service.endpoints:
+            other = service_by_endpoint.setdefault(endpoint, name)
+            if other != name:
+                found.append(
+                    configuration_errors.InvalidObject(
+                        f"{path}.endpoints", f"{endpoint} is also an endpoint of services/{other}"
+                    )
+                )
+
+
+def _check_tokens(objects, found):
+    workspace_by_token = {}
+    for name, workspace in sorted(objects.get("workspaces", {}).items()):
+        for token in workspace.token_sha256:
+            other = workspace_by_token.setdefault(token, name)
+            if other != name:
+                found.append(
+                    configuration_errors.InvalidObject(
+                        f"workspaces/{name}.token_sha256",
+                        f"a token also identifies workspaces/{other}",
+                    )
+                )
