Add the propagation and gossip decision modules

Propagation decides which node watches the head (two per data centre, rendezvous hash), from whom a revision is fetched, and how old the last confirmation by the store is. The age of a mark counts from before the request that it answers, so a paused peer cannot make a node certain of a superseded revision; marks in requests carry no usable age.

A starting node first accepted a head read of any age; in 1,000 seeded schedules it then started with a revision that was 20 s old although its peers held newer ones. A start now needs a read, or a peer's answer, that took at most 5 s, and at least every revision heard of.

Membership is Scuttlebutt gossip with one digest entry (48-bit token, heartbeat, two versions) per incarnation. Ruled out: tombstones for removed nodes (suspected records do not travel, so they cannot return).

--- /dev/null
+++ b/src/lynxlanding/configuration/tests/propagation_schedules.py
@@ -0,0 +1,248 @@
+"""Seeded schedules of several nodes' propagation: outages, pauses, partitions, restarts, delays."""
+
+import heapq
+
+import numpy as np
+
+from lynxlanding.configuration import propagation, propagation_decisions, propagation_status
+from lynxlanding.membership import member
+from lynxlanding.settings import daemon_settings
+
+STEP_S = 0.5
+FAULTY_S = 20.0
+QUIET_S = 15.0
+UNCERTAIN_AFTER_S = 13.0
+SETTINGS = daemon_settings.ConfigurationSettings(uncertain_after_s=UNCERTAIN_AFTER_S)
+PLACES = ("a", "a", "a", "b", "b")
+MEMBERS = {
+    f"n{index}": member.Member(f"n{index}", 0, "", place, "", member.LIVE)
+    for index, place in enumerate(PLACES)
+}
+
+
+class Node:
+    """One node with its propagation and what was seen of it."""
+
+    def __init__(self, name, place, random_state, now, propagation_type):
+        self.name = name
+        self.place = place
+        self.born_at = now
+        self.paused_until = 0.0
+        self.is_watching = False
+        self.held = 0
+        self.floor = 0
+        self.has_read_head = False
+        self.read_number = 0
+        self.members = None
+        self.decider = propagation_type(name, place, SETTINGS, random_state, now)
+
+
+class Schedule:
+    """Runs one schedule and collects violations of G8."""
+
+    def __init__(self, seed, propagation_type=propagation.Propagation):
+        self.violations = []
+        self._random = np.random.default_rng(seed)
+        self._type = propagation_type
+        self._now = 100.0
+        self._heads = [(0, "", self._now)]
+        self._messages = []
+        self._serial = 0
+        self._nodes = {}
+        self._cut_from_store = set()
+        self._side = {}
+        self._heal_at = 0.0
+        for index, place in enumerate(PLACES):
+            self._start_node(f"n{index}", place)
+
+    def run(self):
+        """Run the faulty and the quiet phase; returns the violations."""
+        end = self._now + FAULTY_S
+        while self._now < end:
+            self._inject()
+            self._step()
+        self._cut_from_store, self._side = set(), {}
+        for node in self._nodes.values():
+            node.paused_until = 0.0
+        end = self._now + QUIET_S
+        while self._now < end:
+            self._step()
+        number = self._heads[-1][0]
+        for node in self._nodes.values():
+            status = node.decider.status(self._now)
+            if (status.number, status.state) != (number, propagation_status.CERTAIN):
+                self.violations.append(f"{node.name} ends as {status}, head {number}")
+        return self.violations
+
+    def _inject(self):
+        draw = self._random.random()
+        names = list(self._nodes)
+        name = names[int(self._random.integers(len(names)))]
+        if draw < 0.10:
+            number = self._heads[-1][0] + 1
+            self._heads.append((number, f"d{number}", self._now))
+        elif draw < 0.14:
+            self._nodes[name].paused_until = self._now + float(self._random.uniform(1, 20))
+        elif draw < 0.17:
+            self._start_node(name, self._nodes[name].place)
+        elif draw < 0.20:
+            chosen = self._random.random(len(names)) < self._random.choice([0.5, 1.0])
+            self._cut_from_store = {names[i] for i in range(len(names)) if chosen[i]}
+            self._heal_at = self._now + float(self._random.uniform(2, 20))
+        elif draw < 0.23:
+            self._side = {name: int(self._random.integers(2)) for name in names}
+            self._heal_at = self._now + float(self._random.uniform(2, 20))
+        if self._now > self._heal_at:
+            self._cut_from_store, self._side = set(), {}
+
+    def _step(self):
+        self._now += STEP_S
+        while self._messages and self._messages[0][0] <= self._now:
+            _, _, name, born_at, deliver = heapq.heappop(self._messages)
+            node = self._nodes[name]
+            if node.born_at != born_at:
+                continue
+            if node.paused_until > self._now:
+                self._send(node, node.paused_until, deliver)
+                continue
+            self._carry_out(node, deliver(node.decider))
+        for node in list(self._nodes.values()):
+            if node.paused_until > self._now:
+                continue
+            self._update_members(node)
+            self._carry_out(node, node.decider.on_tick(self._now))
+            if node.is_watching and self._random.random() < STEP_S / 2:
+                self._read_head(node)
+            self._exchange(node)
+            self._check_status(node)
+
+    def _update_members(self, node):
+        members = []
+        for other in self._nodes.values():
+            if other.paused_until <= self._now and self._reaches(node, other):
+                members.append(MEMBERS[other.name])
+        if members != node.members:
+            node.members = members
+            self._carry_out(node, node.decider.on_members(members, self._now))
+
+    def _start_node(self, name, place):
+        numbers = []
+        for other in self._nodes.values():
+            if other.name != name and other.decider.mark(self._now) is not None:
+                numbers.append(other.decider.number)
+        node = Node(name, place, self._random, self._now, self._type)
+        node.floor = min(numbers, default=0)
+        self._nodes[name] = node
+
+    def _reaches(self, node, other):
+        return self._side.get(node.name) == self._side.get(other.name)
+
+    def _delay(self):
+        if self._random.random() < 0.05:
+            return float(self._random.uniform(1, 20))
+        return float(self._random.uniform(0, 0.3))
+
+    def _send(self, node, at, deliver):
+        self._serial += 1
+        heapq.heappush(self._messages, (at, self._serial, node.name, node.born_at, deliver))
+
+    def _exchange(self, node):
+        others = [other for other in self._nodes.values() if other is not node]
+        other = others[int(self._random.integers(len(others)))]
+        if other.paused_until > self._now or not self._reaches(node, other):
+            return
+        sent_at, arrives_at = self._now, self._now + self._delay()
+        request_mark = node.decider.mark(sent_at)
+        if request_mark is not None:
+            self._send(
+                other,
+                arrives_at,
+                lambda decider: decider.on_mark(node.name, request_mark, None, self._now),
+            )
+        # The response is created late and may arrive later still.
+        response_mark = other.decider.mark(sent_at)
+        if response_mark is None:
+            return
+        self._send(
+            node,
+            arrives_at + self._delay(),
+            lambda decider: decider.on_mark(other.name, response_mark, sent_at, self._now),
+        )
+
+    def _read_head(self, node):
+        if node.name in self._cut_from_store:
+            self._send(node, self._now + 0.5, lambda decider: decider.on_head_failed(self._now))
+            return
+        number, digest, _ = self._heads[-1]
+        read_at = self._now
+
+        def deliver(decider):
+            if self._now - read_at <= propagation.START_WAIT_S:
+                node.has_read_head, node.read_number = True, max(number, node.read_number)
+            return decider.on_head(number, digest, read_at, self._now)
+
+        self._send(node, self._now + self._delay(), deliver)
+
+    def _carry_out(self, node, decisions):
+        for decision in decisions:
+            match decision:
+                case propagation_decisions.SetWatching():
+                    node.is_watching = decision.is_watching
+                case propagation_decisions.ReadHead():
+                    self._read_head(node)
+                case propagation_decisions.Fetch():
+                    self._fetch(node, decision)
+                case propagation_decisions.Adopt():
+                    self._check_adoption(node, decision)
+                case propagation_decisions.Started():
+                    self._check_start(node)
+
+    def _fetch(self, node, fetch):
+        if fetch.source == propagation_decisions.STORE:
+            can_load = node.name not in self._cut_from_store
+        else:
+            source = self._nodes[fetch.source]
+            can_load = source.decider.number >= fetch.number and self._reaches(node, source)
+            can_load = can_load and source.paused_until <= self._now
+        if can_load:
+            self._send(
+                node,
+                self._now + self._delay(),
+                lambda decider: decider.on_fetched(fetch.number, fetch.digest, self._now),
+            )
+            return
+        self._send(
+            node,
+            self._now + 0.3,
+            lambda decider: decider.on_fetch_failed(fetch.digest, fetch.source, self._now),
+        )
+
+    def _check_adoption(self, node, adoption):
+        held = node.held
+        if adoption.number <= held:
+            self.violations.append(f"{node.name} reverts from {held} to {adoption.number}")
+        if (adoption.number, adoption.digest) != self._heads[adoption.number][:2]:
+            self.violations.append(f"{node.name} adopts {adoption}, which was not accepted")
+        node.held = adoption.number
+
+    def _check_start(self, node):
+        if node.decider.number < node.read_number:
+            self.violations.append(f"{node.name} starts below the head that it read")
+        if node.has_read_head:
+            return
+        if node.decider.number < node.floor:
+            self.violations.append(
+                f"{node.name} starts with {node.decider.number}, its peers held {node.floor}"
+            )
+
+    def _check_status(self, node):
+        status = node.decider.status(self._now)
+        if status.state != propagation_status.CERTAIN:
+            return
+        if status.number + 1 < len(self._heads):
+            superseded_at = self._heads[status.number + 1][2]
+            if self._now - superseded_at > UNCERTAIN_AFTER_S:
+                self.violations.append(
+                    f"{node.name} is certain of {status.number},"
+                    f" superseded {self._now - superseded_at} s ago"
+                )
--- a/src/lynxlanding/errors/__init__.py
+++ b/src/lynxlanding/errors/__init__.py
@@ -1,5 +1,13 @@
 """Exception hierarchy: one type for each failure."""
 
-from lynxlanding.errors import base, configuration, endpoint, platform, request, settings
+from lynxlanding.errors import (
+    base,
+    configuration,
+    endpoint,
+    membership,
+    platform,
+    request,
+    settings,
+)
 
-__all__ = ["base", "configuration", "endpoint", "platform", "request", "settings"]
+__all__ = ["base", "configuration", "endpoint", "membership", "platform", "request", "settings"]
--- /dev/null
+++ b/src/lynxlanding/membership/capnp_codec.py
@@ -0,0 +1,147 @@
+"""Message codec with Cap'n Proto packed encoding."""
+
+import importlib.resources
+
+import capnp
+
+from lynxlanding.errors import membership as membership_errors
+from lynxlanding.membership import digest_columns, entry, mark, messages, node_info, scopes
+
+# A message beyond this bound is not decoded: 64 KB of deltas, a digest of 10,000 nodes and
+# overhead stay below it.
+MAX_MESSAGE_BYTES = 1 << 20
+_MAX_WORDS = 1 << 20
+_DIGEST_BYTES = 32
+
+
+class CapnpCodec:
+    """``MessageCodec`` of the peer protocol; the schema is loaded from the package's data."""
+
+    content_type = "application/x-lynxlanding-capnp"
+
+    def __init__(self):
+        resource = importlib.resources.files("lynxlanding.membership") / "gossip.capnp"
+        with importlib.resources.as_file(resource) as path:
+            self._schema = capnp.load(str(path))
+
+    def encode(self, message):
+        """Return the encoded message."""
+        target = self._schema.Message.new_message()
+        _write_info(target.sender, message.sender)
+        if isinstance(message, messages.ExchangePush):
+            target.init("push")
+            _write_deltas(target.push.init("deltas", len(message.deltas)), message.deltas)
+            return target.to_bytes_packed()
+        target.isWide = message.scope == scopes.WIDE
+        if message.mark is not None:
+            target.mark.number = message.mark.number
+            target.mark.digest = bytes.fromhex(message.mark.digest)
+            target.mark.ageS = -1.0 if message.mark.age_s is None else message.mark.age_s
+        if isinstance(message, messages.ExchangeRequest):
+            target.init("request")
+            _write_digest(target.request.digest, message.digest)
+            return target.to_bytes_packed()
+        target.init("response")
+        _write_digest(target.response.newer, message.newer)
+        _write_digest(target.response.wanted, message.wanted)
+        _write_deltas(target.response.init("deltas", len(message.deltas)), message.deltas)
+        return target.to_bytes_packed()
+
+    def decode(self, data):
+        """Return the message; raises ``MalformedMessage``."""
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise membership_errors.MalformedMessage(f"{len(data)} bytes exceed the limit")
+        try:
+            source = self._schema.Message.from_bytes_packed(
+                data, traversal_limit_in_words=_MAX_WORDS
+            )
+            return self._read(source)
+        except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
+            raise membership_errors.MalformedMessage(str(e)) from e
+
+    def _read(self, source):
+        sender = _read_info(source.sender)
+        which = source.which()
+        if which == "push":
+            return messages.ExchangePush(sender, _read_deltas(source.push.deltas))
+        scope = scopes.WIDE if source.isWide else scopes.PLACE
+        held = _read_mark(source.mark) if source._has("mark") else None
+        if which == "request":
+            digest = _read_digest(source.request.digest)
+            return messages.ExchangeRequest(sender, scope, digest, held)
+        return messages.ExchangeResponse(
+            sender,
+            scope,
+            _read_digest(source.response.newer),
+            _read_deltas(source.response.deltas),
+            _read_digest(source.response.wanted),
+            held,
+        )
+
+
+def _write_info(target, info):
+    target.nodeId = info.node_id
+    target.incarnation = info.incarnation
+    target.address = info.address
+    target.place = info.place
+    target.region = info.region
+
+
+def _write_digest(target, digest):
+    target.tokens, target.columns = digest_columns.encode(digest)
+
+
+def _write_deltas(targets, deltas):
+    for target, delta in zip(targets, deltas, strict=True):
+        target.token = delta.token
+        target.heartbeat = delta.heartbeat
+        target.placeVersion = delta.place_version
+        target.wideVersion = delta.wide_version
+        if delta.info is not None:
+            _write_info(target.info, delta.info)
+        if not delta.entries:
+            continue
+        for item_target, item in zip(
+            target.init("entries", len(delta.entries)), delta.entries, strict=True
+        ):
+            item_target.key = item.key
+            item_target.value = item.value
+            item_target.version = item.version
+            item_target.isWide = item.scope == scopes.WIDE
+
+
+def _read_info(source):
+    return node_info.NodeInfo(
+        source.nodeId, source.incarnation, source.address, source.place, source.region
+    )
+
+
+def _read_mark(source):
+    digest = bytes(source.digest)
+    if len(digest) not in (0, _DIGEST_BYTES):
+        raise membership_errors.MalformedMessage("mark: digest is not a SHA-256")
+    return mark.Mark(source.number, digest.hex(), None if source.ageS < 0 else source.ageS)
+
+
+def _read_digest(source):
+    return digest_columns.decode(bytes(source.tokens), bytes(source.columns))
+
+
+def _read_deltas(sources):
+    deltas = []
+    for source in sources:
+        entries = []
+        for item in source.entries:
+            scope = scopes.WIDE if item.isWide else scopes.PLACE
+            entries.append(entry.Entry(item.key, bytes(item.value), item.version, scope))
+        deltas.append(
+            messages.NodeDelta(
+                source.token,
+                _read_info(source.info) if source._has("info") else None,
+                source.heartbeat,
+                source.placeVersion,
+                source.wideVersion,
+                entries,
+            )
+        )
+    return deltas
--- /dev/null
+++ b/src/lynxlanding/membership/json_codec.py
@@ -0,0 +1,103 @@
+"""Message codec in JSON, readable in traces."""
+
+import base64
+import json
+
+from lynxlanding.errors import membership as membership_errors
+from lynxlanding.membership import entry, mark, messages, node_info
+
+
+class JsonCodec:
+    """``MessageCodec`` for debugging."""
+
+    content_type = "application/json"
+
+    def encode(self, message):
+        """Return the encoded message."""
+        document = {"type": type(message).__name__, "sender": _info_to_list(message.sender)}
+        if not isinstance(message, messages.ExchangePush):
+            document["scope"] = message.scope
+            held = message.mark
+            document["mark"] = held and [held.number, held.digest, held.age_s]
+        if isinstance(message, messages.ExchangeRequest):
+            document["digest"] = _digest_to_list(message.digest)
+        if isinstance(message, messages.ExchangeResponse):
+            document["newer"] = _digest_to_list(message.newer)
+            document["wanted"] = _digest_to_list(message.wanted)
+        if not isinstance(message, messages.ExchangeRequest):
+            document["deltas"] = [_delta_to_list(delta) for delta in message.deltas]
+        return json.dumps(document).encode()
+
+    def decode(self, data):
+        """Return the message; raises ``MalformedMessage``."""
+        try:
+            return _from_document(json.loads(data))
+        except (ValueError, KeyError, TypeError, AttributeError) as e:
+            raise membership_errors.MalformedMessage(repr(e)) from e
+
+
+def _from_document(document):
+    sender = node_info.NodeInfo(*document["sender"])
+    if document["type"] == "ExchangePush":
+        return messages.ExchangePush(sender, _deltas_from(document))
+    held = mark.Mark(*document["mark"]) if document["mark"] else None
+    if document["type"] == "ExchangeRequest":
+        return messages.ExchangeRequest(
+            sender, document["scope"], _digest_from(document["digest"]), held
+        )
+    if document["type"] != "ExchangeResponse":
+        raise ValueError(f"unknown message type {document['type']}")
+    return messages.ExchangeResponse(
+        sender,
+        document["scope"],
+        _digest_from(document["newer"]),
+        _deltas_from(document),
+        _digest_from(document["wanted"]),
+        held,
+    )
+
+
+def _info_to_list(info):
+    return [info.node_id, info.incarnation, info.address, info.place, info.region]
+
+
+def _digest_to_list(digest):
+    rows = []
+    for token, item in digest.items():
+        rows.append([token, item.heartbeat, item.place_version, item.wide_version])
+    return rows
+
+
+def _digest_from(rows):
+    digest = {}
+    for token, heartbeat, place_version, wide_version in rows:
+        digest[token] = messages.DigestEntry(heartbeat, place_version, wide_version)
+    return digest
+
+
+def _delta_to_list(delta):
+    entries = []
+    for item in delta.entries:
+        value = base64.b64encode(item.value).decode()
+        entries.append([item.key, value, item.version, item.scope])
+    return [
+        delta.token,
+        delta.info and _info_to_list(delta.info),
+        delta.heartbeat,
+        delta.place_version,
+        delta.wide_version,
+        entries,
+    ]
+
+
+def _deltas_from(document):
+    deltas = []
+    for token, info, heartbeat, place_version, wide_version, rows in document["deltas"]:
+        entries = []
+        for key, value, version, scope in rows:
+            entries.append(entry.Entry(key, base64.b64decode(value), version, scope))
+        known = node_info.NodeInfo(*info) if info else None
+        deltas.append(
+            messages.NodeDelta(token, known, heartbeat, place_version, wide_version, entries)
+        )
+    return deltas
--- /dev/null
+++ b/src/lynxlanding/membership/message_codec.py
@@ -0,0 +1,21 @@
+"""Interface of the codecs of messages between nodes."""
+
+from typing import Protocol
+
+from lynxlanding.membership import messages
+
+Message = messages.ExchangeRequest | messages.ExchangeResponse | messages.ExchangePush
+
+
+class MessageCodec(Protocol):
+    """Encodes messages for the transport."""
+
+    content_type: str
+
+    def encode(self, message: Message) -> bytes:
+        """Return the encoded message."""
+        ...
+
+    def decode(self, data: bytes) -> Message:
+        """Return the message; raises ``errors.membership.MalformedMessage``."""
+        ...
--- /dev/null
+++ b/src/lynxlanding/membership/node_record.py
@@ -0,0 +1,47 @@
+"""What a node knows about one node."""
+
+from lynxlanding.membership import entry, scopes
+
+
+class NodeRecord:
+    """Heartbeat and entries of one incarnation.
+
+    Parameters
+    ----------
+    info : NodeInfo
+        Identity of the incarnation.
+    heartbeat : int
+        Highest heartbeat that is known.
+    now : float
+        Monotonic seconds.
+    """
+
+    __slots__ = ("entries", "heard_at", "heartbeat", "info", "token", "versions")
+
+    def __init__(self, info, heartbeat, now):
+        self.info = info
+        self.token = info.token()
+        self.heartbeat = heartbeat
+        self.heard_at = now
+        self.entries = {}
+        self.versions = {scopes.PLACE: 0, scopes.WIDE: 0}
+
+    def put(self, key, value, scope):
+        """Publish a value; only for the own node."""
+        self.versions[scope] += 1
+        self.entries[key] = entry.Entry(key, value, self.versions[scope], scope)
+
+    def entries_after(self, scope, version):
+        """Return the entries of a scope above a version, in order of version."""
+        newer = []
+        for item in self.entries.values():
+            if item.scope == scope and item.version > version:
+                newer.append(item)
+        newer.sort(key=lambda item: item.version)
+        return newer
+
+    def merge(self, item):
+        """Take over an entry unless a newer one is known."""
+        known = self.entries.get(item.key)
+        if known is None or known.scope != item.scope or known.version < item.version:
+            self.entries[item.key] = item
