--- a/src/lynxlanding/configuration/commit.py
+++ b/src/lynxlanding/configuration/commit.py
@@ -155,8 +155,8 @@
             self._base_number = current.number
         if current.number != self._base_number:
             yield from self._check_overlap(current)
-        base, manifest = yield from repository.load_snapshot(current.digest, self._cache)
-        planned = plan.make(change, base, self._now, self._capacity)
+        base = yield from repository.load(current.digest, self._cache)
+        planned = plan.make(change, base.snapshot, self._now, self._capacity)
         if planned.problems:
             raise planned.problems[0]
         if not planned.entries:
@@ -164,7 +164,7 @@
         # Times never decrease along the chain, so that a search for a change id may stop at the
         # first revision that is older than the id, also where a paused node commits late.
         time = max(self._now, current.changes[-1][2]) if current.changes else self._now
-        digest = yield from self._write_revision(current, manifest, planned, time)
+        digest = yield from self._write_revision(current, base.manifest, planned, time)
         successor = current.successor(current.number + 1, digest, change.change_id, time)
         document = successor.to_document()
         try:
--- a/src/lynxlanding/configuration/configuration_actor.py
+++ b/src/lynxlanding/configuration/configuration_actor.py
@@ -1,53 +1,152 @@
 """Owner of the accepted configuration on one node."""
 
 import logging
+import threading
+import time
 
 import pykka
 
-from lynxlanding.configuration import snapshot
+from lynxlanding.configuration import propagation, propagation_decisions
 from lynxlanding.errors import base as errors_base
 
-HEAD_KIND = "config-head"
-HEAD_NAME = "current"
-
 _logger = logging.getLogger(__name__)
 
 
 class ConfigurationActor(pykka.ThreadingActor):
-    """Holds the newest snapshot; it never moves to a lower revision.
+    """Carries out the decisions of ``propagation``.
+
+    Store and peer calls run on threads, so that the actor never waits for either.
 
     Parameters
     ----------
-    reader : RevisionReader
-        Reads revisions from the store.
+    decider : Propagation
+        The decisions.
+    log : RevisionLog
+        Revisions that the node holds; written by this actor only.
+    fetcher : RevisionFetcher
+        Loads revisions.
+    watcher : HeadWatcher
+        Reads the head.
+    address_of : callable
+        Returns the peer address of a node, or None.
+    push : callable
+        Called with a number of peers to exchange with at once.
     on_change : callable
-        Called with each new snapshot.
+        Called with each new snapshot, before the node counts as started.
     """
 
-    def __init__(self, reader, on_change):
+    def __init__(self, decider, log, fetcher, watcher, address_of, push, on_change):
         super().__init__()
-        self._reader = reader
+        self._decider = decider
+        self._log = log
+        self._fetcher = fetcher
+        self._watcher = watcher
+        self._address_of = address_of
+        self._push = push
         self._on_change = on_change
-        self._snapshot = snapshot.empty()
-        self._is_loaded = False
+        self._fetched = {}
+        self._watch_generation = 0
+        self._proxy = None
+        self._status = decider.status(time.monotonic())
+
+    def on_start(self):
+        """Keep a proxy for the threads."""
+        self._proxy = self.actor_ref.proxy()
 
     def current(self):
-        """Return the newest snapshot."""
-        return self._snapshot
+        """Return the snapshot in effect."""
+        return self._log.current.snapshot
+
+    def status(self):
+        """Return the ``PropagationStatus``."""
+        return self._decider.status(time.monotonic())
+
+    def tick(self):
+        """Decide on overdue work; returns the ``PropagationStatus``."""
+        now = time.monotonic()
+        self._carry_out(self._decider.on_tick(now))
+        status = self._decider.status(now)
+        if status.state != self._status.state:
+            _logger.warning(
+                "configuration is %s at revision %d (was %s)",
+                status.state,
+                status.number,
+                self._status.state,
+            )
+        self._status = status
+        return status
+
+    def members_changed(self, members):
+        """Take over the node list."""
+        self._carry_out(self._decider.on_members(members, time.monotonic()))
+
+    def mark_received(self, node_id, mark, sent_at):
+        """Take over the mark of an exchange."""
+        self._carry_out(self._decider.on_mark(node_id, mark, sent_at, time.monotonic()))
+
+    def head_read(self, number, digest, read_at):
+        """Take over a head that the store returned."""
+        self._carry_out(self._decider.on_head(number, digest, read_at, time.monotonic()))
+
+    def head_failed(self):
+        """Note that the store could not be read."""
+        self._carry_out(self._decider.on_head_failed(time.monotonic()))
 
-    def is_loaded(self):
-        """Return whether a revision was read."""
-        return self._is_loaded
+    def fetched(self, loaded):
+        """Take over a verified revision."""
+        self._fetched[loaded.digest] = loaded
+        now = time.monotonic()
+        self._carry_out(self._decider.on_fetched(loaded.number, loaded.digest, now))
+        self._fetched.clear()
 
-    def refresh(self):
-        """Read the head and move to it if it is newer."""
+    def fetch_failed(self, digest, source):
+        """Note that a source could not provide a revision."""
+        self._carry_out(self._decider.on_fetch_failed(digest, source, time.monotonic()))
+
+    def _carry_out(self, decisions):
+        for decision in decisions:
+            match decision:
+                case propagation_decisions.SetWatching():
+                    self._set_watching(decision.is_watching)
+                case propagation_decisions.ReadHead():
+                    _start(self._watcher.read, self._proxy)
+                case propagation_decisions.Fetch():
+                    _start(self._fetch, decision)
+                case propagation_decisions.Adopt():
+                    loaded = self._fetched[decision.digest]
+                    self._log.append(loaded)
+                    self._on_change(loaded.snapshot)
+                case propagation_decisions.Push():
+                    self._push(decision.count)
+                case propagation_decisions.Started():
+                    _logger.info("configuration starts at revision %d", self._decider.number)
+
+    def _set_watching(self, is_watching):
+        self._watch_generation += 1
+        if not is_watching:
+            return
+        generation = self._watch_generation
+        _start(self._watcher.watch, self._proxy, lambda: self._watch_generation == generation)
+
+    def _fetch(self, fetch):
+        address = None
+        if fetch.source != propagation_decisions.STORE:
+            address = self._address_of(fetch.source)
         try:
-            newest = self._reader.read(self._snapshot.revision)
+            loaded = self._fetcher.fetch(fetch.source, address, fetch.digest)
         except errors_base.LynxlandingError as e:
-            _logger.warning("cannot read the configuration: %s", e)
-            return
-        if newest is None:
+            _logger.info("cannot fetch revision %d from %r: %s", fetch.number, fetch.source, e)
+            self._proxy.fetch_failed(fetch.digest, fetch.source)
             return
-        self._snapshot = newest
-        self._is_loaded = True
-        self._on_change(newest)
+        self._proxy.fetched(loaded)
+
+
+def _start(target, *arguments):
+    threading.Thread(target=target, args=arguments, daemon=True).start()
+
+
+def make_decider(settings, random_state):
+    """Return the ``Propagation`` of a node with ``DaemonSettings``."""
+    return propagation.Propagation(
+        settings.node_id, settings.place, settings.configuration, random_state, time.monotonic()
+    )
--- a/src/lynxlanding/configuration/part_cache.py
+++ b/src/lynxlanding/configuration/part_cache.py
@@ -1,33 +1,43 @@
-"""Typed objects by part digest."""
+"""Decoded parts by digest."""
 
 import threading
 
+from lynxlanding.configuration import part
+
 
 class PartCache:
-    """Keeps decoded parts, so that a new revision costs only what it changes.
+    """Keeps parts, so that a new revision costs only what it changes.
 
     Several threads may use one cache: the entries are immutable and their digests verified.
     """
 
     def __init__(self):
-        self._specs = {}
+        self._entries = {}
         self._lock = threading.Lock()
 
     def get(self, digest):
         """Return the object of a part, or None."""
-        return self._specs.get(digest)
+        found = self._entries.get(digest)
+        return None if found is None else found[0]
+
+    def document(self, digest):
+        """Return the stored document of a part, or None."""
+        found = self._entries.get(digest)
+        return None if found is None else found[1]
 
-    def add(self, digest, spec):
-        """Keep the object of a part whose digest has been verified."""
+    def add(self, key, digest, document):
+        """Verify and keep a part and return its object; raises ``InvalidObject``."""
+        spec = part.to_spec(document, digest, key)
         with self._lock:
-            self._specs[digest] = spec
+            self._entries[digest] = (spec, document)
+        return spec
 
     def retain(self, digests):
-        """Drop the objects that no kept revision uses."""
+        """Drop the parts that no kept revision uses."""
         with self._lock:
             kept = {}
             for digest in digests:
-                spec = self._specs.get(digest)
-                if spec is not None:
-                    kept[digest] = spec
-            self._specs = kept
+                found = self._entries.get(digest)
+                if found is not None:
+                    kept[digest] = found
+            self._entries = kept
--- a/src/lynxlanding/configuration/repository.py
+++ b/src/lynxlanding/configuration/repository.py
@@ -3,6 +3,7 @@
 from lynxlanding.configuration import (
     encoding,
     head,
+    loaded_revision,
     part,
     part_cache,
     revision,
@@ -35,45 +36,62 @@
     return part.to_manifest(found.value, digest)
 
 
-def load_snapshot(digest, cache=None):
-    """Return the snapshot of a revision and its manifest.
+def load(digest, cache=None):
+    """Return a revision with its manifest and all its objects.
 
     Parameters
     ----------
     digest : str
         Digest of the revision; empty for revision 0.
     cache : PartCache or None
-        Objects that need not be read again.
+        Parts that need not be read again.
 
     Returns
     -------
-    tuple of (Snapshot, dict)
-        All objects of the revision, and its manifest.
+    LoadedRevision
+        The verified revision.
     """
     if digest == "":
-        return snapshot.empty(), {}
+        return loaded_revision.empty()
     cache = part_cache.PartCache() if cache is None else cache
-    loaded = yield from read_revision(digest)
+    found = yield store_calls.Get(store_layout.REVISIONS, digest)
+    document = found.value
+    loaded = revision.from_document(document, digest)
     manifest = yield from read_manifest(loaded.manifest)
+    # Held here as well, since another thread may drop cached parts that no revision uses yet.
+    specs = {}
     for key, part_digest in manifest.items():
-        if cache.get(part_digest) is not None:
-            continue
-        found = yield store_calls.Get(store_layout.PARTS, part_digest)
-        cache.add(part_digest, part.to_spec(found.value, part_digest, key))
-    return build_snapshot(loaded.number, digest, manifest, cache), manifest
+        spec = cache.get(part_digest)
+        if spec is None:
+            found = yield store_calls.Get(store_layout.PARTS, part_digest)
+            spec = cache.add(key, part_digest, found.value)
+        specs[key] = spec
+    built = build_snapshot(loaded.number, digest, manifest, specs)
+    return loaded_revision.LoadedRevision(digest, document, loaded, manifest, built)
+
 
+def build_snapshot(number, digest, manifest, specs):
+    """Return the snapshot of a manifest.
 
-def build_snapshot(number, digest, manifest, cache):
-    """Return the snapshot of a manifest whose parts are all cached.
+    Parameters
+    ----------
+    number : int
+        Revision number.
+    digest : str
+        Digest of the revision.
+    manifest : dict of str to str
+        Part digest by ``kind/name``.
+    specs : dict of str to Spec
+        Objects by ``kind/name``.
 
     Raises
     ------
     errors.configuration.InvalidObject
-        If a part is missing, so that a revision is never in effect in part.
+        If an object is missing, so that a revision is never in effect in part.
     """
     objects = snapshot.empty().objects
     for key, part_digest in manifest.items():
-        spec = cache.get(part_digest)
+        spec = specs.get(key)
         if spec is None:
             raise configuration_errors.InvalidObject(key, f"part {part_digest} is missing")
         kind, name = encoding.split_key(key)
--- a/src/lynxlanding/configuration/tests/schedules.py
+++ b/src/lynxlanding/configuration/tests/schedules.py
@@ -195,7 +195,7 @@
     if [found.number for found in chain] != list(range(1, current.number + 1)):
         violations.append("revision numbers are not consecutive")
     try:
-        snapshot, _ = store_calls.run(repository.load_snapshot(current.digest), store)
+        snapshot = store_calls.run(repository.load(current.digest), store).snapshot
     except (platform_errors.ObjectNotFound, configuration_errors.InvalidObject) as e:
         return [*violations, f"the head cannot be loaded: {e}"]
     change_by_id = {}
--- a/src/lynxlanding/configuration/tests/test_commit.py
+++ b/src/lynxlanding/configuration/tests/test_commit.py
@@ -32,7 +32,7 @@
 
 def _snapshot(store):
     current, _ = store_calls.run(repository.read_head(), store)
-    return store_calls.run(repository.load_snapshot(current.digest), store)[0]
+    return store_calls.run(repository.load(current.digest), store).snapshot
 
 
 def test_lost_answer_is_found_in_the_head():
--- /dev/null
+++ b/src/lynxlanding/membership/discovery.py
@@ -0,0 +1,97 @@
+"""Addresses of the other nodes from the store's ``nodes`` objects and the settings."""
+
+from lynxlanding.errors import platform as platform_errors
+
+KIND = "nodes"
+# Objects of nodes that stopped without deleting theirs. Node clocks differ by less than this.
+STALE_S = 600.0
+
+
+class Discovery:
+    """Writes the own ``nodes`` object and reads those of others.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's store.
+    info : NodeInfo
+        The own node.
+    peers : sequence of str
+        Addresses from the settings.
+    """
+
+    def __init__(self, store, info, peers):
+        self._store = store
+        self._info = info
+        self._peers = tuple(peers)
+        self._version = None
+
+    @property
+    def peers(self):
+        """Addresses from the settings."""
+        return self._peers
+
+    def announce(self, now):
+        """Write the own object; raises ``errors.platform.PlatformError``.
+
+        Parameters
+        ----------
+        now : float
+            UNIX seconds.
+        """
+        info = self._info
+        value = {
+            "address": info.address,
+            "place": info.place,
+            "region": info.region,
+            "incarnation": info.incarnation,
+            "written_at": now,
+        }
+        try:
+            if self._version is not None:
+                updated = self._store.update(KIND, info.node_id, value, self._version)
+                self._version = updated.version
+                return
+        except (platform_errors.ObjectNotFound, platform_errors.VersionConflict):
+            # Deleted as stale, or written by an update whose answer was lost.
+            self._version = None
+        try:
+            self._version = self._store.create(KIND, info.node_id, value).version
+        except platform_errors.ObjectExists:
+            found = self._store.get(KIND, info.node_id)
+            self._version = self._store.update(KIND, info.node_id, value, found.version).version
+
+    def find(self, now):
+        """Return the addresses of other nodes, and delete one object that is stale.
+
+        Parameters
+        ----------
+        now : float
+            UNIX seconds.
+        """
+        items, _ = self._store.list(KIND)
+        addresses = set(self._peers)
+        for item in items:
+            if item.name == self._info.node_id:
+                continue
+            value = item.value if isinstance(item.value, dict) else {}
+            address, written_at = value.get("address"), value.get("written_at", 0.0)
+            if now - written_at > STALE_S:
+                self._delete(item)
+                continue
+            if isinstance(address, str):
+                addresses.add(address)
+        addresses.discard(self._info.address)
+        return sorted(addresses)
+
+    def withdraw(self):
+        """Delete the own object at a planned stop."""
+        if self._version is not None:
+            self._store.delete(KIND, self._info.node_id, self._version)
+
+    def _delete(self, item):
+        try:
+            self._store.delete(KIND, item.name, item.version)
+        except platform_errors.PlatformError:
+            # Another node deleted it, or the next listing tries again.
+            return
--- /dev/null
+++ b/src/lynxlanding/membership/exchanger.py
@@ -0,0 +1,56 @@
+"""Carries out planned exchanges over the transport."""
+
+import logging
+import time
+
+import pykka
+
+from lynxlanding.errors import membership as membership_errors
+from lynxlanding.membership import exchange_handler, messages
+
+TIMEOUT_S = 2.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Exchanger:
+    """Opens exchanges from worker threads, so that the actor never waits for a peer.
+
+    Parameters
+    ----------
+    transport : PeerTransport
+        Transport to the peer listeners.
+    codec : MessageCodec
+        Codec of the bodies.
+    """
+
+    def __init__(self, transport, codec):
+        self._transport = transport
+        self._codec = codec
+
+    def run(self, actor, planned):
+        """Carry out one exchange; failures are left to the next one."""
+        try:
+            request = actor.open(planned.scope).get(timeout=TIMEOUT_S)
+            # Before the request is sent: the age of the answer's mark counts from here.
+            sent_at = time.monotonic()
+            answer = self._post(planned.address, request)
+            response = self._codec.decode(answer)
+            if not isinstance(response, messages.ExchangeResponse):
+                raise membership_errors.MalformedMessage("answer is not a response")
+            push = actor.merge_response(response, sent_at).get(timeout=TIMEOUT_S)
+            if push is not None:
+                self._post(planned.address, push)
+        except membership_errors.MembershipError as e:
+            _logger.info("exchange with %s failed: %s", planned.address, e)
+        except (pykka.Timeout, pykka.ActorDeadError):
+            return
+
+    def _post(self, address, message):
+        return self._transport.post(
+            address,
+            exchange_handler.PATH,
+            self._codec.encode(message),
+            self._codec.content_type,
+            TIMEOUT_S,
+        )
--- a/src/lynxlanding/membership/gossip.py
+++ b/src/lynxlanding/membership/gossip.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from lynxlanding.membership import _delta, messages, node_table, scopes
+from lynxlanding.membership import _delta, member, messages, node_table, scopes
 
 # A longer gap between two ticks means that the process was paused.
 PAUSE_S = 3.0
@@ -27,6 +27,7 @@
     def __init__(self, info, now):
         self._table = node_table.NodeTable(info, now)
         self._ticked_at = now
+        self._changes = []
 
     @property
     def table(self):
@@ -38,6 +39,25 @@
         """Identity of the own node."""
         return self._table.own.info
 
+    def members(self, now):
+        """Return all known nodes as ``Member``, in order of name."""
+        members = []
+        for record in self._table.records():
+            info = record.info
+            state = self._table.state(record, now)
+            members.append(
+                member.Member(
+                    info.node_id, info.incarnation, info.address, info.place, info.region, state
+                )
+            )
+        members.sort(key=lambda item: item.node_id)
+        return tuple(members)
+
+    def take_changes(self):
+        """Return the (node, entry) pairs that were merged since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
     def publish(self, key, value, scope):
         """Publish a value of the own node.
 
@@ -126,7 +146,7 @@
         for record in self._table.records():
             if scope == scopes.PLACE and record.info.place != self.info.place:
                 continue
-            if self._table.state(record, now) == "live":
+            if self._table.state(record, now) == member.LIVE:
                 covered.append(record)
         return covered
 
@@ -156,7 +176,8 @@
                 continue
             self._table.advance(record, delta.heartbeat, now)
             for item in delta.entries:
-                record.merge(item)
+                if record.merge(item):
+                    self._changes.append((record.info.node_id, item))
             versions = record.versions
             versions[scopes.PLACE] = max(versions[scopes.PLACE], delta.place_version)
             versions[scopes.WIDE] = max(versions[scopes.WIDE], delta.wide_version)
--- a/src/lynxlanding/membership/node_record.py
+++ b/src/lynxlanding/membership/node_record.py
@@ -41,7 +41,9 @@
         return newer
 
     def merge(self, item):
-        """Take over an entry unless a newer one is known."""
+        """Take over an entry unless a newer one is known; returns whether it was taken."""
         known = self.entries.get(item.key)
-        if known is None or known.scope != item.scope or known.version < item.version:
-            self.entries[item.key] = item
+        if known is not None and known.scope == item.scope and known.version >= item.version:
+            return False
+        self.entries[item.key] = item
+        return True
