Run membership and configuration propagation in the daemon

Replaces the thin path's watch of every node: nodes exchange over the peer listener, two nodes of each data centre watch the head, the others fetch from peers. Readiness follows the propagation status; the bench writes its configuration by a commit. Each node starts with every peer address in its settings.

--- /dev/null
+++ b/src/lynxlanding/daemon/control_metrics.py
@@ -0,0 +1,41 @@
+"""Metrics of membership and configuration."""
+
+from opentelemetry import metrics
+
+from lynxlanding.configuration import propagation_status
+from lynxlanding.membership import member as member_type
+
+
+class ControlMetrics:
+    """Gauges that follow the last known state."""
+
+    def __init__(self):
+        meter = metrics.get_meter("lynxlanding.control")
+        self._revision = meter.create_gauge(
+            "lynxlanding.configuration.revision", description="Revision in effect"
+        )
+        self._age = meter.create_gauge(
+            "lynxlanding.configuration.confirmed_age",
+            unit="s",
+            description="Time since the store confirmed the revision; -1 if it never has",
+        )
+        self._uncertain = meter.create_gauge(
+            "lynxlanding.configuration.uncertain",
+            description="1 while the store has not confirmed the revision recently",
+        )
+        self._members = meter.create_gauge(
+            "lynxlanding.membership.members", description="Known nodes by state"
+        )
+
+    def set_status(self, status):
+        """Take over a ``PropagationStatus``."""
+        age = -1.0 if status.confirmed_age_s is None else status.confirmed_age_s
+        self._revision.set(status.number)
+        self._age.set(age)
+        self._uncertain.set(0 if status.state == propagation_status.CERTAIN else 1)
+
+    def set_members(self, members):
+        """Take over the node list."""
+        for state in (member_type.LIVE, member_type.SUSPECTED):
+            count = sum(1 for item in members if item.state == state)
+            self._members.set(count, {"state": state})
--- /dev/null
+++ b/src/lynxlanding/daemon/control_plane.py
@@ -0,0 +1,216 @@
+"""Membership and configuration of one node, wired together."""
+
+import logging
+import threading
+import time
+
+import numpy as np
+import pykka
+import urllib3
+
+from lynxlanding.configuration import (
+    change_service,
+    configuration_actor,
+    head_watcher,
+    part_cache,
+    revision_fetcher,
+    revision_handler,
+    revision_log,
+)
+from lynxlanding.daemon import control_metrics, status_handler
+from lynxlanding.errors import base as base_errors
+from lynxlanding.membership import (
+    capnp_codec,
+    discovery,
+    exchange_handler,
+    exchanger,
+    http_transport,
+    membership_actor,
+    node_info,
+    rendezvous,
+)
+
+ANNOUNCE_INTERVAL_S = 60.0
+FIND_INTERVAL_S = 300.0
+ALONE_INTERVAL_S = 5.0
+COLLECT_INTERVAL_S = 3600.0
+CONFIGURATION_TICK_S = 0.25
+MAX_PEER_POOLS = 512
+
+_logger = logging.getLogger(__name__)
+
+
+class ControlPlane:
+    """Builds and runs the actors that keep nodes and their configuration in step.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Settings of the node.
+    store : ObjectStore
+        The platform's store.
+    vm_list : VmList or None
+        VMs to validate changes against.
+    on_change : callable
+        Called with each new snapshot.
+    on_status : callable
+        Called with the ``PropagationStatus`` several times per second.
+    """
+
+    def __init__(self, settings, store, vm_list, on_change, on_status):
+        self._settings = settings
+        self._on_status = on_status
+        self._stop = threading.Event()
+        seeds = np.random.SeedSequence(settings.seed).spawn(3)
+        random_states = [np.random.default_rng(seed) for seed in seeds]
+        info = node_info.NodeInfo(
+            settings.node_id,
+            int(time.time() * 1000),
+            f"{settings.listen.host}:{settings.listen.peer_port}",
+            settings.place,
+            settings.region,
+        )
+        self._info = info
+        pool = urllib3.PoolManager(num_pools=MAX_PEER_POOLS, maxsize=4)
+        transport = http_transport.HttpTransport(pool)
+        self._codec = capnp_codec.CapnpCodec()
+        self._exchanger = exchanger.Exchanger(transport, self._codec)
+        self._discovery = discovery.Discovery(store, info, settings.membership.peers)
+        self._decider = configuration_actor.make_decider(settings, random_states[0])
+        self._log = revision_log.RevisionLog(part_cache.PartCache())
+        self._membership = membership_actor.MembershipActor.start(
+            info, settings.membership.exchange_interval_s, random_states[1], self._run_exchange
+        ).proxy()
+        self._address_by_node = {}
+        self._configuration = configuration_actor.ConfigurationActor.start(
+            self._decider,
+            self._log,
+            revision_fetcher.RevisionFetcher(store, transport, self._log),
+            head_watcher.HeadWatcher(store, random_states[2], self._stop),
+            self._address_by_node.get,
+            self._push,
+            on_change,
+        ).proxy()
+        self._membership.connect(self._decider.mark, self._on_mark, self._on_members).get()
+        self._membership.set_seeds(self._discovery.peers)
+        self._changes = change_service.ChangeService(store, self._log, self._configuration, vm_list)
+        self._metrics = control_metrics.ControlMetrics()
+        self._status = None
+
+    @property
+    def membership(self):
+        """Proxy of the ``MembershipActor``: publish, read, subscribe, members."""
+        return self._membership
+
+    @property
+    def configuration(self):
+        """Proxy of the ``ConfigurationActor``: current, status."""
+        return self._configuration
+
+    @property
+    def changes(self):
+        """The ``ChangeService``: plan, commit, history."""
+        return self._changes
+
+    def register(self, peer_app):
+        """Register the handlers of the peer listener."""
+        peer_app.register(
+            exchange_handler.PATH, exchange_handler.ExchangeHandler(self._membership, self._codec)
+        )
+        peer_app.register(revision_handler.PATH, revision_handler.RevisionHandler(self._log))
+        peer_app.register(status_handler.PATH, status_handler.StatusHandler(self._describe))
+
+    def start(self):
+        """Start the timers."""
+        for target in (self._tick_membership, self._tick_configuration, self._discover):
+            threading.Thread(target=target, daemon=True).start()
+
+    def stop(self):
+        """End the timers and withdraw from the list of nodes."""
+        self._stop.set()
+        try:
+            self._discovery.withdraw()
+        except base_errors.LynxlandingError as e:
+            _logger.info("cannot withdraw from the list of nodes: %s", e)
+
+    def _run_exchange(self, actor, planned):
+        threading.Thread(target=self._exchanger.run, args=(actor, planned), daemon=True).start()
+
+    def _push(self, count):
+        self._membership.push(count)
+
+    def _on_mark(self, node_id, mark, sent_at):
+        self._configuration.mark_received(node_id, mark, sent_at)
+
+    def _on_members(self, members):
+        addresses = {member.node_id: member.address for member in members}
+        self._address_by_node.update(addresses)
+        for node_id in list(self._address_by_node):
+            if node_id not in addresses:
+                del self._address_by_node[node_id]
+        self._metrics.set_members(members)
+        self._configuration.members_changed(members)
+
+    def _tick_membership(self):
+        self._configuration.members_changed(self._membership.members().get())
+        while not self._stop.wait(self._settings.membership.exchange_interval_s):
+            self._membership.tick()
+
+    def _tick_configuration(self):
+        while not self._stop.is_set():
+            try:
+                status = self._configuration.tick().get()
+            except pykka.ActorDeadError:
+                return
+            self._status = status
+            self._metrics.set_status(status)
+            self._on_status(status)
+            self._stop.wait(CONFIGURATION_TICK_S)
+
+    def _discover(self):
+        """Announce the node, find others, and collect garbage when it is this node's turn."""
+        announce_at = find_at = time.monotonic()
+        collect_at = time.monotonic() + COLLECT_INTERVAL_S
+        while not self._stop.is_set():
+            now = time.monotonic()
+            is_alone = len(self._address_by_node) <= 1
+            try:
+                if now >= announce_at:
+                    announce_at = now + ALONE_INTERVAL_S
+                    self._discovery.announce(time.time())
+                    announce_at = now + ANNOUNCE_INTERVAL_S
+                if now >= find_at or (is_alone and now >= find_at - FIND_INTERVAL_S):
+                    find_at = now + ALONE_INTERVAL_S + FIND_INTERVAL_S
+                    self._membership.set_seeds(self._discovery.find(time.time()))
+                if now >= collect_at:
+                    collect_at = now + COLLECT_INTERVAL_S
+                    self._collect()
+            except base_errors.LynxlandingError as e:
+                _logger.info("node list: %s", e)
+            except pykka.ActorDeadError:
+                return
+            self._stop.wait(1.0)
+
+    def _collect(self):
+        nodes = {self._info.node_id, *self._address_by_node}
+        if rendezvous.choose("config-collect", nodes, 1) == [self._info.node_id]:
+            self._changes.collect_garbage()
+
+    def _describe(self):
+        members = []
+        for member in self._membership.members().get(timeout=2.0):
+            members.append({"node": member.node_id, "place": member.place, "state": member.state})
+        status = self._configuration.status().get(timeout=2.0)
+        return {
+            "node": self._info.node_id,
+            "place": self._info.place,
+            "configuration": {
+                "state": status.state,
+                "revision": status.number,
+                "digest": status.digest,
+                "target": status.target,
+                "confirmed_age_s": status.confirmed_age_s,
+                "is_watching": status.is_watching,
+            },
+            "members": members,
+        }
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -10,11 +10,9 @@
 import pykka
 import urllib3
 
-from lynxlanding.configuration import configuration_actor, revision_reader
-from lynxlanding.daemon import endpoint_targets, node_state
-from lynxlanding.errors import platform as platform_errors
+from lynxlanding.daemon import control_plane, endpoint_targets, node_state
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
-from lynxlanding.platform import http_store
+from lynxlanding.platform import http_store, vm_list
 from lynxlanding.requests import (
     attempt_monitor,
     claim_keeper,
@@ -26,8 +24,6 @@
 from lynxlanding.retry import retry_actor
 from lynxlanding.routing import routing_actor
 
-WATCH_TIMEOUT_S = 20.0
-STORE_RETRY_S = 0.5
 DRAIN_POLL_S = 0.05
 # Outcomes that are not in the store when the process ends are lost to repeats, which then get
 # executed: unknown; a normal write takes milliseconds.
@@ -54,9 +50,12 @@
             settings.platform.object_api, urllib3.PoolManager(maxsize=16)
         )
         self._router = routing_actor.RoutingActor.start().proxy()
-        self._configuration = configuration_actor.ConfigurationActor.start(
-            revision_reader.RevisionReader(self._store), self._apply
-        ).proxy()
+        vms = None
+        if settings.platform.vm_list is not None:
+            vms = vm_list.HttpVmList(settings.platform.vm_list, urllib3.PoolManager())
+        self._control = control_plane.ControlPlane(
+            settings, self._store, vms, self._apply, self._state.set_configuration_status
+        )
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
         self._random_state = np.random.default_rng(settings.seed)
         self._claims = self._make_claims(settings)
@@ -71,6 +70,7 @@
         parser = request_parser.RequestParser(settings.requests)
         self._caller_app = caller_app.CallerApp(parser, self._state, runner)
         self._peer_app = peer_app.PeerApp()
+        self._control.register(self._peer_app)
         self._peer_app.register(owner_lookup.PATH, claim_app.ClaimApp(self._claims))
 
     def run(self):
@@ -87,10 +87,11 @@
         self._attempt_monitor.start()
         for server in servers:
             threading.Thread(target=server.run, daemon=True).start()
-        threading.Thread(target=self._watch_configuration, daemon=True).start()
+        self._control.start()
         threading.Thread(target=self._collect_claims, daemon=True).start()
         self._stop.wait()
         self._drain()
+        self._control.stop()
         for server in servers:
             server.close()
         pykka.ActorRegistry.stop_all(timeout=2)
@@ -136,23 +137,3 @@
     def _apply(self, snapshot):
         self._router.set_endpoints(endpoint_targets.from_snapshot(snapshot)).get()
         self._state.set_configuration(snapshot)
-
-    def _watch_configuration(self):
-        version = 0
-        while not self._stop.is_set():
-            self._configuration.refresh().get()
-            try:
-                batch = self._store.watch(configuration_actor.HEAD_KIND, version, WATCH_TIMEOUT_S)
-                version = batch.version
-            except platform_errors.WatchExpired:
-                version = self._current_version()
-            except platform_errors.PlatformError as e:
-                _logger.warning("configuration watch failed: %s", e)
-                time.sleep(STORE_RETRY_S)
-
-    def _current_version(self):
-        try:
-            return self._store.list(configuration_actor.HEAD_KIND)[1]
-        except platform_errors.PlatformError as e:
-            _logger.warning("cannot list the configuration head: %s", e)
-            return 0
--- a/src/lynxlanding/daemon/node_state.py
+++ b/src/lynxlanding/daemon/node_state.py
@@ -11,7 +11,7 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._configuration = snapshot.empty()
-        self._is_loaded = False
+        self._is_configured = False
         self._is_draining = False
         self._refuses = False
         self._in_flight = 0
@@ -24,7 +24,7 @@
     @property
     def is_ready(self):
         """Whether the balancer may send requests."""
-        return self._is_loaded and not self._is_draining
+        return self._is_configured and not self._is_draining
 
     @property
     def in_flight(self):
@@ -34,7 +34,10 @@
     def set_configuration(self, configuration):
         """Take over a newer snapshot."""
         self._configuration = configuration
-        self._is_loaded = True
+
+    def set_configuration_status(self, status):
+        """Take over the ``PropagationStatus``; a node without any configuration is not ready."""
+        self._is_configured = status.is_ready and status.number > 0
 
     def begin_drain(self):
         """Become unready; requests are still accepted until the balancer has noticed."""
--- a/src/lynxlanding_bench/fleet.py
+++ b/src/lynxlanding_bench/fleet.py
@@ -1,12 +1,13 @@
 """A small installation on loopback: stand-ins, configuration and daemons."""
 
 import hashlib
-import json
+import time
 
+import numpy as np
 import urllib3
 import yaml
 
-from lynxlanding.configuration import configuration_actor
+from lynxlanding.configuration import change, change_ids, commit, encoding, store_calls
 from lynxlanding.platform import http_store
 from lynxlanding_bench import processes
 
@@ -29,8 +30,8 @@
         Further options of the engine stand-ins.
     service_options : sequence of str
         Further options of the service stand-in.
-    request_settings : dict
-        Section ``requests`` of the daemons' settings.
+    request_settings, configuration_settings : dict
+        Sections ``requests`` and ``configuration`` of the daemons' settings.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         engine_options=(),
         service_options=(),
         request_settings=None,
+        configuration_settings=None,
     ):
         ports = processes.free_ports(PORTS_PER_FLEET)
         self._running = running
@@ -51,6 +53,7 @@
         self._engine_options = engine_options
         self._service_options = service_options
         self._request_settings = request_settings or {}
+        self._configuration_settings = configuration_settings or {}
 
     @property
     def object_api(self):
@@ -100,7 +103,17 @@
         for index in range(len(self.daemon_names)):
             processes.wait_for(self.daemon_url(index) + "/readyz")
 
+    def restart_daemon(self, index):
+        """Start a daemon that was killed, with the same settings."""
+        name = self.daemon_names[index]
+        self._running.start_daemon(name, self._running.directory / f"{name}.yaml")
+
     def _write_settings(self, index, name):
+        own_port = self._daemon_ports[2 * index + 1]
+        peers = []
+        for port in self._daemon_ports[1::2]:
+            if port != own_port:
+                peers.append(f"{processes.HOST}:{port}")
         settings = {
             "node_id": name,
             "place": ("changamwe", "shimanzi", "miritini")[index % 3],
@@ -111,6 +124,8 @@
             },
             "platform": {"object_api": self.object_api},
             "requests": self._request_settings,
+            "configuration": self._configuration_settings,
+            "membership": {"peers": peers},
             "drain": {"unready_s": 0.3, "limit_s": 30},
         }
         path = self._running.directory / f"{name}.yaml"
@@ -141,36 +156,19 @@
 
 
 def write_configuration(store, objects):
-    """Write ``objects`` as the first revision.
+    """Commit ``objects`` as one change.
 
     Parameters
     ----------
     store : ObjectStore
-        Store without a configuration.
+        The platform's store.
     objects : dict of str to dict
         Specs by kind/name.
     """
-    manifest = {}
+    puts = {}
     for identity, spec in objects.items():
-        kind, _, name = identity.partition("/")
-        part = {"kind": kind, "name": name, "spec": spec}
-        manifest[identity] = _digest(part)
-        store.create("config-parts", manifest[identity], part)
-    revision = {
-        "revision": 1,
-        "parent": None,
-        "change_id": "first",
-        "author": "setup",
-        "time": 0.0,
-        "statements": "",
-        "manifest": manifest,
-    }
-    digest = _digest(revision)
-    store.create("config-revisions", digest, revision)
-    head = {"revision": 1, "digest": digest, "recent": [[1, "first"]]}
-    store.create(configuration_actor.HEAD_KIND, configuration_actor.HEAD_NAME, head)
-
-
-def _digest(value):
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"))
-    return hashlib.sha256(text.encode()).hexdigest()
+        puts[encoding.split_key(identity)] = spec
+    now = time.time()
+    change_id = change_ids.generate(now, np.random.default_rng())
+    submitted = change.Change(change_id, "setup", puts, statements=("first configuration",))
+    return store_calls.run(commit.commit(submitted, now), store)
