--- /dev/null
+++ b/src/lynxlanding/configuration/repository.py
@@ -0,0 +1,99 @@
+"""Reads heads, revisions and snapshots from the store, as procedures of ``store_calls``."""
+
+from lynxlanding.configuration import (
+    encoding,
+    head,
+    loaded_revision,
+    part,
+    part_cache,
+    revision,
+    snapshot,
+    store_calls,
+    store_layout,
+)
+from lynxlanding.errors import configuration as configuration_errors
+from lynxlanding.errors import platform as platform_errors
+
+
+def read_head():
+    """Return the head and its store version; (revision 0, None) before the first change."""
+    try:
+        found = yield store_calls.Get(store_layout.HEADS, store_layout.CURRENT)
+    except platform_errors.ObjectNotFound:
+        return head.Head(), None
+    return head.from_document(found.value), found.version
+
+
+def read_revision(digest):
+    """Return the revision with a digest; raises ``ObjectNotFound`` if it is no longer kept."""
+    found = yield store_calls.Get(store_layout.REVISIONS, digest)
+    return revision.from_document(found.value, digest)
+
+
+def read_manifest(digest):
+    """Return the manifest with a digest."""
+    found = yield store_calls.Get(store_layout.PARTS, digest)
+    return part.to_manifest(found.value, digest)
+
+
+def load(digest, cache=None):
+    """Return a revision with its manifest and all its objects.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the revision; empty for revision 0.
+    cache : PartCache or None
+        Parts that need not be read again.
+
+    Returns
+    -------
+    LoadedRevision
+        The verified revision.
+    """
+    if digest == "":
+        return loaded_revision.empty()
+    cache = part_cache.PartCache() if cache is None else cache
+    found = yield store_calls.Get(store_layout.REVISIONS, digest)
+    document = found.value
+    loaded = revision.from_document(document, digest)
+    manifest = yield from read_manifest(loaded.manifest)
+    # Held here as well, since another thread may drop cached parts that no revision uses yet.
+    specs = {}
+    for key, part_digest in manifest.items():
+        spec = cache.get(part_digest)
+        if spec is None:
+            found = yield store_calls.Get(store_layout.PARTS, part_digest)
+            spec = cache.add(key, part_digest, found.value)
+        specs[key] = spec
+    built = build_snapshot(loaded.number, digest, manifest, specs)
+    return loaded_revision.LoadedRevision(digest, document, loaded, manifest, built)
+
+
+def build_snapshot(number, digest, manifest, specs):
+    """Return the snapshot of a manifest.
+
+    Parameters
+    ----------
+    number : int
+        Revision number.
+    digest : str
+        Digest of the revision.
+    manifest : dict of str to str
+        Part digest by ``kind/name``.
+    specs : dict of str to Spec
+        Objects by ``kind/name``.
+
+    Raises
+    ------
+    errors.configuration.InvalidObject
+        If an object is missing, so that a revision is never in effect in part.
+    """
+    objects = snapshot.empty().objects
+    for key, part_digest in manifest.items():
+        spec = specs.get(key)
+        if spec is None:
+            raise configuration_errors.InvalidObject(key, f"part {part_digest} is missing")
+        kind, name = encoding.split_key(key)
+        objects[kind][name] = spec
+    return snapshot.Snapshot(number, digest, objects)
