Add decision modules for replica groups

One object for each fabric domain holds VMs, groups and lease and is changed in one conditional update. One object for each group was ruled out, since two objects would have to agree on a VM.

--- a/src/lynxlanding/errors/__init__.py
+++ b/src/lynxlanding/errors/__init__.py
@@ -1,5 +1,5 @@
 """Exception hierarchy: one type for each failure."""
 
-from lynxlanding.errors import base, configuration, endpoint, platform, request, settings
+from lynxlanding.errors import base, configuration, endpoint, groups, platform, request, settings
 
-__all__ = ["base", "configuration", "endpoint", "platform", "request", "settings"]
+__all__ = ["base", "configuration", "endpoint", "groups", "platform", "request", "settings"]
--- /dev/null
+++ b/src/lynxlanding/errors/groups.py
@@ -0,0 +1,27 @@
+"""Failures of replica groups and of the orders to their engines."""
+
+from lynxlanding.errors import base
+
+
+class GroupsError(base.LynxlandingError):
+    """Root of the failures of replica groups."""
+
+    type_name = "groups_error"
+
+
+class InvalidDomain(GroupsError):
+    """A domain object breaks one of its rules, such as a VM in two groups."""
+
+    type_name = "invalid_domain"
+
+
+class OrderFailed(GroupsError):
+    """An order did not reach its engine or was not confirmed; it may have taken effect."""
+
+    type_name = "order_failed"
+
+
+class StaleFencingNumber(OrderFailed):
+    """The engine has accepted an order with a higher fencing number."""
+
+    type_name = "stale_fencing_number"
--- /dev/null
+++ b/src/lynxlanding/groups/order_book.py
@@ -0,0 +1,106 @@
+"""Orders that follow from the stored domain object, and what became of them."""
+
+from lynxlanding.groups import engine_order, group_record
+
+# An order whose delivery failed is sent again after this time.
+RETRY_S = 2.0
+
+
+class OrderBook:
+    """Decides which load orders are due.
+
+    Orders follow only from a domain object that the store has confirmed. An order that an engine
+    has accepted is not repeated to the same engine process, since a repeat could start the load
+    again.
+    """
+
+    def __init__(self):
+        self._accepted = {}
+        self._failed_at = {}
+
+    def due(self, domain, observations, term, now):
+        """Return the orders to send now.
+
+        Parameters
+        ----------
+        domain : Domain
+            Domain object as stored.
+        observations : dict of str to VmObservation
+            VMs of the domain.
+        term : int
+            Term of this node's lease.
+        now : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        list of EngineOrder
+            Groups that were formed first come first, so that complete groups appear early.
+        """
+        orders = []
+        expected = set()
+        forming = []
+        for group in domain.groups.values():
+            if group.state == group_record.FORMING:
+                forming.append(group)
+        for group in sorted(forming, key=lambda item: (item.since, item.name)):
+            peers = _peers(domain, group)
+            for vm in group.vms:
+                order = engine_order.EngineOrder(
+                    vm,
+                    domain.vms[vm].address,
+                    group.name,
+                    group.epoch,
+                    group.model,
+                    group.version,
+                    group.adapters,
+                    peers,
+                    term,
+                    group.checks_fencing_number,
+                )
+                expected.add(order.key)
+                if self._is_due(order, group, observations.get(vm), now):
+                    orders.append(order)
+        for key in list(self._accepted):
+            if key not in expected:
+                del self._accepted[key]
+        for key in list(self._failed_at):
+            if key not in expected:
+                del self._failed_at[key]
+        return orders
+
+    def note_accepted(self, order, instance):
+        """Record that the engine accepted an order.
+
+        Parameters
+        ----------
+        order : EngineOrder
+            The order.
+        instance : str
+            Instance of the engine at that time, or empty if unknown.
+        """
+        self._accepted[order.key] = instance
+        self._failed_at.pop(order.key, None)
+
+    def note_failed(self, order, now):
+        """Record that delivery of an order failed; it may have taken effect."""
+        self._failed_at[order.key] = now
+
+    def _is_due(self, order, group, seen, now):
+        if seen is None or not seen.is_alive:
+            return False
+        report = seen.report
+        if report is not None and report.matches(group):
+            return False
+        if order.key in self._accepted:
+            accepted_by = self._accepted[order.key]
+            return report is not None and accepted_by not in ("", report.instance)
+        return now - self._failed_at.get(order.key, float("-inf")) >= RETRY_S
+
+
+def _peers(domain, group):
+    peers = [domain.vms[group.leader].address]
+    for vm in group.vms:
+        if vm != group.leader:
+            peers.append(domain.vms[vm].address)
+    return tuple(peers)
--- /dev/null
+++ b/src/lynxlanding/groups/vm_observation.py
@@ -0,0 +1,38 @@
+"""What the reconciler knows about one VM."""
+
+import dataclasses
+
+from lynxlanding.groups import engine_report
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class VmObservation:
+    """VM list entry and serving evidence of one VM.
+
+    Parameters
+    ----------
+    name, address, place : str
+        As in the VM list, or in the domain object if the list lacks the VM.
+    accelerators : int
+        Number of accelerators.
+    is_listed : bool
+        Whether the VM list contains the VM. The list lags in both directions.
+    is_leaving : bool
+        Whether any source says that the VM is leaving.
+    is_alive : bool
+        Whether the VM was seen alive within the evidence bound.
+    is_lost : bool
+        Whether probes show that it is lost. A VM that was not probed is neither alive nor lost.
+    report : EngineReport or None
+        Newest report of its engine.
+    """
+
+    name: str
+    address: str
+    place: str
+    accelerators: int
+    is_listed: bool = True
+    is_leaving: bool = False
+    is_alive: bool = False
+    is_lost: bool = False
+    report: engine_report.EngineReport | None = None
--- /dev/null
+++ b/src/lynxlanding/groups/vm_record.py
@@ -0,0 +1,40 @@
+"""One VM in a domain object."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class VmRecord:
+    """A VM of the fabric domain.
+
+    Parameters
+    ----------
+    name, address, place : str
+        As in the VM list.
+    accelerators : int
+        Number of accelerators.
+    is_leaving : bool
+        Whether the VM must not be placed in a group.
+    """
+
+    name: str
+    address: str
+    place: str
+    accelerators: int
+    is_leaving: bool = False
+
+    def to_value(self):
+        """Return the JSON form."""
+        return {
+            "address": self.address,
+            "place": self.place,
+            "accelerators": self.accelerators,
+            "leaving": self.is_leaving,
+        }
+
+
+def from_value(name, value):
+    """Return the VM of a JSON form."""
+    return VmRecord(
+        name, value["address"], value["place"], int(value["accelerators"]), bool(value["leaving"])
+    )
