--- a/src/lynxlanding/drain/__init__.py
+++ b/src/lynxlanding/drain/__init__.py
@@ -1,1 +1,21 @@
 """Leaving endpoints and planned stops."""
+
+from lynxlanding.drain import (
+    idle_tracker,
+    leaving_signal,
+    leaving_table,
+    node_stop,
+    release_decision,
+    release_rules,
+    release_tracker,
+)
+
+__all__ = [
+    "idle_tracker",
+    "leaving_signal",
+    "leaving_table",
+    "node_stop",
+    "release_decision",
+    "release_rules",
+    "release_tracker",
+]
--- /dev/null
+++ b/src/lynxlanding/drain/release_decision.py
@@ -0,0 +1,25 @@
+"""Whether a leaving endpoint may be released."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReleaseDecision:
+    """Decision about one leaving endpoint.
+
+    Parameters
+    ----------
+    is_released : bool
+        Whether no request can still be in flight.
+    in_flight : int
+        Requests in flight that nodes reported.
+    silent_nodes : int
+        Nodes that have not reported since the drain began.
+    release_at : float
+        Monotonic time at which the endpoint is released at the latest.
+    """
+
+    is_released: bool
+    in_flight: int
+    silent_nodes: int
+    release_at: float
--- a/src/lynxlanding/groups/_repair_step.py
+++ b/src/lynxlanding/groups/_repair_step.py
@@ -6,8 +6,10 @@
 def run(draft, policy, rules, drained):
     """Apply the step to a draft."""
     # Groups that can be completed with the fewest spares come first.
-    names = sorted(draft.groups, key=lambda name: (len(_away(draft, name)), name))
-    for name in names:
+    order = []
+    for name in draft.groups:
+        order.append((len(_away(draft, name)), name))
+    for _, name in sorted(order):
         group = draft.groups[name]
         missing = _missing(draft, name)
         if group.state == group_record.DRAINING:
--- a/src/lynxlanding/groups/evidence_rules.py
+++ b/src/lynxlanding/groups/evidence_rules.py
@@ -18,14 +18,10 @@
     failures_to_lose : int
         Probes in a row that must have failed before a VM counts as lost. A node that was paused
         holds old evidence but has not probed; one probe may have timed out during the pause.
-    checks_age, checks_report : bool
-        Switch a check off; only for tests that show its effect.
     """
 
     bound_s: float = 3.0
     failures_to_lose: int = 2
-    checks_age: bool = True
-    checks_report: bool = True
 
     def __post_init__(self):
         if not 0 < self.bound_s <= MAX_BOUND_S:
--- a/src/lynxlanding/groups/evidence_table.py
+++ b/src/lynxlanding/groups/evidence_table.py
@@ -94,10 +94,22 @@
         entry = self._vms.get(vm)
         if entry is None or entry.alive_at == vm_evidence.NEVER:
             return False
-        if not self._rules.checks_age:
-            return True
         return now - entry.alive_at <= self._rules.bound_s and entry.refused_at < entry.alive_at
 
+    def valid_until(self, vms):
+        """Return the monotonic time at which the oldest evidence of some VMs expires.
+
+        A node that was paused compares it with a fresh clock when it chooses an endpoint, and so
+        uses no view from before the pause.
+        """
+        oldest = float("inf")
+        for vm in vms:
+            entry = self._vms.get(vm)
+            if entry is None:
+                return vm_evidence.NEVER
+            oldest = min(oldest, entry.alive_at)
+        return oldest + self._rules.bound_s
+
     def is_lost(self, vm, now):
         """Return whether probes show that the VM is lost, rather than not probed."""
         entry = self._vms.get(vm)
--- a/src/lynxlanding/groups/lease_keeper.py
+++ b/src/lynxlanding/groups/lease_keeper.py
@@ -124,8 +124,6 @@
         """
         if self._held is None:
             return False
-        if not self._rules.enforced:
-            return True
         if now >= self._valid_until - self._rules.order_margin_s:
             return False
         return checks_fencing_number or now >= self._quiet_until
--- a/src/lynxlanding/groups/lease_rules.py
+++ b/src/lynxlanding/groups/lease_rules.py
@@ -17,11 +17,8 @@
     takeover_wait_s : float
         Further wait of a new holder after the earlier lease has run out, before its first order
         to engines that ignore the fencing number.
-    enforced : bool
-        Switches the margin and the wait off; only for tests that show their effect.
     """
 
     duration_s: float = 10.0
     order_margin_s: float = 3.0
     takeover_wait_s: float = 5.0
-    enforced: bool = True
--- a/src/lynxlanding/groups/order_book.py
+++ b/src/lynxlanding/groups/order_book.py
@@ -4,6 +4,9 @@
 
 # An order whose delivery failed is sent again after this time.
 RETRY_S = 2.0
+# An order that was delivered but not confirmed may be loading; a repeat too early could start the
+# load again.
+UNCONFIRMED_RETRY_S = 30.0
 
 
 class OrderBook:
@@ -16,7 +19,7 @@
 
     def __init__(self):
         self._accepted = {}
-        self._failed_at = {}
+        self._retry_at = {}
 
     def due(self, domain, observations, term, now):
         """Return the orders to send now.
@@ -64,9 +67,9 @@
         for key in list(self._accepted):
             if key not in expected:
                 del self._accepted[key]
-        for key in list(self._failed_at):
+        for key in list(self._retry_at):
             if key not in expected:
-                del self._failed_at[key]
+                del self._retry_at[key]
         return orders
 
     def note_accepted(self, order, instance):
@@ -80,11 +83,21 @@
             Instance of the engine at that time, or empty if unknown.
         """
         self._accepted[order.key] = instance
-        self._failed_at.pop(order.key, None)
+        self._retry_at.pop(order.key, None)
 
-    def note_failed(self, order, now):
-        """Record that delivery of an order failed; it may have taken effect."""
-        self._failed_at[order.key] = now
+    def note_failed(self, order, now, *, is_delivered):
+        """Record that an order was not confirmed.
+
+        Parameters
+        ----------
+        order : EngineOrder
+            The order.
+        now : float
+            Monotonic time, in seconds.
+        is_delivered : bool
+            Whether the engine may have received it.
+        """
+        self._retry_at[order.key] = now + (UNCONFIRMED_RETRY_S if is_delivered else RETRY_S)
 
     def _is_due(self, order, group, seen, now):
         if seen is None or not seen.is_alive:
@@ -95,7 +108,7 @@
         if order.key in self._accepted:
             accepted_by = self._accepted[order.key]
             return report is not None and accepted_by not in ("", report.instance)
-        return now - self._failed_at.get(order.key, float("-inf")) >= RETRY_S
+        return now >= self._retry_at.get(order.key, float("-inf"))
 
 
 def _peers(domain, group):
--- a/src/lynxlanding/groups/serving.py
+++ b/src/lynxlanding/groups/serving.py
@@ -33,8 +33,6 @@
             missing.append(vm)
     if missing:
         return serving_verdict.ServingVerdict(False, "vm_missing", tuple(missing))
-    if not evidence.rules.checks_report:
-        return serving_verdict.ServingVerdict(True)
     mismatched = []
     draining = []
     for vm in group.vms:
--- /dev/null
+++ b/src/lynxlanding/groups/tests/test_domain_store.py
@@ -0,0 +1,91 @@
+import numpy as np
+import pytest
+
+from lynxlanding.errors import groups as groups_errors
+from lynxlanding.errors import platform as platform_errors
+from lynxlanding.groups import (
+    domain,
+    domain_store,
+    engine_order,
+    group_record,
+    lease,
+    lease_keeper,
+    lease_rules,
+    permit_queue,
+    vm_record,
+)
+from lynxlanding.platform import memory_store
+
+
+def _domain(vms_by_group):
+    vms = {}
+    groups = {}
+    for name, members in vms_by_group.items():
+        for vm in members:
+            vms[vm] = vm_record.VmRecord(vm, f"{vm}:1", "place", 8)
+        groups[name] = group_record.GroupRecord(
+            name, "spec", "m", "v1", ("a",), tuple(members), members[0], 3, "ready", 1.5, {"x": "y"}
+        )
+    return domain.Domain("d", lease.Lease("node", 4, 2), vms, groups, 7)
+
+
+def test_domain_survives_the_store():
+    """Guards against fields that are lost in the JSON form."""
+    stored = domain_store.DomainStore(memory_store.MemoryObjectStore())
+    written = _domain({"g": ["a", "b"]})
+    version = stored.write(written, None)
+    assert stored.read("d") == (written, version)
+
+
+def test_vm_in_two_groups_is_refused():
+    """Guards against a write or a stored object with a VM in two groups (G2)."""
+    store = memory_store.MemoryObjectStore()
+    wrong = _domain({"g": ["a", "b"], "h": ["b", "c"]})
+    with pytest.raises(groups_errors.InvalidDomain):
+        domain_store.DomainStore(store).write(wrong, None)
+    store.create("domains", "d", wrong.to_value())
+    with pytest.raises(groups_errors.InvalidDomain):
+        domain_store.DomainStore(store).read("d")
+
+
+def test_second_writer_is_refused():
+    """Guards against two controllers whose updates both take effect."""
+    stored = domain_store.DomainStore(memory_store.MemoryObjectStore())
+    version = stored.write(_domain({"g": ["a"]}), None)
+    stored.write(_domain({"g": ["b"]}), version)
+    with pytest.raises(platform_errors.VersionConflict):
+        stored.write(_domain({"g": ["c"]}), version)
+
+
+def test_lost_answer_of_a_lease_update_is_found_by_reading():
+    """Guards against a lease that counts from the read instead of from before the update."""
+    keeper = lease_keeper.LeaseKeeper("node/1", lease_rules.LeaseRules())
+    keeper.observe(lease.Lease(), 0.0)
+    wanted = keeper.next_lease(0.0)
+    keeper.begin_update(wanted, 0.0)
+    assert not keeper.may_order(1.0, checks_fencing_number=True)
+    keeper.observe(wanted, 4.0)
+    assert keeper.may_order(6.9, checks_fencing_number=True)
+    assert not keeper.may_order(7.1, checks_fencing_number=True)
+
+
+def test_restarted_node_does_not_inherit_its_lease():
+    """Guards against orders under the term of an earlier incarnation."""
+    keeper = lease_keeper.LeaseKeeper("node/2", lease_rules.LeaseRules())
+    keeper.observe(lease.Lease("node/1", 3, 0), 0.0)
+    assert keeper.next_lease(9.0) is None
+    assert keeper.next_lease(10.0) == lease.Lease("node/2", 4, 0)
+    assert not keeper.may_order(1.0, checks_fencing_number=True)
+
+
+def test_denied_permit_holds_back_all_loads_of_the_model():
+    """Guards against requests to a weight store that has asked to wait."""
+    queue = permit_queue.PermitQueue(np.random.default_rng(1))
+    orders = []
+    for vm in ("a", "b"):
+        orders.append(engine_order.EngineOrder(vm, vm, "g", 1, "m", "v", (), ("a", "b"), 1, True))
+    assert queue.split(orders, 0.0) == ([], orders)
+    queue.note_granted(orders[0], 0.0)
+    queue.note_denied(orders[1], 2.0, 0.0)
+    assert queue.split(orders, 1.9) == ([orders[0]], [])
+    assert queue.split(orders, 3.1) == ([orders[0]], [orders[1]])
--- a/src/lynxlanding/groups/vm_view.py
+++ b/src/lynxlanding/groups/vm_view.py
@@ -4,7 +4,7 @@
 from lynxlanding.platform import vm as platform_vm
 
 
-def build(domain, vms, evidence, leaving_addresses, now):
+def build(domain, vms, evidence, leaving_addresses, now, held_elsewhere=frozenset()):
     """Return the observations of one fabric domain by VM name.
 
     Parameters
@@ -19,6 +19,9 @@
         Addresses that any source calls leaving.
     now : float
         Monotonic time, in seconds.
+    held_elsewhere : collection of str, optional
+        VMs in groups of other fabric domains. The VM list may move a name between fabric domains
+        before the earlier one has released it; until then the VM is not taken.
 
     Returns
     -------
@@ -27,7 +30,7 @@
     """
     observations = {}
     for vm in vms:
-        if vm.fabric_domain != domain.name:
+        if vm.fabric_domain != domain.name or vm.name in held_elsewhere:
             continue
         observations[vm.name] = vm_observation.VmObservation(
             vm.name,
--- a/src/lynxlanding/rollout/__init__.py
+++ b/src/lynxlanding/rollout/__init__.py
@@ -1,1 +1,17 @@
 """Version and adapter changes and the wind-down plan."""
+
+from lynxlanding.rollout import (
+    owed_capacity,
+    version_change,
+    version_change_plan,
+    winddown_plan,
+    winddown_row,
+)
+
+__all__ = [
+    "owed_capacity",
+    "version_change",
+    "version_change_plan",
+    "winddown_plan",
+    "winddown_row",
+]
--- /dev/null
+++ b/src/lynxlanding/rollout/owed_capacity.py
@@ -0,0 +1,31 @@
+"""Replicas that are owed to the workspaces."""
+
+import datetime
+import math
+
+
+def owed_replicas(workspaces, tokens_per_s_per_replica, replicas, wall_time):
+    """Return the number of replicas that must serve at a moment.
+
+    Parameters
+    ----------
+    workspaces : iterable of WorkspaceSpec
+        Accepted workspaces.
+    tokens_per_s_per_replica : float or None
+        Measured rate of one replica. If it is unknown, every desired replica is owed.
+    replicas : int
+        Desired replicas; more are never owed.
+    wall_time : float
+        Wall-clock time, in seconds.
+    """
+    if tokens_per_s_per_replica is None:
+        return replicas
+    owed_tokens_per_s = 0.0
+    moment = datetime.datetime.fromtimestamp(wall_time, datetime.UTC)
+    for workspace in workspaces:
+        until = workspace.until
+        if until is not None and until.tzinfo is None:
+            until = until.replace(tzinfo=datetime.UTC)
+        if until is None or moment < until:
+            owed_tokens_per_s += workspace.owed_tokens_per_s
+    return min(replicas, math.ceil(owed_tokens_per_s / tokens_per_s_per_replica))
