--- a/src/lynxlanding/rollout/version_change.py
+++ b/src/lynxlanding/rollout/version_change.py
@@ -46,7 +46,9 @@
     surge_held = min(1, max(0, held - desired.replicas))
     remaining = sum(len(groups) for groups in old_by_domain.values())
     if remaining == 0:
-        return version_change_plan.VersionChangePlan()
+        # The last groups may still be loading; the additional group serves in their place.
+        surge = surge_held if serving_count - 1 < owed else 0
+        return version_change_plan.VersionChangePlan(surge=surge)
     first = old_by_domain[min(old_by_domain)]
     budget = serving_count - owed
     candidates = []
