Run replica groups in the daemon

DomainActor owns the decisions of all fabric domains; DomainLoop reads the VM list, watches the domain objects, probes VMs, writes conditional updates and delivers orders. The routing view gets the leaders of groups that serve, each with the time at which its evidence expires, which the choice of an endpoint compares with a fresh clock.

--- /dev/null
+++ b/src/lynxlanding/daemon/domain_wiring.py
@@ -0,0 +1,61 @@
+"""Builds the part of a node that manages replica groups and leaving endpoints."""
+
+import uuid
+
+import numpy as np
+import urllib3
+
+from lynxlanding.daemon import domain_loop
+from lynxlanding.groups import (
+    domain_actor,
+    evidence_rules,
+    fleet_controller,
+    http_engine_transport,
+    lease_rules,
+    reconciler,
+    repair_rules,
+    weighted_policy,
+)
+from lynxlanding.platform import vm_list, weight_store
+
+
+def make_loop(settings, store, router):
+    """Return a ``DomainLoop`` with its own actor.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Settings of the node.
+    store : ObjectStore
+        The object API.
+    router : RoutingActor proxy
+        Receives the groups' endpoints and the leaving addresses.
+    """
+    groups = settings.groups
+    policy = weighted_policy.WeightedPolicy(groups.downtime_weight, groups.stranded_weight)
+    rules = repair_rules.RepairRules(groups.stranded_bound_s, groups.load_timeout_s)
+    fleet = fleet_controller.FleetController(
+        settings.node_id,
+        f"{settings.node_id}/{uuid.uuid4().hex[:12]}",
+        evidence_rules.EvidenceRules(groups.evidence_bound_s),
+        lease_rules.LeaseRules(),
+        reconciler.Reconciler(policy, rules),
+        groups.tokens_per_s_per_replica,
+    )
+    pool = urllib3.PoolManager(num_pools=4000, maxsize=2)
+    vms = None
+    if settings.platform.vm_list is not None:
+        vms = vm_list.HttpVmList(settings.platform.vm_list, pool)
+    weights = None
+    if settings.platform.weight_store is not None:
+        weights = weight_store.HttpWeightStore(settings.platform.weight_store, pool)
+    return domain_loop.DomainLoop(
+        domain_actor.DomainActor.start(fleet).proxy().fleet,
+        store,
+        vms,
+        weights,
+        http_engine_transport.HttpEngineTransport(pool, groups.order_timeout_s),
+        router,
+        groups,
+        np.random.default_rng(settings.seed),
+    )
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from lynxlanding.configuration import configuration_actor, revision_reader
-from lynxlanding.daemon import endpoint_targets, node_state
+from lynxlanding.daemon import domain_wiring, endpoint_targets, node_state
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
 from lynxlanding.platform import http_store
@@ -54,6 +54,7 @@
             settings.platform.object_api, urllib3.PoolManager(maxsize=16)
         )
         self._router = routing_actor.RoutingActor.start().proxy()
+        self._domain_loop = domain_wiring.make_loop(settings, self._store, self._router)
         self._configuration = configuration_actor.ConfigurationActor.start(
             revision_reader.RevisionReader(self._store), self._apply
         ).proxy()
@@ -89,8 +90,10 @@
             threading.Thread(target=server.run, daemon=True).start()
         threading.Thread(target=self._watch_configuration, daemon=True).start()
         threading.Thread(target=self._collect_claims, daemon=True).start()
+        self._domain_loop.start()
         self._stop.wait()
         self._drain()
+        self._domain_loop.stop()
         for server in servers:
             server.close()
         pykka.ActorRegistry.stop_all(timeout=2)
@@ -135,6 +138,7 @@
 
     def _apply(self, snapshot):
         self._router.set_endpoints(endpoint_targets.from_snapshot(snapshot)).get()
+        self._domain_loop.set_configuration(snapshot)
         self._state.set_configuration(snapshot)
 
     def _watch_configuration(self):
--- a/src/lynxlanding/errors/groups.py
+++ b/src/lynxlanding/errors/groups.py
@@ -25,3 +25,21 @@
     """The engine has accepted an order with a higher fencing number."""
 
     type_name = "stale_fencing_number"
+
+
+class ProbeFailed(GroupsError):
+    """A VM did not respond to a probe in time, or not with a load report."""
+
+    type_name = "probe_failed"
+
+
+class ProbeRefused(ProbeFailed):
+    """A VM refused the connection of a probe, so no engine listens there."""
+
+    type_name = "probe_refused"
+
+
+class OrderNotDelivered(OrderFailed):
+    """The engine refused the connection or the order, so the order had no effect."""
+
+    type_name = "order_not_delivered"
--- a/src/lynxlanding/groups/desired_groups.py
+++ b/src/lynxlanding/groups/desired_groups.py
@@ -34,6 +34,10 @@
     places: tuple[str, ...] = ()
     checks_fencing_number: bool = False
 
+    def with_replicas(self, replicas):
+        """Return the same groups in another number."""
+        return dataclasses.replace(self, replicas=replicas)
+
     def is_current(self, group):
         """Return whether a group has the desired version and adapters."""
         return group.version == self.version and group.adapters == self.adapters
--- /dev/null
+++ b/src/lynxlanding/groups/fleet_controller.py
@@ -0,0 +1,294 @@
+"""Decisions of one node about all fabric domains."""
+
+from lynxlanding.drain import idle_tracker, leaving_table, release_rules
+from lynxlanding.groups import (
+    desired_groups,
+    domain_action,
+    domain_controller,
+    evidence_table,
+    fleet_observation,
+    fleet_planning,
+    group_endpoint,
+    group_record,
+    group_status,
+    probe_assignment,
+    serving,
+)
+from lynxlanding.groups import domain as domain_module
+from lynxlanding.rollout import replica_targets
+
+# Work that another node may be about to do is left to it for up to this time.
+TAKEOVER_SPREAD_S = 1.0
+
+
+class FleetController:
+    """State of one node about domains, VMs, evidence and leaving endpoints; does no I/O.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    holder : str
+        Node and incarnation, for leases.
+    evidence_rules : EvidenceRules
+        Bounds of serving evidence.
+    lease_rules : LeaseRules
+        Durations of leases.
+    reconciler : Reconciler
+        Plans domain objects.
+    tokens_per_s_per_replica : float or None
+        Measured rate of one replica group.
+    """
+
+    def __init__(
+        self,
+        node,
+        holder,
+        evidence_rules,
+        lease_rules,
+        reconciler,
+        tokens_per_s_per_replica=None,
+    ):
+        self._node = node
+        self._holder = holder
+        self._lease_rules = lease_rules
+        self._reconciler = reconciler
+        self._tokens_per_s_per_replica = tokens_per_s_per_replica
+        self._evidence = evidence_table.EvidenceTable(evidence_rules)
+        self._leaving = leaving_table.LeavingTable()
+        self._release_rules = release_rules.ReleaseRules()
+        self._nodes = (node,)
+        self._vms = ()
+        self._snapshot = None
+        self._winddowns = {}
+        self._controllers = {}
+        self._versions = {}
+        self._idle = {}
+        self._work_since = {}
+
+    @property
+    def evidence(self):
+        """Probe results, also those of other nodes."""
+        return self._evidence
+
+    @property
+    def winddowns(self):
+        """Wind-down plans by model."""
+        return self._winddowns
+
+    def set_configuration(self, snapshot, now):
+        """Take over an accepted configuration; return newly leaving addresses."""
+        self._snapshot = snapshot
+        self._winddowns = replica_targets.plans(snapshot, self._tokens_per_s_per_replica)
+        drains = [spec.address for spec in snapshot.of_kind("drains").values()]
+        return self._leaving.apply_drains(drains, now)
+
+    def set_nodes(self, nodes):
+        """Take over the live nodes of the data centre, which share the probes."""
+        self._nodes = tuple(nodes)
+
+    def note_vms(self, vms, now):
+        """Take over the VM list; return newly leaving addresses."""
+        self._vms = tuple(vms)
+        for vm in vms:
+            if vm.fabric_domain not in self._controllers:
+                self.note_domain(domain_module.Domain(vm.fabric_domain), None, now)
+        return self._leaving.note_vm_list(vms, now)
+
+    def note_domain(self, domain, version, now):
+        """Take over a domain object; an older version than the known one is ignored."""
+        controller = self._controllers.get(domain.name)
+        if controller is None:
+            controller = domain_controller.DomainController(
+                self._holder, self._lease_rules, self._reconciler
+            )
+            self._controllers[domain.name] = controller
+            self._versions[domain.name] = None
+        known = self._versions[domain.name]
+        if known is not None and (version is None or version < known):
+            return
+        controller.observe(domain, now)
+        self._versions[domain.name] = version
+
+    def note_probe(self, vm, address, sent_at, report):
+        """Record a successful probe; return whether the endpoint was not leaving before."""
+        self._evidence.record_alive(vm, sent_at, report)
+        for tracker_address, tracker in self._idle.values():
+            if tracker_address == address:
+                tracker.note_report(sent_at, report.running + report.queued)
+        return self._leaving.note_report(address, report.instance, report.is_draining, sent_at)
+
+    def note_probe_failure(self, vm, sent_at, is_refused):
+        """Record a failed probe."""
+        self._evidence.record_failure(vm, sent_at, is_refused=is_refused)
+
+    def probe_targets(self):
+        """Return name and address of the VMs that this node probes."""
+        targets = {}
+        for controller in self._controllers.values():
+            for name, record in controller.domain.vms.items():
+                targets[name] = record.address
+        for vm in self._vms:
+            targets[vm.name] = vm.address
+        assigned = []
+        for name, address in targets.items():
+            if probe_assignment.is_assigned(name, self._node, self._nodes):
+                assigned.append((name, address))
+        return assigned
+
+    def forming_targets(self):
+        """Return name and address of the VMs of forming groups.
+
+        They are probed more often, so that a loaded group does not wait for the next round.
+        """
+        targets = []
+        for controller in self._controllers.values():
+            domain = controller.domain
+            for group in domain.groups.values():
+                if group.state != group_record.FORMING:
+                    continue
+                for vm in group.vms:
+                    targets.append((vm, domain.vms[vm].address))
+        return targets
+
+    def step(self, now, wall_time, in_flight):
+        """Decide the next action of each domain.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+        wall_time : float
+            Wall-clock time, in seconds.
+        in_flight : dict of str to int
+            This node's requests in flight by address.
+
+        Returns
+        -------
+        list of DomainAction
+            At most one for each domain.
+        """
+        if self._snapshot is None:
+            return []
+        domains = [controller.domain for controller in self._controllers.values()]
+        observations = fleet_observation.observe(
+            domains, self._vms, self._evidence, self._leaving.addresses, now
+        )
+        serving_names = {endpoint.group for endpoint in self.endpoints(now)}
+        targets = replica_targets.replicas_by_spec(self._snapshot, self._winddowns, wall_time)
+        desired, changing = fleet_planning.plan(
+            desired_groups.from_snapshot(self._snapshot, targets),
+            domains,
+            observations,
+            serving_names,
+            lambda entry: replica_targets.owed(
+                self._snapshot, entry, self._tokens_per_s_per_replica, wall_time
+            ),
+        )
+        actions = []
+        for name, controller in sorted(self._controllers.items()):
+            step = controller.step(
+                observations[name],
+                desired[name],
+                now,
+                wall_time,
+                drained=self._drained(controller.domain, now, in_flight),
+                changing=changing,
+            )
+            if step.write is None and not step.orders:
+                self._work_since.pop(name, None)
+                continue
+            if step.write is not None and controller.domain.lease.holder != self._holder:
+                since = self._work_since.setdefault(name, now)
+                delay_s = probe_assignment.takeover_delay_s(name, self._node, TAKEOVER_SPREAD_S)
+                if now - since < delay_s:
+                    continue
+            actions.append(
+                domain_action.DomainAction(
+                    name, step.write, self._versions[name], step.changes, step.orders
+                )
+            )
+        return actions
+
+    def begin_write(self, domain, now):
+        """Record that a write is about to be sent."""
+        self._controllers[domain.name].begin_write(domain, now)
+
+    def confirm_write(self, domain, version):
+        """Record that a write took effect."""
+        self._work_since.pop(domain.name, None)
+        known = self._versions[domain.name]
+        if known is not None and known > version:
+            # The watch was faster and has delivered a later change already.
+            self._controllers[domain.name].refuse_write()
+            return
+        self._controllers[domain.name].confirm_write(domain)
+        self._versions[domain.name] = version
+
+    def refuse_write(self, name):
+        """Record that a write had no effect."""
+        self._controllers[name].refuse_write()
+
+    def may_send(self, name, order, now):
+        """Return whether an order may be sent; ``now`` is read right before sending."""
+        return self._controllers[name].may_send(order, now)
+
+    def note_order_accepted(self, name, order, instance):
+        """Record that an engine accepted an order."""
+        self._controllers[name].orders.note_accepted(order, instance)
+
+    def note_order_failed(self, name, order, now, is_delivered):
+        """Record that an order was not confirmed."""
+        self._controllers[name].orders.note_failed(order, now, is_delivered=is_delivered)
+
+    def leaving_addresses(self):
+        """Return the addresses of all leaving endpoints."""
+        return self._leaving.addresses
+
+    def endpoints(self, now):
+        """Return a ``GroupEndpoint`` for each group that serves."""
+        found = []
+        for _, group, verdict, domain in self._verdicts(now):
+            if not verdict.serves:
+                continue
+            found.append(
+                group_endpoint.GroupEndpoint(
+                    domain.vms[group.leader].address,
+                    group.model,
+                    group.name,
+                    self._evidence.valid_until(group.vms),
+                )
+            )
+        return found
+
+    def status(self, now):
+        """Return one row for each group, for operators."""
+        rows = []
+        for _, group, verdict, domain in self._verdicts(now):
+            rows.append(group_status.describe(domain, group, verdict, self._evidence, now))
+        return rows
+
+    def _verdicts(self, now):
+        for name, controller in sorted(self._controllers.items()):
+            domain = controller.domain
+            leaving = set()
+            for vm, record in domain.vms.items():
+                if self._leaving.is_leaving(record.address):
+                    leaving.add(vm)
+            for group in domain.groups.values():
+                yield name, group, serving.check(group, self._evidence, now, leaving), domain
+
+    def _drained(self, domain, now, in_flight):
+        drained = []
+        for group in domain.groups.values():
+            key = (group.name, group.epoch)
+            if group.state != group_record.DRAINING:
+                self._idle.pop(key, None)
+                continue
+            address = domain.vms[group.leader].address
+            if key not in self._idle:
+                tracker = idle_tracker.IdleTracker(now, self._release_rules)
+                self._idle[key] = (address, tracker)
+            if self._idle[key][1].is_released(now) and in_flight.get(address, 0) == 0:
+                drained.append(group.name)
+        return drained
--- a/src/lynxlanding/groups/serving.py
+++ b/src/lynxlanding/groups/serving.py
@@ -3,7 +3,7 @@
 from lynxlanding.groups import group_record, serving_verdict
 
 
-def check(group, evidence, now):
+def check(group, evidence, now, leaving=frozenset()):
     """Decide whether a group may receive requests.
 
     A group serves only if each of its VMs was seen alive within the bound and each of its engines
@@ -19,6 +19,9 @@
         Probe results.
     now : float
         Monotonic time, in seconds.
+    leaving : collection of str, optional
+        VMs that any source calls leaving. During a store outage the domain object cannot say that
+        the group drains, so the signal takes the group out of service by itself.
 
     Returns
     -------
@@ -27,6 +30,9 @@
     """
     if group.state != group_record.READY:
         return serving_verdict.ServingVerdict(False, group.state)
+    departing = tuple(vm for vm in group.vms if vm in leaving)
+    if departing:
+        return serving_verdict.ServingVerdict(False, "vm_leaving", departing)
     missing = []
     for vm in group.vms:
         if not evidence.is_alive(vm, now):
--- a/src/lynxlanding/rollout/__init__.py
+++ b/src/lynxlanding/rollout/__init__.py
@@ -2,6 +2,7 @@
 
 from lynxlanding.rollout import (
     owed_capacity,
+    replica_targets,
     version_change,
     version_change_plan,
     winddown_plan,
@@ -10,6 +11,7 @@
 
 __all__ = [
     "owed_capacity",
+    "replica_targets",
     "version_change",
     "version_change_plan",
     "winddown_plan",
--- a/src/lynxlanding/rollout/winddown_plan.py
+++ b/src/lynxlanding/rollout/winddown_plan.py
@@ -19,15 +19,16 @@
         Accepted schedule.
     replicas : int
         Desired replicas before the first step.
-    owed_at : callable
-        Returns the replicas owed to the workspaces at a wall-clock time.
+    owed_at : callable or None
+        Returns the replicas owed to the workspaces at a wall-clock time. None means that every
+        scheduled replica is owed, so that all drains start at their steps.
     lead_s : float
         Time by which drains start ahead of a step: the longest deadline and the notice time.
     """
 
     def __init__(self, spec, replicas, owed_at, lead_s):
         self._replicas = replicas
-        self._owed_at = owed_at
+        self._owed_at = self.scheduled if owed_at is None else owed_at
         self._lead_s = lead_s
         self._date = _seconds(spec.date)
         self._steps = []
--- a/src/lynxlanding/settings/daemon_settings.py
+++ b/src/lynxlanding/settings/daemon_settings.py
@@ -131,6 +131,41 @@
     uncertain_limit_s: Seconds = 7200.0
 
 
+class GroupSettings(Section):
+    """Replica groups.
+
+    Attributes
+    ----------
+    probe_interval_s : float
+        Interval between probes of one VM; 2 s at the design size.
+    evidence_bound_s : float
+        Age at which a VM that was seen alive counts as missing.
+    vm_list_interval_s : float
+        Interval between reads of the VM list.
+    downtime_weight, stranded_weight : float
+        Weights of the repair policy.
+    stranded_bound_s : float
+        Longest time for which an incomplete group holds accelerators.
+    load_timeout_s : float
+        A group that is not ready after this time is loaded again.
+    order_timeout_s : float
+        Timeout of an order; not above the margin of the lease, 3 s.
+    tokens_per_s_per_replica : float or None
+        Measured rate of one replica group, from which the owed replicas follow; None means that
+        every desired replica is owed.
+    """
+
+    probe_interval_s: Seconds = 1.0
+    evidence_bound_s: Annotated[float, pydantic.Field(gt=0, le=5.0)] = 3.0
+    vm_list_interval_s: Seconds = 1.0
+    downtime_weight: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1.0
+    stranded_weight: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1.0
+    stranded_bound_s: Seconds = 300.0
+    load_timeout_s: Seconds = 900.0
+    order_timeout_s: Annotated[float, pydantic.Field(gt=0, le=3.0)] = 3.0
+    tokens_per_s_per_replica: Annotated[float, pydantic.Field(gt=0)] | None = None
+
+
 class DaemonSettings(Section):
     """Settings of ``lynxlandingd``.
 
@@ -157,3 +192,4 @@
     drain: DrainSettings = DrainSettings()
     membership: MembershipSettings = MembershipSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    groups: GroupSettings = GroupSettings()
--- a/src/lynxlanding_standins/engine.py
+++ b/src/lynxlanding_standins/engine.py
@@ -133,6 +133,7 @@
                 engine=state.instance,
                 first=request.first,
                 group=state.group,
+                epoch=state.epoch,
             )
             hit = state.touch_prefix(request.prompt)
             await asyncio.sleep(self._prefill_s * (0.25 if hit else 1.0))
