--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -2,7 +2,7 @@
 
 import click
 
-from lynxlanding_bench import group_repair, node_load, result_file
+from lynxlanding_bench import group_changes, group_repair, node_load, result_file
 
 
 @click.group()
@@ -12,5 +12,7 @@
 
 # Every experiment module defines one click command and is registered here.
 main.add_command(group_repair.group_repair)
+main.add_command(group_changes.group_recovery)
+main.add_command(group_changes.drain_delay)
 main.add_command(result_file.compare)
 main.add_command(node_load.command)
