--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -10,7 +10,13 @@
 import pykka
 import urllib3
 
-from lynxlanding.daemon import control_plane, endpoint_targets, node_observability, node_state
+from lynxlanding.daemon import (
+    control_plane,
+    domain_wiring,
+    endpoint_targets,
+    node_observability,
+    node_state,
+)
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
 from lynxlanding.platform import http_store, vm_list
 from lynxlanding.requests import (
@@ -56,6 +62,7 @@
         self._control = control_plane.ControlPlane(
             settings, self._store, vms, self._apply, self._state.set_configuration_status
         )
+        self._domain_loop = domain_wiring.make_loop(settings, self._store, self._router)
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
         self._random_state = np.random.default_rng(settings.seed)
         self._claims = self._make_claims(settings)
@@ -98,10 +105,12 @@
             threading.Thread(target=server.run, daemon=True).start()
         self._control.start()
         threading.Thread(target=self._collect_claims, daemon=True).start()
+        self._domain_loop.start()
         self._stop.wait()
         self._observability.begin_stop()
         self._drain()
         self._control.stop()
+        self._domain_loop.stop()
         for server in servers:
             server.close()
         self._observability.stop()
@@ -147,4 +156,5 @@
 
     def _apply(self, snapshot):
         self._router.set_endpoints(endpoint_targets.from_snapshot(snapshot)).get()
+        self._domain_loop.set_configuration(snapshot)
         self._state.set_configuration(snapshot)
--- a/src/lynxlanding/rollout/__init__.py
+++ b/src/lynxlanding/rollout/__init__.py
@@ -1,1 +1,19 @@
 """Version and adapter changes and the wind-down plan."""
+
+from lynxlanding.rollout import (
+    owed_capacity,
+    replica_targets,
+    version_change,
+    version_change_plan,
+    winddown_plan,
+    winddown_row,
+)
+
+__all__ = [
+    "owed_capacity",
+    "replica_targets",
+    "version_change",
+    "version_change_plan",
+    "winddown_plan",
+    "winddown_row",
+]
