--- a/src/lynxlanding/daemon/node_observability.py
+++ b/src/lynxlanding/daemon/node_observability.py
@@ -25,6 +25,7 @@
         self._settings = settings
         self._stop = threading.Event()
         self.metrics = metrics.Metrics(settings.node_id, settings.place)
+        self.metrics.install()
         self.burn_actor = burn_actor.BurnActor.start(settings.objectives, settings.place).proxy()
         self.burn_writer = writer.BurnWriter(store, settings.node_id, self.burn_actor)
         self.burn_reporter = reporter.BurnReporter(
--- a/src/lynxlanding/observability/metrics.py
+++ b/src/lynxlanding/observability/metrics.py
@@ -67,6 +67,13 @@
             "lynxlanding_request_duration_seconds", description="Time from arrival to the end."
         )
 
+    def install(self):
+        """Export the instruments of every package, which use the global meter provider.
+
+        A process can do this once, so only the daemon does it.
+        """
+        otel_metrics.set_meter_provider(self._provider)
+
     def record_request(self, summary):
         """Count a finished request."""
         service = summary.service or UNKNOWN
--- a/tests/test_observed_node.py
+++ b/tests/test_observed_node.py
@@ -40,6 +40,8 @@
     assert _value(page, "lynxlanding_requests_total", 'result="whole"', 'service="desk-model"') == 3
     assert _value(page, "lynxlanding_requests_total", 'status="401"') == 1
     assert _value(page, "lynxlanding_tokens_total") == 15
+    # Instruments of other packages are on the same page.
+    assert _value(page, "lynxlanding_attempts_total") == 4
     assert _value(page, "lynxlanding_configuration_revision") == 1
 
     running.signal("node-0", signal.SIGTERM)
