--- a/src/lynxlanding_bench/scenario/parsing.py
+++ b/src/lynxlanding_bench/scenario/parsing.py
@@ -85,7 +85,12 @@
         return steps.StartFleet()
 
     def load(self, name, kind, rate, duration, *options):
-        return steps.Load(str(name), str(kind), float(rate), duration, **dict(options))
+        chosen = dict(options)
+        if kind == "unkeyed" and "retry" in chosen:
+            raise operator_errors.StatementError(
+                kind.line, kind.column, "unkeyed calls cannot be retried", ("bookings",)
+            )
+        return steps.Load(str(name), str(kind), float(rate), duration, **chosen)
 
     def tokens(self, count):
         return "tokens", int(count)
--- a/src/lynxlanding_bench/scenario/tests/test_parsing.py
+++ b/src/lynxlanding_bench/scenario/tests/test_parsing.py
@@ -43,6 +43,7 @@
         ("kill engine 2", "kill store 2", 8, 6),
         ("2 s tokens", "2 tokens", 5, 42),
         ("check", "chekc", 17, 1),
+        ("book bookings", "book unkeyed", 6, 11),
         ("on node 0, 1", "on node 0, 3", 5, 65),
         ("on node 1\n", "on node 7\n", 12, 55),
     ],
