Measure propagation time, control cost and causal delivery

The trials drive the gossip and propagation modules of a whole fleet on a seeded event loop. They led to two changes:

- A slow store (3 s a call) took 12.3 s on average and 13.5 s at most at 9 nodes when the committing node stopped right after the commit, since watchers read revision, manifest and part one after the other.
- At 410 nodes an exchange took about 2.8 ms of processor time, most of it in the node list that was rebuilt at every tick and merge.

--- a/src/lynxlanding/configuration/change_service.py
+++ b/src/lynxlanding/configuration/change_service.py
@@ -79,9 +79,9 @@
                         f"change {change.change_id}: the outcome could not be read: {e}"
                     ) from e
             time.sleep(RETRY_S)
-        if result.digest is not None:
+        if result.loaded is not None:
             # Spreads the revision without waiting for the next watch to return.
-            self._actor.head_read(result.revision, result.digest, time.monotonic())
+            self._actor.fetched(result.loaded)
         _logger.info("change %s is revision %d", change.change_id, result.revision)
         return result
 
--- a/src/lynxlanding/configuration/commit.py
+++ b/src/lynxlanding/configuration/commit.py
@@ -6,10 +6,12 @@
     change_ids,
     encoding,
     history,
+    loaded_revision,
     part,
     plan,
     repository,
     revision,
+    snapshot,
     store_calls,
     store_layout,
 )
@@ -41,12 +43,16 @@
         change alters nothing and created no revision.
     entries : list of DifferenceEntry
         What the change altered; empty if it was found in the head or its history.
+    loaded : LoadedRevision or None
+        The revision, if this submission wrote it. The committing node puts it into effect and
+        serves it to its peers even if the store becomes unavailable right after the commit.
     """
 
     revision: int
     digest: str | None
     outcome: str
     entries: list
+    loaded: loaded_revision.LoadedRevision | None = None
 
 
 def commit(change, now, cache=None, capacity=None):
@@ -126,6 +132,7 @@
         self._pending_version = None
         self._lost_answer = False
         self._last_winner = ("", 0)
+        self._written = None
 
     @property
     def is_pending(self):
@@ -148,7 +155,10 @@
             yield from self._check_same_request(current, accepted)
             digest = current.digest if accepted == current.number else None
             outcome = COMMITTED if self._lost_answer else REPEATED
-            return CommitResult(accepted, digest, outcome, [])
+            is_written = self._written is not None and self._written.digest == digest
+            return CommitResult(
+                accepted, digest, outcome, [], self._written if is_written else None
+            )
         if self._pending and version != self._pending_version:
             self._pending = False
         if self._base_number is None:
@@ -164,8 +174,11 @@
         # Times never decrease along the chain, so that a search for a change id may stop at the
         # first revision that is older than the id, also where a paused node commits late.
         time = max(self._now, current.changes[-1][2]) if current.changes else self._now
-        digest = yield from self._write_revision(current, base.manifest, planned, time)
-        successor = current.successor(current.number + 1, digest, change.change_id, time)
+        self._written, parts = yield from self._write_revision(
+            current, base.manifest, planned, time
+        )
+        digest = self._written.digest
+        successor = current.successor(self._written, change.change_id, time, parts)
         document = successor.to_document()
         try:
             if version is None:
@@ -183,7 +196,7 @@
         except platform_errors.StoreOutcomeUnknown:
             self._pending, self._pending_version, self._lost_answer = True, version, True
             return None
-        return CommitResult(successor.number, digest, COMMITTED, planned.entries)
+        return CommitResult(successor.number, digest, COMMITTED, planned.entries, self._written)
 
     def _check_overlap(self, current):
         try:
@@ -209,8 +222,9 @@
             )
 
     def _write_revision(self, current, manifest, planned, time):
-        """Create the parts and the revision; returns the revision's digest."""
+        """Create the parts and the revision; returns the ``LoadedRevision`` and the parts."""
         new_manifest = dict(manifest)
+        parts = {}
         changed = {}
         for entry in planned.entries:
             kind, name = encoding.split_key(entry.key)
@@ -221,6 +235,7 @@
             document = part.from_spec(kind, name, planned.objects[kind][name])
             digest = encoding.digest(document)
             yield from _ensure(store_layout.PARTS, digest, document)
+            parts[digest] = document
             new_manifest[entry.key] = digest
             changed[entry.key] = digest
         manifest_document = part.from_manifest(new_manifest)
@@ -231,7 +246,7 @@
             raise configuration_errors.InvalidObject(
                 "manifest", f"{len(new_manifest)} objects exceed the store's limit of 1 MB"
             ) from e
-        document = revision.Revision(
+        written = revision.Revision(
             current.number + 1,
             current.digest,
             self._change.change_id,
@@ -241,10 +256,13 @@
             self._change.statements,
             changed,
             manifest_digest,
-        ).to_document()
+        )
+        document = written.to_document()
         digest = encoding.digest(document)
         yield from _ensure(store_layout.REVISIONS, digest, document)
-        return digest
+        built = snapshot.Snapshot(written.number, digest, planned.objects)
+        loaded = loaded_revision.LoadedRevision(digest, document, written, new_manifest, built)
+        return loaded, parts
 
 
 def _ensure(kind, digest, document):
--- a/src/lynxlanding/configuration/configuration_actor.py
+++ b/src/lynxlanding/configuration/configuration_actor.py
@@ -6,8 +6,9 @@
 
 import pykka
 
-from lynxlanding.configuration import propagation, propagation_decisions
+from lynxlanding.configuration import propagation, propagation_decisions, revision_bundle
 from lynxlanding.errors import base as errors_base
+from lynxlanding.errors import configuration as configuration_errors
 
 _logger = logging.getLogger(__name__)
 
@@ -84,9 +85,26 @@
         """Take over the mark of an exchange."""
         self._carry_out(self._decider.on_mark(node_id, mark, sent_at, time.monotonic()))
 
-    def head_read(self, number, digest, read_at):
-        """Take over a head that the store returned."""
-        self._carry_out(self._decider.on_head(number, digest, read_at, time.monotonic()))
+    def head_read(self, head, read_at):
+        """Take over a ``Head`` that the store returned.
+
+        Parameters
+        ----------
+        head : Head
+            The head; its bundle is used if it leads from the revision in effect to the head's.
+        read_at : float
+            Monotonic seconds before the read was sent.
+        """
+        current = self._log.current
+        if head.bundle is not None and head.number == current.number + 1:
+            try:
+                loaded = revision_bundle.load(head.bundle, current, head.digest, self._log.cache)
+            except configuration_errors.InvalidObject as e:
+                _logger.warning("the bundle of the configuration head is unusable: %s", e)
+            else:
+                self.fetched(loaded)
+        now = time.monotonic()
+        self._carry_out(self._decider.on_head(head.number, head.digest, read_at, now))
 
     def head_failed(self):
         """Note that the store could not be read."""
--- a/src/lynxlanding/configuration/garbage.py
+++ b/src/lynxlanding/configuration/garbage.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lynxlanding.configuration import head, history, repository, store_calls, store_layout
+from lynxlanding.configuration import history, repository, store_calls, store_layout
 from lynxlanding.errors import platform as platform_errors
 
 # Revisions whose manifests and parts are kept, so that a node that is a little behind can still
@@ -54,7 +54,7 @@
                 orphans.append(item)
     if not orphans:
         return CollectionResult(0, True)
-    marked = head.Head(current.number, current.digest, current.changes, current.collection + 1)
+    marked = current.with_collection()
     try:
         yield store_calls.Update(
             store_layout.HEADS, store_layout.CURRENT, marked.to_document(), version
--- a/src/lynxlanding/configuration/head.py
+++ b/src/lynxlanding/configuration/head.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 
+from lynxlanding.configuration import encoding
 from lynxlanding.errors import configuration as configuration_errors
 
 # Change ids kept in the head, so that a repeated submission is usually recognised without
 # reading the revision chain. 256 ids of 64 bytes keep the head near 20 KB.
 KEPT_CHANGES = 256
+# A larger bundle is left out of the head; it is read by every watcher at every change.
+MAX_BUNDLE_BYTES = 32_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -23,17 +26,41 @@
         Id, revision number and time (UNIX seconds) of the last accepted changes, oldest first.
     collection : int
         Number of garbage collections that were started.
+    bundle : dict or None
+        What leads from the parent revision to this one (see ``revision_bundle``), if it is small.
+        A watcher that holds the parent needs no further call, which matters while the store is
+        slow: revision, manifest and part would be read one after the other.
     """
 
     number: int = 0
     digest: str = ""
     changes: tuple = ()
     collection: int = 0
+    bundle: dict | None = None
 
-    def successor(self, number, digest, change_id, time):
-        """Return the head that accepts one more change."""
-        changes = (*self.changes, (change_id, number, time))[-KEPT_CHANGES:]
-        return Head(number, digest, changes, self.collection)
+    def successor(self, loaded, change_id, time, parts):
+        """Return the head that accepts one more change.
+
+        Parameters
+        ----------
+        loaded : LoadedRevision
+            Revision of the change.
+        change_id : str
+            Id of the change.
+        time : float
+            UNIX seconds.
+        parts : dict of str to dict
+            Documents of the changed parts, by digest.
+        """
+        changes = (*self.changes, (change_id, loaded.number, time))[-KEPT_CHANGES:]
+        bundle = {"revisions": [loaded.document], "manifest": None, "parts": parts}
+        if len(encoding.canonical(bundle)) > MAX_BUNDLE_BYTES:
+            bundle = None
+        return Head(loaded.number, loaded.digest, changes, self.collection, bundle)
+
+    def with_collection(self):
+        """Return the head that counts one more garbage collection."""
+        return dataclasses.replace(self, collection=self.collection + 1)
 
     def to_document(self):
         """Return the JSON value of the store object."""
@@ -42,6 +69,7 @@
             "digest": self.digest,
             "changes": [list(change) for change in self.changes],
             "collection": self.collection,
+            "bundle": self.bundle,
         }
 
 
@@ -56,6 +84,7 @@
             str(document["digest"]),
             tuple(changes),
             int(document["collection"]),
+            document["bundle"],
         )
     except (KeyError, TypeError, ValueError) as e:
         raise configuration_errors.InvalidObject("config-head/current", f"malformed: {e!r}") from e
--- a/src/lynxlanding/configuration/head_watcher.py
+++ b/src/lynxlanding/configuration/head_watcher.py
@@ -43,7 +43,7 @@
             _logger.info("cannot read the configuration head: %s", e)
             actor.head_failed()
             return
-        actor.head_read(found.number, found.digest, read_at)
+        actor.head_read(found, read_at)
 
     def watch(self, actor, is_watching):
         """Watch the head until ``is_watching()`` is false or the node stops."""
@@ -66,7 +66,7 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
             retry_s = RETRY_S
-            actor.head_read(known.number, known.digest, read_at)
+            actor.head_read(known, read_at)
 
     def _list(self):
         items, version = self._store.list(store_layout.HEADS)
--- a/src/lynxlanding/membership/exchange_schedule.py
+++ b/src/lynxlanding/membership/exchange_schedule.py
@@ -52,6 +52,9 @@
         self._contact_at = now
         self._seeds = ()
         self._removed = {}
+        self._members = None
+        self._near = []
+        self._far = []
 
     def set_seeds(self, addresses):
         """Replace the addresses known from the settings and the store."""
@@ -68,17 +71,14 @@
 
         Parameters
         ----------
-        members : iterable of Member
-            Known nodes, without the own one.
+        members : tuple of Member
+            Known nodes; the own one is left out.
         now : float
             Monotonic seconds.
         """
-        near, far, live_addresses = [], [], {self._info.address}
-        for item in members:
-            if item.state != member.LIVE:
-                continue
-            live_addresses.add(item.address)
-            (near if item.place == self._info.place else far).append(item.address)
+        if members is not self._members:
+            self._sort(members)
+        near, far = self._near, self._far
         planned = []
         if now >= self._place_at:
             self._place_at = _next(self._place_at, self._interval_s, now)
@@ -92,21 +92,16 @@
             is_alone = not near and not far
             interval = self._interval_s if is_alone else CONTACT_INTERVAL_S
             self._contact_at = _next(self._contact_at, interval, now)
-            contacts = set(self._seeds) | set(self._removed)
-            for item in members:
-                contacts.add(item.address)
-            contacts = sorted(contacts - live_addresses)
+            contacts = self._contacts(members)
             if contacts:
                 planned.append(PlannedExchange(scopes.WIDE, self._choose(contacts)))
         return planned
 
     def pushes(self, members, count):
         """Return exchanges with ``count`` live nodes, half of them in the own data centre."""
-        near, far = [], []
-        for item in members:
-            if item.state == member.LIVE:
-                is_near = item.place == self._info.place
-                (near if is_near else far).append(item.address)
+        if members is not self._members:
+            self._sort(members)
+        near, far = list(self._near), list(self._far)
         self._random.shuffle(near)
         self._random.shuffle(far)
         near_count = max(count - len(far), count // 2)
@@ -115,6 +110,24 @@
             planned.append(PlannedExchange(scopes.WIDE, address))
         return planned
 
+    def _sort(self, members):
+        """Split the live nodes by data centre; the same tuple is not split again."""
+        self._members = members
+        self._near, self._far = [], []
+        for item in members:
+            if item.state != member.LIVE or item.node_id == self._info.node_id:
+                continue
+            is_near = item.place == self._info.place
+            (self._near if is_near else self._far).append(item.address)
+
+    def _contacts(self, members):
+        """Return the known addresses that belong to no live node."""
+        contacts = set(self._seeds) | set(self._removed)
+        for item in members:
+            contacts.add(item.address)
+        contacts.difference_update(self._near, self._far, (self._info.address,))
+        return sorted(contacts)
+
     def _choose(self, addresses):
         return addresses[int(self._random.integers(len(addresses)))]
 
--- a/src/lynxlanding/membership/gossip.py
+++ b/src/lynxlanding/membership/gossip.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from lynxlanding.membership import _delta, member, messages, node_table, scopes
+from lynxlanding.membership import _delta, messages, node_table, scopes
 
 # A longer gap between two ticks means that the process was paused.
 PAUSE_S = 3.0
@@ -39,19 +39,12 @@
         """Identity of the own node."""
         return self._table.own.info
 
-    def members(self, now):
-        """Return all known nodes as ``Member``, in order of name."""
-        members = []
-        for record in self._table.records():
-            info = record.info
-            state = self._table.state(record, now)
-            members.append(
-                member.Member(
-                    info.node_id, info.incarnation, info.address, info.place, info.region, state
-                )
-            )
-        members.sort(key=lambda item: item.node_id)
-        return tuple(members)
+    def members(self):
+        """Return all known nodes as ``Member``, in order of name.
+
+        The same tuple is returned until something changes.
+        """
+        return self._table.members()
 
     def take_changes(self):
         """Return the (node, entry) pairs that were merged since the last call."""
@@ -73,22 +66,24 @@
         self._table.own.put(key, value, scope)
 
     def tick(self, now):
-        """Advance the own heartbeat and remove silent nodes; returns the removed records."""
-        if now - self._ticked_at > PAUSE_S:
-            self._table.suspect_all(now)
+        """Advance the own heartbeat and judge the others; returns the removed records."""
+        self._notice_pause(now)
         self._ticked_at = now
         self._table.own.heartbeat += 1
+        self._table.suspect_silent(now)
         return self._table.remove_silent(now)
 
     def open(self, scope, now, mark=None):
         """Return the request of an exchange."""
+        self._notice_pause(now)
         digest = {}
-        for record in self._covered(scope, now):
+        for record in self._covered(scope):
             digest[record.token] = _delta.digest_entry(record, scope)
         return messages.ExchangeRequest(self.info, scope, digest, mark)
 
     def answer(self, request, now, mark=None):
         """Merge a request; returns the response."""
+        self._notice_pause(now)
         self._learn_sender(request.sender, request.digest, now)
         scope = request.scope
         if scope == scopes.PLACE and request.sender.place != self.info.place:
@@ -100,16 +95,19 @@
                 if not self._table.is_superseded(token):
                     wanted[token] = messages.DigestEntry(0, 0, 0)
                 continue
-            self._check_own(record, theirs, now)
-            self._table.advance(record, theirs.heartbeat, now)
+            if record is self._table.own:
+                self._check_own(theirs, now)
+                record = self._table.own
+            elif theirs.heartbeat > record.heartbeat:
+                self._table.advance(record, theirs.heartbeat, now)
             ours = _delta.digest_entry(record, scope)
-            if _delta.is_ahead(theirs, ours) and record is not self._table.own:
+            if _delta.is_ahead(theirs, ours):
                 wanted[token] = ours
             if _delta.is_ahead(ours, theirs):
                 behind.append((record, theirs))
             elif ours.heartbeat > theirs.heartbeat:
                 newer[token] = messages.DigestEntry(ours.heartbeat, 0, 0)
-        for record in self._covered(scope, now):
+        for record in self._covered(scope):
             if record.token not in request.digest:
                 behind.append((record, None))
         return messages.ExchangeResponse(
@@ -118,12 +116,15 @@
 
     def merge_response(self, response, now):
         """Merge a response; returns the push that completes the exchange, or None."""
+        self._notice_pause(now)
         self._learn_sender(response.sender, response.newer, now)
         for token, theirs in response.newer.items():
             record = self._table.by_token(token)
             if record is None:
                 continue
-            self._check_own(record, theirs, now)
+            if record is self._table.own:
+                self._check_own(theirs, now)
+                continue
             self._table.advance(record, theirs.heartbeat, now)
         self._merge(response.deltas, now)
         wanted = []
@@ -138,16 +139,25 @@
 
     def merge_push(self, push, now):
         """Merge a push."""
+        self._notice_pause(now)
         self._merge(push.deltas, now)
 
-    def _covered(self, scope, now):
+    def _notice_pause(self, now):
+        """Suspect all others if the process was paused, before anything stale is sent."""
+        if now - self._ticked_at > PAUSE_S:
+            self._table.suspect_all(now)
+            self._ticked_at = now
+
+    def _covered(self, scope):
         """Return the live records that an exchange of a scope compares."""
+        own_place = self.info.place
         covered = []
         for record in self._table.records():
-            if scope == scopes.PLACE and record.info.place != self.info.place:
+            if not record.is_live:
+                continue
+            if scope == scopes.PLACE and record.info.place != own_place:
                 continue
-            if self._table.state(record, now) == member.LIVE:
-                covered.append(record)
+            covered.append(record)
         return covered
 
     def _learn_sender(self, info, digest, now):
@@ -182,11 +192,9 @@
             versions[scopes.PLACE] = max(versions[scopes.PLACE], delta.place_version)
             versions[scopes.WIDE] = max(versions[scopes.WIDE], delta.wide_version)
 
-    def _check_own(self, record, theirs, now):
+    def _check_own(self, theirs, now):
         """Start a new incarnation if others know more about this one than the node itself."""
         own = self._table.own
-        if record is not own:
-            return
         if (
             theirs.heartbeat > own.heartbeat
             or theirs.place_version > own.versions[scopes.PLACE]
--- a/src/lynxlanding/membership/membership_actor.py
+++ b/src/lynxlanding/membership/membership_actor.py
@@ -6,7 +6,7 @@
 
 import pykka
 
-from lynxlanding.membership import exchange_schedule, gossip, member, scopes
+from lynxlanding.membership import exchange_schedule, gossip, scopes
 
 _logger = logging.getLogger(__name__)
 
@@ -70,13 +70,13 @@
             self._schedule.add_removed(record.info.address)
             for key in record.entries:
                 self._notify(record.info.node_id, key, None)
-        self._update_members(now)
-        for planned in self._schedule.due(self._others(), now):
+        self._update_members()
+        for planned in self._schedule.due(self._members, now):
             self._run_exchange(self._proxy, planned)
 
     def push(self, count):
         """Open exchanges with ``count`` peers at once."""
-        for planned in self._schedule.pushes(self._others(), count):
+        for planned in self._schedule.pushes(self._members, count):
             self._run_exchange(self._proxy, planned)
 
     def set_seeds(self, addresses):
@@ -103,12 +103,10 @@
 
     def read(self, key):
         """Return the documents under a key by node; suspected nodes are left out."""
-        now = time.monotonic()
         documents = {}
-        table = self._gossip.table
-        for record in table.records():
+        for record in self._gossip.table.records():
             item = record.entries.get(key)
-            if item is None or not item.value or table.state(record, now) != member.LIVE:
+            if item is None or not item.value or not record.is_live:
                 continue
             document = _decode(item.value)
             if document is not None:
@@ -121,7 +119,7 @@
 
     def members(self):
         """Return all known nodes as ``Member``, including the own one."""
-        self._update_members(time.monotonic())
+        self._update_members()
         return self._members
 
     def open(self, scope):
@@ -133,7 +131,7 @@
         """Merge a request of another node; returns the response."""
         now = time.monotonic()
         response = self._gossip.answer(request, now, self._current_mark(now))
-        self._after_merge(now)
+        self._after_merge()
         if request.mark is not None and self._on_mark is not None:
             self._on_mark(request.sender.node_id, request.mark, None)
         return response
@@ -142,7 +140,7 @@
         """Merge the response to an own request; returns the push, or None."""
         now = time.monotonic()
         push = self._gossip.merge_response(response, now)
-        self._after_merge(now)
+        self._after_merge()
         if response.mark is not None and self._on_mark is not None:
             self._on_mark(response.sender.node_id, response.mark, sent_at)
         return push
@@ -151,19 +149,15 @@
         """Merge the push that completes another node's exchange."""
         now = time.monotonic()
         self._gossip.merge_push(push, now)
-        self._after_merge(now)
+        self._after_merge()
 
     def _current_mark(self, now):
         return None if self._mark_source is None else self._mark_source(now)
 
-    def _others(self):
-        own = self._gossip.info.node_id
-        return [item for item in self._members if item.node_id != own]
-
-    def _after_merge(self, now):
+    def _after_merge(self):
         for node_id, item in self._gossip.take_changes():
             self._notify(node_id, item.key, item.value)
-        self._update_members(now)
+        self._update_members()
 
     def _notify(self, node_id, key, value):
         callbacks = self._subscribers.get(key)
@@ -173,9 +167,9 @@
         for callback in callbacks:
             callback(node_id, document)
 
-    def _update_members(self, now):
-        members = self._gossip.members(now)
-        if members == self._members:
+    def _update_members(self):
+        members = self._gossip.members()
+        if members is self._members:
             return
         self._members = members
         if self._on_members is not None:
--- a/src/lynxlanding/membership/messages.py
+++ b/src/lynxlanding/membership/messages.py
@@ -1,14 +1,16 @@
 """Messages of one exchange: request, response and, if needed, a push."""
 
 import dataclasses
+import typing
 
 from lynxlanding.membership import entry, mark, node_info
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class DigestEntry:
+class DigestEntry(typing.NamedTuple):
     """What the sender knows about one incarnation.
 
+    A tuple, since an exchange of scope ``wide`` builds one for every node of the fleet.
+
     Parameters
     ----------
     heartbeat : int
--- a/src/lynxlanding/membership/node_record.py
+++ b/src/lynxlanding/membership/node_record.py
@@ -16,13 +16,14 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("entries", "heard_at", "heartbeat", "info", "token", "versions")
+    __slots__ = ("entries", "heard_at", "heartbeat", "info", "is_live", "token", "versions")
 
     def __init__(self, info, heartbeat, now):
         self.info = info
         self.token = info.token()
         self.heartbeat = heartbeat
         self.heard_at = now
+        self.is_live = True
         self.entries = {}
         self.versions = {scopes.PLACE: 0, scopes.WIDE: 0}
 
--- a/src/lynxlanding/membership/node_table.py
+++ b/src/lynxlanding/membership/node_table.py
@@ -26,6 +26,7 @@
         self._by_node = {info.node_id: self._own}
         self._by_token = {self._own.token: self._own}
         self._superseded = {}
+        self._members = None
 
     @property
     def own(self):
@@ -62,6 +63,7 @@
         record = node_record.NodeRecord(info, heartbeat, now)
         self._by_node[info.node_id] = record
         self._by_token[record.token] = record
+        self._members = None
         return record
 
     def replace_own(self, info, now):
@@ -74,6 +76,7 @@
             self._own.put(item.key, item.value, item.scope)
         self._by_node[info.node_id] = self._own
         self._by_token[self._own.token] = self._own
+        self._members = None
 
     def advance(self, record, heartbeat, now):
         """Take over a heartbeat; returns whether it is newer."""
@@ -81,15 +84,35 @@
             return False
         record.heartbeat = heartbeat
         record.heard_at = now
+        if not record.is_live:
+            record.is_live = True
+            self._members = None
         return True
 
-    def state(self, record, now):
-        """Return whether a node is live or suspected."""
-        if record is self._own:
-            return member.LIVE
-        is_near = record.info.place == self._own.info.place
-        limit = SUSPECT_PLACE_S if is_near else SUSPECT_WIDE_S
-        return member.LIVE if now - record.heard_at <= limit else member.SUSPECTED
+    def members(self):
+        """Return all known nodes as ``Member``, in order of name."""
+        if self._members is None:
+            members = []
+            for record in self._by_node.values():
+                info = record.info
+                state = member.LIVE if record.is_live else member.SUSPECTED
+                members.append(
+                    member.Member(
+                        info.node_id, info.incarnation, info.address, info.place, info.region, state
+                    )
+                )
+            members.sort(key=lambda item: item.node_id)
+            self._members = tuple(members)
+        return self._members
+
+    def suspect_silent(self, now):
+        """Suspect the nodes whose heartbeat has not advanced for too long."""
+        own_place = self._own.info.place
+        for record in self._by_node.values():
+            limit = SUSPECT_PLACE_S if record.info.place == own_place else SUSPECT_WIDE_S
+            if record.is_live and now - record.heard_at > limit and record is not self._own:
+                record.is_live = False
+                self._members = None
 
     def suspect_all(self, now):
         """Suspect every other node until its heartbeat advances.
@@ -98,7 +121,9 @@
         """
         for record in self._by_node.values():
             if record is not self._own:
-                record.heard_at = now - SUSPECT_WIDE_S - 1e-3
+                record.is_live = False
+                record.heard_at = now - SUSPECT_WIDE_S
+        self._members = None
 
     def remove_silent(self, now):
         """Remove the nodes that were not heard of; returns their records."""
@@ -111,6 +136,7 @@
         return removed
 
     def _drop(self, record):
+        self._members = None
         del self._by_node[record.info.node_id]
         del self._by_token[record.token]
 
--- /dev/null
+++ b/src/lynxlanding/membership/tests/test_gossip_schedules.py
@@ -0,0 +1,69 @@
+import pytest
+
+from lynxlanding.membership import gossip, node_table
+from lynxlanding.membership.tests import gossip_schedules
+
+SCHEDULES = 50
+MUTATION_SEEDS = range(20, 35)
+
+
+def _violations(seeds):
+    found = []
+    for seed in seeds:
+        violations = gossip_schedules.Schedule(seed).run()
+        if violations:
+            found.append((seed, violations))
+    return found
+
+
+def test_views_converge_after_faults():
+    """Guards against split views, zombies, old incarnations and lost entries."""
+    assert _violations(range(SCHEDULES)) == []
+
+
+def test_schedules_find_a_node_that_keeps_an_old_incarnation(monkeypatch):
+    """Guards against schedules in which no node returns with an incarnation seen before."""
+    monkeypatch.setattr(gossip.Gossip, "_check_own", lambda self, theirs, now: None)
+    monkeypatch.setattr(gossip.Gossip, "_check_own_info", lambda self, info, now: None)
+    assert _violations(MUTATION_SEEDS)
+
+
+def test_schedules_find_missing_contacts(monkeypatch):
+    """Guards against schedules in which nodes know each other without contacts."""
+    monkeypatch.setattr(
+        gossip_schedules.exchange_schedule.ExchangeSchedule, "_contacts", lambda *_: []
+    )
+    assert _violations(MUTATION_SEEDS)
+
+
+@pytest.mark.parametrize("pause_s", [10.0, 3600.0])
+def test_resumed_node_spreads_no_stale_records(pause_s):
+    """Guards against a node that returns after a pause and revives nodes that are gone."""
+    schedule = gossip_schedules.Schedule(1)
+    resumed = schedule.nodes["n0"].gossip
+    other = schedule.nodes["n1"].gossip
+    resumed.merge_response(other.answer(resumed.open("place", 0.5), 0.5), 0.5)
+    assert len(resumed.open("place", 1.0).digest) == 2
+    assert len(resumed.open("place", 1.0 + pause_s).digest) == 1
+    assert resumed.tick(1.5 + pause_s) == []
+
+
+def test_silent_node_is_suspected_and_removed():
+    """Guards against nodes that stay in the list after they are gone."""
+    schedule = gossip_schedules.Schedule(1)
+    node = schedule.nodes["n0"].gossip
+    node.answer(schedule.nodes["n1"].gossip.open("place", 0.0), 0.0)
+    node.answer(schedule.nodes["n4"].gossip.open("wide", 0.0), 0.0)
+    states = {}
+    removed = []
+    now = 0.0
+    while len(removed) < 2:
+        now += 0.5
+        removed.extend((record.info.node_id, now) for record in node.tick(now))
+        for item in node.members():
+            if item.state == "suspected":
+                states.setdefault(item.node_id, now)
+    assert states["n1"] - node_table.SUSPECT_PLACE_S <= 0.5
+    assert states["n4"] - node_table.SUSPECT_WIDE_S <= 0.5
+    assert {name for name, _ in removed} == {"n1", "n4"}
+    assert all(at - node_table.REMOVE_S <= 0.5 for _, at in removed)
--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -2,7 +2,13 @@
 
 import click
 
-from lynxlanding_bench import node_load, result_file
+from lynxlanding_bench import (
+    causal_delivery,
+    control_cost,
+    node_load,
+    propagation_time,
+    result_file,
+)
 from lynxlanding_bench.scenario import command
 
 
@@ -13,5 +19,8 @@
 
 # Every experiment module defines one click command and is registered here.
 main.add_command(result_file.compare)
+main.add_command(causal_delivery.command)
+main.add_command(control_cost.command)
 main.add_command(node_load.command)
 main.add_command(command.scenarios)
+main.add_command(propagation_time.command)
