--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -2,7 +2,15 @@
 
 import click
 
-from lynxlanding_bench import group_changes, group_repair, node_load, result_file
+from lynxlanding_bench import (
+    causal_delivery,
+    control_cost,
+    group_changes,
+    group_repair,
+    node_load,
+    propagation_time,
+    result_file,
+)
 from lynxlanding_bench.scenario import command
 
 
@@ -16,5 +24,8 @@
 main.add_command(group_changes.group_recovery)
 main.add_command(group_changes.drain_delay)
 main.add_command(result_file.compare)
+main.add_command(causal_delivery.command)
+main.add_command(control_cost.command)
 main.add_command(node_load.command)
 main.add_command(command.scenarios)
+main.add_command(propagation_time.command)
