Read finished streams to their end

Cause: the relay stopped at [DONE], before the end of the chunked body, so urllib3 closed the connection and each stream opened a new one. The relay reads the end after [DONE] has been forwarded.

--- a/src/lynxlanding/requests/request_run.py
+++ b/src/lynxlanding/requests/request_run.py
@@ -199,6 +199,7 @@
                         self._succeed(is_recorded=True)
                     yield b"\n\n".join(forward.events) + b"\n\n"
                 if forward.done:
+                    _read_to_end(response)
                     return
         finally:
             response.chunks.close()
@@ -249,3 +250,13 @@
 
 def _never():
     return False
+
+
+def _read_to_end(response):
+    """Read the end of a complete stream, so that its connection can be used again."""
+    try:
+        for _ in response.chunks:
+            continue
+    except endpoint_errors.AttemptError:
+        # The caller has the whole stream; only the connection is lost.
+        return
