--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -9,6 +9,7 @@
     group_repair,
     node_load,
     propagation_time,
+    request_costs,
     result_file,
 )
 from lynxlanding_bench.scenario import command
@@ -29,3 +30,4 @@
 main.add_command(node_load.command)
 main.add_command(command.scenarios)
 main.add_command(propagation_time.command)
+main.add_command(request_costs.command)
