--- a/src/lynxlanding/configuration/change_service.py
+++ b/src/lynxlanding/configuration/change_service.py
@@ -40,6 +40,12 @@
         """Return the ``Plan`` of a change against the revision in effect; writes nothing."""
         return plan.make(change, self._log.current.snapshot, time.time(), self._capacity())
 
+    def validate(self, change):
+        """Raise ``InvalidObject`` with the first problem of a change; writes nothing."""
+        found = self.plan(change).problems
+        if found:
+            raise found[0]
+
     def commit(self, change):
         """Commit a change and return its ``CommitResult``.
 
@@ -89,6 +95,10 @@
         """Return accepted revisions, newest first; see ``history.read``."""
         return store_calls.run(history.read(limit, before), self._store)
 
+    def find_change(self, change_id):
+        """Return the ``Revision`` that a change created, or None if it was not accepted."""
+        return store_calls.run(history.read_change(change_id), self._store)
+
     def collect_garbage(self):
         """Delete orphaned objects; returns the ``CollectionResult``."""
         return store_calls.run(garbage.collect(), self._store)
--- a/src/lynxlanding/configuration/history.py
+++ b/src/lynxlanding/configuration/history.py
@@ -90,3 +90,18 @@
         revisions.append(found)
         digest = found.parent
     return revisions
+
+
+def read_change(change_id):
+    """Return the revision that a change created, or None if it was not accepted.
+
+    Raises
+    ------
+    errors.configuration.InvalidObject
+        If the id is older than the kept history.
+    """
+    current, _ = yield from repository.read_head()
+    number = yield from find_change(current, change_id)
+    if number is None:
+        return None
+    return (yield from changes_since(current, number - 1))[-1]
