--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -7,6 +7,7 @@
     control_cost,
     group_changes,
     group_repair,
+    idle_cost,
     node_load,
     propagation_time,
     result_file,
@@ -26,6 +27,7 @@
 main.add_command(result_file.compare)
 main.add_command(causal_delivery.command)
 main.add_command(control_cost.command)
+main.add_command(idle_cost.command)
 main.add_command(node_load.command)
 main.add_command(command.scenarios)
 main.add_command(propagation_time.command)
