--- a/src/lynxlanding/configuration/propagation.py
+++ b/src/lynxlanding/configuration/propagation.py
@@ -16,6 +16,8 @@
 # During an outage each node reads this often at most: 410 nodes make 68 calls per second.
 FALLBACK_INTERVAL_S = 6.0
 STARTING_INTERVAL_S = 2.0
+# Beyond the timeouts of the store client; a read that was never reported does not stop later ones.
+READ_LIMIT_S = 10.0
 # Time in which a starting node collects the revisions of its peers while the store is unavailable.
 START_WAIT_S = 5.0
 PUSHED_PEERS = 4
@@ -183,7 +185,7 @@
         """Decide on overdue fetches, fallback reads and the start."""
         decisions = self._finish_start(now)
         decisions.extend(self._fetches.next_fetch(self._number, now))
-        if self._is_reading or self._is_watching:
+        if self._is_watching or (self._is_reading and now - self._read_at < READ_LIMIT_S):
             return decisions
         age = now - (self._started_at if self._confirmed_at is None else self._confirmed_at)
         interval = FALLBACK_INTERVAL_S if self._has_started else STARTING_INTERVAL_S
@@ -191,7 +193,7 @@
         is_unread = self._head_number is None and not self._read_failed
         is_old = age > FALLBACK_AFTER_S or not self._has_started
         if is_unread or (is_old and is_due):
-            self._is_reading = True
+            self._is_reading, self._read_at = True, now
             decisions.append(propagation_decisions.ReadHead())
         return decisions
 
