Wire the admin API, the group tables and the group counts into the daemon

lynxctl now queries and changes the daemons: commits go through ChangeService, and a repeat is looked up by its change id in the head and its history. Group rows come from the domain actor.

A revision gauge of mine had the same exported name as the one of the control plane, and /metrics showed 2; mine is removed. The answer tells an unchanged change from an accepted one, because the former creates no revision and the checker would miss it in the history.

--- a/src/lynxlanding/configuration/change_service.py
+++ b/src/lynxlanding/configuration/change_service.py
@@ -89,6 +89,10 @@
         """Return accepted revisions, newest first; see ``history.read``."""
         return store_calls.run(history.read(limit, before), self._store)
 
+    def find(self, change_id):
+        """Return the ``Revision`` that a change created, or None; see ``history.find_revision``."""
+        return store_calls.run(history.find_revision(change_id), self._store)
+
     def collect_garbage(self):
         """Delete orphaned objects; returns the ``CollectionResult``."""
         return store_calls.run(garbage.collect(), self._store)
--- a/src/lynxlanding/configuration/history.py
+++ b/src/lynxlanding/configuration/history.py
@@ -79,6 +79,27 @@
     return None
 
 
+def find_revision(change_id):
+    """Return the ``Revision`` that a change created, or None if it was not accepted.
+
+    Raises
+    ------
+    errors.configuration.InvalidObject
+        If the id is older than the kept history, so that nothing can be said about it.
+    """
+    current, _ = yield from repository.read_head()
+    number = yield from find_change(current, change_id)
+    if number is None:
+        return None
+    try:
+        later = yield from changes_since(current, number - 1)
+    except platform_errors.ObjectNotFound as e:
+        raise configuration_errors.InvalidObject(
+            "change_id", f"{change_id} is older than the kept history"
+        ) from e
+    return later[-1]
+
+
 def changes_since(current, number):
     """Return the revisions after a number, newest first."""
     revisions = []
--- a/src/lynxlanding/daemon/domain_loop.py
+++ b/src/lynxlanding/daemon/domain_loop.py
@@ -85,6 +85,18 @@
         self._fleet.set_configuration(snapshot, time.monotonic()).get()
         self._publish()
 
+    def group_status(self):
+        """Return the rows of ``FleetController.status``."""
+        return self._fleet.status(time.monotonic()).get()
+
+    def leaving_sources(self):
+        """Return the sources that call an endpoint leaving, by address."""
+        return self._fleet.leaving_sources().get()
+
+    def winddowns(self):
+        """Return the wind-down plans by model."""
+        return self._fleet.winddowns.get()
+
     def _run(self, target):
         while not self._stop.is_set():
             try:
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -11,13 +11,18 @@
 import urllib3
 
 from lynxlanding.daemon import (
+    configuration_access,
     control_plane,
     domain_wiring,
     endpoint_targets,
+    group_watch,
     node_observability,
+    node_rows,
     node_state,
+    view_source,
 )
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
+from lynxlanding.operators import admin_app
 from lynxlanding.platform import http_store, vm_list
 from lynxlanding.requests import (
     attempt_monitor,
@@ -78,6 +83,9 @@
         self._observability = node_observability.NodeObservability(
             settings, self._store, self._state
         )
+        self._group_watch = group_watch.GroupWatch(
+            self._domain_loop.group_status, self._observability.burn_actor
+        )
         self._caller_app = caller_app.CallerApp(
             parser,
             self._state,
@@ -88,6 +96,7 @@
         self._peer_app = peer_app.PeerApp()
         self._control.register(self._peer_app)
         self._peer_app.register(owner_lookup.PATH, claim_app.ClaimApp(self._claims))
+        self._peer_app.register(admin_app.PREFIX, self._make_admin_app(vms))
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -106,10 +115,12 @@
         self._control.start()
         threading.Thread(target=self._collect_claims, daemon=True).start()
         self._domain_loop.start()
+        self._group_watch.start()
         self._stop.wait()
         self._observability.begin_stop()
         self._drain()
         self._control.stop()
+        self._group_watch.stop()
         self._domain_loop.stop()
         for server in servers:
             server.close()
@@ -132,6 +143,22 @@
         if remaining:
             _logger.warning("%d outcomes of keyed requests were not written", remaining)
 
+    def _make_admin_app(self, vms):
+        node_id = self._settings.node_id
+        view = view_source.NodeViewSource(
+            node_id,
+            self._control.configuration,
+            self._router,
+            node_rows.NodeRowSource(self._control, node_id, urllib3.PoolManager(num_pools=64)),
+            vms,
+            self._domain_loop,
+            self._group_watch,
+        )
+        access = configuration_access.ConfigurationAccess(
+            self._control.changes, self._control.configuration
+        )
+        return admin_app.AdminApp(access, view, self._observability.burn_reporter)
+
     def _make_claims(self, settings):
         identity = node_identity.NodeIdentity(
             settings.node_id,
--- a/src/lynxlanding/daemon/node_observability.py
+++ b/src/lynxlanding/daemon/node_observability.py
@@ -34,11 +34,6 @@
         self.request_observer = request_observer.RequestObserver(
             self.metrics, self.burn_actor, logs, settings.objectives.token_interval.threshold_s
         )
-        self.metrics.add_gauge(
-            "lynxlanding_configuration_revision",
-            "Configuration revision in effect.",
-            lambda: node_state.configuration.revision,
-        )
         self.metrics.add_gauge(
             "lynxlanding_requests_in_flight",
             "Requests in flight.",
--- a/src/lynxlanding/daemon/view_source.py
+++ b/src/lynxlanding/daemon/view_source.py
@@ -1,9 +1,16 @@
 """Gathers the tables that operators query, as this node sees the cluster."""
 
 import datetime
+import logging
 import time
 
+from lynxlanding.errors import platform as platform_errors
 from lynxlanding.operators.view import cluster_view, rows
+from lynxlanding.platform import vm
+
+_UNKNOWN_VM = vm.Vm("", "", "", "", 0, vm.LIVE)
+
+_logger = logging.getLogger(__name__)
 
 
 class NodeViewSource:
@@ -11,77 +18,91 @@
 
     Parameters
     ----------
-    settings : DaemonSettings
-        Settings of the node.
-    node_state : NodeState
-        Configuration and readiness.
+    node_id : str
+        Name of the node.
+    configuration : ConfigurationActor proxy
+        Snapshot and status of the configuration.
     router : RoutingActor proxy
         Counts of requests in flight by address.
+    node_rows : NodeRowSource
+        Rows of the table ``nodes``.
+    vm_list : VmList or None
+        Place and accelerators of the endpoints.
+    domain_loop : DomainLoop
+        Leaving endpoints and wind-down plans.
+    group_watch : GroupWatch
+        Replica groups.
     """
 
-    def __init__(self, settings, node_state, router):
-        self._settings = settings
-        self._node_state = node_state
+    def __init__(
+        self, node_id, configuration, router, node_rows, vm_list, domain_loop, group_watch
+    ):
+        self._node_id = node_id
+        self._configuration = configuration
         self._router = router
-
-    def cluster_view(self):
-        """Return the cluster as this node sees it now."""
-        snapshot = self._node_state.configuration
+        self._node_rows = node_rows
+        self._vm_list = vm_list
+        self._domain_loop = domain_loop
+        self._group_watch = group_watch
+
+    def cluster_view(self, attributes):
+        """Return the named tables as this node sees the cluster now."""
+        snapshot = self._configuration.current().get()
+        status = self._configuration.status().get()
         in_flight = self._router.in_flight().get()
-        endpoints = _endpoints(snapshot, in_flight)
+        leaving = self._domain_loop.leaving_sources()
+        endpoints = (
+            *_endpoints(snapshot, in_flight, self._vms(attributes), leaving),
+            *self._group_watch.endpoint_rows(in_flight),
+        )
         return cluster_view.ClusterView(
-            self._settings.node_id,
+            self._node_id,
             snapshot.revision,
-            uncertain=False,
-            endpoints=tuple(endpoints),
+            uncertain=not status.accepts_changes,
+            endpoints=endpoints,
+            groups=self._group_watch.group_rows(time.monotonic()),
             workspaces=tuple(_workspaces(snapshot)),
             models=tuple(_models(snapshot, endpoints)),
-            nodes=(self._own_node(snapshot),),
+            nodes=self._node_rows.fetch() if "nodes" in attributes else (),
             services=tuple(_services(snapshot, endpoints)),
             drains=tuple(_drains(snapshot, in_flight)),
-            winddown=tuple(_winddown(snapshot, time.time())),
+            winddown=tuple(_winddown(self._domain_loop.winddowns(), time.time())),
         )
 
-    def _own_node(self, snapshot):
-        return rows.NodeRow(
-            self._settings.node_id,
-            self._settings.place,
-            self._settings.region,
-            "alive",
-            snapshot.revision,
-            False,
-            0.0,
-        )
+    def _vms(self, attributes):
+        if self._vm_list is None or "endpoints" not in attributes:
+            return {}
+        try:
+            return {found.address: found for found in self._vm_list.fetch()}
+        except platform_errors.PlatformError as e:
+            _logger.warning("the view of the endpoints lacks the VM list: %s", e)
+            return {}
 
 
-def _endpoints(snapshot, in_flight):
-    draining = {spec.address for spec in snapshot.of_kind("drains").values()}
+def _endpoints(snapshot, in_flight, vms, leaving):
     models = snapshot.of_kind("models")
-    gathered = []
     for service, spec in sorted(snapshot.of_kind("services").items()):
         model = spec.model or ""
         version = models[model].version if model in models else ""
         for address in spec.endpoints:
-            is_leaving = address in draining
-            gathered.append(
-                rows.EndpointRow(
-                    address=address,
-                    service=service,
-                    model=model,
-                    version=version,
-                    place="",
-                    fabric_domain="",
-                    group="",
-                    state=rows.LEAVING if is_leaving else rows.SERVING,
-                    leaving_because="drain" if is_leaving else "",
-                    slots=0,
-                    running=0,
-                    queued=0,
-                    in_flight=in_flight.get(address, 0),
-                    accelerators=0,
-                )
+            found = vms.get(address, _UNKNOWN_VM)
+            causes = leaving.get(address, ())
+            yield rows.EndpointRow(
+                address=address,
+                service=service,
+                model=model,
+                version=version,
+                place=found.place,
+                fabric_domain=found.fabric_domain,
+                group="",
+                state=rows.LEAVING if causes else rows.SERVING,
+                leaving_because=" ".join(causes),
+                slots=0,
+                running=0,
+                queued=0,
+                in_flight=in_flight.get(address, 0),
+                accelerators=found.accelerators,
             )
-    return gathered
 
 
 def _workspaces(snapshot):
@@ -118,15 +139,27 @@
         yield rows.DrainRow(name, spec.address, spec.reason, in_flight.get(spec.address, 0))
 
 
-def _winddown(snapshot, now):
-    for _, spec in sorted(snapshot.of_kind("winddowns").items()):
-        date = _aware(spec.date)
-        steps = [(_aware(step.at), step.replicas) for step in spec.steps]
-        if not steps or steps[-1][0] < date:
-            # Nothing is owed after the date.
-            steps.append((date, 0))
-        for at, replicas in steps:
-            yield rows.WinddownRow(spec.model, at, replicas, date, at.timestamp() <= now)
+def _winddown(plans, wall_time):
+    for model, plan in sorted(plans.items()):
+        for row in plan.rows(wall_time):
+            yield rows.WinddownRow(
+                model,
+                _moment(row.at),
+                row.replicas_before,
+                row.replicas,
+                row.owed_before,
+                row.drains_ahead,
+                row.drains_at_step,
+                _moment(row.first_drain_at),
+                _moment(row.released_by),
+                _moment(plan.date),
+                row.at <= wall_time,
+                row.warning,
+            )
+
+
+def _moment(wall_time):
+    return datetime.datetime.fromtimestamp(wall_time, datetime.UTC)
 
 
 def _aware(moment):
--- a/src/lynxlanding/drain/leaving_table.py
+++ b/src/lynxlanding/drain/leaving_table.py
@@ -23,6 +23,10 @@
         """Addresses of all leaving endpoints."""
         return frozenset(self._signals)
 
+    def sources(self):
+        """Return the sources of the signals by address."""
+        return {address: tuple(sorted(signals)) for address, signals in self._signals.items()}
+
     def is_leaving(self, address):
         """Return whether the endpoint must receive no new request."""
         return address in self._signals
--- a/src/lynxlanding/groups/fleet_controller.py
+++ b/src/lynxlanding/groups/fleet_controller.py
@@ -245,6 +245,10 @@
         """Return the addresses of all leaving endpoints."""
         return self._leaving.addresses
 
+    def leaving_sources(self):
+        """Return the sources that call an endpoint leaving, by address."""
+        return self._leaving.sources()
+
     def endpoints(self, now):
         """Return a ``GroupEndpoint`` for each group that serves."""
         found = []
@@ -265,7 +269,11 @@
         """Return one row for each group, for operators."""
         rows = []
         for _, group, verdict, domain in self._verdicts(now):
-            rows.append(group_status.describe(domain, group, verdict, self._evidence, now))
+            row = group_status.describe(domain, group, verdict, self._evidence, now)
+            row["is_counted_here"] = probe_assignment.is_assigned(
+                domain.name, self._node, self._nodes
+            )
+            rows.append(row)
         return rows
 
     def _verdicts(self, now):
--- a/src/lynxlanding/groups/group_status.py
+++ b/src/lynxlanding/groups/group_status.py
@@ -23,11 +23,20 @@
         JSON form. Stranded accelerators are those of live VMs in a group that does not serve.
     """
     held = 0
+    accelerators = 0
     for vm in group.vms:
+        accelerators += domain.vms[vm].accelerators
         if evidence.is_alive(vm, now):
             held += domain.vms[vm].accelerators
+    leader = domain.vms[group.leader]
+    report = evidence.report(group.leader)
     return {
         "group": group.name,
+        "address": leader.address,
+        "place": leader.place,
+        "running": 0 if report is None else report.running,
+        "queued": 0 if report is None else report.queued,
+        "accelerators": accelerators,
         "fabric_domain": domain.name,
         "model": group.model,
         "version": group.version,
--- a/src/lynxlanding/operators/admin_app.py
+++ b/src/lynxlanding/operators/admin_app.py
@@ -6,14 +6,17 @@
 import re
 import urllib.parse
 
+from lynxlanding.configuration import commit
 from lynxlanding.errors import base, configuration, operators, platform
+from lynxlanding.observability import logs
 from lynxlanding.operators import change_request
-from lynxlanding.operators.language import difference, evaluation, parsing, translation
+from lynxlanding.operators.language import difference, evaluation, parsing, tables, translation
 
 PREFIX = "/admin/v1/"
 MAX_BODY_BYTES = 4 << 20
 DEFAULT_HISTORY_LIMIT = 20
 MAX_HISTORY_LIMIT = 1000
+DRY_RUN = "dry_run"
 _CHANGE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{7,63}")
 _STATUS_LINES = {
     200: "200 OK",
@@ -62,7 +65,6 @@
             "apply": ("POST", self._apply),
             "history": ("GET", self._history),
             "burn": ("GET", self._burn),
-            "status": ("GET", self._status),
         }
 
     def __call__(self, environ, start_response):
@@ -89,9 +91,13 @@
 
     def _query(self, environ):
         document = _read_document(environ)
-        view = self._view_source.cluster_view()
+        statements = parsing.parse_queries(_text_of(document))
+        attributes = {tables.find(statement.source).attribute for statement in statements}
+        for statement in statements:
+            evaluation.check(statement)
+        view = self._view_source.cluster_view(attributes)
         results = []
-        for statement in parsing.parse_queries(_text_of(document)):
+        for statement in statements:
             table = evaluation.evaluate(statement, view)
             results.append({"columns": table.columns, "rows": table.rows})
         return {
@@ -126,12 +132,15 @@
         change = translation.translate(statements, snapshot)
         request = change_request.ChangeRequest(change_id, author, text, snapshot.revision, change)
         lines = [dataclasses.asdict(line) for line in difference.compare(snapshot, change)]
-        outcome = {"change_id": change_id, "repeated": False, "difference": lines}
+        answer = {"change_id": change_id, "difference": lines}
         if dry_run:
-            self._configuration.validate(request)
-            return {**outcome, "accepted": False, "revision": snapshot.revision}
-        revision = self._configuration.commit(request)
-        return {**outcome, "accepted": True, "revision": revision}
+            problems = self._configuration.validate(request)
+            if problems:
+                raise _join_problems(problems)
+            return {**answer, "outcome": DRY_RUN, "revision": snapshot.revision}
+        result = self._configuration.commit(request)
+        logs.log_change(change_id, author, result.outcome, result.revision)
+        return {**answer, "outcome": result.outcome, "revision": result.revision}
 
     def _find_repeat(self, change_id, text):
         entry = self._configuration.find_change(change_id)
@@ -144,9 +153,8 @@
             )
         return {
             "change_id": change_id,
-            "repeated": True,
             "difference": [],
-            "accepted": True,
+            "outcome": commit.REPEATED,
             "revision": entry.revision,
         }
 
@@ -161,9 +169,11 @@
     def _burn(self, environ):
         return self._burn_source.burn_report()
 
-    def _status(self, environ):
-        view = self._view_source.cluster_view()
-        return {"node": view.node, "revision": view.revision, "uncertain": view.uncertain}
+
+def _join_problems(problems):
+    first, *others = problems
+    reason = "; ".join([first.reason, *(str(problem) for problem in others)])
+    return configuration.InvalidObject(first.path, reason)
 
 
 def _read_document(environ):
--- a/src/lynxlanding/operators/lynxctl.py
+++ b/src/lynxlanding/operators/lynxctl.py
@@ -5,14 +5,21 @@
 import pathlib
 import sys
 import time
-import uuid
 
 import click
+import numpy
 import urllib3
 
+from lynxlanding.configuration import change_ids, commit
 from lynxlanding.errors import operators as operator_errors
 from lynxlanding.errors import settings as settings_errors
-from lynxlanding.operators import _burn_output, admin_client, exit_codes, formatting
+from lynxlanding.operators import (
+    _burn_output,
+    admin_app,
+    admin_client,
+    exit_codes,
+    formatting,
+)
 from lynxlanding.operators.language import evaluation, parsing
 from lynxlanding.settings import loading
 
@@ -91,7 +98,7 @@
     document = {
         "text": text,
         "author": author or _login_name(),
-        "change_id": change_id or uuid.uuid4().hex,
+        "change_id": change_id or _new_change_id(),
         "dry_run": dry_run,
     }
     advice = f"repeat with --change-id {document['change_id']}; a repeat is applied only once"
@@ -103,7 +110,7 @@
         _fail(exit_codes.OUTCOME_UNKNOWN, "interrupted before the answer", advice)
     _check(status, answer, f"{file.name}: ", text)
     _print_change(settings, answer)
-    if watch and answer["accepted"]:
+    if watch and not dry_run:
         _wait_in_effect(client, answer["revision"], watch_limit)
 
 
@@ -154,7 +161,7 @@
     document = {
         "text": text,
         "author": _login_name(),
-        "change_id": uuid.uuid4().hex,
+        "change_id": _new_change_id(),
         "dry_run": True,
     }
     status, answer = _reach(_client(settings).apply, document)
@@ -207,6 +214,11 @@
         )
 
 
+def _new_change_id():
+    # The id carries its time, which bounds the search of the history for a repeat.
+    return change_ids.generate(time.time(), numpy.random.default_rng())
+
+
 def _login_name():
     try:
         return getpass.getuser()
@@ -273,11 +285,14 @@
         for line in answer["difference"]:
             rows.append(tuple(line[column] for column in _DIFFERENCE_COLUMNS))
         click.echo(formatting.format_table(_DIFFERENCE_COLUMNS, rows))
-    if not answer["accepted"]:
-        click.echo(f"dry run against revision {answer['revision']}; nothing was changed")
-        return
-    repeated = ", accepted before" if answer["repeated"] else ""
-    click.echo(f"revision {answer['revision']} (change {answer['change_id']}{repeated})")
+    revision, change_id = answer["revision"], answer["change_id"]
+    if answer["outcome"] == admin_app.DRY_RUN:
+        click.echo(f"dry run against revision {revision}; nothing was changed")
+    elif answer["outcome"] == commit.NO_DIFFERENCE:
+        click.echo(f"revision {revision} already is as asked; no change was made")
+    else:
+        before = ", accepted before" if answer["outcome"] == commit.REPEATED else ""
+        click.echo(f"revision {revision} (change {change_id}{before})")
 
 
 _DIFFERENCE_COLUMNS = ("action", "object", "field", "before", "after")
@@ -288,7 +303,7 @@
     missing = ["all nodes"]
     while time.monotonic() - started < limit_s:
         status, answer = _reach(
-            client.query, f"show node of nodes where revision < {revision} and state = alive"
+            client.query, f"show node of nodes where revision < {revision} and state = live"
         )
         if status == 200:
             missing = [row[0] for row in answer["results"][0]["rows"]]
--- a/src/lynxlanding/operators/ports.py
+++ b/src/lynxlanding/operators/ports.py
@@ -2,7 +2,8 @@
 
 from typing import Protocol
 
-from lynxlanding.configuration import snapshot
+from lynxlanding.configuration import commit, snapshot
+from lynxlanding.errors import configuration as configuration_errors
 from lynxlanding.operators import change_request, history_entry
 from lynxlanding.operators.view import cluster_view
 
@@ -21,12 +22,14 @@
         """Return the accepted change with this id, as the store knows it."""
         ...
 
-    def validate(self, request: change_request.ChangeRequest) -> None:
-        """Check a change without accepting it; raises ``InvalidObject``."""
+    def validate(
+        self, request: change_request.ChangeRequest
+    ) -> list[configuration_errors.InvalidObject]:
+        """Return what is wrong with a change; nothing is written."""
         ...
 
-    def commit(self, request: change_request.ChangeRequest) -> int:
-        """Accept a change and return its revision.
+    def commit(self, request: change_request.ChangeRequest) -> commit.CommitResult:
+        """Accept a change and return its revision and outcome.
 
         Raises ``InvalidObject``, ``RevisionConflict``, ``StoreNotConfirmed`` or
         ``CommitOutcomeUnknown``.
@@ -41,8 +44,11 @@
 class ViewSource(Protocol):
     """Gathers the tables that queries read."""
 
-    def cluster_view(self) -> cluster_view.ClusterView:
-        """Return the cluster as this node sees it now."""
+    def cluster_view(self, attributes: set[str]) -> cluster_view.ClusterView:
+        """Return the cluster as this node sees it now.
+
+        Only the named tables are gathered, since some of them need calls to other nodes.
+        """
         ...
 
 
--- a/src/lynxlanding/operators/tests/example_view.py
+++ b/src/lynxlanding/operators/tests/example_view.py
@@ -61,10 +61,10 @@
     ),
     models=(rows.ModelRow("desk-model", "v1", 4, 2, 2),),
     nodes=(
-        rows.NodeRow("n1", "changamwe", "mombasa", "alive", 12, False, 0.0),
-        rows.NodeRow("n2", "shimanzi", "mombasa", "alive", 11, True, 0.4),
+        rows.NodeRow("n1", "changamwe", "mombasa", "live", 12, False, 0.0),
+        rows.NodeRow("n2", "shimanzi", "mombasa", "live", 11, True, 0.4),
     ),
     services=(rows.ServiceRow("desk-engines", "model", "desk-model", 3, 2),),
     drains=(rows.DrainRow("10.0.0.3-8000", "10.0.0.3:8000", "rack work", 1),),
-    winddown=(rows.WinddownRow("desk-model", DATE, 0, DATE, False),),
+    winddown=(rows.WinddownRow("desk-model", DATE, 2, 0, 2, 0, 2, DATE, DATE, DATE, False, ""),),
 )
--- a/src/lynxlanding/operators/tests/fakes.py
+++ b/src/lynxlanding/operators/tests/fakes.py
@@ -2,7 +2,7 @@
 
 import time
 
-from lynxlanding.configuration import snapshot, specs
+from lynxlanding.configuration import commit, snapshot, specs
 from lynxlanding.errors import configuration as configuration_errors
 from lynxlanding.operators import history_entry
 from lynxlanding.operators.view import cluster_view, rows
@@ -28,12 +28,16 @@
         return None
 
     def validate(self, request):
+        problems = []
         for (kind, name), spec in request.change.puts.items():
             if kind == "groups" and spec.model != "m":
-                raise configuration_errors.InvalidObject(f"groups/{name}.model", "no such model")
+                path = f"groups/{name}.model"
+                problems.append(configuration_errors.InvalidObject(path, "no such model"))
+        return problems
 
     def commit(self, request):
-        self.validate(request)
+        for problem in self.validate(request):
+            raise problem
         if self.error is not None:
             raise self.error
         revision = len(self.entries) + 2
@@ -47,14 +51,14 @@
         if self.fail_after_commit > 0:
             self.fail_after_commit -= 1
             raise configuration_errors.CommitOutcomeUnknown("the store's answer was lost")
-        return revision
+        return commit.CommitResult(revision, None, commit.COMMITTED, [])
 
     def history(self, limit):
         return list(reversed(self.entries))[:limit]
 
 
 class FakeView:
-    def cluster_view(self):
+    def cluster_view(self, attributes):
         endpoint = rows.EndpointRow(
             "10.0.0.1:80", "desk", "m", "v1", "east", "f1", "g-1", "serving", "", 8, 2, 0, 2, 8
         )
--- a/src/lynxlanding/operators/tests/test_admin_app.py
+++ b/src/lynxlanding/operators/tests/test_admin_app.py
@@ -52,7 +52,7 @@
     status, answer = call("POST", "apply", _change(CREATE))
     assert (status, answer["error"]["type"]) == (504, "commit_outcome_unknown")
     status, answer = call("POST", "apply", _change(CREATE))
-    assert (status, answer["repeated"], answer["revision"]) == (200, True, 2)
+    assert (status, answer["outcome"], answer["revision"]) == (200, "repeated", 2)
     assert len(configuration.entries) == 1
 
 
@@ -65,13 +65,16 @@
 
 def test_dry_run_changes_nothing(call, configuration):
     status, answer = call("POST", "apply", _change("scale group g to 9", dry_run=True))
-    assert (status, answer["accepted"]) == (200, False)
+    assert (status, answer["outcome"]) == (200, "dry_run")
     line = answer["difference"][0]
     assert (line["object"], line["before"], line["after"]) == ("groups/g", 3, 9)
     assert configuration.entries == []
-    text = "create group h with model = x, replicas = 1"
+    text = (
+        "create group h with model = x, replicas = 1; create group i with model = x, replicas = 1"
+    )
     status, answer = call("POST", "apply", _change(text, dry_run=True))
     assert (status, answer["error"]["path"]) == (422, "groups/h.model")
+    assert "groups/i.model" in answer["error"]["message"]
 
 
 @pytest.mark.parametrize(
--- a/src/lynxlanding/operators/view/rows.py
+++ b/src/lynxlanding/operators/view/rows.py
@@ -76,7 +76,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeRow:
-    """One node of the system."""
+    """One node of the system.
+
+    The state is live, suspected (not heard of recently) or unreachable (live, but it does not tell
+    its status; its revision is then 0). ``confirmed_age_s`` is the time since the store confirmed
+    the node's revision.
+    """
 
     node: str
     place: str
@@ -84,7 +89,7 @@
     state: str
     revision: int
     uncertain: bool
-    heartbeat_age_s: float
+    confirmed_age_s: float | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -110,10 +115,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class WinddownRow:
-    """One step of a wind-down plan; ``due`` tells whether its moment has passed."""
+    """One step of a wind-down plan that is not over.
+
+    Groups drain from ``first_drain_at`` and are released by ``released_by``. ``due`` tells whether
+    the moment of the step has passed, ``warning`` why the step cannot hold.
+    """
 
     model: str
     at: datetime.datetime
+    replicas_before: int
     replicas: int
+    owed_before: int
+    drains_ahead: int
+    drains_at_step: int
+    first_drain_at: datetime.datetime
+    released_by: datetime.datetime
     date: datetime.datetime
     due: bool
+    warning: str
--- a/src/lynxlanding_bench/group_fleet.py
+++ b/src/lynxlanding_bench/group_fleet.py
@@ -81,6 +81,10 @@
             clients.append(caller.Caller(self._url(port), TOKEN, pool))
         return clients
 
+    def peer_url(self, index):
+        """Return the base URL of a daemon's peer listener."""
+        return self._url(self._daemon_ports[2 * index + 1])
+
     def vms(self, leaving=()):
         """Return the VM list; the VMs named in ``leaving`` are leaving."""
         entries = []
--- a/src/lynxlanding_bench/scenario/operator_client.py
+++ b/src/lynxlanding_bench/scenario/operator_client.py
@@ -1,10 +1,12 @@
 """Operators of a scenario, recorded for the checker."""
 
 import re
-import uuid
+import time
 
+import numpy
 import urllib3
 
+from lynxlanding.configuration import change_ids, commit
 from lynxlanding.errors import operators as operator_errors
 from lynxlanding.operators import admin_client
 from lynxlanding.operators.language import commands, parsing
@@ -46,7 +48,7 @@
         client = admin_client.AdminClient(
             [self._installation.peer_url(node)], urllib3.PoolManager()
         )
-        change_id = uuid.uuid4().hex
+        change_id = change_ids.generate(time.time(), numpy.random.default_rng())
         document = {"text": text, "author": self._name, "change_id": change_id}
         try:
             status, answer = client.apply(document)
@@ -57,7 +59,9 @@
             return REFUSED, str(e)
         if status == 200:
             revision = answer["revision"]
-            self._recorder.record("accepted", change_id=change_id, revision=revision, text=text)
+            # A change without a difference creates no revision and is not in the history.
+            event = "unchanged" if answer["outcome"] == commit.NO_DIFFERENCE else "accepted"
+            self._recorder.record(event, change_id=change_id, revision=revision, text=text)
             self._record_drains(text, store_is_faulty)
             return ACCEPTED, f"revision {revision}"
         outcome = CONFLICT if status == 409 else REFUSED
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,7 @@
 
 pytestmark = pytest.mark.multiprocess
 
-SHORT = ("node_killed", "service_breaks", "store_loses_answers")
+SHORT = ("change_answer_lost", "node_killed", "operators_race", "service_breaks")
 
 
 @pytest.mark.parametrize("name", SHORT)
