--- a/src/lynxlanding/configuration/change_service.py
+++ b/src/lynxlanding/configuration/change_service.py
@@ -97,7 +97,7 @@
 
     def find_change(self, change_id):
         """Return the ``Revision`` that a change created, or None if it was not accepted."""
-        return store_calls.run(history.read_change(change_id), self._store)
+        return store_calls.run(history.find_revision(change_id), self._store)
 
     def collect_garbage(self):
         """Delete orphaned objects; returns the ``CollectionResult``."""
