Measure processor time per token and several daemons on one VM in node-load

The second path found the prompts of the first in the engines' prefix caches, which hid up to 19 ms of its time to first token; each path now has prompts of its own.

--- a/src/lynxlanding_bench/load_client.py
+++ b/src/lynxlanding_bench/load_client.py
@@ -25,8 +25,9 @@
 @click.option("--count", type=int, default=None, help="Send this many at once instead.")
 @click.option("--tokens", type=int, default=285)
 @click.option("--prefixes", type=int, default=200, help="Number of distinct prompts.")
+@click.option("--label", default="prompt", help="Start of every prompt.")
 @click.option("--seed", type=int, default=1)
-def main(url, token, rate, duration_s, count, tokens, prefixes, seed):
+def main(url, token, rate, duration_s, count, tokens, prefixes, label, seed):
     """Send streams with Poisson arrivals and print the outcomes."""
     random_state = numpy.random.default_rng(seed)
     pool = urllib3.PoolManager(num_pools=64, maxsize=2000)
@@ -36,7 +37,7 @@
     sent = 0
     due = 0.0
     while sent < count if count is not None else due < duration_s:
-        prompt = f"prompt {random_state.integers(prefixes)}"
+        prompt = f"{label} {random_state.integers(prefixes)}"
         delay_s = due - (time.monotonic() - started_at)
         if delay_s > 0:
             gevent.sleep(delay_s)
--- a/src/lynxlanding_bench/node_load.py
+++ b/src/lynxlanding_bench/node_load.py
@@ -24,31 +24,44 @@
 @click.option("--tokens", type=int, default=285, help="Tokens a stream.")
 @click.option("--duration-s", type=float, default=15.0, help="Duration of the arrivals.")
 @click.option("--burst", type=int, default=0, help="Send this many streams at once instead.")
+@click.option("--daemons", type=int, default=1, help="Daemons of the VM that share the load.")
 @click.option("--seed", type=int, default=1)
-def command(rate, tokens, duration_s, burst, seed):
-    """Compare streams through one node with direct calls to the engines."""
+def command(rate, tokens, duration_s, burst, daemons, seed):
+    """Compare streams through the daemons of one VM with direct calls to the engines."""
     options = ["--slots", "600", "--queue-limit", "2000"]
-    settings = {"rate": rate, "tokens": tokens, "duration_s": duration_s, "burst": burst}
+    settings = {
+        "rate": rate,
+        "tokens": tokens,
+        "duration_s": duration_s,
+        "burst": burst,
+        "daemons": daemons,
+    }
     rows = []
     with (
         tempfile.TemporaryDirectory(prefix="lynxlanding-bench-") as directory,
         processes.Processes(pathlib.Path(directory)) as running,
     ):
-        installation = fleet.Fleet(running, daemons=1, engines=ENGINES, engine_options=options)
+        installation = fleet.Fleet(
+            running, daemons=daemons, engines=ENGINES, engine_options=options
+        )
         installation.start()
         engines = [f"http://{processes.HOST}:{port}" for port in installation.engine_ports]
-        for label, urls in (("direct", engines), ("node", [installation.daemon_url(0)])):
-            usage = _Usage(running.pid("node-0"))
-            outcomes = _run_clients(urls, settings, seed)
-            rows.append({"path": label, **_summary(outcomes), **usage.finish()})
+        nodes = [installation.daemon_url(index) for index in range(daemons)]
+        for label, urls in (("direct", engines), ("node", nodes)):
+            usage = _Usage([running.pid(name) for name in installation.daemon_names])
+            outcomes = _run_clients(urls, settings, seed, label)
+            row = {"path": label, **_summary(outcomes), **usage.finish()}
+            # Unlike the latencies, this figure hardly depends on what else the machine is doing.
+            row["node_cpu_us_per_token"] = row["node_cpu_s"] / row["tokens"] * 1e6
+            rows.append(row)
     result_file.save("node-load", seed, settings, rows)
 
 
 class _Usage:
-    """Processor and memory use of a process while it is measured."""
+    """Processor and memory use of processes while they are measured."""
 
-    def __init__(self, pid):
-        self._process = psutil.Process(pid)
+    def __init__(self, pids):
+        self._processes = [psutil.Process(pid) for pid in pids]
         self._started_at = time.monotonic()
         self._cpu_before = self._cpu_s()
         self._peak_cpu = 0.0
@@ -57,8 +70,11 @@
         self._thread.start()
 
     def _cpu_s(self):
-        times = self._process.cpu_times()
-        return times.user + times.system
+        total = 0.0
+        for process in self._processes:
+            times = process.cpu_times()
+            total += times.user + times.system
+        return total
 
     def _sample(self):
         before = self._cpu_s()
@@ -72,20 +88,24 @@
         self._stop.set()
         self._thread.join()
         elapsed_s = time.monotonic() - self._started_at
+        cpu_s = self._cpu_s() - self._cpu_before
         return {
-            "node_cpu_mean_cores": (self._cpu_s() - self._cpu_before) / elapsed_s,
+            "node_cpu_s": cpu_s,
+            "node_cpu_mean_cores": cpu_s / elapsed_s,
             "node_cpu_peak_cores": self._peak_cpu,
-            "node_rss_mb": self._process.memory_info().rss / 1e6,
+            "node_rss_mb": sum(item.memory_info().rss for item in self._processes) / 1e6,
         }
 
 
-def _run_clients(urls, settings, seed):
+def _run_clients(urls, settings, seed, label):
     clients = []
     for index in range(CLIENTS):
         arguments = [sys.executable, "-m", "lynxlanding_bench.load_client"]
         for url in urls:
             arguments += ["--url", url]
         arguments += ["--rate", str(settings["rate"] / CLIENTS), "--seed", str(seed + index)]
+        # Prompts of the other path would be in the engines' caches already.
+        arguments += ["--label", label]
         arguments += ["--duration-s", str(settings["duration_s"])]
         arguments += ["--tokens", str(settings["tokens"])]
         if settings["burst"]:
@@ -105,6 +125,7 @@
     return {
         "streams": len(outcomes),
         "whole": whole,
+        "tokens": len(first) + len(gaps),
         "first_p50_ms": _percentile_ms(first, 50),
         "first_p95_ms": _percentile_ms(first, 95),
         "first_p99_ms": _percentile_ms(first, 99),
