--- a/src/lynxlanding/daemon/control_metrics.py
+++ b/src/lynxlanding/daemon/control_metrics.py
@@ -12,19 +12,18 @@
     def __init__(self):
         meter = metrics.get_meter("lynxlanding.control")
         self._revision = meter.create_gauge(
-            "lynxlanding.configuration.revision", description="Revision in effect"
+            "lynxlanding_configuration_revision", description="Configuration revision in effect"
         )
         self._age = meter.create_gauge(
-            "lynxlanding.configuration.confirmed_age",
-            unit="s",
+            "lynxlanding_configuration_confirmed_age_seconds",
             description="Time since the store confirmed the revision; -1 if it never has",
         )
         self._uncertain = meter.create_gauge(
-            "lynxlanding.configuration.uncertain",
+            "lynxlanding_configuration_uncertain",
             description="1 while the store has not confirmed the revision recently",
         )
         self._members = meter.create_gauge(
-            "lynxlanding.membership.members", description="Known nodes by state"
+            "lynxlanding_members", description="Known nodes by state"
         )
 
     def set_status(self, status):
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -70,6 +70,9 @@
     _wait(lambda: all(len(_status(started, i)["members"]) == DAEMONS for i in range(DAEMONS)), 10)
     revision = _commit(started, "mombasa")
     _wait(lambda: _revisions(started) == [revision] * DAEMONS, 3)
+    page = POOL.request("GET", started.daemon_url(0) + "/metrics").data.decode()
+    assert "lynxlanding_members{" in page
+    assert "lynxlanding_configuration_confirmed_age_seconds{" in page
 
 
 def test_store_outage_leaves_nodes_serving_but_uncertain(control_fleet):
