--- a/src/lynxlanding/configuration/configuration_actor.py
+++ b/src/lynxlanding/configuration/configuration_actor.py
@@ -46,6 +46,7 @@
         self._push = push
         self._on_change = on_change
         self._fetched = {}
+        self._unapplied = None
         self._watch_generation = 0
         self._proxy = None
         self._status = decider.status(time.monotonic())
@@ -65,6 +66,7 @@
     def tick(self):
         """Decide on overdue work; returns the ``PropagationStatus``."""
         now = time.monotonic()
+        self._apply()
         self._carry_out(self._decider.on_tick(now))
         status = self._decider.status(now)
         if status.state != self._status.state:
@@ -133,12 +135,24 @@
                 case propagation_decisions.Adopt():
                     loaded = self._fetched[decision.digest]
                     self._log.append(loaded)
-                    self._on_change(loaded.snapshot)
+                    self._unapplied = loaded.snapshot
+                    self._apply()
                 case propagation_decisions.Push():
                     self._push(decision.count)
                 case propagation_decisions.Started():
                     _logger.info("configuration starts at revision %d", self._decider.number)
 
+    def _apply(self):
+        """Hand the newest snapshot over; a failure is repeated at the next tick."""
+        if self._unapplied is None:
+            return
+        try:
+            self._on_change(self._unapplied)
+        except Exception:
+            _logger.exception("cannot apply configuration revision %d", self._unapplied.revision)
+            return
+        self._unapplied = None
+
     def _set_watching(self, is_watching):
         self._watch_generation += 1
         if not is_watching:
--- a/src/lynxlanding/configuration/propagation.py
+++ b/src/lynxlanding/configuration/propagation.py
@@ -46,8 +46,8 @@
         self._settings = settings
         self._random = random_state
         self._started_at = now
-        self._number = 0
-        self._digest = ""
+        # One tuple, so that the thread that reads the mark never sees half of a revision.
+        self._held = (0, "")
         self._confirmed_at = None
         self._evidence = {}
         self._has_started = False
@@ -63,12 +63,12 @@
     @property
     def number(self):
         """Revision that the node holds."""
-        return self._number
+        return self._held[0]
 
     @property
     def digest(self):
         """Digest of the revision that the node holds."""
-        return self._digest
+        return self._held[1]
 
     def status(self, now):
         """Return the state of the configuration at ``now``."""
@@ -82,9 +82,9 @@
             state = propagation_status.UNCERTAIN
         else:
             state = propagation_status.CERTAIN
-        target = max(self._number, self._fetches.target_number)
+        target = max(self.number, self._fetches.target_number)
         return propagation_status.PropagationStatus(
-            state, self._number, self._digest, target, age, self._is_watching
+            state, self.number, self.digest, target, age, self._is_watching
         )
 
     def mark(self, now):
@@ -92,7 +92,7 @@
         if not self._has_started:
             return None
         age = None if self._confirmed_at is None else now - self._confirmed_at
-        return mark.Mark(self._number, self._digest, age)
+        return mark.Mark(*self._held, age)
 
     def on_members(self, members, now):
         """Decide whether this node watches the store.
@@ -173,18 +173,18 @@
         if self._is_newer(number):
             self._adopt(number, digest, decisions)
         decisions.extend(self._finish_start(now))
-        decisions.extend(self._fetches.next_fetch(self._number, now))
+        decisions.extend(self._fetches.next_fetch(self.number, now))
         return decisions
 
     def on_fetch_failed(self, digest, source, now):
         """Note that a source could not provide a revision."""
         self._fetches.fail(digest, source, now)
-        return self._fetches.next_fetch(self._number, now)
+        return self._fetches.next_fetch(self.number, now)
 
     def on_tick(self, now):
         """Decide on overdue fetches, fallback reads and the start."""
         decisions = self._finish_start(now)
-        decisions.extend(self._fetches.next_fetch(self._number, now))
+        decisions.extend(self._fetches.next_fetch(self.number, now))
         if self._is_watching or (self._is_reading and now - self._read_at < READ_LIMIT_S):
             return decisions
         age = now - (self._started_at if self._confirmed_at is None else self._confirmed_at)
@@ -201,14 +201,14 @@
         if self._is_newer(number):
             self._fetches.offer(number, digest, source)
         decisions = self._finish_start(now)
-        decisions.extend(self._fetches.next_fetch(self._number, now))
+        decisions.extend(self._fetches.next_fetch(self.number, now))
         return decisions
 
     def _is_newer(self, number):
-        return number > self._number
+        return number > self.number
 
     def _adopt(self, number, digest, decisions):
-        self._number, self._digest = number, digest
+        self._held = (number, digest)
         self._settle_evidence()
         decisions.append(propagation_decisions.Adopt(number, digest))
         decisions.append(propagation_decisions.Push(PUSHED_PEERS))
@@ -217,14 +217,14 @@
         """Note that the head was ``number`` at time ``at``."""
         # A lower revision confirms nothing: it is old news, or the store lost revisions, and then
         # the node must become uncertain. The same holds for another revision with this number.
-        if number < self._number or (number == self._number and digest != self._digest):
+        if number < self.number or (number == self.number and digest != self.digest):
             return
         self._evidence[number] = max(at, self._evidence.get(number, at))
         self._settle_evidence()
 
     def _settle_evidence(self):
         for number in list(self._evidence):
-            if number > self._number:
+            if number > self.number:
                 continue
             at = self._evidence.pop(number)
             if self._confirmed_at is None or at > self._confirmed_at:
@@ -238,7 +238,7 @@
         if self._head_number is None and not can_trust_peers:
             return []
         # Every revision that a peer holds was accepted, so it counts beside a head that was read.
-        if self._number < max(self._head_number or 0, *self._heard.values(), 0):
+        if self.number < max(self._head_number or 0, *self._heard.values(), 0):
             return []
         self._has_started = True
         return [propagation_decisions.Started()]
--- /dev/null
+++ b/src/lynxlanding/configuration/tests/test_change_service.py
@@ -0,0 +1,90 @@
+import types
+
+import pytest
+
+from lynxlanding.configuration import (
+    change,
+    change_service,
+    part_cache,
+    propagation_status,
+    revision_log,
+)
+from lynxlanding.errors import configuration as configuration_errors
+from lynxlanding.errors import platform as platform_errors
+from lynxlanding.platform import memory_store
+
+CHANGE = change.Change("c1", "asha", {("workspaces", "north"): {"token_sha256": ["1" * 64]}})
+
+
+class StubActor:
+    """Stands for the proxy of the ``ConfigurationActor``."""
+
+    def __init__(self, state):
+        self.loaded = []
+        self._status = propagation_status.PropagationStatus(state, 0, "", 0, 1.0, True)
+
+    def status(self):
+        return types.SimpleNamespace(get=lambda: self._status)
+
+    def fetched(self, loaded):
+        self.loaded.append(loaded)
+
+
+class FailingHeadStore(memory_store.MemoryObjectStore):
+    """Loses the answer to the head's creation and then refuses some calls."""
+
+    def __init__(self, refused_calls):
+        super().__init__()
+        self._refused_calls = refused_calls
+        self._is_lost = False
+
+    def create(self, kind, name, value):
+        created = super().create(kind, name, value)
+        if kind == "config-head":
+            self._is_lost = True
+            raise platform_errors.StoreOutcomeUnknown("lost")
+        return created
+
+    def get(self, kind, name):
+        if self._is_lost and self._refused_calls > 0:
+            self._refused_calls -= 1
+            raise platform_errors.StoreUnavailable("outage")
+        return super().get(kind, name)
+
+
+def _service(store, state=propagation_status.CERTAIN):
+    actor = StubActor(state)
+    log = revision_log.RevisionLog(part_cache.PartCache())
+    return change_service.ChangeService(store, log, actor), actor
+
+
+@pytest.mark.parametrize("state", ["starting", "uncertain", "expired"])
+def test_unconfirmed_node_accepts_no_change(state):
+    """Guards against a change that is planned on a revision that may be superseded."""
+    service, _ = _service(memory_store.MemoryObjectStore(), state)
+    with pytest.raises(configuration_errors.StoreNotConfirmed):
+        service.commit(CHANGE)
+
+
+def test_short_outage_after_the_update_is_settled():
+    """Guards against an unknown outcome that one more read would have settled."""
+    service, _ = _service(FailingHeadStore(refused_calls=3))
+    result = service.commit(CHANGE)
+    assert result.revision == 1
+    assert service.find_change("c1").author == "asha"
+
+
+def test_long_outage_after_the_update_is_reported(monkeypatch):
+    """Guards against reporting failure for a change that may be in effect."""
+    monkeypatch.setattr(change_service, "SETTLE_S", 0.3)
+    service, _ = _service(FailingHeadStore(refused_calls=100))
+    with pytest.raises(configuration_errors.CommitOutcomeUnknown):
+        service.commit(CHANGE)
+
+
+def test_committed_revision_is_handed_over():
+    """Guards against a revision that is lost to peers if the store fails after the commit."""
+    service, actor = _service(memory_store.MemoryObjectStore())
+    service.commit(CHANGE)
+    assert [loaded.number for loaded in actor.loaded] == [1]
+    assert "north" in actor.loaded[0].snapshot.of_kind("workspaces")
--- a/src/lynxlanding/configuration/tests/test_propagation_schedules.py
+++ b/src/lynxlanding/configuration/tests/test_propagation_schedules.py
@@ -11,7 +11,7 @@
     """Moves to lower revisions too."""
 
     def _is_newer(self, number):
-        return number != self._number
+        return number != self.number
 
 
 class AgeFromArrival(propagation.Propagation):
--- a/src/lynxlanding/daemon/control_plane.py
+++ b/src/lynxlanding/daemon/control_plane.py
@@ -95,7 +95,6 @@
         self._membership.set_seeds(self._discovery.peers)
         self._changes = change_service.ChangeService(store, self._log, self._configuration, vm_list)
         self._metrics = control_metrics.ControlMetrics()
-        self._status = None
 
     @property
     def membership(self):
@@ -154,17 +153,23 @@
     def _tick_membership(self):
         self._configuration.members_changed(self._membership.members().get())
         while not self._stop.wait(self._settings.membership.exchange_interval_s):
-            self._membership.tick()
+            try:
+                self._membership.tick().get()
+            except pykka.ActorDeadError:
+                return
+            except Exception:
+                _logger.exception("a tick of the membership failed")
 
     def _tick_configuration(self):
         while not self._stop.is_set():
             try:
                 status = self._configuration.tick().get()
+                self._metrics.set_status(status)
+                self._on_status(status)
             except pykka.ActorDeadError:
                 return
-            self._status = status
-            self._metrics.set_status(status)
-            self._on_status(status)
+            except Exception:
+                _logger.exception("a tick of the configuration failed")
             self._stop.wait(CONFIGURATION_TICK_S)
 
     def _discover(self):
