Tell the other nodes which endpoints are leaving

A node publishes the leaving signals that it saw itself under a wide gossip key; drains objects are left out, since they reach every node as configuration together with their removal. The multi-process drain test now has a node that reaches neither the store nor the VM list.

--- a/src/lynxlanding/daemon/domain_loop.py
+++ b/src/lynxlanding/daemon/domain_loop.py
@@ -10,12 +10,15 @@
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.groups import domain as domain_module
 from lynxlanding.groups import domain_store, permit_queue
+from lynxlanding.membership import scopes
 
 STEP_INTERVAL_S = 0.25
 WATCH_TIMEOUT_S = 20.0
 STORE_RETRY_S = 0.5
 PROBE_THREADS = 64
 ACTION_THREADS = 16
+# Notices reach the nodes of all data centres; they change only when an endpoint leaves.
+NOTICE_KEY = "leaving"
 
 _logger = logging.getLogger(__name__)
 
@@ -37,6 +40,8 @@
         Probes and orders.
     router : RoutingActor proxy
         Receives the groups' endpoints and the leaving addresses.
+    membership : MembershipActor proxy or None
+        Tells the other nodes which endpoints this node saw leaving.
     settings : GroupSettings
         Intervals.
     random_state : numpy.random.Generator
@@ -44,7 +49,16 @@
     """
 
     def __init__(
-        self, fleet, store, vm_list, weight_store, transport, router, settings, random_state
+        self,
+        fleet,
+        store,
+        vm_list,
+        weight_store,
+        transport,
+        router,
+        membership,
+        settings,
+        random_state,
     ):
         self._fleet = fleet
         self._store = store
@@ -53,6 +67,8 @@
         self._weight_store = weight_store
         self._transport = transport
         self._router = router
+        self._membership = membership
+        self._notices = {}
         self._settings = settings
         self._permits = permit_queue.PermitQueue(random_state)
         self._pool = futures.ThreadPoolExecutor(PROBE_THREADS)
@@ -62,6 +78,8 @@
 
     def start(self):
         """Start the threads."""
+        if self._membership is not None:
+            self._membership.subscribe(NOTICE_KEY, self._on_notices).get()
         rounds = (
             self._read_vm_list,
             self._watch_domains,
@@ -236,8 +254,19 @@
         self._permits.note_used(order)
         self._fleet.note_order_accepted(name, order, instance).get()
 
+    def _on_notices(self, node_id, document):
+        # Called by the membership actor, which must not wait; the next round publishes.
+        del node_id
+        if document:
+            self._fleet.note_leaving_notices(document, time.monotonic())
+
     def _publish_round(self):
         self._publish()
+        if self._membership is not None:
+            notices = self._fleet.leaving_notices().get()
+            if notices != self._notices:
+                self._membership.publish(NOTICE_KEY, notices, scopes.WIDE).get()
+                self._notices = notices
         self._stop.wait(STEP_INTERVAL_S)
 
     def _publish(self):
--- a/src/lynxlanding/daemon/domain_wiring.py
+++ b/src/lynxlanding/daemon/domain_wiring.py
@@ -19,7 +19,7 @@
 from lynxlanding.platform import vm_list, weight_store
 
 
-def make_loop(settings, store, router):
+def make_loop(settings, store, router, membership=None):
     """Return a ``DomainLoop`` with its own actor.
 
     Parameters
@@ -30,6 +30,8 @@
         The object API.
     router : RoutingActor proxy
         Receives the groups' endpoints and the leaving addresses.
+    membership : MembershipActor proxy, optional
+        Tells the other nodes which endpoints this node saw leaving.
     """
     groups = settings.groups
     policy = weighted_policy.WeightedPolicy(groups.downtime_weight, groups.stranded_weight)
@@ -56,6 +58,7 @@
         weights,
         http_engine_transport.HttpEngineTransport(pool, groups.order_timeout_s),
         router,
+        membership,
         groups,
         np.random.default_rng(settings.seed),
     )
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -62,7 +62,9 @@
         self._control = control_plane.ControlPlane(
             settings, self._store, vms, self._apply, self._state.set_configuration_status
         )
-        self._domain_loop = domain_wiring.make_loop(settings, self._store, self._router)
+        self._domain_loop = domain_wiring.make_loop(
+            settings, self._store, self._router, self._control.membership
+        )
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
         self._random_state = np.random.default_rng(settings.seed)
         self._claims = self._make_claims(settings)
--- a/src/lynxlanding/drain/leaving_signal.py
+++ b/src/lynxlanding/drain/leaving_signal.py
@@ -6,6 +6,8 @@
 OWN_REPORT = "own_report"
 DRAIN_OBJECT = "drain_object"
 GOSSIP = "gossip"
+# What another node saw, by the source that it saw it from.
+GOSSIP_BY_SOURCE = {VM_LIST: "gossip_vm_list", OWN_REPORT: "gossip_own_report"}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/drain/leaving_table.py
+++ b/src/lynxlanding/drain/leaving_table.py
@@ -3,6 +3,10 @@
 from lynxlanding.drain import leaving_signal
 from lynxlanding.platform import vm as platform_vm
 
+# An address that the VM list has lacked for this long belongs to no request any more: the longest
+# deadline has passed.
+FORGET_S = 600.0
+
 
 class LeavingTable:
     """Leaving endpoints by address.
@@ -16,6 +20,7 @@
 
     def __init__(self):
         self._signals = {}
+        self._absent_since = {}
         self._drained_addresses = frozenset()
 
     @property
@@ -67,22 +72,40 @@
                 if self.note(vm.address, leaving_signal.VM_LIST, now, vm.name):
                     added.append(vm.address)
                 continue
-            signals = self._signals.get(vm.address, {})
-            earlier = signals.get(leaving_signal.VM_LIST)
-            if earlier is not None and earlier.subject != vm.name:
-                self._drop(vm.address, leaving_signal.VM_LIST)
+            self._drop_others(vm.address, leaving_signal.VM_LIST, vm.name)
+        self._forget_absent({vm.address for vm in vms}, now)
         return added
 
     def note_report(self, address, instance, is_draining, now):
         """Record an endpoint's own report; return whether it was not leaving before."""
         if is_draining:
             return self.note(address, leaving_signal.OWN_REPORT, now, instance)
-        for source in (leaving_signal.OWN_REPORT, leaving_signal.GOSSIP):
-            earlier = self._signals.get(address, {}).get(source)
-            if earlier is not None and earlier.subject not in ("", instance):
-                self._drop(address, source)
+        self._drop_others(address, leaving_signal.OWN_REPORT, instance)
         return False
 
+    def notices(self):
+        """Return what this node saw itself, as a JSON document for the other nodes.
+
+        Accepted ``drains`` objects are left out: they reach every node as configuration, which
+        also tells it of their removal.
+        """
+        document = {}
+        for address, signals in sorted(self._signals.items()):
+            for source in leaving_signal.GOSSIP_BY_SOURCE:
+                if source in signals:
+                    document.setdefault(address, {})[source] = signals[source].subject
+        return document
+
+    def note_notices(self, document, now):
+        """Record what another node saw; return the addresses that were not leaving before."""
+        added = []
+        for address, subjects in document.items():
+            for source, subject in subjects.items():
+                gossip_source = leaving_signal.GOSSIP_BY_SOURCE.get(source)
+                if gossip_source and self.note(address, gossip_source, now, subject):
+                    added.append(address)
+        return added
+
     def apply_drains(self, addresses, now):
         """Take over the ``drains`` objects of an accepted configuration.
 
@@ -109,10 +132,21 @@
         self._drained_addresses = current
         return added
 
-    def forget(self, address):
-        """Drop an endpoint that no longer exists."""
-        if address not in self._drained_addresses:
-            self._signals.pop(address, None)
+    def _forget_absent(self, listed, now):
+        for address in list(self._signals):
+            if address in listed or address in self._drained_addresses:
+                self._absent_since.pop(address, None)
+                continue
+            if now - self._absent_since.setdefault(address, now) > FORGET_S:
+                del self._absent_since[address]
+                del self._signals[address]
+
+    def _drop_others(self, address, source, subject):
+        """Drop what a source and its gossip said about another subject at the address."""
+        for known in (source, leaving_signal.GOSSIP_BY_SOURCE[source]):
+            earlier = self._signals.get(address, {}).get(known)
+            if earlier is not None and earlier.subject not in ("", subject):
+                self._drop(address, known)
 
     def _drop(self, address, source):
         signals = self._signals[address]
--- a/src/lynxlanding/drain/tests/test_drain_schedules.py
+++ b/src/lynxlanding/drain/tests/test_drain_schedules.py
@@ -159,3 +159,17 @@
                 refused += 1
         stop.advance(now, len(ends))
     return stop.cut_off, refused
+
+
+def test_notice_of_another_node_stays_until_the_endpoint_is_another_one():
+    """Guards against a notice that is lost, and against one that outlives its endpoint."""
+    seen_by_other = leaving_table.LeavingTable()
+    seen_by_other.note_report("e:1", "first", True, 0.0)
+    table = leaving_table.LeavingTable()
+    assert table.note_notices(seen_by_other.notices(), 1.0) == ["e:1"]
+    # What a node learned from others is not passed on as its own observation.
+    assert table.notices() == {}
+    table.note_report("e:1", "first", False, 2.0)
+    assert table.is_leaving("e:1")
+    table.note_report("e:1", "second", False, 3.0)
+    assert not table.is_leaving("e:1")
--- a/src/lynxlanding/groups/fleet_controller.py
+++ b/src/lynxlanding/groups/fleet_controller.py
@@ -1,6 +1,6 @@
 """Decisions of one node about all fabric domains."""
 
-from lynxlanding.drain import idle_tracker, leaving_table, release_rules
+from lynxlanding.drain import leaving_table, release_rules
 from lynxlanding.groups import (
     desired_groups,
     domain_action,
@@ -8,6 +8,7 @@
     evidence_table,
     fleet_observation,
     fleet_planning,
+    group_drains,
     group_endpoint,
     group_record,
     group_status,
@@ -56,14 +57,13 @@
         self._tokens_per_s_per_replica = tokens_per_s_per_replica
         self._evidence = evidence_table.EvidenceTable(evidence_rules)
         self._leaving = leaving_table.LeavingTable()
-        self._release_rules = release_rules.ReleaseRules()
+        self._drains = group_drains.GroupDrains(release_rules.ReleaseRules())
         self._nodes = (node,)
         self._vms = ()
         self._snapshot = None
         self._winddowns = {}
         self._controllers = {}
         self._versions = {}
-        self._idle = {}
         self._work_since = {}
 
     @property
@@ -113,9 +113,7 @@
     def note_probe(self, vm, address, sent_at, report):
         """Record a successful probe; return whether the endpoint was not leaving before."""
         self._evidence.record_alive(vm, sent_at, report)
-        for tracker_address, tracker in self._idle.values():
-            if tracker_address == address:
-                tracker.note_report(sent_at, report.running + report.queued)
+        self._drains.note_report(address, sent_at, report)
         return self._leaving.note_report(address, report.instance, report.is_draining, sent_at)
 
     def note_probe_failure(self, vm, sent_at, is_refused):
@@ -192,7 +190,7 @@
                 desired[name],
                 now,
                 wall_time,
-                drained=self._drained(controller.domain, now, in_flight),
+                drained=self._drains.drained(controller.domain, now, in_flight),
                 changing=changing,
             )
             if step.write is None and not step.orders:
@@ -241,6 +239,14 @@
         """Record that an order was not confirmed."""
         self._controllers[name].orders.note_failed(order, now, is_delivered=is_delivered)
 
+    def leaving_notices(self):
+        """Return the leaving signals that this node saw itself, for the other nodes."""
+        return self._leaving.notices()
+
+    def note_leaving_notices(self, document, now):
+        """Record the leaving signals that another node saw."""
+        self._leaving.note_notices(document, now)
+
     def leaving_addresses(self):
         """Return the addresses of all leaving endpoints."""
         return self._leaving.addresses
@@ -261,11 +267,13 @@
             )
         return found
 
-    def status(self, now):
+    def status(self, now, wall_time):
         """Return one row for each group, for operators."""
         rows = []
         for _, group, verdict, domain in self._verdicts(now):
-            rows.append(group_status.describe(domain, group, verdict, self._evidence, now))
+            rows.append(
+                group_status.describe(domain, group, verdict, self._evidence, now, wall_time)
+            )
         return rows
 
     def _verdicts(self, now):
@@ -277,18 +285,3 @@
                     leaving.add(vm)
             for group in domain.groups.values():
                 yield name, group, serving.check(group, self._evidence, now, leaving), domain
-
-    def _drained(self, domain, now, in_flight):
-        drained = []
-        for group in domain.groups.values():
-            key = (group.name, group.epoch)
-            if group.state != group_record.DRAINING:
-                self._idle.pop(key, None)
-                continue
-            address = domain.vms[group.leader].address
-            if key not in self._idle:
-                tracker = idle_tracker.IdleTracker(now, self._release_rules)
-                self._idle[key] = (address, tracker)
-            if self._idle[key][1].is_released(now) and in_flight.get(address, 0) == 0:
-                drained.append(group.name)
-        return drained
--- a/src/lynxlanding/groups/group_status.py
+++ b/src/lynxlanding/groups/group_status.py
@@ -1,7 +1,9 @@
 """State of a group in the form that operators see."""
 
+from lynxlanding.groups import group_record
 
-def describe(domain, group, verdict, evidence, now):
+
+def describe(domain, group, verdict, evidence, now, wall_time):
     """Return one row about a group.
 
     Parameters
@@ -16,6 +18,8 @@
         Probe results.
     now : float
         Monotonic time, in seconds.
+    wall_time : float
+        Wall-clock time, in seconds.
 
     Returns
     -------
@@ -23,12 +27,19 @@
         JSON form. Stranded accelerators are those of live VMs in a group that does not serve.
     """
     held = 0
+    total = 0
     for vm in group.vms:
+        total += domain.vms[vm].accelerators
         if evidence.is_alive(vm, now):
             held += domain.vms[vm].accelerators
+    stranded_s = 0.0
+    if group.state == group_record.INCOMPLETE:
+        stranded_s = max(0.0, wall_time - group.since)
     return {
         "group": group.name,
         "fabric_domain": domain.name,
+        "place": domain.vms[group.leader].place,
+        "address": domain.vms[group.leader].address,
         "model": group.model,
         "version": group.version,
         "epoch": group.epoch,
@@ -37,5 +48,7 @@
         "reason": verdict.reason,
         "vms": list(group.vms),
         "missing": list(verdict.vms),
+        "accelerators": total,
         "stranded_accelerators": 0 if verdict.serves else held,
+        "stranded_s": stranded_s,
     }
--- a/src/lynxlanding_bench/group_fleet.py
+++ b/src/lynxlanding_bench/group_fleet.py
@@ -29,10 +29,23 @@
         Numbers of VMs, VMs of a group, groups and daemons.
     engine_options : sequence of str
         Further options of the engine stand-ins.
+    blind_nodes : sequence of int
+        Daemons that cannot reach the VM list.
     """
 
-    def __init__(self, running, vms=4, group_vms=3, groups=1, daemons=2, engine_options=()):
-        ports = processes.free_ports(3 + vms + 2 * daemons)
+    def __init__(
+        self,
+        running,
+        vms=4,
+        group_vms=3,
+        groups=1,
+        daemons=2,
+        engine_options=(),
+        blind_nodes=(),
+    ):
+        ports = processes.free_ports(4 + vms + 2 * daemons)
+        self._blind_nodes = blind_nodes
+        self._unused_port = ports.pop()
         self._running = running
         self._platform_ports = ports[:3]
         self._vm_ports = ports[3 : 3 + vms]
@@ -182,6 +195,8 @@
     def _write_settings(self, index):
         ports = self._daemon_ports[2 * index : 2 * index + 2]
         api, vm_list, weights = self._platform_ports
+        if index in self._blind_nodes:
+            vm_list = self._unused_port
         settings = {
             "node_id": f"node-{index}",
             "place": PLACE,
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -49,8 +49,11 @@
 
 
 def test_leaving_vm_gets_no_request_while_the_store_is_unavailable(running):
-    """Guards against a drain that depends on the store (G6) or cuts a request (G7)."""
-    installation = group_fleet.GroupFleet(running, vms=4, group_vms=2, groups=2)
+    """Guards against a drain that depends on the store (G6) or cuts a request (G7).
+
+    One node cannot reach the VM list either and depends on the notice of the other.
+    """
+    installation = group_fleet.GroupFleet(running, vms=4, group_vms=2, groups=2, blind_nodes=[1])
     installation.start()
     groups = installation.wait_for_groups()
     group = groups[sorted(groups)[0]]
