--- a/src/lynxlanding_bench/group_changes.py
+++ b/src/lynxlanding_bench/group_changes.py
@@ -94,7 +94,7 @@
                 installation.order(leader, {"order": "drain", "fencing_number": 10**6})
             else:
                 drains = {"drains/leader": {"address": leader, "reason": "experiment"}}
-                installation.commit({**installation.objects(), **drains})
+                installation.commit(drains)
             time.sleep(OBSERVED_S)
         last = left_at
         for record in installation.read_history():
--- a/src/lynxlanding_bench/group_fleet.py
+++ b/src/lynxlanding_bench/group_fleet.py
@@ -7,8 +7,6 @@
 import urllib3
 import yaml
 
-from lynxlanding.configuration import configuration_actor
-from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import http_store
 from lynxlanding_bench import caller, fleet, processes
 
@@ -135,33 +133,8 @@
         self._pool.request("POST", f"http://{address}/orders", json=order, retries=False)
 
     def commit(self, objects):
-        """Accept a configuration with the given objects as the next revision."""
-        kind, name = configuration_actor.HEAD_KIND, configuration_actor.HEAD_NAME
-        head = self._store.get(kind, name)
-        manifest = {}
-        for identity, spec in objects.items():
-            part_kind, _, part_name = identity.partition("/")
-            part = {"kind": part_kind, "name": part_name, "spec": spec}
-            manifest[identity] = _digest(part)
-            try:
-                self._store.create("config-parts", manifest[identity], part)
-            except platform_errors.ObjectExists:
-                continue
-        number = head.value["revision"] + 1
-        revision = {
-            "revision": number,
-            "parent": head.value["digest"],
-            "change_id": f"change-{number}",
-            "author": "bench",
-            "time": time.time(),
-            "statements": "",
-            "manifest": manifest,
-        }
-        digest = _digest(revision)
-        self._store.create("config-revisions", digest, revision)
-        recent = [*head.value["recent"], [number, revision["change_id"]]]
-        value = {"revision": number, "digest": digest, "recent": recent}
-        self._store.update(kind, name, value, head.version)
+        """Accept a change that puts the given objects."""
+        fleet.write_configuration(self._store, objects)
 
     def groups(self):
         """Return the groups of the domain object by name."""
@@ -211,8 +184,3 @@
         path = self._running.directory / f"node-{index}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
         return path
-
-
-def _digest(value):
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"))
-    return hashlib.sha256(text.encode()).hexdigest()
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lynxlanding_bench import caller, group_fleet, processes, request_load
+from lynxlanding_bench import caller, fleet, group_fleet, processes, request_load
 
 pytestmark = pytest.mark.multiprocess
 
@@ -77,6 +77,35 @@
     assert {result for _, result in load.seen} == {caller.WHOLE}
 
 
+def test_version_change_cuts_no_stream_and_keeps_the_owed_groups(running):
+    """Guards against a version change that loads before the drain or serves too little (G7)."""
+    installation = group_fleet.GroupFleet(running, vms=6, group_vms=2, groups=2)
+    installation.start()
+    installation.wait_for_groups()
+    callers = installation.callers()
+    _wait_until_served(callers)
+    lowest = 2
+    with request_load.RequestLoad(callers, tokens=80) as load:
+        installation.commit(
+            {
+                f"models/{fleet.MODEL}": {"version": "v2", "vms_per_replica": 2},
+                "versions/v2": {"model": fleet.MODEL, "weights": "desk/v2"},
+            }
+        )
+        deadline = time.monotonic() + 60.0
+        while time.monotonic() < deadline:
+            groups = installation.groups().values()
+            ready = [group["version"] for group in groups if group["state"] == "ready"]
+            lowest = min(lowest, len(ready))
+            if ready == ["v2", "v2"] and len(groups) == 2:
+                break
+            time.sleep(0.1)
+    assert ready == ["v2", "v2"]
+    # Every desired group is owed, so a third one serves while the others change.
+    assert lowest == 2
+    assert {result for _, result in load.seen} == {caller.WHOLE}
+
+
 def _wait_until_served(callers):
     for client in callers:
         deadline = time.monotonic() + 15.0
