--- a/src/lynxlanding/groups/group_status.py
+++ b/src/lynxlanding/groups/group_status.py
@@ -1,7 +1,9 @@
 """State of a group in the form that operators see."""
 
+from lynxlanding.groups import group_record
 
-def describe(domain, group, verdict, evidence, now):
+
+def describe(domain, group, verdict, evidence, now, wall_time):
     """Return one row about a group.
 
     Parameters
@@ -16,6 +18,8 @@
         Probe results.
     now : float
         Monotonic time, in seconds.
+    wall_time : float
+        Wall-clock time, in seconds.
 
     Returns
     -------
@@ -30,6 +34,9 @@
             held += domain.vms[vm].accelerators
     leader = domain.vms[group.leader]
     report = evidence.report(group.leader)
+    stranded_s = 0.0
+    if group.state == group_record.INCOMPLETE:
+        stranded_s = max(0.0, wall_time - group.since)
     return {
         "group": group.name,
         "address": leader.address,
@@ -47,4 +54,5 @@
         "vms": list(group.vms),
         "missing": list(verdict.vms),
         "stranded_accelerators": 0 if verdict.serves else held,
+        "stranded_s": stranded_s,
     }
--- a/src/lynxlanding/operators/language/tests/test_parsing.py
+++ b/src/lynxlanding/operators/language/tests/test_parsing.py
@@ -27,7 +27,7 @@
     assert expected in caught.value.expected
 
 
-@pytest.mark.parametrize("text", ["not " * 20_000, "(" * 20_000])
+@pytest.mark.parametrize("text", ["not " * 20_000, "(" * 20_000], ids=["not", "parentheses"])
 def test_deep_nesting_is_refused(text):
     """Guards against a statement that ends the node's thread with a RecursionError."""
     closing = ")" * text.count("(")
--- a/src/lynxlanding_bench/group_fleet.py
+++ b/src/lynxlanding_bench/group_fleet.py
@@ -7,8 +7,6 @@
 import urllib3
 import yaml
 
-from lynxlanding.configuration import configuration_actor
-from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import http_store
 from lynxlanding_bench import caller, fleet, processes
 
@@ -29,10 +27,23 @@
         Numbers of VMs, VMs of a group, groups and daemons.
     engine_options : sequence of str
         Further options of the engine stand-ins.
+    blind_nodes : sequence of int
+        Daemons that cannot reach the VM list.
     """
 
-    def __init__(self, running, vms=4, group_vms=3, groups=1, daemons=2, engine_options=()):
-        ports = processes.free_ports(3 + vms + 2 * daemons)
+    def __init__(
+        self,
+        running,
+        vms=4,
+        group_vms=3,
+        groups=1,
+        daemons=2,
+        engine_options=(),
+        blind_nodes=(),
+    ):
+        ports = processes.free_ports(4 + vms + 2 * daemons)
+        self._blind_nodes = blind_nodes
+        self._unused_port = ports.pop()
         self._running = running
         self._platform_ports = ports[:3]
         self._vm_ports = ports[3 : 3 + vms]
@@ -126,33 +137,8 @@
         self._pool.request("POST", f"http://{address}/orders", json=order, retries=False)
 
     def commit(self, objects):
-        """Accept a configuration with the given objects as the next revision."""
-        kind, name = configuration_actor.HEAD_KIND, configuration_actor.HEAD_NAME
-        head = self._store.get(kind, name)
-        manifest = {}
-        for identity, spec in objects.items():
-            part_kind, _, part_name = identity.partition("/")
-            part = {"kind": part_kind, "name": part_name, "spec": spec}
-            manifest[identity] = _digest(part)
-            try:
-                self._store.create("config-parts", manifest[identity], part)
-            except platform_errors.ObjectExists:
-                continue
-        number = head.value["revision"] + 1
-        revision = {
-            "revision": number,
-            "parent": head.value["digest"],
-            "change_id": f"change-{number}",
-            "author": "bench",
-            "time": time.time(),
-            "statements": "",
-            "manifest": manifest,
-        }
-        digest = _digest(revision)
-        self._store.create("config-revisions", digest, revision)
-        recent = [*head.value["recent"], [number, revision["change_id"]]]
-        value = {"revision": number, "digest": digest, "recent": recent}
-        self._store.update(kind, name, value, head.version)
+        """Accept a change that puts the given objects."""
+        fleet.write_configuration(self._store, objects)
 
     def groups(self):
         """Return the groups of the domain object by name."""
@@ -186,6 +172,8 @@
     def _write_settings(self, index):
         ports = self._daemon_ports[2 * index : 2 * index + 2]
         api, vm_list, weights = self._platform_ports
+        if index in self._blind_nodes:
+            vm_list = self._unused_port
         settings = {
             "node_id": f"node-{index}",
             "place": PLACE,
@@ -200,8 +188,3 @@
         path = self._running.directory / f"node-{index}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
         return path
-
-
-def _digest(value):
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"))
-    return hashlib.sha256(text.encode()).hexdigest()
