--- a/src/lynxlanding/daemon/group_watch.py
+++ b/src/lynxlanding/daemon/group_watch.py
@@ -22,6 +22,11 @@
         Returns the rows of ``FleetController.status``.
     burn_actor : BurnActor proxy
         Counts group downtime and stranded accelerators.
+
+    Attributes
+    ----------
+    stranded_accelerators : int
+        Number in the last sample.
     """
 
     def __init__(self, read_status, burn_actor):
@@ -29,6 +34,7 @@
         self._burn_actor = burn_actor
         self._down_since = {}
         self._sampled_at = None
+        self.stranded_accelerators = 0
         self._stop = threading.Event()
 
     def start(self):
@@ -53,6 +59,7 @@
             elapsed_s = min(now - self._sampled_at, MAX_ELAPSED_S)
         self._sampled_at = now
         self._follow(found, now)
+        self.stranded_accelerators = sum(_stranded(status) for status in found)
         observations = []
         for status in found:
             state = state_of(status)
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -86,6 +86,11 @@
         self._group_watch = group_watch.GroupWatch(
             self._domain_loop.group_status, self._observability.burn_actor
         )
+        self._observability.metrics.add_gauge(
+            "lynxlanding_stranded_accelerators",
+            "Accelerators of live VMs in incomplete groups, as this node sees them.",
+            lambda: self._group_watch.stranded_accelerators,
+        )
         self._caller_app = caller_app.CallerApp(
             parser,
             self._state,
--- a/src/lynxlanding/daemon/tests/test_group_watch.py
+++ b/src/lynxlanding/daemon/tests/test_group_watch.py
@@ -74,6 +74,7 @@
     watch.sample(12.0, 1012.0)
     (row,) = watch.group_rows(15.0)
     assert (row.state, row.stranded_accelerators) == (state, stranded)
+    assert watch.stranded_accelerators == stranded
     assert row.stranded_s == (5.0 if state == "incomplete" else 0.0)
     assert len(burn.calls) == (0 if state == "leaving" else 1)
 
--- a/src/lynxlanding/operators/lynxctl.py
+++ b/src/lynxlanding/operators/lynxctl.py
@@ -176,8 +176,9 @@
 
 @report.command()
 @click.option("--plot", type=click.Path(dir_okay=False), help="Also write a plot (PNG or SVG).")
+@click.option("--check", is_flag=True, help="Exit with 9 if there is an alert.")
 @click.pass_obj
-def burn(settings, plot):
+def burn(settings, plot, check):
     """Show how fast each service-level objective uses up its error budget."""
     status, answer = _reach(_client(settings).read, "burn")
     _check(status, answer)
@@ -188,8 +189,10 @@
             _fail(exit_codes.USAGE, "--plot needs matplotlib", "install lynxlanding[bench]")
     if settings["output"] == "json":
         click.echo(json.dumps(answer, indent=1))
-        return
-    click.echo(_burn_output.format_burn(answer))
+    else:
+        click.echo(_burn_output.format_burn(answer))
+    if check and any(row["alert"] for row in answer["rows"]):
+        sys.exit(exit_codes.ALERT)
 
 
 def _client(settings):
--- a/src/lynxlanding/operators/tests/test_lynxctl.py
+++ b/src/lynxlanding/operators/tests/test_lynxctl.py
@@ -139,6 +139,7 @@
     assert result.exit_code == exit_codes.OK
     assert "counts of n2 end 10 min ago" in result.output
     assert plot.read_bytes().startswith(b"\x89PNG")
+    assert run("--node", node, "report", "burn", "--check").exit_code == exit_codes.ALERT
 
 
 def test_503_after_a_lost_answer_stays_unknown():
