Reserve port blocks for runs of several processes

A scenario failed because both of its daemons found their ports in use: ports were probed and released, and another run on the machine took them before the daemons did. Runs now take aligned blocks of 100 ports and hold the first one as a mark. Ruled out: SO_REUSEADDR, which does not help against a listener.

--- a/src/lynxlanding_bench/processes.py
+++ b/src/lynxlanding_bench/processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +14,11 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+# Larger than any installation.
+PORT_BLOCK = 100
+# Installations of one test process that may exist at the same time.
+KEPT_MARKS = 8
+_MARKS = []
 
 
 class Processes:
@@ -109,15 +115,36 @@
 
 
 def free_ports(count):
-    """Return ``count`` consecutive TCP ports that are free on loopback."""
+    """Return ``count`` consecutive TCP ports that are free on loopback.
+
+    A port that was found free could be taken by another run before it is used. Runs therefore take
+    ports in aligned blocks, and hold the first port of each block as a mark.
+
+    Parameters
+    ----------
+    count : int
+        At most ``PORT_BLOCK - 1``.
+    """
+    if count >= PORT_BLOCK:
+        raise ValueError(f"at most {PORT_BLOCK - 1} ports can be reserved together")
+    random_state = random.SystemRandom()
     while True:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            first = probe.getsockname()[1]
         # The kernel's ephemeral range is avoided, so that outgoing connections take no port.
-        first = 10_000 + first % 20_000
-        if all(_is_free(port) for port in range(first, first + count)):
-            return list(range(first, first + count))
+        first = 10_000 + random_state.randrange(20_000 // PORT_BLOCK) * PORT_BLOCK
+        mark = socket.socket()
+        try:
+            mark.bind((HOST, first))
+        except OSError:
+            mark.close()
+            continue
+        ports = list(range(first + 1, first + 1 + count))
+        if not all(_is_free(port) for port in ports):
+            mark.close()
+            continue
+        _MARKS.append(mark)
+        if len(_MARKS) > KEPT_MARKS:
+            _MARKS.pop(0).close()
+        return ports
 
 
 def _is_free(port):
