--- a/src/lynxlanding_bench/scenario/__init__.py
+++ b/src/lynxlanding_bench/scenario/__init__.py
@@ -2,6 +2,7 @@
 
 from lynxlanding_bench.scenario import (
     command,
+    group_installation,
     load,
     observer,
     operator_client,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "command",
+    "group_installation",
     "load",
     "observer",
     "operator_client",
--- a/src/lynxlanding_bench/scenario/observer.py
+++ b/src/lynxlanding_bench/scenario/observer.py
@@ -5,6 +5,7 @@
 import urllib3
 
 INTERVAL_S = 0.25
+WATCH_MS = 1000
 
 
 class Observer:
@@ -25,6 +26,7 @@
         self._stop = threading.Event()
         self._threads = []
         self._seen = {}
+        self._domains_version = 0
 
     def start(self):
         """Begin to poll; one thread for each source, since a paused one does not answer."""
@@ -41,7 +43,7 @@
 
     def revisions(self):
         """Return the last revision of each node by name."""
-        return {name: seen for name, seen in self._seen.items() if isinstance(seen, int)}
+        return dict(self._seen)
 
     def _start_thread(self, target, *arguments):
         thread = threading.Thread(target=self._repeat, args=(target, *arguments), daemon=True)
@@ -63,16 +65,17 @@
             self._recorder.record("revision", node=name, revision=document["revision"])
 
     def _observe_domains(self):
-        document = self._get(self._installation.object_api + "/objects/domains")
-        for item in document["items"]:
-            key = "domain " + item["name"]
-            if self._seen.get(key) == str(item["version"]):
+        # A watch returns every version, so that no state between two polls is missed.
+        url = f"{self._installation.object_api}/watch/domains"
+        document = self._get(f"{url}?after={self._domains_version}&timeout_ms={WATCH_MS}")
+        for event in document["events"]:
+            if event["type"] != "put":
                 continue
-            self._seen[key] = str(item["version"])
             groups = {}
-            for group, content in item["value"]["groups"].items():
+            for group, content in event["value"]["groups"].items():
                 groups[group] = list(content["vms"])
-            self._recorder.record("domain", domain=item["name"], groups=groups)
+            self._recorder.record("domain", domain=event["name"], groups=groups)
+        self._domains_version = document["version"]
 
     def _get(self, url):
         return self._pool.request("GET", url, retries=False, timeout=2.0).json()
--- a/src/lynxlanding_bench/scenario/parsing.py
+++ b/src/lynxlanding_bench/scenario/parsing.py
@@ -12,6 +12,10 @@
     "engines": 4,
     "token_interval": 0.025,
     "service_time": 0.02,
+    # With VMs, engines form replica groups on them, and there is no plain service.
+    "vms": 0,
+    "group_vms": 3,
+    "groups": 1,
 }
 
 _GRAMMAR = pathlib.Path(__file__).with_name("scenario.lark").read_text(encoding="utf-8")
@@ -166,7 +170,7 @@
         return steps.Check()
 
     def process(self, kind, index):
-        needs_index = kind in (steps.NODE, steps.ENGINE)
+        needs_index = kind in steps.INDEXED
         if needs_index != (index is not None):
             expected = f"a number after {kind}" if needs_index else f"no number after {kind}"
             raise operator_errors.StatementError(
--- a/src/lynxlanding_bench/scenario/runner.py
+++ b/src/lynxlanding_bench/scenario/runner.py
@@ -11,7 +11,14 @@
 
 from lynxlanding_bench import fleet, processes
 from lynxlanding_bench.history import checker, reading, recorder
-from lynxlanding_bench.scenario import load, observer, operator_client, outcome, steps
+from lynxlanding_bench.scenario import (
+    group_installation,
+    load,
+    observer,
+    operator_client,
+    outcome,
+    steps,
+)
 
 LOAD_END_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 40.0
@@ -23,6 +30,7 @@
     "<": operator.lt,
 }
 _NAMES = {steps.SERVICE: "service", steps.STORE: "object-api"}
+_GROUP_NAMES = {steps.STORE: "store"}
 
 
 def run(scenario, directory):
@@ -64,13 +72,8 @@
         self._store_faults = set()
         self._timers = []
         options = scenario.options
-        self._installation = fleet.Fleet(
-            running,
-            daemons=int(options["nodes"]),
-            engines=int(options["engines"]),
-            engine_options=("--token-interval-ms", options["token_interval"] * 1000),
-            service_options=("--work-ms", options["service_time"] * 1000),
-        )
+        self._names = _GROUP_NAMES if options["vms"] else _NAMES
+        self._installation = _make_installation(running, options)
         self._observer = observer.Observer(self._installation, self._recorder)
         self._actions = {
             steps.StartFleet: self._start,
@@ -129,6 +132,8 @@
     def _signal(self, step):
         name = self._name_of(step.process)
         target = self._target_of(step.process)
+        if step.action in ("kill", "pause") and step.process.kind == steps.VM:
+            self._recorder.record("vm_down", vm=name)
         if step.action == "kill":
             self._recorder.record("fault", target=target, kind="kill")
             self._running.kill(name)
@@ -148,11 +153,16 @@
         else:
             self._running.restart(name)
             self._wait_until_ready(step.process)
-            self._recorder.record("recovered", target=target)
+            self._record_recovered(name, target)
 
     def _resume(self, name, target):
         self._running.signal(name, signal.SIGCONT)
+        self._record_recovered(name, target)
+
+    def _record_recovered(self, name, target):
         self._recorder.record("recovered", target=target)
+        if name.startswith("vm-"):
+            self._recorder.record("vm_up", vm=name)
 
     def _wait_for_exit(self, name):
         deadline = time.monotonic() + STOP_TIMEOUT_S
@@ -269,10 +279,10 @@
             return
 
     def _name_of(self, process):
-        return _NAMES.get(process.kind, f"{process.kind}-{process.index}")
+        return self._names.get(process.kind, f"{process.kind}-{process.index}")
 
     def _target_of(self, process):
-        if process.kind in (steps.ENGINE, steps.SERVICE):
+        if process.kind in (steps.ENGINE, steps.VM, steps.SERVICE):
             return self._url_of(process).removeprefix("http://")
         return self._name_of(process)
 
@@ -281,11 +291,31 @@
             return self._installation.object_api
         if process.kind == steps.SERVICE:
             return self._installation.service_url
-        if process.kind == steps.ENGINE:
+        if process.kind in (steps.ENGINE, steps.VM):
             return f"http://{processes.HOST}:{self._installation.engine_ports[process.index]}"
         return self._installation.daemon_url(process.index)
 
 
+def _make_installation(running, options):
+    engine_options = ("--token-interval-ms", options["token_interval"] * 1000)
+    if options["vms"]:
+        return group_installation.GroupInstallation(
+            running,
+            vms=int(options["vms"]),
+            group_vms=int(options["group_vms"]),
+            groups=int(options["groups"]),
+            daemons=int(options["nodes"]),
+            engine_options=engine_options,
+        )
+    return fleet.Fleet(
+        running,
+        daemons=int(options["nodes"]),
+        engines=int(options["engines"]),
+        engine_options=engine_options,
+        service_options=("--work-ms", options["service_time"] * 1000),
+    )
+
+
 def count(history, load_name=None):
     """Return the metrics of a history, of one load or of all.
 
--- a/src/lynxlanding_bench/scenario/steps.py
+++ b/src/lynxlanding_bench/scenario/steps.py
@@ -4,8 +4,10 @@
 
 NODE = "node"
 ENGINE = "engine"
+VM = "vm"
 SERVICE = "service"
 STORE = "store"
+INDEXED = (NODE, ENGINE, VM)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -16,7 +18,7 @@
     index: int = 0
 
     def __str__(self):
-        return f"{self.kind} {self.index}" if self.kind in (NODE, ENGINE) else self.kind
+        return f"{self.kind} {self.index}" if self.kind in INDEXED else self.kind
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
