Share claims among the live members and end waits for vanished owners

The write rate and the garbage collection follow the node list. An owner whose VM is gone refuses no connection, so a repeat waited until its own deadline; it now gets 409 at once when membership does not list the owner as live.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -22,12 +22,14 @@
     view_source,
 )
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
+from lynxlanding.membership import member
 from lynxlanding.operators import admin_app
 from lynxlanding.platform import http_store, vm_list
 from lynxlanding.requests import (
     attempt_monitor,
     claim_keeper,
     endpoint_client,
+    member_lookup,
     node_identity,
     owner_lookup,
     request_runner,
@@ -40,6 +42,7 @@
 # executed: unknown; a normal write takes milliseconds.
 OUTCOMES_LIMIT_S = 30.0
 COLLECTION_INTERVAL_S = 3600.0
+MEMBERS_INTERVAL_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -70,6 +73,9 @@
         self._domain_loop = domain_wiring.make_loop(settings, self._store, self._router)
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
         self._random_state = np.random.default_rng(settings.seed)
+        self._owner_lookup = member_lookup.MemberLookup(
+            owner_lookup.HttpOwnerLookup(urllib3.PoolManager(maxsize=16))
+        )
         self._claims = self._make_claims(settings)
         self._attempt_monitor = attempt_monitor.AttemptMonitor()
         runner = request_runner.RequestRunner(
@@ -114,6 +120,7 @@
             threading.Thread(target=server.run, daemon=True).start()
         self._control.start()
         threading.Thread(target=self._collect_claims, daemon=True).start()
+        threading.Thread(target=self._follow_members, daemon=True).start()
         self._domain_loop.start()
         self._group_watch.start()
         self._stop.wait()
@@ -168,7 +175,7 @@
         return claim_keeper.ClaimKeeper(
             self._store,
             identity,
-            owner_lookup.HttpOwnerLookup(urllib3.PoolManager(maxsize=16)),
+            self._owner_lookup,
             settings.requests.claim_writes_per_s,
             self._random_state,
             nodes=1 + len(settings.membership.peers),
@@ -181,6 +188,14 @@
             self._claims.collect(time.time())
             wait_s = COLLECTION_INTERVAL_S
 
+    def _follow_members(self):
+        while not self._stop.wait(MEMBERS_INTERVAL_S):
+            members = self._control.membership.members().get()
+            live = [item.node_id for item in members if item.state == member.LIVE]
+            self._owner_lookup.set_live(live)
+            # Suspected nodes may still write, so they keep their share of the store's rate.
+            self._claims.set_members([item.node_id for item in members])
+
     def _apply(self, snapshot):
         self._router.set_endpoints(endpoint_targets.from_snapshot(snapshot)).get()
         self._domain_loop.set_configuration(snapshot)
--- a/src/lynxlanding/requests/claim_keeper.py
+++ b/src/lynxlanding/requests/claim_keeper.py
@@ -45,7 +45,7 @@
     random_state : numpy.random.Generator
         Source of the jitter of background writes.
     nodes : int
-        Nodes that share the write rate until ``set_members`` is called.
+        Least number of nodes that share the write rate, for a node that knows no others yet.
     """
 
     def __init__(self, store, identity, lookup, fleet_writes_per_s, random_state, nodes=1):
@@ -54,6 +54,7 @@
         self._lookup = lookup
         self._random_state = random_state
         self._members = (identity.node_id,)
+        self._least_nodes = nodes
         self._actor_ref = claim_actor.ClaimActor.start(fleet_writes_per_s, time.monotonic())
         self._actor = self._actor_ref.proxy()
         self._actor.set_nodes(nodes, time.monotonic())
@@ -73,7 +74,8 @@
     def set_members(self, node_ids):
         """Set the live nodes, which share the write rate and the garbage collection."""
         self._members = tuple(node_ids)
-        self._actor.set_nodes(len(self._members), time.monotonic())
+        nodes = max(self._least_nodes, len(self._members))
+        self._actor.set_nodes(nodes, time.monotonic())
 
     def begin(self, workspace, key, fingerprint, deadline):
         """Claim a request.
--- /dev/null
+++ b/src/lynxlanding/requests/member_lookup.py
@@ -0,0 +1,33 @@
+"""Takes an owner that cannot be reached for dead once membership does not see it either."""
+
+from lynxlanding.requests import claim_events
+
+
+class MemberLookup:
+    """``OwnerLookup`` that consults the list of live nodes.
+
+    A VM that is gone refuses no connection, so asking it only times out, and a repeat would wait
+    for it until its own deadline.
+
+    Parameters
+    ----------
+    lookup : OwnerLookup
+        Asks the owner.
+    """
+
+    def __init__(self, lookup):
+        self._lookup = lookup
+        self._live = None
+
+    def set_live(self, node_ids):
+        """Set the live nodes."""
+        self._live = frozenset(node_ids)
+
+    def ask(self, owner, token, wait_s):
+        """Wait up to ``wait_s`` seconds for the outcome; never raises."""
+        answer = self._lookup.ask(owner, token, wait_s)
+        if answer.outcome != claim_events.UNREACHABLE:
+            return answer
+        if self._live is None or owner.node_id in self._live:
+            return answer
+        return claim_events.OwnerAnswered(claim_events.DEAD)
--- a/src/lynxlanding/requests/tests/test_claim_keeper.py
+++ b/src/lynxlanding/requests/tests/test_claim_keeper.py
@@ -11,6 +11,7 @@
     claim_keeper,
     claim_record,
     claim_ticket,
+    member_lookup,
     node_identity,
     recorded_response,
 )
@@ -172,6 +173,28 @@
     keeper.stop()
 
 
+@pytest.mark.parametrize(
+    ("live", "outcome"),
+    [
+        (None, claim_events.UNREACHABLE),
+        (["n1"], claim_events.UNREACHABLE),
+        (["n2"], claim_events.DEAD),
+    ],
+)
+def test_unreachable_owner_is_dead_once_membership_agrees(live, outcome):
+    """Guards against a repeat that waits until its deadline for a VM that is gone."""
+
+    class Silent:
+        def ask(self, owner, token, wait_s):
+            return claim_events.OwnerAnswered(claim_events.UNREACHABLE)
+
+    lookup = member_lookup.MemberLookup(Silent())
+    if live is not None:
+        lookup.set_live(live)
+    owner = node_identity.NodeIdentity("n1", "1", "127.0.0.1:1")
+    assert lookup.ask(owner, "t", 1.0).outcome == outcome
+
+
 def test_expired_claims_are_collected_once(store, keepers):
     """Guards against claims that are never deleted, and against the deletion of young ones."""
     day = 24 * 3600.0
