Say executed: no for a key only where its claim shows it

A repeat whose deadline passed before its claim was known got executed: no, although an earlier submission of the key may have run. They now say unknown, as does a refusal after a lost store answer that could not be read again.

--- a/src/lynxlanding/requests/claims.py
+++ b/src/lynxlanding/requests/claims.py
@@ -75,12 +75,7 @@
     def begin(self, now):
         """Start the claim."""
         if now >= self._deadline:
-            return self._refuse(
-                request_errors.DeadlineExceeded(
-                    "the deadline passed before the request was claimed",
-                    executed=request_errors.EXECUTED_NO,
-                )
-            )
+            return self._refuse_late()
         return self._create(now)
 
     def handle(self, event, now):
@@ -255,19 +250,17 @@
     def _refuse_late(self):
         if self._foreign is not None:
             return self._refuse_unknown("the request with this key was still running")
+        # Not sent by this submission; but the key may belong to an earlier one that ran.
         return self._refuse(
-            request_errors.DeadlineExceeded(
-                "the deadline passed before the request was claimed",
-                executed=self._executed_before(),
-            )
+            request_errors.DeadlineExceeded("the deadline passed before the request was claimed")
         )
 
     def _refuse_unknown(self, message):
         return self._refuse(request_errors.OutcomeUnknown(message, retry_after_s=RETRY_AFTER_S))
 
     def _executed_before(self):
-        # A claim that exists but could not be read may belong to an execution.
-        if self._key_exists:
+        # A claim that exists, or may exist, but could not be read may belong to an execution.
+        if self._key_exists or self._may_exist:
             return request_errors.EXECUTED_UNKNOWN
         return request_errors.EXECUTED_NO
 
--- a/src/lynxlanding/requests/execution.py
+++ b/src/lynxlanding/requests/execution.py
@@ -193,8 +193,10 @@
 
     def _final_error(self, now):
         if now >= self._deadline:
+            # After a pause of any length, the claim may have been deleted and the key run again.
+            executed = self.executed if self._idempotent else request_errors.EXECUTED_UNKNOWN
             return request_errors.DeadlineExceeded(
-                "the deadline passed before the response was complete", executed=self.executed
+                "the deadline passed before the response was complete", executed=executed
             )
         error = self._last_error
         if error is not None and self._may_have_run:
