Keep a reserve of retries for lost endpoints; document requests

The bucket of 10 covers a tenth of the streams that a lost fabric domain breaks on a node (a quarter of 365). Earnings that the full bucket cannot hold now go to a reserve of 100 for resumed streams and attempts that never connected. A larger bucket for all retries was ruled out: in an overload it would be spent on attempts that add load. Retries stay at most 10% from the 1,000th request on (tested at three failure rates, with and without reserve).

--- a/src/lynxlanding/requests/execution.py
+++ b/src/lynxlanding/requests/execution.py
@@ -140,11 +140,10 @@
             return self.refuse(now)
         if not failure.retryable or (self._may_have_run and not self._idempotent):
             return self.refuse(now)
+        resumes = self._position.last_event_id is not None
+        never_connected = failure.endpoint_fault and not failure.may_have_run
         question = retry_question.RetryQuestion(
-            self._target,
-            self._attempts,
-            self._deadline,
-            self._position.last_event_id is not None,
+            self._target, self._attempts, self._deadline, resumes, resumes or never_connected
         )
         return execution_decisions.AskRetry(question)
 
--- a/src/lynxlanding/retry/retry_policy.py
+++ b/src/lynxlanding/retry/retry_policy.py
@@ -42,6 +42,6 @@
         # A retry that cannot finish in time would only take capacity from other requests.
         if question.deadline - now <= self._times.expected(question.target):
             return TOO_LATE
-        if not self._budget.take():
+        if not self._budget.take(question.may_use_reserve):
             return BUDGET_EMPTY
         return GRANTED
--- a/src/lynxlanding/retry/retry_question.py
+++ b/src/lynxlanding/retry/retry_question.py
@@ -17,9 +17,13 @@
         Deadline on the monotonic clock, in seconds.
     resumes : bool
         Whether the retry continues a stream that has begun.
+    may_use_reserve : bool
+        Whether the retry replaces work that an endpoint lost or never received. Other retries
+        add load to endpoints that may be overloaded.
     """
 
     target: tuple[str, str]
     attempts: int
     deadline: float
     resumes: bool
+    may_use_reserve: bool
--- a/src/lynxlanding/retry/tests/test_retry_policy.py
+++ b/src/lynxlanding/retry/tests/test_retry_policy.py
@@ -7,12 +7,15 @@
 MODEL = ("model", "m")
 
 
-def _question(attempts=1, deadline=10.0):
-    return retry_question.RetryQuestion(MODEL, attempts, deadline, resumes=False)
+def _question(attempts=1, deadline=10.0, may_use_reserve=False):
+    return retry_question.RetryQuestion(
+        MODEL, attempts, deadline, resumes=may_use_reserve, may_use_reserve=may_use_reserve
+    )
 
 
+@pytest.mark.parametrize("may_use_reserve", [False, True])
 @pytest.mark.parametrize("failure_rate", [0.05, 0.2, 0.9])
-def test_retries_stay_below_a_tenth_of_the_requests(failure_rate):
+def test_retries_stay_below_a_tenth_of_the_requests(failure_rate, may_use_reserve):
     """Guards against retries that multiply an overload."""
     policy = retry_policy.RetryPolicy()
     random_state = np.random.default_rng(1)
@@ -21,7 +24,8 @@
         policy.count_request()
         attempts = 1
         while random_state.random() < failure_rate:
-            if policy.decide(_question(attempts), 0.0) != retry_policy.GRANTED:
+            question = _question(attempts, may_use_reserve=may_use_reserve)
+            if policy.decide(question, 0.0) != retry_policy.GRANTED:
                 break
             attempts += 1
             retries += 1
@@ -36,6 +40,17 @@
     assert answers == [retry_policy.GRANTED] * 10 + [retry_policy.BUDGET_EMPTY]
 
 
+def test_streams_of_a_lost_domain_are_resumed():
+    """Guards against streams that end with a fabric domain although endpoints are left."""
+    policy = retry_policy.RetryPolicy()
+    for _ in range(2000):
+        policy.count_request()
+    answers = [policy.decide(_question(), 0.0) for _ in range(20)]
+    assert answers.count(retry_policy.GRANTED) == 10
+    answers = [policy.decide(_question(may_use_reserve=True), 0.0) for _ in range(120)]
+    assert answers.count(retry_policy.GRANTED) == 100
+
+
 def test_late_retry_is_refused_and_costs_nothing():
     """Guards against retries that cannot finish and only take capacity."""
     policy = retry_policy.RetryPolicy()
