--- a/src/lynxlanding/requests/execution.py
+++ b/src/lynxlanding/requests/execution.py
@@ -140,11 +140,10 @@
             return self.refuse(now)
         if not failure.retryable or (self._may_have_run and not self._idempotent):
             return self.refuse(now)
+        resumes = self._position.last_event_id is not None
+        never_connected = failure.endpoint_fault and not failure.may_have_run
         question = retry_question.RetryQuestion(
-            self._target,
-            self._attempts,
-            self._deadline,
-            self._position.last_event_id is not None,
+            self._target, self._attempts, self._deadline, resumes, resumes or never_connected
         )
         return execution_decisions.AskRetry(question)
 
@@ -193,8 +192,10 @@
 
     def _final_error(self, now):
         if now >= self._deadline:
+            # After a pause of any length, the claim may have been deleted and the key run again.
+            executed = self.executed if self._idempotent else request_errors.EXECUTED_UNKNOWN
             return request_errors.DeadlineExceeded(
-                "the deadline passed before the response was complete", executed=self.executed
+                "the deadline passed before the response was complete", executed=executed
             )
         error = self._last_error
         if error is not None and self._may_have_run:
