--- a/src/lynxlanding/requests/endpoint_response.py
+++ b/src/lynxlanding/requests/endpoint_response.py
@@ -34,6 +34,11 @@
         except (KeyError, ValueError):
             return None
 
+    @property
+    def shows_its_end(self):
+        """Whether a body that was cut short is noticed: by its length or its last chunk."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
     def passed_headers(self):
         """Return the headers for the caller."""
         return {name: self.headers[name] for name in PASSED_HEADERS if name in self.headers}
--- a/src/lynxlanding/requests/request_run.py
+++ b/src/lynxlanding/requests/request_run.py
@@ -1,5 +1,6 @@
 """Runs the attempts of one request."""
 
+import json
 import time
 
 from lynxlanding.errors import endpoint as endpoint_errors
@@ -152,6 +153,8 @@
             body = b"".join(response.chunks)
         finally:
             response.chunks.close()
+        if not response.shows_its_end and self._request.target_kind == caller_request.MODEL:
+            _check_json(body)
         self._execution.on_body(self._attempt_id)
         self._succeed()
         return body
@@ -248,6 +251,14 @@
         self._address = None
 
 
+def _check_json(body):
+    """Check an engine's body that ended with its connection, perhaps too early."""
+    try:
+        json.loads(body)
+    except ValueError as e:
+        raise endpoint_errors.ResponseTruncated("the body is not whole") from e
+
+
 def _never():
     return False
 
