Add summaries that one node of each data centre publishes

Wide entries of all nodes exceed the bandwidth of a node at 410 nodes; readers rank publishers alike, so a change of the publisher counts nothing twice.

--- a/src/lynxlanding/membership/__init__.py
+++ b/src/lynxlanding/membership/__init__.py
@@ -9,6 +9,7 @@
     message_codec,
     messages,
     node_info,
+    place_summary,
     rendezvous,
     scopes,
 )
@@ -22,6 +23,7 @@
     "message_codec",
     "messages",
     "node_info",
+    "place_summary",
     "rendezvous",
     "scopes",
 ]
--- /dev/null
+++ b/src/lynxlanding/membership/tests/test_place_summary.py
@@ -0,0 +1,40 @@
+from lynxlanding.membership import member, place_summary
+
+
+def _members(states):
+    members = []
+    for index, state in enumerate(states):
+        place = "a" if index < 3 else "b"
+        members.append(member.Member(f"n{index}", 1, "", place, "coast", state))
+    return members
+
+
+def test_one_live_node_publishes_for_each_place():
+    """Guards against a data centre without a summary, or with one from every node."""
+    members = _members([member.LIVE] * 5)
+    chosen = []
+    for item in members:
+        if place_summary.is_publisher("demand", item.node_id, item.place, members):
+            chosen.append(item)
+    assert sorted(item.place for item in chosen) == ["a", "b"]
+    states = [member.SUSPECTED if item in chosen else member.LIVE for item in members]
+    remaining = _members(states)
+    successors = [
+        item.place
+        for item in remaining
+        if item.state == member.LIVE
+        and place_summary.is_publisher("demand", item.node_id, item.place, remaining)
+    ]
+    assert sorted(successors) == ["a", "b"]
+
+
+def test_two_publishers_of_a_place_count_once():
+    """Guards against demand that is counted twice while the publisher changes."""
+    members = _members([member.LIVE] * 5)
+    documents = {item.node_id: item.node_id for item in members}
+    summaries = place_summary.by_place("demand", documents, members)
+    assert sorted(summaries) == ["a", "b"]
+    for place, node_id in summaries.items():
+        assert place_summary.is_publisher("demand", node_id, place, members)
+    del documents[summaries["a"]]
+    assert place_summary.by_place("demand", documents, members)["a"] in documents
