Pass probe results to the actor in batches

One message for each probe cost as much as its decision. Flushing only when a whole round of probes has ended was ruled out, since one VM that does not respond would delay the evidence of all others by the timeout of 1 s.

--- a/src/lynxlanding/daemon/domain_loop.py
+++ b/src/lynxlanding/daemon/domain_loop.py
@@ -9,7 +9,7 @@
 from lynxlanding.errors import groups as groups_errors
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.groups import domain as domain_module
-from lynxlanding.groups import domain_store, permit_queue
+from lynxlanding.groups import domain_store, permit_queue, probe_result
 from lynxlanding.membership import scopes
 
 STEP_INTERVAL_S = 0.25
@@ -74,6 +74,7 @@
         self._pool = futures.ThreadPoolExecutor(PROBE_THREADS)
         self._action_pool = futures.ThreadPoolExecutor(ACTION_THREADS)
         self._busy = set()
+        self._results = []
         self._stop = threading.Event()
 
     def start(self):
@@ -174,10 +175,9 @@
             report = self._transport.probe(address)
         except groups_errors.ProbeFailed as e:
             is_refused = isinstance(e, groups_errors.ProbeRefused)
-            self._fleet.note_probe_failure(name, sent_at, is_refused).get()
+            self._results.append(probe_result.ProbeResult(name, address, sent_at, None, is_refused))
             return
-        if self._fleet.note_probe(name, address, sent_at, report).get():
-            self._publish()
+        self._results.append(probe_result.ProbeResult(name, address, sent_at, report))
 
     def _step(self):
         in_flight = self._router.in_flight().get()
@@ -273,6 +273,10 @@
             self._fleet.note_leaving_notices(document, time.monotonic())
 
     def _publish_round(self):
+        # One message to the actor for many probes: a message costs as much as a probe's decision.
+        results, self._results = self._results, []
+        if results:
+            self._fleet.note_probes(results).get()
         self._publish()
         if self._membership is not None:
             notices = self._fleet.leaving_notices().get()
--- a/src/lynxlanding/groups/fleet_controller.py
+++ b/src/lynxlanding/groups/fleet_controller.py
@@ -110,15 +110,26 @@
         controller.observe(domain, now)
         self._versions[domain.name] = version
 
-    def note_probe(self, vm, address, sent_at, report):
-        """Record a successful probe; return whether the endpoint was not leaving before."""
-        self._evidence.record_alive(vm, sent_at, report)
-        self._drains.note_report(address, sent_at, report)
-        return self._leaving.note_report(address, report.instance, report.is_draining, sent_at)
-
-    def note_probe_failure(self, vm, sent_at, is_refused):
-        """Record a failed probe."""
-        self._evidence.record_failure(vm, sent_at, is_refused=is_refused)
+    def note_probes(self, results):
+        """Record the results of probes.
+
+        Parameters
+        ----------
+        results : list of ProbeResult
+            Results, in any order.
+        """
+        for result in results:
+            report = result.report
+            if report is None:
+                self._evidence.record_failure(
+                    result.vm, result.sent_at, is_refused=result.is_refused
+                )
+                continue
+            self._evidence.record_alive(result.vm, result.sent_at, report)
+            self._drains.note_report(result.address, result.sent_at, report)
+            self._leaving.note_report(
+                result.address, report.instance, report.is_draining, result.sent_at
+            )
 
     def probe_targets(self):
         """Return name and address of the VMs that this node probes."""
