Keep incomplete groups placed where no domain has room

Placement left incomplete groups out and the domain freed them as surplus at once, so that in a running daemon the repair policy never decided to wait.

--- a/src/lynxlanding/groups/domain_capacity.py
+++ b/src/lynxlanding/groups/domain_capacity.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lynxlanding.groups import group_record
+
 
 @dataclasses.dataclass(slots=True)
 class DomainCapacity:
@@ -17,19 +19,22 @@
         Live VMs that belong to no group.
     groups : dict of str to int
         Groups that hold all their VMs, by specification.
+    incomplete : dict of str to int
+        Groups that lack a VM and that no spare completes, by specification.
     """
 
     name: str
     place: str
     free_vms: int
     groups: dict[str, int] = dataclasses.field(default_factory=dict)
+    incomplete: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def measure(domain, observations):
     """Return the capacity of a domain.
 
-    Groups that are being removed, or lack a VM that no spare replaces, do not count, so that
-    another domain with room takes their load.
+    Groups that are being removed do not count. Groups that lack a VM which no spare replaces are
+    counted apart, so that another domain with room takes their load.
 
     Parameters
     ----------
@@ -48,9 +53,12 @@
         if observation.is_alive:
             free_vms += 1
     groups = {}
+    incomplete = {}
     for group in domain.groups.values():
+        if group.state == group_record.INCOMPLETE:
+            incomplete[group.spec] = incomplete.get(group.spec, 0) + 1
         if not group.counts_as_placed:
             continue
         groups[group.spec] = groups.get(group.spec, 0) + 1
     place = max(sorted(places), key=places.get) if places else ""
-    return DomainCapacity(domain.name, place, free_vms, groups)
+    return DomainCapacity(domain.name, place, free_vms, groups, incomplete)
--- a/src/lynxlanding/groups/placement.py
+++ b/src/lynxlanding/groups/placement.py
@@ -11,7 +11,8 @@
 
     Groups that exist stay where they are. Further groups go to the place with the fewest groups
     of the specification, so that the loss of a data centre costs the fewest, and there to the
-    domain with the most free VMs.
+    domain with the most free VMs. Only where no domain has room does an incomplete group keep its
+    place, so that its repair policy decides about it.
 
     Parameters
     ----------
@@ -46,7 +47,9 @@
         while remaining > 0:
             best = _best_domain(entry, candidates, free_vms, by_place)
             if best is None:
-                unplaced[entry.spec] = remaining
+                remaining = _keep_incomplete(entry, candidates, allocation, remaining)
+                if remaining > 0:
+                    unplaced[entry.spec] = remaining
                 break
             held = allocation[best.name]
             held[entry.spec] = held.get(entry.spec, 0) + 1
@@ -77,6 +80,17 @@
     return remaining
 
 
+def _keep_incomplete(entry, candidates, allocation, remaining):
+    for domain in candidates:
+        kept = min(remaining, domain.incomplete.get(entry.spec, 0))
+        if kept == 0:
+            continue
+        held = allocation[domain.name]
+        held[entry.spec] = held.get(entry.spec, 0) + kept
+        remaining -= kept
+    return remaining
+
+
 def _best_domain(entry, candidates, free_vms, by_place):
     best = None
     best_key = None
