Stop nodes by the state machine of the drain package

The state machine counted requests in flight before the node refused new ones, so that a request accepted in between could have been cut off; it now counts again after the refusal.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -21,6 +21,7 @@
     node_state,
     view_source,
 )
+from lynxlanding.drain import node_stop
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
 from lynxlanding.membership import member
 from lynxlanding.operators import admin_app
@@ -147,12 +148,15 @@
 
     def _drain(self):
         drain = self._settings.drain
+        stop = node_stop.NodeStop(drain.unready_s, drain.limit_s)
         self._state.begin_drain()
-        time.sleep(drain.unready_s)
-        self._state.refuse_requests()
-        deadline = time.monotonic() + drain.limit_s
-        while self._state.in_flight > 0 and time.monotonic() < deadline:
+        stop.request_stop(time.monotonic())
+        while stop.advance(time.monotonic(), self._state.in_flight) != node_stop.STOPPED:
+            if not stop.accepts_requests:
+                self._state.refuse_requests()
             time.sleep(DRAIN_POLL_S)
+        if stop.cut_off:
+            _logger.warning("%d requests were in flight when the drain limit passed", stop.cut_off)
         remaining = self._claims.wait_written(OUTCOMES_LIMIT_S)
         if remaining:
             _logger.warning("%d outcomes of keyed requests were not written", remaining)
--- a/src/lynxlanding/drain/node_stop.py
+++ b/src/lynxlanding/drain/node_stop.py
@@ -53,11 +53,15 @@
             self._entered_at = now
 
     def advance(self, now, in_flight):
-        """Return the state at monotonic time ``now`` with ``in_flight`` requests."""
+        """Return the state at monotonic time ``now`` with ``in_flight`` requests.
+
+        Once the state is ``draining``, the caller refuses new requests before it counts again.
+        """
         if self._state == UNREADY and now - self._entered_at >= self._unready_s:
+            # ``in_flight`` was counted while requests were still accepted, so it says nothing yet.
             self._state = DRAINING
             self._entered_at = now
-        if self._state == DRAINING:
+        elif self._state == DRAINING:
             if in_flight == 0:
                 self._state = STOPPED
             elif now - self._entered_at >= self._limit_s:
--- a/src/lynxlanding/drain/tests/test_drain_schedules.py
+++ b/src/lynxlanding/drain/tests/test_drain_schedules.py
@@ -78,6 +78,16 @@
         assert _stop_node(seed, limit_s=drain_world.MAX_TIMEOUT_S) == (0, 0), f"seed {seed}"
 
 
+def test_planned_stop_counts_again_after_requests_are_refused():
+    """Guards against a request that is accepted between the count and the refusal (G7)."""
+    stop = node_stop.NodeStop(2.0, 10.0)
+    stop.request_stop(0.0)
+    assert stop.advance(2.0, 0) == node_stop.DRAINING
+    assert not stop.accepts_requests
+    assert stop.advance(2.1, 1) == node_stop.DRAINING
+    assert stop.advance(2.2, 0) == node_stop.STOPPED
+
+
 def test_planned_stop_cuts_with_a_limit_below_the_longest_deadline():
     """Shows that the schedules need the limit of at least the longest deadline."""
     cut = 0
