--- a/src/lynxlanding/observability/burn/tests/test_burn.py
+++ b/src/lynxlanding/observability/burn/tests/test_burn.py
@@ -15,6 +15,7 @@
     totals,
     writer,
 )
+from lynxlanding.observability.burn.tests import summaries
 from lynxlanding.platform import memory_store
 from lynxlanding.settings import daemon_settings
 
@@ -34,22 +35,6 @@
     return _counts(*events).to_document()
 
 
-def _summary(result, status=200, service="desk", **fields):
-    values = {
-        "error_type": "",
-        "executed": "",
-        "duration_s": 1.0,
-        "first_token_s": 0.1,
-        "tokens": 11,
-        "slow_gaps": 2,
-        "is_stream": True,
-        **fields,
-    }
-    return request_summary.RequestSummary(
-        request_id="r", workspace="w", service=service, result=result, status=status, **values
-    )
-
-
 @pytest.fixture
 def store():
     return memory_store.MemoryObjectStore()
@@ -64,7 +49,7 @@
 
 def _record(actor, count, result=request_summary.WHOLE, now=NOW):
     for _ in range(count):
-        actor.record_request(_summary(result, is_stream=False, tokens=0), now).get()
+        actor.record_request(summaries.make(result, is_stream=False, tokens=0), now).get()
 
 
 def _total(store, node="n1"):
@@ -226,38 +211,6 @@
     assert len(str(made.to_document())) < 300
 
 
-@pytest.mark.parametrize(
-    ("summary", "expected"),
-    [
-        (
-            _summary("whole"),
-            [("whole_answer", 1, 0), ("first_token", 1, 0), ("token_interval", 8, 2)],
-        ),
-        (
-            _summary("whole", first_token_s=0.7),
-            [("whole_answer", 1, 0), ("first_token", 0, 1), ("token_interval", 8, 2)],
-        ),
-        (_summary("whole", is_stream=False, tokens=0), [("whole_answer", 1, 0)]),
-        (
-            _summary("broken", tokens=1, slow_gaps=0),
-            [("whole_answer", 0, 1), ("first_token", 1, 0)],
-        ),
-        (
-            _summary("refused", 503, first_token_s=None, tokens=0),
-            [("whole_answer", 0, 1), ("first_token", 0, 1)],
-        ),
-        (_summary("refused", 429, first_token_s=None, tokens=0), []),
-        (_summary("abandoned", first_token_s=None, tokens=0, duration_s=0.5), []),
-        (
-            _summary("abandoned", first_token_s=None, tokens=0, duration_s=0.9),
-            [("whole_answer", 0, 1), ("first_token", 0, 1)],
-        ),
-    ],
-)
-def test_which_requests_are_good(summary, expected):
-    assert objectives.judge_request(summary, SETTINGS) == expected
-
-
 def test_group_seconds(actor):
     """4 groups for 10 s: one down, with 24 of its 32 accelerators stranded."""
     up = group_observation.GroupObservation("desk", "east", True, 32, 0)
--- a/src/lynxlanding/operators/lynxctl.py
+++ b/src/lynxlanding/operators/lynxctl.py
@@ -1,22 +1,19 @@
 """Command ``lynxctl``: queries and changes through the admin API of any node."""
 
-import getpass
 import json
 import pathlib
 import sys
 import time
 
 import click
-import numpy
-import urllib3
 
-from lynxlanding.configuration import change_ids, commit
+from lynxlanding.configuration import commit
 from lynxlanding.errors import operators as operator_errors
 from lynxlanding.errors import settings as settings_errors
 from lynxlanding.operators import (
     _burn_output,
+    _cli_support,
     admin_app,
-    admin_client,
     exit_codes,
     formatting,
 )
@@ -24,20 +21,6 @@
 from lynxlanding.settings import loading
 
 WATCH_INTERVAL_S = 1.0
-_CODE_BY_STATUS = {
-    400: exit_codes.INVALID,
-    422: exit_codes.INVALID,
-    409: exit_codes.CONFLICT,
-    503: exit_codes.NOT_ACCEPTED,
-}
-_ADVICE = {
-    "revision_conflict": "look at it with 'lynxctl history', adapt the file and apply it again",
-    "store_not_confirmed": "nothing was changed; try again when the store answers, or use another"
-    " --node",
-    "store_unavailable": "nothing was changed; try again later",
-    "store_rate_limited": "nothing was changed; try again later",
-    "invalid_object": "nothing was changed; correct the statement and apply the file again",
-}
 
 
 @click.group()
@@ -67,12 +50,12 @@
         for statement in parsing.parse_queries(text):
             evaluation.check(statement)
     except operator_errors.StatementError as e:
-        _fail(exit_codes.INVALID, str(e), _marked(text, e))
-    client = _client(settings)
+        _cli_support.fail(exit_codes.INVALID, str(e), _cli_support.marked(text, e))
+    client = _cli_support.client(settings)
     while True:
-        status, answer = _reach(client.query, text)
+        status, answer = _cli_support.reach(client.query, text)
         if not watch or status == 200:
-            _check(status, answer)
+            _cli_support.check(status, answer)
             _print_query(settings, answer)
         if not watch:
             return
@@ -89,26 +72,28 @@
 @click.pass_obj
 def apply(settings, file, dry_run, author, change_id, watch, watch_limit):
     """Apply the commands in FILE ("-" reads the input) as one change."""
-    text = _read(file)
+    text = _cli_support.read(file)
     try:
         parsing.parse_commands(text)
     except operator_errors.StatementError as e:
-        _fail(exit_codes.INVALID, f"{file.name}: {e}", _marked(text, e))
-    client = _client(settings)
+        _cli_support.fail(exit_codes.INVALID, f"{file.name}: {e}", _cli_support.marked(text, e))
+    client = _cli_support.client(settings)
     document = {
         "text": text,
-        "author": author or _login_name(),
-        "change_id": change_id or _new_change_id(),
+        "author": author or _cli_support.login_name(),
+        "change_id": change_id or _cli_support.new_change_id(),
         "dry_run": dry_run,
     }
     advice = f"repeat with --change-id {document['change_id']}; a repeat is applied only once"
     try:
-        status, answer = _reach(client.apply, document)
+        status, answer = _cli_support.reach(client.apply, document)
     except operator_errors.ChangeOutcomeUnknown as e:
-        _fail(exit_codes.OUTCOME_UNKNOWN, f"it is not known whether the change is in: {e}", advice)
+        _cli_support.fail(
+            exit_codes.OUTCOME_UNKNOWN, f"it is not known whether the change is in: {e}", advice
+        )
     except KeyboardInterrupt:
-        _fail(exit_codes.OUTCOME_UNKNOWN, "interrupted before the answer", advice)
-    _check(status, answer, f"{file.name}: ", text)
+        _cli_support.fail(exit_codes.OUTCOME_UNKNOWN, "interrupted before the answer", advice)
+    _cli_support.check(status, answer, f"{file.name}: ", text)
     _print_change(settings, answer)
     if watch and not dry_run:
         _wait_in_effect(client, answer["revision"], watch_limit)
@@ -119,8 +104,10 @@
 @click.pass_obj
 def history(settings, limit):
     """Show the last accepted changes, newest first."""
-    status, answer = _reach(_client(settings).read, f"history?limit={limit}")
-    _check(status, answer)
+    status, answer = _cli_support.reach(
+        _cli_support.client(settings).read, f"history?limit={limit}"
+    )
+    _cli_support.check(status, answer)
     if settings["output"] == "json":
         click.echo(json.dumps(answer, indent=1))
         return
@@ -143,29 +130,31 @@
 
     With --node, commands are also checked against the configuration of that node.
     """
-    text = _read(file)
+    text = _cli_support.read(file)
     if pathlib.Path(file.name).suffix in (".yaml", ".yml"):
         try:
             loading.load(file.name)
         except settings_errors.SettingsError as e:
-            _fail(exit_codes.INVALID, f"{file.name}: {e}", "correct this key and check again")
+            _cli_support.fail(
+                exit_codes.INVALID, f"{file.name}: {e}", "correct this key and check again"
+            )
         click.echo(f"{file.name}: settings are valid")
         return
     try:
         parsing.parse_commands(text)
     except operator_errors.StatementError as e:
-        _fail(exit_codes.INVALID, f"{file.name}: {e}", _marked(text, e))
+        _cli_support.fail(exit_codes.INVALID, f"{file.name}: {e}", _cli_support.marked(text, e))
     if not settings["nodes"]:
         click.echo(f"{file.name}: syntax is valid; give --node to check names against a node")
         return
     document = {
         "text": text,
-        "author": _login_name(),
-        "change_id": _new_change_id(),
+        "author": _cli_support.login_name(),
+        "change_id": _cli_support.new_change_id(),
         "dry_run": True,
     }
-    status, answer = _reach(_client(settings).apply, document)
-    _check(status, answer, f"{file.name}: ", text)
+    status, answer = _cli_support.reach(_cli_support.client(settings).apply, document)
+    _cli_support.check(status, answer, f"{file.name}: ", text)
     click.echo(f"{file.name}: valid against revision {answer['revision']}")
 
 
@@ -180,13 +169,15 @@
 @click.pass_obj
 def burn(settings, plot, check):
     """Show how fast each service-level objective uses up its error budget."""
-    status, answer = _reach(_client(settings).read, "burn")
-    _check(status, answer)
+    status, answer = _cli_support.reach(_cli_support.client(settings).read, "burn")
+    _cli_support.check(status, answer)
     if plot is not None:
         try:
             _burn_output.write_plot(answer, plot)
         except ImportError:
-            _fail(exit_codes.USAGE, "--plot needs matplotlib", "install lynxlanding[bench]")
+            _cli_support.fail(
+                exit_codes.USAGE, "--plot needs matplotlib", "install lynxlanding[bench]"
+            )
     if settings["output"] == "json":
         click.echo(json.dumps(answer, indent=1))
     else:
@@ -195,76 +186,6 @@
         sys.exit(exit_codes.ALERT)
 
 
-def _client(settings):
-    if not settings["nodes"]:
-        _fail(
-            exit_codes.USAGE,
-            "no node is given",
-            "pass --node http://HOST:PEER_PORT before the command, or set LYNXCTL_NODE",
-        )
-    for node in settings["nodes"]:
-        if not node.startswith(("http://", "https://")):
-            _fail(exit_codes.USAGE, f"--node {node} is not a URL", f"write http://{node}")
-    return admin_client.AdminClient(settings["nodes"], urllib3.PoolManager())
-
-
-def _read(file):
-    try:
-        return file.read()
-    except UnicodeDecodeError as e:
-        return _fail(
-            exit_codes.INVALID, f"{file.name} is not UTF-8 text: {e}", "save the file as UTF-8"
-        )
-
-
-def _new_change_id():
-    # The id carries its time, which bounds the search of the history for a repeat.
-    return change_ids.generate(time.time(), numpy.random.default_rng())
-
-
-def _login_name():
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError, ImportError):
-        return _fail(exit_codes.USAGE, "the login name is unknown", "pass --author NAME")
-
-
-def _reach(call, argument):
-    try:
-        return call(argument)
-    except operator_errors.NodeUnreachable as e:
-        return _fail(
-            exit_codes.UNREACHABLE,
-            f"no node answered: {e}",
-            "nothing was changed; check --node (it names the peer port) and try again",
-        )
-
-
-def _check(status, answer, prefix="", text=""):
-    if status == 200:
-        return
-    error = answer.get("error", {})
-    advice = _ADVICE.get(error.get("type"), "")
-    if error.get("type") == "statement_error" and text:
-        mistake = operator_errors.StatementError(error["line"], error["column"], "")
-        advice = _marked(text, mistake)
-    code = _CODE_BY_STATUS.get(status, exit_codes.UNEXPECTED)
-    _fail(code, prefix + error.get("message", f"status {status}"), advice)
-
-
-def _fail(code, message, advice=""):
-    click.echo(f"lynxctl: {message}", err=True)
-    if advice:
-        click.echo(advice, err=True)
-    sys.exit(code)
-
-
-def _marked(text, error):
-    lines = text.splitlines() or [""]
-    line = lines[min(error.line, len(lines)) - 1].replace("\t", " ")
-    return f"  {line}\n  {' ' * (error.column - 1)}^"
-
-
 def _print_query(settings, answer):
     if settings["output"] == "json":
         click.echo(json.dumps(answer, indent=1))
@@ -305,7 +226,7 @@
     started = time.monotonic()
     missing = ["all nodes"]
     while time.monotonic() - started < limit_s:
-        status, answer = _reach(
+        status, answer = _cli_support.reach(
             client.query, f"show node of nodes where revision < {revision} and state = live"
         )
         if status == 200:
@@ -314,7 +235,7 @@
                 click.echo(f"in effect on every live node after {time.monotonic() - started:.1f} s")
                 return
         time.sleep(0.2)
-    _fail(
+    _cli_support.fail(
         exit_codes.NOT_IN_EFFECT,
         f"revision {revision} is accepted, but not in effect after {limit_s:g} s on "
         + ", ".join(missing),
--- a/src/lynxlanding_bench/scenario/__init__.py
+++ b/src/lynxlanding_bench/scenario/__init__.py
@@ -2,7 +2,9 @@
 
 from lynxlanding_bench.scenario import (
     command,
+    counting,
     group_installation,
+    installation,
     load,
     observer,
     operator_client,
@@ -14,7 +16,9 @@
 
 __all__ = [
     "command",
+    "counting",
     "group_installation",
+    "installation",
     "load",
     "observer",
     "operator_client",
--- a/src/lynxlanding_bench/scenario/runner.py
+++ b/src/lynxlanding_bench/scenario/runner.py
@@ -9,10 +9,11 @@
 
 import urllib3
 
-from lynxlanding_bench import fleet, processes
+from lynxlanding_bench import processes
 from lynxlanding_bench.history import checker, reading, recorder
 from lynxlanding_bench.scenario import (
-    group_installation,
+    counting,
+    installation,
     load,
     observer,
     operator_client,
@@ -73,7 +74,7 @@
         self._timers = []
         options = scenario.options
         self._names = _GROUP_NAMES if options["vms"] else _NAMES
-        self._installation = _make_installation(running, options)
+        self._installation = installation.make(running, options)
         self._observer = observer.Observer(self._installation, self._recorder)
         self._actions = {
             steps.StartFleet: self._start,
@@ -102,7 +103,7 @@
         self._record_accepted_history()
         history = self._read_history()
         self.outcome.violations = checker.check(history)
-        self.outcome.counts = count(history)
+        self.outcome.counts = counting.count(history)
         self._recorder.close()
 
     def _start(self, step):
@@ -241,7 +242,7 @@
         return behind
 
     def _expect(self, step):
-        counts = count(self._read_history(), step.load)
+        counts = counting.count(self._read_history(), step.load)
         value = counts[step.metric]
         unit = ""
         if step.percent:
@@ -294,64 +295,3 @@
         if process.kind in (steps.ENGINE, steps.VM):
             return f"http://{processes.HOST}:{self._installation.engine_ports[process.index]}"
         return self._installation.daemon_url(process.index)
-
-
-def _make_installation(running, options):
-    engine_options = ("--token-interval-ms", options["token_interval"] * 1000)
-    if options["vms"]:
-        return group_installation.GroupInstallation(
-            running,
-            vms=int(options["vms"]),
-            group_vms=int(options["group_vms"]),
-            groups=int(options["groups"]),
-            daemons=int(options["nodes"]),
-            engine_options=engine_options,
-        )
-    return fleet.Fleet(
-        running,
-        daemons=int(options["nodes"]),
-        engines=int(options["engines"]),
-        engine_options=engine_options,
-        service_options=("--work-ms", options["service_time"] * 1000),
-    )
-
-
-def count(history, load_name=None):
-    """Return the metrics of a history, of one load or of all.
-
-    Parameters
-    ----------
-    history : History
-        The history.
-    load_name : str, optional
-        Name of the load that counts.
-    """
-    counts = dict.fromkeys(
-        (
-            "calls",
-            "whole",
-            "refused",
-            "broken",
-            "executed_no",
-            "executed_unknown",
-            "runs",
-            "accepted_changes",
-            "conflicts",
-        ),
-        0,
-    )
-    prefix = "" if load_name is None else f"{load_name}-"
-    for call, answer in history.answers_by_call():
-        if load_name is not None and call["load"] != load_name:
-            continue
-        counts["calls"] += 1
-        if answer is None:
-            continue
-        counts[answer["result"]] += 1
-        if answer["executed"] in ("no", "unknown"):
-            counts[f"executed_{answer['executed']}"] += 1
-    for record in history.of_event("run"):
-        counts["runs"] += record["reference"].startswith(prefix)
-    counts["accepted_changes"] = len(history.of_event("accepted"))
-    counts["conflicts"] = len(history.of_event("change_conflict"))
-    return counts
--- a/src/lynxlanding_bench/scenario/tests/test_documentation.py
+++ b/src/lynxlanding_bench/scenario/tests/test_documentation.py
@@ -4,7 +4,7 @@
 import re
 
 from lynxlanding_bench.history import history, violation
-from lynxlanding_bench.scenario import parsing, runner
+from lynxlanding_bench.scenario import counting, parsing
 
 PAGE = pathlib.Path(__file__).parents[4].joinpath("docs", "scenarios.md").read_text("utf-8")
 
@@ -19,5 +19,5 @@
     documented = set(re.findall(r"^\| (`[a-z_`, ]+`) \|", PAGE, flags=re.MULTILINE))
     names = {name for cell in documented for name in re.findall(r"`([a-z_]+)`", cell)}
     assert kinds <= names
-    for metric in runner.count(history.History([])):
+    for metric in counting.count(history.History([])):
         assert f"`{metric}`" in PAGE
