Add the endpoint view and the routing policies

Cause: the daemon needs a view that survives lagging reports, lost cache events, restarts and partial failures, and policies that choose from it.

The mean load and the set of usable endpoints are kept on every event, so a decision scans nothing; timers for evidence and ejections are in a heap. The load is the report plus the change of the node's own in-flight count since the measurement, with that count as a lower bound. Ruled out: counting only requests sent since the report, which counts finished requests until the next report; a probe by time alone, which costs a caller a timeout on a paused endpoint, so a probe needs a response to a poll first.

Checked: make test.

--- a/src/lynxlanding/routing/__init__.py
+++ b/src/lynxlanding/routing/__init__.py
@@ -1,5 +1,35 @@
 """Endpoint view and routing policies."""
 
-from lynxlanding.routing import routing_actor
+from lynxlanding.routing import (
+    attempt_result,
+    cache_index,
+    cache_report,
+    endpoint_member,
+    endpoint_pool,
+    endpoint_state,
+    endpoint_view,
+    hash_ring,
+    load_report,
+    policies,
+    policy,
+    prefix,
+    routing_actor,
+    ticket,
+)
 
-__all__ = ["routing_actor"]
+__all__ = [
+    "attempt_result",
+    "cache_index",
+    "cache_report",
+    "endpoint_member",
+    "endpoint_pool",
+    "endpoint_state",
+    "endpoint_view",
+    "hash_ring",
+    "load_report",
+    "policies",
+    "policy",
+    "prefix",
+    "routing_actor",
+    "ticket",
+]
