Expect as many unreported requests from the other nodes

Cause: nodes that see the same old reports prefer the same endpoints.

A score now adds to the own requests since the report as many for each other node, and cache holders are drawn at random instead of in the order of the index.

--- a/src/lynxlanding/routing/cache_index.py
+++ b/src/lynxlanding/routing/cache_index.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from lynxlanding.routing import cache_report
+from lynxlanding.routing import _sample_set, cache_report
 
 # 100,000 pairs take about 25 MB, a tenth of a node's memory target.
 MAX_PAIRS = 100_000
@@ -32,8 +32,8 @@
         return len(self._pairs)
 
     def holders(self, prefix):
-        """Return the addresses known to hold a prefix, oldest knowledge first."""
-        return self._holders.get(prefix, ())
+        """Return the set of addresses known to hold a prefix, with random draws; or None."""
+        return self._holders.get(prefix)
 
     def sequence(self, address):
         """Return the last sequence applied for an endpoint, 0 if none."""
@@ -78,7 +78,7 @@
             self._pairs.move_to_end(pair)
             return
         self._pairs[pair] = None
-        self._holders.setdefault(prefix, {})[address] = None
+        self._holders.setdefault(prefix, _sample_set.SampleSet()).add(address)
         self._prefixes.setdefault(address, set()).add(prefix)
         if len(self._pairs) > self._max_pairs:
             oldest_address, oldest_prefix = next(iter(self._pairs))
@@ -90,8 +90,8 @@
         del self._pairs[(address, prefix)]
         self._prefixes[address].discard(prefix)
         holders = self._holders[prefix]
-        del holders[address]
-        if not holders:
+        holders.discard(address)
+        if not len(holders):
             del self._holders[prefix]
 
     def _forget_prefixes(self, address):
--- a/src/lynxlanding/routing/endpoint_pool.py
+++ b/src/lynxlanding/routing/endpoint_pool.py
@@ -23,6 +23,7 @@
         self._ring = hash_ring.HashRing()
         self._total_load = 0
         self._total_slots = 0
+        self._node_count = 1
 
     def __len__(self):
         return len(self._members)
@@ -50,6 +51,15 @@
         """Sum of the slots of the usable endpoints."""
         return self._total_slots
 
+    @property
+    def node_count(self):
+        """Number of nodes that send requests to these endpoints."""
+        return self._node_count
+
+    @node_count.setter
+    def node_count(self, count):
+        self._node_count = max(1, count)
+
     @property
     def mean_load(self):
         """Mean load for each slot of the usable endpoints."""
@@ -60,7 +70,7 @@
         return self._members.values()
 
     def holders(self, prefix):
-        """Return the addresses known to hold a prefix."""
+        """Return the set of addresses known to hold a prefix, or None."""
         return self._cache.holders(prefix)
 
     def find_usable(self, address):
--- a/src/lynxlanding/routing/endpoint_state.py
+++ b/src/lynxlanding/routing/endpoint_state.py
@@ -79,14 +79,27 @@
         estimate = self.reported + self.in_flight - self._own_at_measurement
         return max(estimate, self.in_flight)
 
+    @property
+    def unreported(self):
+        """Own requests that the last report does not include yet."""
+        return max(0, self.in_flight - self._own_at_measurement)
+
     @property
     def is_leaving(self):
         """Whether any source says that the endpoint is leaving."""
         return bool(self.leaving_sources)
 
-    def score(self, now):
+    def projected_load(self, node_count):
+        """Return the load with what the other nodes are expected to have sent.
+
+        All nodes see the same old reports and apply the same policy, so each of the others is
+        expected to have sent as many requests there since the report as this one.
+        """
+        return self.load + (node_count - 1) * self.unreported
+
+    def score(self, node_count, now):
         """Return the cost of one more request; lower is better."""
-        return (self.load + 1) / self.slots * self.straggler_factor(now)
+        return (self.projected_load(node_count) + 1) / self.slots * self.straggler_factor(now)
 
     def straggler_factor(self, now):
         """Return by how much the endpoint is slower than typical; 1 for endpoints in the norm."""
--- a/src/lynxlanding/routing/endpoint_view.py
+++ b/src/lynxlanding/routing/endpoint_view.py
@@ -35,6 +35,7 @@
         self._pools = {}
         self._cache = cache_index.CacheIndex()
         self._timers = []
+        self._node_count = 1
 
     @property
     def cache(self):
@@ -53,6 +54,12 @@
         """Return the pool of a service, or of its endpoints with an adapter loaded; or None."""
         return self._pools.get((service, adapter))
 
+    def set_node_count(self, count):
+        """Set the number of nodes that send requests to the same endpoints."""
+        self._node_count = count
+        for pool in self._pools.values():
+            pool.node_count = count
+
     def set_members(self, service, members, now):
         """Replace the configured members of a service.
 
@@ -265,6 +272,7 @@
         key = (service, adapter)
         if key not in self._pools:
             self._pools[key] = endpoint_pool.EndpointPool(self._cache)
+            self._pools[key].node_count = self._node_count
         return self._pools[key]
 
     def _move_between_adapters(self, state, old, new):
--- a/src/lynxlanding/routing/least_loaded_policy.py
+++ b/src/lynxlanding/routing/least_loaded_policy.py
@@ -15,7 +15,7 @@
         for state in pool.candidates:
             if state.address in request.excluded:
                 continue
-            score = state.score(now)
+            score = state.score(pool.node_count, now)
             if best_score is None or score < best_score:
                 best = [state]
                 best_score = score
--- a/src/lynxlanding/routing/prefix_affinity_policy.py
+++ b/src/lynxlanding/routing/prefix_affinity_policy.py
@@ -1,5 +1,7 @@
 """Prefix affinity with a load bound."""
 
+import itertools
+
 from lynxlanding.routing import prefix, two_choices_policy
 
 LOAD_BOUND = 1.25
@@ -8,8 +10,8 @@
 # Points visited before the ring is given up; also bounds the cost while many are unusable.
 MAX_RING_POINTS = 32
 
-# Endpoints outside of the ring candidates that are considered because they hold the prefix.
-MAX_HOLDERS = 4
+# Holders of the prefix outside of the ring candidates that are drawn.
+HOLDER_DRAWS = 2
 
 
 class PrefixAffinityPolicy:
@@ -35,40 +37,40 @@
     def choose(self, pool, request, now, random_state):
         """Return an endpoint that probably has the prefix cached, or None."""
         if request.prefix is not None:
-            preferred = self._choose_preferred(pool, request, now)
+            preferred = self._choose_preferred(pool, request, now, random_state)
             if preferred is not None:
                 return preferred
         return self._fallback.choose(pool, request, now, random_state)
 
-    def _choose_preferred(self, pool, request, now):
-        holders = pool.holders(request.prefix) if self._use_cache_events else ()
-        first = None
-        count = 0
-        for state in pool.walk_ring(prefix.ring_hash(request.prefix), MAX_RING_POINTS):
-            if state.address in request.excluded:
-                continue
-            count += 1
-            if self._is_below_bound(pool, state, now):
-                if state.address in holders:
-                    return state
-                if first is None:
-                    first = state
-            if count == RING_CANDIDATES:
-                break
-        considered = 0
-        for address in holders:
-            considered += 1
-            if considered > MAX_HOLDERS:
-                break
-            state = pool.find_usable(address)
-            if state is None or address in request.excluded:
+    def _choose_preferred(self, pool, request, now, random_state):
+        holders = pool.holders(request.prefix) if self._use_cache_events else None
+        best = None
+        best_key = None
+        for state, holds in self._candidates(pool, request, holders, random_state):
+            if state.address in request.excluded or not self._is_below_bound(pool, state, now):
                 continue
-            if self._is_below_bound(pool, state, now):
-                return state
-        return first
+            # Among the candidates, one that holds the prefix is taken first, then the less loaded.
+            key = (not holds, state.score(pool.node_count, now))
+            if best is None or key < best_key:
+                best = state
+                best_key = key
+        return best
+
+    def _candidates(self, pool, request, holders, random_state):
+        on_ring = pool.walk_ring(prefix.ring_hash(request.prefix), MAX_RING_POINTS)
+        for state in itertools.islice(on_ring, RING_CANDIDATES):
+            yield state, holders is not None and state.address in holders
+        if holders is None:
+            return
+        # Random draws, because nodes that take the holders in the same order overload the first.
+        for _ in range(HOLDER_DRAWS):
+            state = pool.find_usable(holders.draw(random_state))
+            if state is not None:
+                yield state, True
 
     def _is_below_bound(self, pool, state, now):
         # One request is added on both sides, so that an idle pool has room on every endpoint.
         mean = (pool.total_load + 1) / pool.total_slots
         limit = max(1.0, self._load_bound * mean * state.slots)
-        return state.load + 1 <= limit + 1e-9 and state.straggler_factor(now) == 1.0
+        load = state.projected_load(pool.node_count) + 1
+        return load <= limit + 1e-9 and state.straggler_factor(now) == 1.0
--- a/src/lynxlanding/routing/two_choices_policy.py
+++ b/src/lynxlanding/routing/two_choices_policy.py
@@ -16,4 +16,5 @@
         if first is None:
             return None
         second = _sampling.draw_candidate(candidates, request.excluded, random_state)
-        return first if first.score(now) <= second.score(now) else second
+        count = pool.node_count
+        return first if first.score(count, now) <= second.score(count, now) else second
