--- a/src/lynxlanding/admission/__init__.py
+++ b/src/lynxlanding/admission/__init__.py
@@ -1,1 +1,23 @@
-"""Admission queue, deadlines and workspace shares."""
+"""Admission of requests: queue, deadlines, priorities and workspace shares."""
+
+from lynxlanding.admission import (
+    admission_controller,
+    admission_queue,
+    admission_request,
+    decision,
+    rate_meter,
+    share_slices,
+    token_bucket,
+    workspace_shares,
+)
+
+__all__ = [
+    "admission_controller",
+    "admission_queue",
+    "admission_request",
+    "decision",
+    "rate_meter",
+    "share_slices",
+    "token_bucket",
+    "workspace_shares",
+]
