Add experiments for routing and admission

lynx-bench routing-policies, routing-cost, overload and shares drive the decision modules with a seeded event loop of engine models.

--- a/src/lynxlanding_bench/event_loop.py
+++ b/src/lynxlanding_bench/event_loop.py
@@ -16,11 +16,14 @@
         """Present time of the trial, seconds."""
         return self._now
 
+    def at(self, moment, function, *arguments):
+        """Call a function at a time, in seconds."""
+        self._serial += 1
+        heapq.heappush(self._events, (moment, self._serial, function, arguments))
+
     def after(self, delay_s, function, *arguments):
         """Call a function after a delay."""
-        self._serial += 1
-        event = (self._now + delay_s, self._serial, function, arguments)
-        heapq.heappush(self._events, event)
+        self.at(self._now + delay_s, function, *arguments)
 
     def run_until(self, end):
         """Run the events up to a time."""
--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -9,9 +9,13 @@
     group_repair,
     idle_cost,
     node_load,
+    overload_experiment,
     propagation_time,
     request_costs,
     result_file,
+    routing_cost_experiment,
+    routing_experiment,
+    shares_experiment,
 )
 from lynxlanding_bench.scenario import command
 
@@ -33,3 +37,7 @@
 main.add_command(command.scenarios)
 main.add_command(propagation_time.command)
 main.add_command(request_costs.command)
+main.add_command(routing_experiment.routing_policies)
+main.add_command(routing_cost_experiment.routing_cost)
+main.add_command(overload_experiment.overload)
+main.add_command(shares_experiment.shares)
--- /dev/null
+++ b/src/lynxlanding_bench/shares_experiment.py
@@ -0,0 +1,48 @@
+"""Experiment: what a small workspace gets beside one that sends ten times its share."""
+
+import concurrent.futures
+
+import click
+
+from lynxlanding_bench import result_file, shares_run
+
+SMALL_FLEET = 9
+LARGE_FLEET = 410
+TRAFFIC_AND_PARTITION = (
+    ("even", False),
+    ("uneven", False),
+    ("moving", False),
+    ("uneven", True),
+    ("moving", True),
+)
+
+
+@click.command("shares")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--workers", default=4, show_default=True, help="Processes that run cases.")
+def shares(seed, workers):
+    """Measure shares on 9 and 410 nodes, with uneven traffic and during a partition."""
+    cases = [shares_run.SharesCase(SMALL_FLEET, 400.0, with_shares=False, seed=seed)]
+    for nodes, capacity in ((SMALL_FLEET, 400.0), (LARGE_FLEET, 2000.0)):
+        for traffic, partition in TRAFFIC_AND_PARTITION:
+            # The partition starts 5 s after the warm-up; slices are shared again after 30 s.
+            measure_s = 70.0 if partition else 40.0
+            cases.append(
+                shares_run.SharesCase(
+                    nodes, capacity, partition, traffic, measure_s=measure_s, seed=seed
+                )
+            )
+    with concurrent.futures.ProcessPoolExecutor(workers) as executor:
+        rows = list(executor.map(_run, cases))
+    settings = {
+        "small_owed": shares_run.SMALL_OWED,
+        "large_owed": shares_run.LARGE_OWED,
+        "large_sends_over_owed": 10,
+        "window_s": shares_run.WINDOW_S,
+        "timeout_s": shares_run.TIMEOUT_S,
+    }
+    result_file.save("shares", seed, settings, rows)
+
+
+def _run(case):
+    return shares_run.SharesRun(case).run()
