Route by the endpoint view in the daemon

Cause: the daemon chose the endpoint with the fewest own requests.

Requests in flight are counted apart from the view, so a leaving endpoint is not released early. Engines of groups are drained and taken back by the domain's owner, so their own report is not used.

Checked: pytest of routing and requests.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -35,7 +35,7 @@
     request_runner,
 )
 from lynxlanding.retry import retry_actor
-from lynxlanding.routing import routing_actor
+from lynxlanding.routing import endpoint_poller, routing_actor
 
 DRAIN_POLL_S = 0.05
 # Outcomes that are not in the store when the process ends are lost to repeats, which then get
@@ -63,7 +63,17 @@
         self._store = http_store.HttpObjectStore(
             settings.platform.object_api, urllib3.PoolManager(maxsize=16)
         )
-        self._router = routing_actor.RoutingActor.start().proxy()
+        self._random_state = np.random.default_rng(settings.seed)
+        self._router = routing_actor.RoutingActor.start(
+            settings.routing.policy,
+            np.random.default_rng(self._random_state.integers(1 << 32)),
+            1 + len(settings.membership.peers),
+        ).proxy()
+        self._poller = endpoint_poller.EndpointPoller(
+            self._router,
+            urllib3.PoolManager(num_pools=4000, maxsize=1),
+            settings.routing.report_interval_s,
+        )
         vms = None
         if settings.platform.vm_list is not None:
             vms = vm_list.HttpVmList(settings.platform.vm_list, urllib3.PoolManager())
@@ -74,7 +84,6 @@
             settings, self._store, self._router, self._control.membership
         )
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
-        self._random_state = np.random.default_rng(settings.seed)
         self._owner_lookup = member_lookup.MemberLookup(
             owner_lookup.HttpOwnerLookup(urllib3.PoolManager(maxsize=16))
         )
@@ -129,6 +138,7 @@
         threading.Thread(target=self._collect_claims, daemon=True).start()
         threading.Thread(target=self._follow_members, daemon=True).start()
         self._domain_loop.start()
+        self._poller.start()
         self._group_watch.start()
         self._stop.wait()
         self._observability.begin_stop()
@@ -136,6 +146,7 @@
         self._control.stop()
         self._group_watch.stop()
         self._domain_loop.stop()
+        self._poller.stop()
         for server in servers:
             server.close()
         self._observability.stop()
--- a/src/lynxlanding/requests/request_run.py
+++ b/src/lynxlanding/requests/request_run.py
@@ -53,6 +53,7 @@
         self._attempt_id = None
         self._failed_addresses = []
         self._sent_at = None
+        self._first_token_s = None
 
     def run(self):
         """Return status, headers and body.
@@ -101,6 +102,7 @@
     def _attempt(self, decision):
         request = self._request
         self._attempt_id = decision.attempt_id
+        self._first_token_s = None
         self._address = self._router.choose(request, tuple(self._failed_addresses)).get()
         if self._address is None:
             self._refuse(self._execution.on_no_endpoint(time.monotonic()))
@@ -170,7 +172,7 @@
         finally:
             # Also when the caller has left, which closes this generator.
             response.chunks.close()
-            self._release(failed=False)
+            self._release(failed=False, succeeded=False)
             request_metrics.DUPLICATE_EVENTS.add(self._execution.duplicates)
 
     def _reopen(self, decision):
@@ -196,6 +198,7 @@
                 forward = self._execution.on_events(self._attempt_id, splitter.feed(chunk))
                 if is_first and forward.events:
                     is_first = False
+                    self._first_token_s = time.monotonic() - self._sent_at
                     self._record_time()
                 if forward.events:
                     if forward.done:
@@ -239,15 +242,23 @@
         request_metrics.ATTEMPTS.add(1, {"result": "ok"})
         if not is_recorded:
             self._record_time()
+            if self._request.target_kind == caller_request.SERVICE:
+                self._first_token_s = time.monotonic() - self._sent_at
         self._release(failed=False)
 
     def _record_time(self):
         self._retry.record_success(self._target, time.monotonic() - self._sent_at)
 
-    def _release(self, failed):
+    def _release(self, failed, succeeded=True):
         if self._address is None:
             return
-        self._router.release(self._request.request_id, self._address, failed=failed)
+        self._router.release(
+            self._request.request_id,
+            self._address,
+            failed=failed,
+            first_token_s=self._first_token_s,
+            succeeded=succeeded,
+        )
         self._address = None
 
 
--- a/src/lynxlanding/routing/endpoint_member.py
+++ b/src/lynxlanding/routing/endpoint_member.py
@@ -18,9 +18,12 @@
         evidence of the group is valid.
     epoch : int or None
         Epoch of the group that it must report.
+    needs_evidence : bool
+        Whether it is used only while serving evidence is valid, also without ``group``.
     """
 
     address: str
     model: str | None = None
     group: str | None = None
     epoch: int | None = None
+    needs_evidence: bool = False
--- a/src/lynxlanding/routing/endpoint_state.py
+++ b/src/lynxlanding/routing/endpoint_state.py
@@ -19,6 +19,9 @@
 
 MAX_STRAGGLER_FACTOR = 20.0
 
+# Assumed until the first report.
+DEFAULT_SLOTS = 16
+
 # Weight of one observation in the moving average of the time to first token.
 FIRST_TOKEN_WEIGHT = 0.2
 
@@ -39,7 +42,7 @@
     typical: object
     generation: int = 0
     instance: str | None = None
-    slots: int = 1
+    slots: int = DEFAULT_SLOTS
     reported: int = 0
     measured_at: float = -math.inf
     model: str | None = None
--- a/src/lynxlanding/routing/endpoint_view.py
+++ b/src/lynxlanding/routing/endpoint_view.py
@@ -14,6 +14,8 @@
     ticket,
 )
 
+OWN_REPORT = "own_report"
+
 
 class EndpointView:
     """All endpoints that a node knows, and the pools that policies choose from.
@@ -42,6 +44,10 @@
         """Index of cached prefixes."""
         return self._cache
 
+    def services(self):
+        """Return the names of the services with members."""
+        return list(self._services)
+
     def states(self):
         """Return the states of all endpoints."""
         return self._states.values()
@@ -114,11 +120,13 @@
         with self._load_change(state):
             if state.instance is not None and report.instance != state.instance:
                 state.restart(report.instance)
+                # What the earlier instance said of itself does not apply to this one.
+                state.leaving_sources.discard(OWN_REPORT)
                 self._cache.discard(report.address)
             state.instance = report.instance
             state.take_report(report)
         if report.draining and report.measured_at > state.leaving_ended_at:
-            state.leaving_sources.add("load")
+            state.leaving_sources.add(OWN_REPORT)
         if report.adapters != old_adapters:
             self._move_between_adapters(state, set(old_adapters), set(report.adapters))
         self._refresh(state, now)
@@ -237,12 +245,10 @@
             return False
         if member.model is not None and state.model not in (None, member.model):
             return False
-        if member.group is not None:
-            if (state.group, state.epoch) != (member.group, member.epoch):
-                return False
-            if state.serving_until <= now:
-                return False
-        return True
+        reported = (state.group, state.epoch)
+        if member.group is not None and reported != (member.group, member.epoch):
+            return False
+        return not _needs_evidence(member) or state.serving_until > now
 
     def _refresh(self, state, now):
         is_in_service = self._is_in_service(state, now)
@@ -250,7 +256,7 @@
         for pool in state.pools:
             pool.set_usable(state, is_in_service and is_admitted, is_in_service and not is_admitted)
         due = self._ejection.next_check(state, now)
-        if is_in_service and state.member.group is not None:
+        if is_in_service and _needs_evidence(state.member):
             due = min(due, state.serving_until)
         if due < math.inf and (state.timer_at is None or due < state.timer_at):
             state.timer_at = due
@@ -283,3 +289,7 @@
                 self._pools[(service, adapter)].update_members([], [state])
             for adapter in new - old:
                 self._find_or_create_pool(service, adapter).update_members([state], [])
+
+
+def _needs_evidence(member):
+    return member.needs_evidence or member.group is not None
--- /dev/null
+++ b/src/lynxlanding/routing/tests/test_routing_actor.py
@@ -0,0 +1,106 @@
+import json
+import math
+import time
+
+import pytest
+
+from lynxlanding.groups import group_endpoint
+from lynxlanding.requests import caller_request
+from lynxlanding.routing import endpoint_poller, poll_result, prefix, routing_actor
+from lynxlanding.routing.tests import view_builder
+
+A, B = view_builder.addresses(2)
+TARGET = (caller_request.MODEL, "m")
+
+
+def _request(request_id="r1", prompt=b""):
+    return caller_request.CallerRequest(
+        request_id,
+        "w",
+        *TARGET,
+        "POST",
+        "/v1/completions",
+        {},
+        b"",
+        0.0,
+        math.inf,
+        True,
+        None,
+        5,
+        True,
+        prompt,
+    )
+
+
+@pytest.fixture
+def router():
+    reference = routing_actor.RoutingActor.start()
+    yield reference.proxy()
+    reference.stop()
+
+
+def test_counts_outlive_the_membership(router):
+    """Guards against releasing a VM whose requests are in flight after its group has left."""
+    router.set_group_endpoints(
+        [group_endpoint.GroupEndpoint(A, "m", "g", math.inf)], frozenset()
+    ).get()
+    assert router.choose(_request()).get() == A
+    router.set_group_endpoints([], frozenset([A])).get()
+    assert router.choose(_request("r2")).get() is None
+    assert router.in_flight().get() == {A: 1}
+    router.release("r1", A, failed=False).get()
+    assert router.in_flight().get() == {}
+
+
+def test_group_is_not_used_after_its_evidence_expired(router):
+    """Guards against a paused node that routes by evidence from before the pause."""
+    valid_until = time.monotonic() + 0.2
+    endpoint = group_endpoint.GroupEndpoint(A, "m", "g", valid_until)
+    router.set_group_endpoints([endpoint], frozenset()).get()
+    assert router.choose(_request()).get() == A
+    time.sleep(max(0.0, valid_until - time.monotonic()) + 0.01)
+    assert router.choose(_request("r2")).get() is None
+
+
+def test_leaving_endpoint_is_used_again_after_an_accepted_change(router):
+    """Guards against an endpoint that stays unused after its drain was taken back."""
+    router.set_endpoints({TARGET: [A]}).get()
+    router.set_group_endpoints([], frozenset([A])).get()
+    assert router.choose(_request()).get() is None
+    router.set_group_endpoints([], frozenset()).get()
+    assert router.choose(_request()).get() == A
+
+
+def test_unreachable_endpoint_is_avoided(router):
+    """Guards against polls that fail without any effect on routing."""
+    router.set_endpoints({TARGET: [A, B]}).get()
+    for _ in range(3):
+        router.apply_polls([poll_result.PollResult(A, is_reachable=False)]).get()
+    chosen = {router.choose(_request(f"r{number}")).get() for number in range(20)}
+    assert chosen == {B}
+
+
+def test_prompt_key_is_that_of_the_cache_events():
+    """Guards against keys that never match what engines publish."""
+    text = "Quote for «arpa» " + "x" * 400
+    expected = prefix.prefix_key(text[: prefix.PREFIX_CHARACTERS])
+    assert prefix.key_of_prompt(json.dumps(text).encode()) == expected
+    messages = json.dumps([{"role": "user", "content": text}])
+    assert prefix.key_of_prompt(messages.encode()) == prefix.prefix_key(messages)
+    assert prefix.key_of_prompt(b"") is None
+
+
+@pytest.mark.parametrize(
+    "document", [None, [], {}, {"instance": "i", "slots": "many", "running": 0, "queued": 0}]
+)
+def test_malformed_reports_are_dropped(document):
+    """Guards against a broken endpoint stopping the polls of all others."""
+    assert endpoint_poller.parse_load(A, document, 1.0, 1.0) is None
+    assert endpoint_poller.parse_cache(A, document, "i") is None
+
+
+def test_report_age_is_bounded():
+    """Guards against an endpoint's clock that differs making its reports useless."""
+    document = {"instance": "i", "slots": 8, "running": 1, "queued": 2, "reported_at": 2000.0}
+    assert endpoint_poller.parse_load(A, document, 50.0, 1000.0).measured_at == 50.0
+    assert endpoint_poller.parse_load(A, document, 50.0, 2000.5).measured_at == 49.5
