Admit requests through queues and shares in the daemon

Cause: the daemon sent every request on at once.

The gateway asks the AdmissionActor once for each request; one that waits gets a second message. A timer reads the slots of the usable endpoints four times a second and exchanges demand through the published entries of membership; rates that changed by less than 10% are not published. Tokens are charged when a stream ends.

--- a/src/lynxlanding/admission/__init__.py
+++ b/src/lynxlanding/admission/__init__.py
@@ -1,7 +1,10 @@
 """Admission of requests: queue, deadlines, priorities and workspace shares."""
 
 from lynxlanding.admission import (
+    admission_actor,
     admission_controller,
+    admission_gate,
+    admission_metrics,
     admission_queue,
     admission_request,
     decision,
@@ -12,7 +15,10 @@
 )
 
 __all__ = [
+    "admission_actor",
     "admission_controller",
+    "admission_gate",
+    "admission_metrics",
     "admission_queue",
     "admission_request",
     "decision",
--- a/src/lynxlanding/admission/share_slices.py
+++ b/src/lynxlanding/admission/share_slices.py
@@ -122,23 +122,31 @@
                 self._state = FROZEN
         slices = {}
         count = len(self._peers) + 1
+        unheard = sum(peer.heard_at == -math.inf for peer in self._peers.values())
         for key, owed in self._owed.items():
-            if self._state == FROZEN:
+            if self._state == FROZEN and key[1] != SLOTS:
                 floor = 1.0 / (_slice_split.FLOOR_DIVISOR * count)
                 slices[key] = owed * self._fractions.get(key, floor)
                 continue
-            demands = self._demands(own_demand, key)
             if key[1] == SLOTS:
-                excess = self._demands(own_demand, (key[0], EXCESS))
-                slices[key] = _slice_split.split_slots(owed, demands, excess, 0)
-            else:
-                slices[key] = _slice_split.split(owed, demands, 0)
+                # Slots are not owed to anybody: the part of a silent node goes to the others at
+                # once, because its callers do so too. The endpoints refuse what is too much.
+                # A node that was never heard keeps an equal part, so that nodes that start together
+                # do not each take all slots.
+                demands = self._demands(own_demand, key, now)
+                excess = self._demands(own_demand, (key[0], EXCESS), now)
+                available = owed * (count - unheard) / count
+                slices[key] = _slice_split.split_slots(available, demands, excess, 0)
+                continue
+            slices[key] = _slice_split.split(owed, self._demands(own_demand, key), 0)
             if owed > 0:
                 self._fractions[key] = slices[key] / owed
         return slices
 
-    def _demands(self, own_demand, key):
+    def _demands(self, own_demand, key, heard_until=None):
         demands = [own_demand.get(key, 0.0)]
         for peer in self._peers.values():
+            if heard_until is not None and heard_until - peer.heard_at > self._freeze_after_s:
+                continue
             demands.append(peer.demand.get(key, 0.0))
         return demands
--- /dev/null
+++ b/src/lynxlanding/admission/tests/test_admission_gate.py
@@ -0,0 +1,128 @@
+import math
+import threading
+import time
+
+import numpy
+import pytest
+
+from lynxlanding.admission import admission_actor, admission_gate
+from lynxlanding.errors import request as request_errors
+from lynxlanding.requests import caller_request
+
+POOL = "model:m"
+
+
+def _request(request_id, timeout_s=30.0, has_caller_left=lambda: False):
+    return caller_request.CallerRequest(
+        request_id,
+        "w",
+        caller_request.MODEL,
+        "m",
+        "POST",
+        "/v1/completions",
+        {},
+        b"",
+        0.0,
+        time.monotonic() + timeout_s,
+        True,
+        None,
+        5,
+        True,
+        b"",
+        has_caller_left,
+    )
+
+
+@pytest.fixture
+def admission():
+    reference = admission_actor.AdmissionActor.start("n0", numpy.random.default_rng(1))
+    yield reference.proxy()
+    reference.stop()
+
+
+def _gate(admission, slots=1):
+    admission.set_pool_slots({POOL: slots}).get()
+    return admission_gate.AdmissionGate(admission, lambda: {POOL: slots})
+
+
+def _fill(gate, count=2):
+    for number in range(count):
+        gate.enter(_request(f"running{number}"))
+
+
+def _enter_in_thread(gate, request):
+    result = []
+
+    def run():
+        try:
+            gate.enter(request)
+            result.append("admitted")
+        except request_errors.RequestError as e:
+            result.append(e)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread, result
+
+
+def test_queued_request_enters_when_another_leaves(admission):
+    """Guards against a waiting caller that is never told of its admission."""
+    gate = _gate(admission)
+    _fill(gate)
+    thread, result = _enter_in_thread(gate, _request("waiting"))
+    time.sleep(0.05)
+    assert result == []
+    gate.leave("running0")
+    thread.join(5.0)
+    assert result == ["admitted"]
+
+
+def test_request_that_cannot_be_served_in_time_is_refused_at_once(admission):
+    """Guards against a caller that waits for a refusal."""
+    gate = _gate(admission)
+    _fill(gate)
+    started_at = time.monotonic()
+    with pytest.raises(request_errors.ShareExceeded) as caught:
+        gate.enter(_request("late", timeout_s=0.5))
+    assert time.monotonic() - started_at < 0.4
+    assert caught.value.executed == request_errors.EXECUTED_NO
+    assert caught.value.retry_after_s >= 1.0
+
+
+def test_waiting_caller_that_leaves_frees_its_place(admission):
+    """Guards against a queue full of callers that have hung up."""
+    gate = _gate(admission)
+    _fill(gate)
+    left = threading.Event()
+    thread, result = _enter_in_thread(gate, _request("gone", has_caller_left=left.is_set))
+    time.sleep(0.05)
+    left.set()
+    thread.join(5.0)
+    assert isinstance(result[0], request_errors.Overloaded)
+    assert admission.status().get()["pools"][POOL][0] == 0
+
+
+def test_streamed_tokens_are_charged(admission):
+    """Guards against a workspace that is owed tokens/s and is never above its share."""
+    gate = _gate(admission, slots=1)
+    admission.set_owed({("w", "tokens"): 10.0}).get()
+    gate.enter(_request("first"))
+    gate.leave("first", tokens=10_000)
+    _fill(gate, 1)
+    with pytest.raises(request_errors.ShareExceeded):
+        gate.enter(_request("second", timeout_s=0.1))
+        gate.enter(_request("third", timeout_s=0.1))
+
+
+def test_no_endpoint_is_refused_as_such(admission):
+    """Guards against a misleading refusal while no endpoint exists."""
+    gate = _gate(admission, slots=0)
+    with pytest.raises(request_errors.NoEndpoint):
+        gate.enter(_request("r"))
+
+
+def test_malformed_demand_of_another_node_is_ignored(admission):
+    """Guards against a node of another version stopping admission."""
+    admission.hear(["n1"], {"n1": [["w"], "x", ["w", "requests", "many"], ["w", "requests", 1]]})
+    admission.hear(["n1"], {"n1": {"w": math.inf}}).get()
+    assert admission.status().get()["slices"] == "shared"
--- a/src/lynxlanding/admission/tests/test_shares.py
+++ b/src/lynxlanding/admission/tests/test_shares.py
@@ -273,3 +273,23 @@
     order.start(sorted(waiting)[89][0])
     # A workspace that was idle is next, but gets no credit for the past.
     assert order.tag("other", 1.0) == pytest.approx(sorted(waiting)[89][0] + 1.0)
+
+
+def test_slots_of_a_silent_node_are_used_at_once():
+    """Guards against a node that refuses the callers of a node that was killed."""
+    slices = share_slices.ShareSlices("n0")
+    slices.set_owed({("pool", share_slices.SLOTS): 40.0})
+    slices.hear("n1", {("pool", share_slices.EXCESS): 90.0}, 0.0)
+    own = {("pool", share_slices.EXCESS): 10.0}
+    assert slices.update(own, 1.0)[("pool", share_slices.SLOTS)] == pytest.approx(5.0)
+    assert slices.update(own, 16.0)[("pool", share_slices.SLOTS)] == pytest.approx(40.0)
+
+
+def test_nodes_that_start_together_share_the_slots():
+    """Guards against every node of a starting fleet filling all slots."""
+    slices = share_slices.ShareSlices("n0")
+    slices.set_owed({("pool", share_slices.SLOTS): 40.0})
+    for number in range(1, 4):
+        slices.expect_node(f"n{number}", 0.0)
+    own = {("pool", share_slices.EXCESS): 10.0}
+    assert slices.update(own, 1.0)[("pool", share_slices.SLOTS)] == pytest.approx(10.0)
--- a/src/lynxlanding/admission/workspace_shares.py
+++ b/src/lynxlanding/admission/workspace_shares.py
@@ -54,6 +54,8 @@
 
     def correct_tokens(self, workspace, difference, now):
         """Charge the difference between actual and expected tokens of a request within share."""
+        if difference > 0:
+            self._observe((workspace, TOKENS), difference, now)
         bucket = self._buckets.get((workspace, TOKENS))
         if bucket is not None:
             bucket.take(difference, now)
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -10,7 +10,9 @@
 import pykka
 import urllib3
 
+from lynxlanding.admission import admission_actor, admission_gate
 from lynxlanding.daemon import (
+    admission_loop,
     configuration_access,
     control_plane,
     domain_wiring,
@@ -80,6 +82,12 @@
         self._control = control_plane.ControlPlane(
             settings, self._store, vms, self._apply, self._state.set_configuration_status
         )
+        self._admission = admission_actor.AdmissionActor.start(
+            settings.node_id, np.random.default_rng(self._random_state.integers(1 << 32))
+        ).proxy()
+        self._admission_loop = admission_loop.AdmissionLoop(
+            self._admission, self._router, self._control.membership
+        )
         self._domain_loop = domain_wiring.make_loop(
             settings, self._store, self._router, self._control.membership
         )
@@ -114,6 +122,7 @@
             runner,
             self._observability.request_observer,
             self._observability.metrics,
+            admission_gate.AdmissionGate(self._admission, self._admission_loop.read_slots),
         )
         self._peer_app = peer_app.PeerApp()
         self._control.register(self._peer_app)
@@ -139,6 +148,7 @@
         threading.Thread(target=self._follow_members, daemon=True).start()
         self._domain_loop.start()
         self._poller.start()
+        self._admission_loop.start()
         self._group_watch.start()
         self._stop.wait()
         self._observability.begin_stop()
@@ -147,6 +157,7 @@
         self._group_watch.stop()
         self._domain_loop.stop()
         self._poller.stop()
+        self._admission_loop.stop()
         for server in servers:
             server.close()
         self._observability.stop()
@@ -216,5 +227,7 @@
 
     def _apply(self, snapshot):
         self._router.set_endpoints(endpoint_targets.from_snapshot(snapshot)).get()
+        self._admission.set_owed(admission_loop.owed_rates(snapshot)).get()
+        self._admission.set_pool_slots(self._admission_loop.read_slots()).get()
         self._domain_loop.set_configuration(snapshot)
         self._state.set_configuration(snapshot)
--- a/src/lynxlanding/gateway/caller_app.py
+++ b/src/lynxlanding/gateway/caller_app.py
@@ -26,14 +26,17 @@
         Counts and logs each finished request.
     metrics : Metrics
         Served at ``/metrics``.
+    gate : AdmissionGate
+        Admits requests.
     """
 
-    def __init__(self, parser, node_state, runner, observer, metrics):
+    def __init__(self, parser, node_state, runner, observer, metrics, gate):
         self._parser = parser
         self._node_state = node_state
         self._runner = runner
         self._observer = observer
         self._metrics = metrics
+        self._gate = gate
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -84,9 +87,12 @@
         if not self._node_state.try_begin():
             raise request_errors.NodeStopping("this node is shutting down", retry_after_s=1.0)
         started = False
+        admitted = False
         try:
             request = self._parser.parse(environ, self._node_state.configuration, request_id)
             timer.identify(request.workspace, request.target, request.stream)
+            self._gate.enter(request)
+            admitted = True
             status, headers, body = self._runner.run(request)
             timer.on_status(status)
             response_headers = [("X-Request-Id", request_id)]
@@ -100,18 +106,24 @@
             start_response(json_response.status_line(status), response_headers)
             started = True
             stream = _stream_body(body, request, timer, self._observer)
-            return _CountedBody(stream, self._node_state, timer, self._observer)
+            return _CountedBody(stream, self._leave, request_id, timer, self._observer)
         finally:
             if not started:
-                self._node_state.end()
+                self._leave(request_id if admitted else None)
+
+    def _leave(self, admitted_id, tokens=None):
+        self._node_state.end()
+        if admitted_id is not None:
+            self._gate.leave(admitted_id, tokens)
 
 
 class _CountedBody:
     """A stream that leaves the count of requests in flight when the server closes it."""
 
-    def __init__(self, body, node_state, timer, observer):
+    def __init__(self, body, leave, request_id, timer, observer):
         self._body = body
-        self._node_state = node_state
+        self._leave = leave
+        self._request_id = request_id
         self._timer = timer
         self._observer = observer
         self._is_open = True
@@ -127,7 +139,7 @@
         try:
             self._body.close()
         finally:
-            self._node_state.end()
+            self._leave(self._request_id, self._timer.tokens)
             # A stream that ended by itself was counted before.
             self._observer.end(self._timer, request_summary.ABANDONED)
 
--- a/src/lynxlanding/observability/request_timer.py
+++ b/src/lynxlanding/observability/request_timer.py
@@ -53,6 +53,11 @@
         self._slow_gaps = 0
         self.is_finished = False
 
+    @property
+    def tokens(self):
+        """Number of tokens that were forwarded."""
+        return self._tokens
+
     def identify(self, workspace, service, is_stream):
         """Note for whom the request is."""
         self._workspace = workspace
--- a/src/lynxlanding/routing/routing_actor.py
+++ b/src/lynxlanding/routing/routing_actor.py
@@ -80,6 +80,10 @@
         for endpoint in endpoints:
             self._view.note_group_evidence(endpoint.address, endpoint.valid_until, now)
 
+    def set_node_count(self, count):
+        """Set the number of nodes that send requests to the same endpoints."""
+        self._view.set_node_count(count)
+
     def in_flight(self):
         """Return the requests in flight by address."""
         return dict(self._in_flight)
@@ -178,7 +182,10 @@
         self._view.advance(now)
         for target in set(self._endpoints) | set(self._group_endpoints):
             pool = self._view.pool(target)
-            slots[target] = pool.total_slots if pool is not None else 0
+            slots[target] = 0
+            if pool is not None:
+                # Ejected endpoints still get requests if no other endpoint is left.
+                slots[target] = pool.total_slots or sum(s.slots for s in pool.candidates)
         return slots
 
     def _members(self):
