--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -10,7 +10,9 @@
 import pykka
 import urllib3
 
+from lynxlanding.admission import admission_actor, admission_gate
 from lynxlanding.daemon import (
+    admission_loop,
     configuration_access,
     control_plane,
     domain_wiring,
@@ -36,7 +38,7 @@
     request_runner,
 )
 from lynxlanding.retry import retry_actor
-from lynxlanding.routing import routing_actor
+from lynxlanding.routing import endpoint_poller, routing_actor
 
 DRAIN_POLL_S = 0.05
 # Outcomes that are not in the store when the process ends are lost to repeats, which then get
@@ -64,18 +66,33 @@
         self._store = http_store.HttpObjectStore(
             settings.platform.object_api, urllib3.PoolManager(maxsize=16)
         )
-        self._router = routing_actor.RoutingActor.start().proxy()
+        self._random_state = np.random.default_rng(settings.seed)
+        self._router = routing_actor.RoutingActor.start(
+            settings.routing.policy,
+            np.random.default_rng(self._random_state.integers(1 << 32)),
+            1 + len(settings.membership.peers),
+        ).proxy()
+        self._poller = endpoint_poller.EndpointPoller(
+            self._router,
+            urllib3.PoolManager(num_pools=4000, maxsize=1),
+            settings.routing.report_interval_s,
+        )
         vms = None
         if settings.platform.vm_list is not None:
             vms = vm_list.HttpVmList(settings.platform.vm_list, urllib3.PoolManager())
         self._control = control_plane.ControlPlane(
             settings, self._store, vms, self._apply, self._state.set_configuration_status
         )
+        self._admission = admission_actor.AdmissionActor.start(
+            settings.node_id, np.random.default_rng(self._random_state.integers(1 << 32))
+        ).proxy()
+        self._admission_loop = admission_loop.AdmissionLoop(
+            self._admission, self._router, self._control.membership
+        )
         self._domain_loop = domain_wiring.make_loop(
             settings, self._store, self._router, self._control.membership
         )
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
-        self._random_state = np.random.default_rng(settings.seed)
         self._owner_lookup = member_lookup.MemberLookup(
             owner_lookup.HttpOwnerLookup(urllib3.PoolManager(maxsize=16))
         )
@@ -106,6 +123,7 @@
             runner,
             self._observability.request_observer,
             self._observability.metrics,
+            admission_gate.AdmissionGate(self._admission, self._admission_loop.read_slots),
         )
         self._peer_app = peer_app.PeerApp()
         self._control.register(self._peer_app)
@@ -130,6 +148,8 @@
         threading.Thread(target=self._collect_claims, daemon=True).start()
         threading.Thread(target=self._follow_members, daemon=True).start()
         self._domain_loop.start()
+        self._poller.start()
+        self._admission_loop.start()
         self._group_watch.start()
         self._stop.wait()
         self._observability.begin_stop()
@@ -137,6 +157,8 @@
         self._control.stop()
         self._group_watch.stop()
         self._domain_loop.stop()
+        self._poller.stop()
+        self._admission_loop.stop()
         for server in servers:
             server.close()
         self._observability.stop()
@@ -209,5 +231,7 @@
 
     def _apply(self, snapshot):
         self._router.set_endpoints(endpoint_targets.from_snapshot(snapshot)).get()
+        self._admission.set_owed(admission_loop.owed_rates(snapshot)).get()
+        self._admission.set_pool_slots(self._admission_loop.read_slots()).get()
         self._domain_loop.set_configuration(snapshot)
         self._state.set_configuration(snapshot)
