Abort an attempt also while its response is awaited

Cause: the attempt monitor learned the connection only with the response's headers, so a caller that left while a whole answer was queued or generated kept its engine slot until the end. Ruled out: killing the thread, which works under gevent only, and short read timeouts, which end the response in urllib3.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -33,6 +33,7 @@
     claim_keeper,
     endpoint_client,
     member_lookup,
+    monitored_connection,
     node_identity,
     owner_lookup,
     request_runner,
@@ -92,7 +93,9 @@
         self._domain_loop = domain_wiring.make_loop(
             settings, self._store, self._router, self._control.membership
         )
-        pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
+        pool = monitored_connection.make_manager(
+            num_pools=4000, maxsize=settings.requests.concurrency
+        )
         self._owner_lookup = member_lookup.MemberLookup(
             owner_lookup.HttpOwnerLookup(urllib3.PoolManager(maxsize=16))
         )
--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -1,5 +1,6 @@
 """Aborts attempts whose endpoint stalls, whose deadline passes or whose caller has left."""
 
+import socket
 import threading
 import time
 
@@ -7,12 +8,10 @@
 
 
 class MonitoredAttempt:
-    """One attempt whose response is being read.
+    """One attempt that waits for its response or reads it.
 
     Parameters
     ----------
-    abort : callable
-        Breaks the connection to the endpoint, so that the reader fails.
     deadline : float
         Deadline in seconds of the monotonic clock.
     stall_timeout_s : float
@@ -22,34 +21,64 @@
     """
 
     __slots__ = (
-        "_abort",
         "_deadline",
         "_has_caller_left",
+        "_last_data_at",
+        "_reason",
+        "_socket",
         "_stall_timeout_s",
-        "last_data_at",
-        "reason",
     )
 
-    def __init__(self, abort, deadline, stall_timeout_s, has_caller_left):
-        self._abort = abort
+    def __init__(self, deadline, stall_timeout_s, has_caller_left):
         self._deadline = deadline
         self._stall_timeout_s = stall_timeout_s
         self._has_caller_left = has_caller_left
-        self.last_data_at = time.monotonic()
-        self.reason = None
+        self._last_data_at = time.monotonic()
+        self._reason = None
+        self._socket = None
+
+    @property
+    def reason(self):
+        """Why the attempt was aborted; None if it was not."""
+        return self._reason
+
+    @property
+    def is_attached(self):
+        """Whether the connection to the endpoint is known."""
+        return self._socket is not None
+
+    @property
+    def socket(self):
+        """Socket of the connection to the endpoint."""
+        return self._socket
+
+    def attach(self, connection_socket):
+        """Set the socket that is shut down to abort the attempt."""
+        self._socket = connection_socket
+
+    def note_data(self, now):
+        """Record that data arrived at the monotonic time ``now``."""
+        self._last_data_at = now
 
     def check(self, now):
         """Abort the attempt if it must end; ``reason`` then says why."""
-        if self.reason is not None:
+        if self._reason is not None or self._socket is None:
             return
         if now > self._deadline:
-            self.reason = "deadline"
-        elif now - self.last_data_at > self._stall_timeout_s:
-            self.reason = "stalled"
+            self._reason = "deadline"
+        elif now - self._last_data_at > self._stall_timeout_s:
+            self._reason = "stalled"
         elif self._has_caller_left():
-            self.reason = "caller left"
-        if self.reason is not None:
-            self._abort()
+            self._reason = "caller left"
+        if self._reason is not None:
+            self._shut_down()
+
+    def _shut_down(self):
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection is closed already.
+            return
 
 
 class AttemptMonitor:
--- a/src/lynxlanding/requests/endpoint_client.py
+++ b/src/lynxlanding/requests/endpoint_client.py
@@ -1,12 +1,11 @@
 """Sends one attempt to an endpoint over urllib3."""
 
-import socket
 import time
 
 import urllib3
 
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.requests import attempt_monitor, endpoint_response
+from lynxlanding.requests import attempt_monitor, endpoint_response, monitored_connection
 
 CONNECT_TIMEOUT_S = 1.0
 READ_SIZE = 65536
@@ -19,7 +18,8 @@
     Parameters
     ----------
     pool : urllib3.PoolManager
-        Pool of kept connections for idempotent attempts.
+        Pool of kept connections for idempotent attempts, from
+        ``monitored_connection.make_manager``.
     monitor : AttemptMonitor
         Aborts attempts that stall, pass their deadline or have lost their caller.
     """
@@ -72,63 +72,58 @@
             "decode_content": False,
             "timeout": urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, wait_s), read=wait_s),
         }
+        attempt = attempt_monitor.MonitoredAttempt(deadline, stall_s, has_caller_left)
+        self._monitor.add(attempt)
         try:
-            if fresh_connection:
-                host, _, port = address.rpartition(":")
-                pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
-                response = pool.urlopen(method, path, **options)
-            else:
-                response = self._pool.urlopen(method, f"http://{address}{path}", **options)
+            with monitored_connection.Attachment(attempt.attach):
+                response = self._open(address, method, path, options, fresh_connection)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as e:
+            self._monitor.discard(attempt)
             raise endpoint_errors.ConnectionRefused(f"{address}: {e}") from e
-        except urllib3.exceptions.TimeoutError as e:
-            raise endpoint_errors.AttemptTimedOut(f"{address}: {e}") from e
         except urllib3.exceptions.HTTPError as e:
-            raise endpoint_errors.ConnectionBroken(f"{address}: {e}") from e
+            self._monitor.discard(attempt)
+            raise _attempt_error(attempt, address, e, endpoint_errors.ConnectionBroken) from e
+        except BaseException:
+            self._monitor.discard(attempt)
+            raise
         lower_headers = {name.lower(): value for name, value in response.headers.items()}
-        connection_socket = response.connection.sock if response.connection else None
-        attempt = attempt_monitor.MonitoredAttempt(
-            lambda: _shut_down(connection_socket),
-            deadline,
-            stall_s,
-            has_caller_left,
-        )
-        if connection_socket is not None:
+        if attempt.is_attached:
             # From here on the monitor takes the place of the timeout of each read.
-            connection_socket.settimeout(None)
+            attempt.note_data(time.monotonic())
+            attempt.socket.settimeout(None)
         chunks = _read_chunks(response, address, attempt, self._monitor)
         return endpoint_response.EndpointResponse(response.status, lower_headers, chunks)
 
+    def _open(self, address, method, path, options, fresh_connection):
+        if not fresh_connection:
+            return self._pool.urlopen(method, f"http://{address}{path}", **options)
+        host, _, port = address.rpartition(":")
+        pool = monitored_connection.MonitoredPool(host, int(port), maxsize=1)
+        return pool.urlopen(method, path, **options)
 
-def _shut_down(connection_socket):
-    if connection_socket is None:
-        return
-    try:
-        connection_socket.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The connection is closed already.
-        return
+
+def _attempt_error(attempt, address, error, error_type):
+    if attempt.reason is not None:
+        return endpoint_errors.AttemptTimedOut(f"{address}: aborted: {attempt.reason}")
+    if isinstance(error, urllib3.exceptions.TimeoutError):
+        return endpoint_errors.AttemptTimedOut(f"{address}: {error}")
+    return error_type(f"{address}: {error}")
 
 
 def _read_chunks(response, address, attempt, monitor):
     complete = False
-    monitor.add(attempt)
     try:
         for chunk in response.stream(READ_SIZE):
-            attempt.last_data_at = time.monotonic()
+            attempt.note_data(time.monotonic())
             yield chunk
         if attempt.reason is not None:
             raise endpoint_errors.AttemptTimedOut(f"{address}: aborted: {attempt.reason}")
         complete = True
-    except urllib3.exceptions.TimeoutError as e:
-        raise endpoint_errors.AttemptTimedOut(f"{address}: {e}") from e
     except urllib3.exceptions.HTTPError as e:
-        if attempt.reason is not None:
-            raise endpoint_errors.AttemptTimedOut(f"{address}: aborted: {attempt.reason}") from e
-        raise endpoint_errors.ResponseTruncated(f"{address}: {e}") from e
+        raise _attempt_error(attempt, address, e, endpoint_errors.ResponseTruncated) from e
     finally:
         monitor.discard(attempt)
         # An incomplete response leaves unread bytes on its connection: close it, which also
--- a/src/lynxlanding/requests/tests/test_attempt_monitor.py
+++ b/src/lynxlanding/requests/tests/test_attempt_monitor.py
@@ -1,10 +1,13 @@
+import socket
+import time
+
 import pytest
 
 from lynxlanding.requests import attempt_monitor
 
 
 @pytest.mark.parametrize(
-    ("now", "caller_left", "reason"),
+    ("elapsed_s", "caller_left", "reason"),
     [
         (5.0, False, None),
         (12.0, False, "stalled"),
@@ -12,16 +15,23 @@
         (5.0, True, "caller left"),
     ],
 )
-def test_aborts_for_the_right_reason(now, caller_left, reason):
+def test_aborts_for_the_right_reason(elapsed_s, caller_left, reason):
     """Guards against streams that hang for ever and slots kept for callers that have left."""
-    aborted = []
+    started_at = time.monotonic()
+    own, other = socket.socketpair()
     monitor = attempt_monitor.AttemptMonitor()
-    attempt = attempt_monitor.MonitoredAttempt(
-        lambda: aborted.append(True), 30.0, 10.0, lambda: caller_left
-    )
-    attempt.last_data_at = 0.0
+    attempt = attempt_monitor.MonitoredAttempt(started_at + 30.0, 10.0, lambda: caller_left)
+    attempt.note_data(started_at)
+    attempt.attach(own)
     monitor.add(attempt)
-    monitor.check_all(now)
-    monitor.check_all(now)
+    monitor.check_all(started_at + elapsed_s)
+    monitor.check_all(started_at + elapsed_s)
     assert attempt.reason == reason
-    assert len(aborted) == (reason is not None)
+    other.setblocking(False)
+    if reason is None:
+        with pytest.raises(BlockingIOError):
+            other.recv(1)
+    else:
+        assert other.recv(1) == b""
+    own.close()
+    other.close()
--- a/src/lynxlanding/requests/tests/test_request_run.py
+++ b/src/lynxlanding/requests/tests/test_request_run.py
@@ -6,10 +6,15 @@
 import time
 
 import pytest
-import urllib3
 
 from lynxlanding.errors import request as request_errors
-from lynxlanding.requests import attempt_monitor, caller_request, endpoint_client, request_run
+from lynxlanding.requests import (
+    attempt_monitor,
+    caller_request,
+    endpoint_client,
+    monitored_connection,
+    request_run,
+)
 from lynxlanding.retry import retry_actor
 
 EVENTS = [b'id: %d\ndata: {"token": %d}\n\n' % (i, i) for i in range(4)]
@@ -110,7 +115,7 @@
             has_caller_left=lambda: has_left,
         )
         client = endpoint_client.EndpointClient(
-            urllib3.PoolManager(), attempt_monitor.AttemptMonitor()
+            monitored_connection.make_manager(), attempt_monitor.AttemptMonitor()
         )
         attempts = request_run.RequestRun(request, router, client, retry.proxy(), 2.0)
         try:
