--- a/src/lynxlanding_bench/group_fleet.py
+++ b/src/lynxlanding_bench/group_fleet.py
@@ -59,6 +59,11 @@
         """Client of the object API."""
         return self._store
 
+    @property
+    def object_api(self):
+        """Base URL of the object API."""
+        return self._url(self._platform_ports[0])
+
     @property
     def history_path(self):
         """File with what the engines did."""
--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -9,6 +9,7 @@
     group_repair,
     idle_cost,
     node_load,
+    planning_cost,
     propagation_time,
     request_costs,
     result_file,
@@ -31,5 +32,6 @@
 main.add_command(idle_cost.command)
 main.add_command(node_load.command)
 main.add_command(command.scenarios)
+main.add_command(planning_cost.command)
 main.add_command(propagation_time.command)
 main.add_command(request_costs.command)
