Divide the probes of VMs among the nodes of a data centre

Cause: every node probed every VM. Two nodes of a VM's data centre now probe it and tell the others by gossip: the reports when one changes, and one small confirmation per interval. Evidence of others is placed on the receiver's clock by a reading of the sender's clock that was requested earlier, so that the arrival of a message plays no part. A node probes any VM itself whose evidence is older than 0.7 of the bound.

Failed probes of other nodes are no evidence; they make the receiver probe the VM itself. Relayed reports do not feed drains, whose load must be from the probe itself.

Nodes of other data centres still probe for themselves; traffic at the design size was not measured.

--- a/src/lynxlanding/daemon/domain_loop.py
+++ b/src/lynxlanding/daemon/domain_loop.py
@@ -42,6 +42,8 @@
         Receives the groups' endpoints and the leaving addresses.
     membership : MembershipActor proxy or None
         Tells the other nodes which endpoints this node saw leaving.
+    relay : EvidenceRelay or None
+        Exchanges serving evidence with the nodes of the data centre.
     settings : GroupSettings
         Intervals.
     random_state : numpy.random.Generator
@@ -57,6 +59,7 @@
         transport,
         router,
         membership,
+        relay,
         settings,
         random_state,
     ):
@@ -68,6 +71,7 @@
         self._transport = transport
         self._router = router
         self._membership = membership
+        self._relay = relay
         self._notices = {}
         self._settings = settings
         self._permits = permit_queue.PermitQueue(random_state)
@@ -85,13 +89,16 @@
             self._read_vm_list,
             self._watch_domains,
             self._probe,
-            self._probe_forming,
+            self._probe_urgent,
             self._step,
             self._publish_round,
         )
         if self._vm_list is None:
             # Without a VM list there are no groups, but fixed endpoints can be drained.
             rounds = (self._publish_round,)
+        elif self._relay is not None:
+            self._relay.start()
+            rounds += (self._relay.follow_nodes,)
         for target in rounds:
             threading.Thread(target=self._run, args=(target,), daemon=True).start()
 
@@ -158,8 +165,8 @@
     def _probe(self):
         self._probe_all(self._fleet.probe_targets().get(), self._settings.probe_interval_s)
 
-    def _probe_forming(self):
-        self._probe_all(self._fleet.forming_targets().get(), STEP_INTERVAL_S)
+    def _probe_urgent(self):
+        self._probe_all(self._fleet.urgent_targets(time.monotonic()).get(), STEP_INTERVAL_S)
 
     def _probe_all(self, targets, interval_s):
         started_at = time.monotonic()
@@ -277,6 +284,8 @@
         results, self._results = self._results, []
         if results:
             self._fleet.note_probes(results).get()
+        if self._relay is not None:
+            self._relay.exchange(time.monotonic())
         self._publish()
         if self._membership is not None:
             notices = self._fleet.leaving_notices().get()
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from lynxlanding.daemon import (
+    clock_handler,
     configuration_access,
     control_plane,
     domain_wiring,
@@ -70,8 +71,9 @@
         self._control = control_plane.ControlPlane(
             settings, self._store, vms, self._apply, self._state.set_configuration_status
         )
+        self._clock = f"{settings.node_id}/{uuid.uuid4().hex[:12]}"
         self._domain_loop = domain_wiring.make_loop(
-            settings, self._store, self._router, self._control.membership
+            settings, self._clock, self._store, self._router, self._control.membership
         )
         pool = urllib3.PoolManager(num_pools=4000, maxsize=settings.requests.concurrency)
         self._random_state = np.random.default_rng(settings.seed)
@@ -108,6 +110,7 @@
         )
         self._peer_app = peer_app.PeerApp()
         self._control.register(self._peer_app)
+        self._peer_app.register(clock_handler.PATH, clock_handler.ClockHandler(self._clock))
         self._peer_app.register(owner_lookup.PATH, claim_app.ClaimApp(self._claims))
         self._peer_app.register(admin_app.PREFIX, self._make_admin_app(vms))
 
--- a/src/lynxlanding/groups/fleet_controller.py
+++ b/src/lynxlanding/groups/fleet_controller.py
@@ -9,11 +9,10 @@
     fleet_observation,
     fleet_planning,
     group_drains,
-    group_endpoint,
-    group_record,
-    group_status,
     probe_assignment,
-    serving,
+    probe_share,
+    probe_targets,
+    serving_view,
 )
 from lynxlanding.groups import domain as domain_module
 from lynxlanding.rollout import replica_targets
@@ -39,6 +38,10 @@
         Plans domain objects.
     tokens_per_s_per_replica : float or None
         Measured rate of one replica group.
+    place : str, optional
+        Data centre of the node, whose nodes share the probes of its VMs.
+    probe_interval_s : float, optional
+        Interval between probes of one VM.
     """
 
     def __init__(
@@ -49,6 +52,8 @@
         lease_rules,
         reconciler,
         tokens_per_s_per_replica=None,
+        place=None,
+        probe_interval_s=1.0,
     ):
         self._node = node
         self._holder = holder
@@ -56,6 +61,7 @@
         self._reconciler = reconciler
         self._tokens_per_s_per_replica = tokens_per_s_per_replica
         self._evidence = evidence_table.EvidenceTable(evidence_rules)
+        self._probes = probe_share.ProbeShare(node, place, holder, self._evidence, probe_interval_s)
         self._leaving = leaving_table.LeavingTable()
         self._drains = group_drains.GroupDrains(release_rules.ReleaseRules())
         self._nodes = (node,)
@@ -83,10 +89,6 @@
         drains = [spec.address for spec in snapshot.of_kind("drains").values()]
         return self._leaving.apply_drains(drains, now)
 
-    def set_nodes(self, nodes):
-        """Take over the live nodes of the data centre, which share the probes."""
-        self._nodes = tuple(nodes)
-
     def note_vms(self, vms, now):
         """Take over the VM list; return newly leaving addresses."""
         self._vms = tuple(vms)
@@ -119,46 +121,64 @@
             Results, in any order.
         """
         for result in results:
-            report = result.report
-            if report is None:
-                self._evidence.record_failure(
-                    result.vm, result.sent_at, is_refused=result.is_refused
-                )
-                continue
-            self._evidence.record_alive(result.vm, result.sent_at, report)
-            self._drains.note_report(result.address, result.sent_at, report)
-            self._leaving.note_report(
-                result.address, report.instance, report.is_draining, result.sent_at
-            )
+            self._probes.record(result)
+            if result.report is not None:
+                self._drains.note_report(result.address, result.sent_at, result.report)
+                self._note_report(result.address, result.sent_at, result.report)
+
+    def note_relayed(self, received, now):
+        """Take over the signs of life that other nodes of the data centre have seen.
+
+        Drains do not follow them, since their load is older than the sign of life.
+
+        Parameters
+        ----------
+        received : list of tuple
+            Node, key and document of each document, in order of arrival.
+        now : float
+            Monotonic time, in seconds.
+        """
+        accepted = self._probes.note_relayed(received, now)
+        targets = self._targets() if accepted else {}
+        for result in accepted:
+            if result.vm in targets:
+                self._note_report(targets[result.vm][0], result.sent_at, result.report)
+
+    def note_clock(self, node, clock, sent_at, remote_at):
+        """Record a reading of another node's clock, as in ``ClockBounds.record``."""
+        self._probes.relayed.note_clock(node, clock, sent_at, remote_at)
+
+    def set_probers(self, nodes, now, clock_interval_s):
+        """Take over the nodes that share the probes; return those whose clock is to be read."""
+        self._probes.set_nodes(nodes)
+        others = [node for node in nodes if node != self._node]
+        return self._probes.relayed.clocks.due(others, now, clock_interval_s)
+
+    def _note_report(self, address, sent_at, report):
+        self._leaving.note_report(address, report.instance, report.is_draining, sent_at)
 
     def probe_targets(self):
-        """Return name and address of the VMs that this node probes."""
-        targets = {}
-        for controller in self._controllers.values():
-            for name, record in controller.domain.vms.items():
-                targets[name] = record.address
-        for vm in self._vms:
-            targets[vm.name] = vm.address
-        assigned = []
-        for name, address in targets.items():
-            if probe_assignment.is_assigned(name, self._node, self._nodes):
-                assigned.append((name, address))
-        return assigned
-
-    def forming_targets(self):
-        """Return name and address of the VMs of forming groups.
-
-        They are probed more often, so that a loaded group does not wait for the next round.
+        """Return name and address of the VMs that this node probes in every round."""
+        return self._probes.assigned(self._targets())
+
+    def urgent_targets(self, now):
+        """Return name and address of the VMs that are not left to the next round of anyone.
+
+        These are the VMs of forming groups, and those whose evidence grows old.
         """
-        targets = []
-        for controller in self._controllers.values():
-            domain = controller.domain
-            for group in domain.groups.values():
-                if group.state != group_record.FORMING:
-                    continue
-                for vm in group.vms:
-                    targets.append((vm, domain.vms[vm].address))
-        return targets
+        targets = dict(self._probes.late(self._targets(), self._domains(), now))
+        targets.update(probe_targets.forming(self._domains()))
+        return list(targets.items())
+
+    def evidence_documents(self, now):
+        """Return the documents for the other nodes of the data centre, by key."""
+        return self._probes.documents(self._targets(), now)
+
+    def _targets(self):
+        return probe_targets.known(self._domains(), self._vms)
+
+    def _domains(self):
+        return [controller.domain for _, controller in sorted(self._controllers.items())]
 
     def step(self, now, wall_time, in_flight):
         """Decide the next action of each domain.
@@ -179,7 +199,7 @@
         """
         if self._snapshot is None:
             return []
-        domains = [controller.domain for controller in self._controllers.values()]
+        domains = self._domains()
         observations = fleet_observation.observe(
             domains, self._vms, self._evidence, self._leaving.addresses, now
         )
@@ -268,37 +288,13 @@
 
     def endpoints(self, now):
         """Return a ``GroupEndpoint`` for each group that serves."""
-        found = []
-        for _, group, verdict, domain in self._verdicts(now):
-            if not verdict.serves:
-                continue
-            found.append(
-                group_endpoint.GroupEndpoint(
-                    domain.vms[group.leader].address,
-                    group.model,
-                    group.name,
-                    self._evidence.valid_until(group.vms),
-                )
-            )
-        return found
+        return serving_view.endpoints(self._domains(), self._evidence, self._leaving, now)
 
     def status(self, now, wall_time):
         """Return one row for each group, for operators."""
-        rows = []
-        for _, group, verdict, domain in self._verdicts(now):
-            row = group_status.describe(domain, group, verdict, self._evidence, now, wall_time)
+        rows = serving_view.status(self._domains(), self._evidence, self._leaving, now, wall_time)
+        for row in rows:
             row["is_counted_here"] = probe_assignment.is_assigned(
-                domain.name, self._node, self._nodes
+                row["fabric_domain"], self._node, self._nodes
             )
-            rows.append(row)
         return rows
-
-    def _verdicts(self, now):
-        for name, controller in sorted(self._controllers.items()):
-            domain = controller.domain
-            leaving = set()
-            for vm, record in domain.vms.items():
-                if self._leaving.is_leaving(record.address):
-                    leaving.add(vm)
-            for group in domain.groups.values():
-                yield name, group, serving.check(group, self._evidence, now, leaving), domain
