--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -13,6 +13,7 @@
 from lynxlanding.admission import admission_actor, admission_gate
 from lynxlanding.daemon import (
     admission_loop,
+    clock_handler,
     configuration_access,
     control_plane,
     domain_wiring,
@@ -90,8 +91,9 @@
         self._admission_loop = admission_loop.AdmissionLoop(
             self._admission, self._router, self._control.membership
         )
+        self._clock = f"{settings.node_id}/{uuid.uuid4().hex[:12]}"
         self._domain_loop = domain_wiring.make_loop(
-            settings, self._store, self._router, self._control.membership
+            settings, self._clock, self._store, self._router, self._control.membership
         )
         pool = monitored_connection.make_manager(
             num_pools=4000, maxsize=settings.requests.concurrency
@@ -130,6 +132,7 @@
         )
         self._peer_app = peer_app.PeerApp()
         self._control.register(self._peer_app)
+        self._peer_app.register(clock_handler.PATH, clock_handler.ClockHandler(self._clock))
         self._peer_app.register(owner_lookup.PATH, claim_app.ClaimApp(self._claims))
         self._peer_app.register(admin_app.PREFIX, self._make_admin_app(vms))
 
--- a/src/lynxlanding/groups/fleet_controller.py
+++ b/src/lynxlanding/groups/fleet_controller.py
@@ -1,21 +1,19 @@
 """Decisions of one node about all fabric domains."""
 
 from lynxlanding.drain import leaving_table, release_rules
+from lynxlanding.groups import domain as domain_module
 from lynxlanding.groups import (
-    desired_groups,
     domain_action,
     domain_controller,
+    domain_views,
     evidence_table,
-    fleet_observation,
-    fleet_planning,
+    fleet_planner,
     group_drains,
-    group_endpoint,
-    group_record,
-    group_status,
     probe_assignment,
-    serving,
+    probe_share,
+    probe_targets,
+    serving_view,
 )
-from lynxlanding.groups import domain as domain_module
 from lynxlanding.rollout import replica_targets
 
 # Work that another node may be about to do is left to it for up to this time.
@@ -39,6 +37,10 @@
         Plans domain objects.
     tokens_per_s_per_replica : float or None
         Measured rate of one replica group.
+    place : str, optional
+        Data centre of the node, whose nodes share the probes of its VMs.
+    probe_interval_s : float, optional
+        Interval between probes of one VM.
     """
 
     def __init__(
@@ -49,6 +51,8 @@
         lease_rules,
         reconciler,
         tokens_per_s_per_replica=None,
+        place=None,
+        probe_interval_s=1.0,
     ):
         self._node = node
         self._holder = holder
@@ -56,7 +60,10 @@
         self._reconciler = reconciler
         self._tokens_per_s_per_replica = tokens_per_s_per_replica
         self._evidence = evidence_table.EvidenceTable(evidence_rules)
+        self._probes = probe_share.ProbeShare(node, place, holder, self._evidence, probe_interval_s)
         self._leaving = leaving_table.LeavingTable()
+        self._views = domain_views.DomainViews(self._evidence, self._leaving)
+        self._planner = fleet_planner.FleetPlanner(tokens_per_s_per_replica)
         self._drains = group_drains.GroupDrains(release_rules.ReleaseRules())
         self._nodes = (node,)
         self._vms = ()
@@ -83,13 +90,11 @@
         drains = [spec.address for spec in snapshot.of_kind("drains").values()]
         return self._leaving.apply_drains(drains, now)
 
-    def set_nodes(self, nodes):
-        """Take over the live nodes of the data centre, which share the probes."""
-        self._nodes = tuple(nodes)
-
     def note_vms(self, vms, now):
         """Take over the VM list; return newly leaving addresses."""
-        self._vms = tuple(vms)
+        vms = tuple(vms)
+        if vms != self._vms:
+            self._vms = vms
         for vm in vms:
             if vm.fabric_domain not in self._controllers:
                 self.note_domain(domain_module.Domain(vm.fabric_domain), None, now)
@@ -119,46 +124,59 @@
             Results, in any order.
         """
         for result in results:
-            report = result.report
-            if report is None:
-                self._evidence.record_failure(
-                    result.vm, result.sent_at, is_refused=result.is_refused
-                )
-                continue
-            self._evidence.record_alive(result.vm, result.sent_at, report)
-            self._drains.note_report(result.address, result.sent_at, report)
-            self._leaving.note_report(
-                result.address, report.instance, report.is_draining, result.sent_at
-            )
+            self._probes.record(result)
+            if result.report is not None:
+                self._drains.note_report(result.address, result.sent_at, result.report)
+                self._note_report(result.address, result.sent_at, result.report)
+
+    def note_relayed(self, received, now):
+        """Take over the signs of life that other nodes of the data centre have seen.
+
+        Drains do not follow them, since their load is older than the sign of life.
+
+        ``received`` has node, key and document of each document, in order of arrival.
+        """
+        accepted = self._probes.note_relayed(received, now)
+        targets = self._targets() if accepted else {}
+        for result in accepted:
+            if result.vm in targets:
+                self._note_report(targets[result.vm][0], result.sent_at, result.report)
+
+    def note_clock(self, node, clock, sent_at, remote_at):
+        """Record a reading of another node's clock, as in ``ClockBounds.record``."""
+        self._probes.relayed.note_clock(node, clock, sent_at, remote_at)
+
+    def set_probers(self, nodes, now, clock_interval_s):
+        """Take over the nodes that share the probes; return those whose clock is to be read."""
+        self._probes.set_nodes(nodes)
+        others = [node for node in nodes if node != self._node]
+        return self._probes.relayed.clocks.due(others, now, clock_interval_s)
+
+    def _note_report(self, address, sent_at, report):
+        self._leaving.note_report(address, report.instance, report.is_draining, sent_at)
 
     def probe_targets(self):
-        """Return name and address of the VMs that this node probes."""
-        targets = {}
-        for controller in self._controllers.values():
-            for name, record in controller.domain.vms.items():
-                targets[name] = record.address
-        for vm in self._vms:
-            targets[vm.name] = vm.address
-        assigned = []
-        for name, address in targets.items():
-            if probe_assignment.is_assigned(name, self._node, self._nodes):
-                assigned.append((name, address))
-        return assigned
-
-    def forming_targets(self):
-        """Return name and address of the VMs of forming groups.
-
-        They are probed more often, so that a loaded group does not wait for the next round.
+        """Return name and address of the VMs that this node probes in every round."""
+        return self._probes.assigned(self._targets())
+
+    def urgent_targets(self, now):
+        """Return name and address of the VMs that are not left to the next round of anyone.
+
+        These are the VMs of forming groups, and those whose evidence grows old.
         """
-        targets = []
-        for controller in self._controllers.values():
-            domain = controller.domain
-            for group in domain.groups.values():
-                if group.state != group_record.FORMING:
-                    continue
-                for vm in group.vms:
-                    targets.append((vm, domain.vms[vm].address))
-        return targets
+        targets = dict(self._probes.late(self._targets(), self._domains(), now))
+        targets.update(probe_targets.forming(self._domains()))
+        return list(targets.items())
+
+    def evidence_documents(self, now):
+        """Return the documents for the other nodes of the data centre, by key."""
+        return self._probes.documents(self._targets(), now)
+
+    def _targets(self):
+        return probe_targets.known(self._domains(), self._vms)
+
+    def _domains(self):
+        return [self._controllers[name].domain for name in sorted(self._controllers)]
 
     def step(self, now, wall_time, in_flight):
         """Decide the next action of each domain.
@@ -179,23 +197,18 @@
         """
         if self._snapshot is None:
             return []
-        domains = [controller.domain for controller in self._controllers.values()]
-        observations = fleet_observation.observe(
-            domains, self._vms, self._evidence, self._leaving.addresses, now
-        )
-        serving_names = {endpoint.group for endpoint in self.endpoints(now)}
-        targets = replica_targets.replicas_by_spec(self._snapshot, self._winddowns, wall_time)
-        desired, changing = fleet_planning.plan(
-            desired_groups.from_snapshot(self._snapshot, targets),
-            domains,
-            observations,
-            serving_names,
-            lambda entry: replica_targets.owed(
-                self._snapshot, entry, self._tokens_per_s_per_replica, wall_time
-            ),
+        domains = self._domains()
+        self._views.refresh(domains, self._vms, now)
+        observations = self._views.observations()
+        serving = {endpoint.group for endpoint in self._views.endpoints()}
+        desired, changing = self._planner.plan(
+            self._snapshot, self._winddowns, self._views, domains, serving, wall_time
         )
         actions = []
         for name, controller in sorted(self._controllers.items()):
+            inputs = (controller.domain, observations[name], desired[name])
+            if not changing and self._planner.is_settled(name, inputs):
+                continue
             step = controller.step(
                 observations[name],
                 desired[name],
@@ -204,6 +217,7 @@
                 drained=self._drains.drained(controller.domain, now, in_flight),
                 changing=changing,
             )
+            self._planner.note_step(name, inputs, step, self._holder)
             if step.write is None and not step.orders:
                 self._work_since.pop(name, None)
                 continue
@@ -268,37 +282,14 @@
 
     def endpoints(self, now):
         """Return a ``GroupEndpoint`` for each group that serves."""
-        found = []
-        for _, group, verdict, domain in self._verdicts(now):
-            if not verdict.serves:
-                continue
-            found.append(
-                group_endpoint.GroupEndpoint(
-                    domain.vms[group.leader].address,
-                    group.model,
-                    group.name,
-                    self._evidence.valid_until(group.vms),
-                )
-            )
-        return found
+        self._views.refresh(self._domains(), self._vms, now)
+        return self._views.endpoints()
 
     def status(self, now, wall_time):
         """Return one row for each group, for operators."""
-        rows = []
-        for _, group, verdict, domain in self._verdicts(now):
-            row = group_status.describe(domain, group, verdict, self._evidence, now, wall_time)
+        rows = serving_view.status(self._domains(), self._evidence, self._leaving, now, wall_time)
+        for row in rows:
             row["is_counted_here"] = probe_assignment.is_assigned(
-                domain.name, self._node, self._nodes
+                row["fabric_domain"], self._node, self._nodes
             )
-            rows.append(row)
         return rows
-
-    def _verdicts(self, now):
-        for name, controller in sorted(self._controllers.items()):
-            domain = controller.domain
-            leaving = set()
-            for vm, record in domain.vms.items():
-                if self._leaving.is_leaving(record.address):
-                    leaving.add(vm)
-            for group in domain.groups.values():
-                yield name, group, serving.check(group, self._evidence, now, leaving), domain
--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -10,6 +10,7 @@
     idle_cost,
     node_load,
     overload_experiment,
+    planning_cost,
     propagation_time,
     request_costs,
     result_file,
@@ -35,6 +36,7 @@
 main.add_command(idle_cost.command)
 main.add_command(node_load.command)
 main.add_command(command.scenarios)
+main.add_command(planning_cost.command)
 main.add_command(propagation_time.command)
 main.add_command(request_costs.command)
 main.add_command(routing_experiment.routing_policies)
