--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -14,6 +14,7 @@
     propagation_time,
     request_costs,
     result_file,
+    result_plot,
     routing_cost_experiment,
     routing_experiment,
     shares_experiment,
@@ -31,6 +32,7 @@
 main.add_command(group_changes.group_recovery)
 main.add_command(group_changes.drain_delay)
 main.add_command(result_file.compare)
+main.add_command(result_plot.plot)
 main.add_command(causal_delivery.command)
 main.add_command(control_cost.command)
 main.add_command(idle_cost.command)
@@ -43,3 +45,16 @@
 main.add_command(routing_cost_experiment.routing_cost)
 main.add_command(overload_experiment.overload)
 main.add_command(shares_experiment.shares)
+
+TOOLS = (result_file.compare.name, result_plot.plot.name)
+
+
+@main.command("all")
+@click.pass_context
+def run_all(context):
+    """Run every experiment with its default settings and seed, one after the other."""
+    for name, experiment in sorted(main.commands.items()):
+        if name in TOOLS or name == context.info_name:
+            continue
+        click.echo(f"== {name}")
+        context.invoke(experiment)
