Count answers that are not sent yet as in flight during a planned stop

Ruled out: counting until the body is closed, which waitress does when the body is in its buffer, not when it is sent. Also: a keyed request that admission refuses says executed: unknown, because its claim was not read.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -159,7 +159,7 @@
         self._group_watch.start()
         self._stop.wait()
         self._observability.begin_stop()
-        self._drain()
+        self._drain(servers[0])
         self._control.stop()
         self._group_watch.stop()
         self._domain_loop.stop()
@@ -174,12 +174,17 @@
         del number, frame
         self._stop.set()
 
-    def _drain(self):
+    def _drain(self, caller_server):
         drain = self._settings.drain
         stop = node_stop.NodeStop(drain.unready_s, drain.limit_s)
         self._state.begin_drain()
         stop.request_stop(time.monotonic())
-        while stop.advance(time.monotonic(), self._state.in_flight) != node_stop.STOPPED:
+        while True:
+            in_flight = max(
+                self._state.in_flight, http_server.count_busy_connections(caller_server)
+            )
+            if stop.advance(time.monotonic(), in_flight) == node_stop.STOPPED:
+                break
             if not stop.accepts_requests:
                 self._state.refuse_requests()
             time.sleep(DRAIN_POLL_S)
--- a/src/lynxlanding/gateway/caller_app.py
+++ b/src/lynxlanding/gateway/caller_app.py
@@ -95,7 +95,7 @@
         try:
             request = self._parser.parse(environ, self._node_state.configuration, request_id)
             timer.identify(request.workspace, request.target, request.stream)
-            self._gate.enter(request)
+            self._enter(request)
             admitted = True
             status, headers, body = self._runner.run(request)
             timer.on_status(status)
@@ -115,6 +115,15 @@
             if not started:
                 self._leave(request_id if admitted else None)
 
+    def _enter(self, request):
+        try:
+            self._gate.enter(request)
+        except request_errors.RequestError as e:
+            if request.idempotency_key is not None:
+                # The claim was not read, so an earlier submission of the key may have run.
+                e.executed = request_errors.EXECUTED_UNKNOWN
+            raise
+
     def _leave(self, admitted_id, tokens=None):
         self._node_state.end()
         if admitted_id is not None:
--- a/src/lynxlanding/gateway/http_server.py
+++ b/src/lynxlanding/gateway/http_server.py
@@ -83,3 +83,15 @@
     )
     server.channel_class = StreamingChannel
     return server
+
+
+def count_busy_connections(server):
+    """Return the connections with a request in progress or an answer that is not sent yet.
+
+    An answer can wait in the node's buffer for a slow caller after its request has ended.
+    """
+    busy = 0
+    for connection in list(server.active_channels.values()):
+        if connection.requests or connection.total_outbufs_len:
+            busy += 1
+    return busy
