--- a/src/lynxlanding_bench/demo.py
+++ b/src/lynxlanding_bench/demo.py
@@ -2,6 +2,7 @@
 
 import collections
 import pathlib
+import subprocess
 import sys
 import tempfile
 import threading
@@ -16,6 +17,12 @@
 TOKENS = 80
 DAEMONS = 3
 KILLED = 0
+QUESTIONS = (
+    "count endpoints group by model, service, state",
+    "show group, state, stranded_accelerators of stranded",
+    "show address, leaving_because of leaving",
+    "show node, place, state, revision of nodes",
+)
 
 
 def main():
@@ -73,11 +80,26 @@
     click.echo(f"runs at the service: {runs}")
     if status != 200:
         failures.append(f"booking: status {status}, executed {executed}")
+    for question in QUESTIONS:
+        click.echo(f'$ lynxctl query "{question}"')
+        answer = _ask(installation.peer_url(1), question)
+        click.echo(answer.stdout + answer.stderr)
+        if answer.returncode != 0:
+            failures.append(f"lynxctl query {question!r} ended with {answer.returncode}")
     if any(count > 1 for count in runs.values()):
         failures.append(f"a non-idempotent call ran twice: {runs}")
     return failures
 
 
+def _ask(node, question):
+    return subprocess.run(
+        [sys.executable, "-m", "lynxlanding.operators.lynxctl", "--node", node, "query", question],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
 def _stream(callers, outcomes, index):
     outcomes[index] = callers[index % len(callers)].stream(f"quote {index}", TOKENS)
 
