Refuse an unknown routing policy when the settings are read

Cause: the policy was a free string in the settings, so a wrong name ended the daemon with a traceback (exit code 1) after parts had started. It is an enumeration now: named with its path, exit code 2, nothing started. An unknown key is called that instead of pydantic's 'extra inputs'.

--- a/src/lynxlanding/groups/return_model.py
+++ b/src/lynxlanding/groups/return_model.py
@@ -21,8 +21,8 @@
         Downtime saved if the group is still together when the VM returns.
     """
 
-    # An assumption of the repair experiment: a quarter of the losses are short pauses. The brief
-    # gives only the sum of restarts and replacements.
+    # An assumption of the repair experiment: a quarter of the losses are short pauses. The
+    # design page gives only the sum of restarts and replacements.
     return_share: float = 0.25
     mean_return_s: float = 20.0
     reload_s: float = 60.0
--- a/src/lynxlanding/settings/daemon_settings.py
+++ b/src/lynxlanding/settings/daemon_settings.py
@@ -1,6 +1,6 @@
 """Settings of one node."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import pydantic
 
@@ -82,7 +82,7 @@
         Interval between load polls of one endpoint.
     """
 
-    policy: str = "prefix_affinity"
+    policy: Literal["random", "two_choices", "least_loaded", "prefix_affinity"] = "prefix_affinity"
     report_interval_s: Seconds = 0.5
 
 
--- a/src/lynxlanding/settings/loading.py
+++ b/src/lynxlanding/settings/loading.py
@@ -39,4 +39,5 @@
     except pydantic.ValidationError as e:
         first = e.errors()[0]
         location = ".".join(str(part) for part in first["loc"]) or path
-        raise settings_errors.SettingsError(location, first["msg"]) from e
+        reason = "unknown key" if first["type"] == "extra_forbidden" else first["msg"]
+        raise settings_errors.SettingsError(location, reason) from e
--- a/src/lynxlanding/settings/tests/test_loading.py
+++ b/src/lynxlanding/settings/tests/test_loading.py
@@ -29,6 +29,7 @@
         (VALID.replace("port: 8080", "port: 80800"), "listen.port"),
         (VALID.replace("port: 8080", "prot: 8080"), "listen.port"),
         (VALID + "drain: {limit_s: soon}", "drain.limit_s"),
+        (VALID + "routing: {policy: fastest}", "routing.policy"),
         (VALID.replace("node_id: n1", ""), "node_id"),
     ],
 )
--- a/src/lynxlanding_bench/group_repair.py
+++ b/src/lynxlanding_bench/group_repair.py
@@ -14,7 +14,7 @@
 FAILURES_PER_DAY = 24.0
 REPLACEMENTS_PER_DAY = 450.0
 # Of the 450 daily restarts or replacements: short pauses that keep the engine's state, restarts
-# without it, and announced replacements. The brief gives only the sum.
+# without it, and announced replacements. The design page gives only the sum.
 SHARES = {"pause": 0.2, "restart": 0.5, "replacement": 0.3}
 MEAN_DURATION_S = {"pause": 20.0, "restart": 90.0, "replacement": 300.0, "failure": 4 * HOUR_S}
 RACK_LOSS_S = 2 * HOUR_S
