--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -100,6 +100,16 @@
     return cases[int(random_state.integers(len(cases)))]
 
 
+def _wait_until_idle(installation):
+    load_url = f"http://{processes.HOST}:{installation.engine_ports[0]}/load"
+    deadline = time.monotonic() + 5
+    while time.monotonic() < deadline:
+        if urllib3.PoolManager().request("GET", load_url).json()["running"] == 0:
+            return
+        time.sleep(0.1)
+    pytest.fail("the engine still runs a request whose caller has left")
+
+
 def test_malformed_requests_get_typed_errors(node):
     """Guards against a crash, an untyped answer or kept memory after bad requests."""
     installation, process = node
@@ -146,13 +156,7 @@
     connection.sendall(_post(json.dumps(body).encode()))
     assert connection.recv(1000)
     connection.close()
-    load_url = f"http://{processes.HOST}:{installation.engine_ports[0]}/load"
-    deadline = time.monotonic() + 5
-    while time.monotonic() < deadline:
-        if urllib3.PoolManager().request("GET", load_url).json()["running"] == 0:
-            return
-        time.sleep(0.1)
-    pytest.fail("the engine still runs a request whose caller has left")
+    _wait_until_idle(installation)
 
 
 def test_whole_answer_caller_that_leaves_frees_the_engine(node):
@@ -163,10 +167,4 @@
     connection.sendall(_post(json.dumps(body).encode()))
     time.sleep(0.5)
     connection.close()
-    load_url = f"http://{processes.HOST}:{installation.engine_ports[0]}/load"
-    deadline = time.monotonic() + 5
-    while time.monotonic() < deadline:
-        if urllib3.PoolManager().request("GET", load_url).json()["running"] == 0:
-            return
-        time.sleep(0.1)
-    pytest.fail("the engine still runs a request whose caller has left")
+    _wait_until_idle(installation)
