Move the object store clients to the package store

The folder platform/ becomes the adapter to the users' platform, so the project's own object API client and its Protocol move to lynxlanding.store.

--- a/src/lynxlanding/configuration/tests/schedules.py
+++ b/src/lynxlanding/configuration/tests/schedules.py
@@ -16,7 +16,7 @@
 from lynxlanding.errors import base as base_errors
 from lynxlanding.errors import configuration as configuration_errors
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import memory_store
+from lynxlanding.store import memory_store
 
 NOW = 1_900_000_000.0
 TOKEN = "0" * 56
--- a/src/lynxlanding/configuration/tests/test_change_service.py
+++ b/src/lynxlanding/configuration/tests/test_change_service.py
@@ -11,7 +11,7 @@
 )
 from lynxlanding.errors import configuration as configuration_errors
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import memory_store
+from lynxlanding.store import memory_store
 
 CHANGE = change.Change("c1", "asha", {("workspaces", "north"): {"token_sha256": ["1" * 64]}})
 
--- a/src/lynxlanding/configuration/tests/test_commit.py
+++ b/src/lynxlanding/configuration/tests/test_commit.py
@@ -12,7 +12,7 @@
     store_calls,
 )
 from lynxlanding.errors import configuration as configuration_errors
-from lynxlanding.platform import memory_store
+from lynxlanding.store import memory_store
 
 NOW = 1_900_000_000.0
 
--- a/src/lynxlanding/configuration/tests/test_commit_schedules.py
+++ b/src/lynxlanding/configuration/tests/test_commit_schedules.py
@@ -3,7 +3,7 @@
 from lynxlanding.configuration import commit, history, store_calls
 from lynxlanding.configuration.tests import schedules
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import memory_store
+from lynxlanding.store import memory_store
 
 SCHEDULES = 1000
 MUTATION_SCHEDULES = 30
--- a/src/lynxlanding/configuration/tests/test_validation.py
+++ b/src/lynxlanding/configuration/tests/test_validation.py
@@ -1,7 +1,7 @@
 import pytest
 
 from lynxlanding.configuration import capacity, change, plan, snapshot, validation
-from lynxlanding.platform import vm
+from lynxlanding.store import vm
 
 NOW = 1_900_000_000.0
 PAST, SOON, LATER = "2020-01-01T00:00:00Z", "2031-01-01T00:00:00Z", "2032-01-01T00:00:00Z"
--- a/src/lynxlanding/daemon/domain_wiring.py
+++ b/src/lynxlanding/daemon/domain_wiring.py
@@ -14,7 +14,7 @@
     repair_rules,
     weighted_policy,
 )
-from lynxlanding.platform import vm_list, weight_store
+from lynxlanding.store import vm_list, weight_store
 
 
 def make_loop(settings, clock, store, router, membership=None):
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -28,7 +28,6 @@
 from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
 from lynxlanding.membership import member
 from lynxlanding.operators import admin_app
-from lynxlanding.platform import http_store, vm_list
 from lynxlanding.requests import (
     attempt_monitor,
     claim_keeper,
@@ -41,6 +40,7 @@
 )
 from lynxlanding.retry import retry_actor
 from lynxlanding.routing import endpoint_poller, routing_actor
+from lynxlanding.store import http_store, vm_list
 
 DRAIN_POLL_S = 0.05
 # Outcomes that are not in the store when the process ends are lost to repeats, which then get
--- a/src/lynxlanding/daemon/view_source.py
+++ b/src/lynxlanding/daemon/view_source.py
@@ -6,7 +6,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.operators.view import cluster_view, rows
-from lynxlanding.platform import vm
+from lynxlanding.store import vm
 
 _UNKNOWN_VM = vm.Vm("", "", "", "", 0, vm.LIVE)
 
--- a/src/lynxlanding/drain/leaving_table.py
+++ b/src/lynxlanding/drain/leaving_table.py
@@ -1,7 +1,7 @@
 """Which endpoints are leaving."""
 
 from lynxlanding.drain import leaving_signal
-from lynxlanding.platform import vm as platform_vm
+from lynxlanding.store import vm as platform_vm
 
 # An address that the VM list has lacked for this long belongs to no request any more: the longest
 # deadline has passed.
--- a/src/lynxlanding/drain/tests/drain_world.py
+++ b/src/lynxlanding/drain/tests/drain_world.py
@@ -3,7 +3,7 @@
 import numpy as np
 
 from lynxlanding.drain import leaving_table, release_rules, release_tracker
-from lynxlanding.platform import vm as platform_vm
+from lynxlanding.store import vm as platform_vm
 
 TICK_S = 0.25
 MAX_TIMEOUT_S = 20.0
--- a/src/lynxlanding/groups/tests/domain_world.py
+++ b/src/lynxlanding/groups/tests/domain_world.py
@@ -18,7 +18,7 @@
     vm_view,
     weighted_policy,
 )
-from lynxlanding.platform import vm as platform_vm
+from lynxlanding.store import vm as platform_vm
 
 DOMAIN = "fabric-1"
 VM_COUNT = 7
--- a/src/lynxlanding/groups/tests/test_domain_store.py
+++ b/src/lynxlanding/groups/tests/test_domain_store.py
@@ -14,7 +14,7 @@
     permit_queue,
     vm_record,
 )
-from lynxlanding.platform import memory_store
+from lynxlanding.store import memory_store
 
 
 def _domain(vms_by_group):
--- a/src/lynxlanding/groups/tests/test_domain_views.py
+++ b/src/lynxlanding/groups/tests/test_domain_views.py
@@ -5,7 +5,7 @@
 
 from lynxlanding.groups import domain_views, vm_evidence
 from lynxlanding.groups.tests import test_fleet_controller
-from lynxlanding.platform import vm
+from lynxlanding.store import vm
 
 SCHEDULES = 60
 STEPS = 50
--- a/src/lynxlanding/groups/tests/test_fleet_controller.py
+++ b/src/lynxlanding/groups/tests/test_fleet_controller.py
@@ -10,7 +10,7 @@
     reconciler,
     repair_rules,
 )
-from lynxlanding.platform import vm
+from lynxlanding.store import vm
 
 SIZE = 3
 
--- a/src/lynxlanding/groups/tests/test_repair.py
+++ b/src/lynxlanding/groups/tests/test_repair.py
@@ -17,7 +17,7 @@
     vm_view,
     weighted_policy,
 )
-from lynxlanding.platform import vm as platform_vm
+from lynxlanding.store import vm as platform_vm
 
 POLICIES = [
     fixed_wait_policy.FixedWaitPolicy(0.0),
--- a/src/lynxlanding/groups/vm_view.py
+++ b/src/lynxlanding/groups/vm_view.py
@@ -1,7 +1,7 @@
 """Joins the VM list, the domain object, leaving signals and serving evidence."""
 
 from lynxlanding.groups import vm_observation
-from lynxlanding.platform import vm as platform_vm
+from lynxlanding.store import vm as platform_vm
 
 
 def build(domain, vms, evidence, leaving_addresses, now, held_elsewhere=frozenset()):
--- a/src/lynxlanding/observability/burn/tests/test_burn.py
+++ b/src/lynxlanding/observability/burn/tests/test_burn.py
@@ -16,8 +16,8 @@
     writer,
 )
 from lynxlanding.observability.burn.tests import summaries
-from lynxlanding.platform import memory_store
 from lynxlanding.settings import daemon_settings
+from lynxlanding.store import memory_store
 
 NOW = 20_000 * 86_400 + 43_200.0
 KEY = (objectives.WHOLE_ANSWER, "service", "desk")
--- a/src/lynxlanding/requests/tests/keyed_world.py
+++ b/src/lynxlanding/requests/tests/keyed_world.py
@@ -5,7 +5,6 @@
 import numpy as np
 
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.platform import memory_store
 from lynxlanding.requests import (
     claim_calls,
     claim_collection,
@@ -21,6 +20,7 @@
 )
 from lynxlanding.requests.tests import fault_plan, virtual_time
 from lynxlanding.retry import retry_policy
+from lynxlanding.store import memory_store
 
 NODES = 3
 KEYS = 3
--- a/src/lynxlanding/requests/tests/test_claim_keeper.py
+++ b/src/lynxlanding/requests/tests/test_claim_keeper.py
@@ -5,7 +5,6 @@
 import pytest
 
 from lynxlanding.errors import request as request_errors
-from lynxlanding.platform import memory_store
 from lynxlanding.requests import (
     claim_events,
     claim_keeper,
@@ -15,6 +14,7 @@
     node_identity,
     recorded_response,
 )
+from lynxlanding.store import memory_store
 
 RESPONSE = recorded_response.record(200, [("Content-Type", "text/plain")], b"booked")
 FINGERPRINT = claim_record.fingerprint_of("POST", "/book", b"yard 4")
--- a/src/lynxlanding/platform/__init__.py
+++ b/src/lynxlanding/store/__init__.py
@@ -1,6 +1,6 @@
 """Clients of the platform's object API, VM list and weight store."""
 
-from lynxlanding.platform import (
+from lynxlanding.store import (
     http_store,
     memory_store,
     object_store,
--- a/src/lynxlanding/platform/http_store.py
+++ b/src/lynxlanding/store/http_store.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import object_store, stored_object, watch_batch
+from lynxlanding.store import object_store, stored_object, watch_batch
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 5.0
--- a/src/lynxlanding/platform/memory_store.py
+++ b/src/lynxlanding/store/memory_store.py
@@ -3,7 +3,7 @@
 import copy
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import stored_object, watch_batch
+from lynxlanding.store import stored_object, watch_batch
 
 
 class MemoryObjectStore:
--- a/src/lynxlanding/platform/object_store.py
+++ b/src/lynxlanding/store/object_store.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Protocol
 
-from lynxlanding.platform import stored_object, watch_batch
+from lynxlanding.store import stored_object, watch_batch
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/src/lynxlanding/platform/tests/test_memory_store.py
+++ b/src/lynxlanding/store/tests/test_memory_store.py
@@ -1,7 +1,7 @@
 import pytest
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import memory_store
+from lynxlanding.store import memory_store
 
 
 def test_conditional_update_refuses_old_version():
--- a/src/lynxlanding/platform/vm_list.py
+++ b/src/lynxlanding/store/vm_list.py
@@ -6,7 +6,7 @@
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import vm
+from lynxlanding.store import vm
 
 TIMEOUT_S = 3.0
 
--- a/src/lynxlanding/platform/watch_batch.py
+++ b/src/lynxlanding/store/watch_batch.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lynxlanding.platform import stored_object
+from lynxlanding.store import stored_object
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding_bench/claim_costs.py
+++ b/src/lynxlanding_bench/claim_costs.py
@@ -10,7 +10,6 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.errors import request as request_errors
-from lynxlanding.platform import http_store, memory_store
 from lynxlanding.requests import (
     claim_events,
     claim_keeper,
@@ -18,6 +17,7 @@
     node_identity,
     recorded_response,
 )
+from lynxlanding.store import http_store, memory_store
 from lynxlanding_bench import processes
 
 RESPONSE = recorded_response.record(200, [("content-type", "application/json")], b"{}" * 200)
--- a/src/lynxlanding_bench/fleet.py
+++ b/src/lynxlanding_bench/fleet.py
@@ -8,7 +8,7 @@
 import yaml
 
 from lynxlanding.configuration import change, change_ids, commit, encoding, store_calls
-from lynxlanding.platform import http_store
+from lynxlanding.store import http_store
 from lynxlanding_bench import processes
 
 MODEL = "desk-model"
--- a/src/lynxlanding_bench/group_fleet.py
+++ b/src/lynxlanding_bench/group_fleet.py
@@ -7,7 +7,7 @@
 import urllib3
 import yaml
 
-from lynxlanding.platform import http_store
+from lynxlanding.store import http_store
 from lynxlanding_bench import caller, fleet, processes
 
 DOMAIN = "fabric-1"
--- a/src/lynxlanding_bench/planning_cost.py
+++ b/src/lynxlanding_bench/planning_cost.py
@@ -19,7 +19,7 @@
     repair_rules,
     vm_record,
 )
-from lynxlanding.platform import vm
+from lynxlanding.store import vm
 from lynxlanding_bench import result_file
 
 GROUPS = 15
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from lynxlanding.configuration import change, change_ids, commit, store_calls
-from lynxlanding.platform import http_store
+from lynxlanding.store import http_store
 from lynxlanding_bench import fleet, processes
 
 pytestmark = pytest.mark.multiprocess
