--- /dev/null
+++ b/src/lynxlanding/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, refusal and forwarding of requests in front of replica groups."""
--- /dev/null
+++ b/src/lynxlanding/dispatch/choice.py
@@ -0,0 +1,61 @@
+"""Question and decisions of the dispatcher."""
+
+import dataclasses
+
+from lynxlanding.dispatch import cost_model
+from lynxlanding.fleet import endpoint_record
+from lynxlanding.traffic import route as traffic_route
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Question:
+    """Where a request may go.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the request.
+    service : str
+        Service to choose from.
+    route : Route
+        Route of the request.
+    model : str or None
+        Requested model.
+    work : Work
+        Size of the request.
+    waited_s : float
+        How long the caller has waited already, over all of its attempts.
+    time_left_s : float
+        Time until the caller gives up.
+    excluded : frozenset of str
+        Endpoints that were tried already.
+    is_repeat : bool
+        Whether the request was sent to an endpoint before.
+    """
+
+    request_id: str
+    service: str
+    route: traffic_route.Route
+    model: str | None
+    work: cost_model.Work
+    waited_s: float
+    time_left_s: float
+    excluded: frozenset
+    is_repeat: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Send:
+    """Send the request to ``record``; the endpoint counts as loaded from now on."""
+
+    record: endpoint_record.EndpointRecord
+    present: int
+    predicted_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refuse:
+    """Refuse the request."""
+
+    reason: str
+    retry_after_s: float
--- /dev/null
+++ b/src/lynxlanding/dispatch/cost_model.py
@@ -0,0 +1,68 @@
+"""Predicted time to the first event of a stream, from the engine's published times."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Work:
+    """Size of one request in tokens."""
+
+    prompt_tokens: float
+    answer_tokens: float
+
+
+def step_time(engine, model, running):
+    """Return the time of one token step of a group, in seconds.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Published times.
+    model : ModelSpec
+        The group's model.
+    running : float
+        Sequences that the group writes.
+    """
+    context = engine.usual_prompt_tokens + engine.usual_answer_tokens / 2
+    sequence_s = engine.step_per_sequence_s + context * engine.step_per_context_token_s
+    return (engine.step_s + running * sequence_s) * model.pace
+
+
+def prefill_time(engine, model, prompt_tokens):
+    """Return the time to read a prompt, in seconds."""
+    pairs = prompt_tokens * prompt_tokens / 2
+    return (
+        prompt_tokens / engine.prefill_tokens_per_s + pairs * engine.prefill_pair_s
+    ) * model.pace
+
+
+def service_time(engine, model, work, running):
+    """Return the time that a request occupies a slot, in seconds."""
+    writing_s = work.answer_tokens * step_time(engine, model, running)
+    return prefill_time(engine, model, work.prompt_tokens) + writing_s
+
+
+def first_event_time(engine, model, work, present):
+    """Return the predicted time to the first event, in seconds.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Published times.
+    model : ModelSpec
+        The group's model.
+    work : Work
+        The request.
+    present : int
+        Requests that already run or wait at the group's head.
+    """
+    running = min(present, engine.slots)
+    pass_s = engine.stride * step_time(engine, model, running)
+    # On average half of a pass is left when the request arrives; its own first pass follows.
+    predicted = 1.5 * pass_s + prefill_time(engine, model, work.prompt_tokens)
+    ahead = present - engine.slots
+    if ahead < 0:
+        return predicted
+    usual = Work(engine.usual_prompt_tokens, engine.usual_answer_tokens)
+    slot_s = service_time(engine, model, usual, engine.slots) / engine.slots
+    return predicted + (ahead + 1) * slot_s
--- /dev/null
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -0,0 +1,174 @@
+"""Chooses the endpoint of each request."""
+
+from lynxlanding.dispatch import choice, cost_model, endpoint_health, load_book, retry_allowance
+from lynxlanding.fleet import endpoint_change
+
+# Used where a model has no open group: a group forms from staged weights in about this time.
+GROUP_RETURN_S = 1.5
+# Used where every endpoint is avoided for a moment.
+SHORT_RETURN_S = 0.5
+# Preference for endpoints of the node's own data centre, as a time.
+REMOTE_PENALTY_S = 0.004
+# A plain service's endpoint takes this multiple of its slots before requests are refused.
+PLAIN_QUEUE_FACTOR = 2.0
+# A request is refused when the predicted time exceeds its objective by this factor.
+LATENESS_FACTOR = 1.5
+SHORTEST_RETRY_AFTER_S = 0.2
+
+
+class Dispatcher:
+    """Routing and early refusal, without I/O.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the node.
+    registry : EndpointRegistry
+        Known endpoints.
+    retry_limits : tuple of float
+        Ratio, slack and window in seconds of the limit on repeats.
+    random_state : numpy.random.Generator
+        Breaks ties.
+    """
+
+    def __init__(self, data_centre, registry, retry_limits, random_state):
+        self._data_centre = data_centre
+        self._registry = registry
+        self._retry_limits = retry_limits
+        self._random_state = random_state
+        self._configuration = None
+        self._nodes = 1
+        self._load = load_book.LoadBook()
+        self._health = endpoint_health.EndpointHealth()
+        self._allowances = {}
+        self._plain = {}
+        self._heads = {}
+
+    @property
+    def load(self):
+        """Requests in flight."""
+        return self._load
+
+    @property
+    def health(self):
+        """Recent failures of endpoints."""
+        return self._health
+
+    @property
+    def configuration(self):
+        """Configuration in force or None."""
+        return self._configuration
+
+    def use_configuration(self, configuration):
+        """Use a newer configuration."""
+        self._configuration = configuration
+
+    def use_node_count(self, nodes):
+        """Use the number of nodes that share the limit on repeats."""
+        self._nodes = max(1, nodes)
+
+    def apply(self, changes):
+        """Update the candidates after changes of the registry."""
+        if not changes:
+            return
+        for change in changes:
+            if change.kind in (endpoint_change.RESTARTED, endpoint_change.REMOVED):
+                self._health.forget(change.record.endpoint_id)
+                self._load.forget(change.record.endpoint_id)
+        self._plain = {}
+        self._heads = {}
+        for record in self._registry.records.values():
+            if record.is_leaving:
+                continue
+            if not record.is_engine:
+                self._plain.setdefault(record.service, []).append(record)
+                continue
+            if not record.is_serving_head:
+                continue
+            for model in record.models:
+                self._heads.setdefault((record.service, model), []).append(record)
+
+    def count_heads(self, service, model):
+        """Return the open groups of a model."""
+        return len(self._heads.get((service, model), ()))
+
+    def note_request(self, service, now):
+        """Count a request from a caller."""
+        self._allowance(service).note_request(now)
+
+    def take_repeat(self, service, now):
+        """Take one repeat from the node's allowance; return whether there was one."""
+        return self._allowance(service).take(now, self._nodes)
+
+    def choose(self, question, now):
+        """Return ``Send`` or ``Refuse`` for a request."""
+        service = self._configuration.services.get(question.service)
+        if service is not None and service.engine is not None:
+            return self._choose_head(question, service.engine, now)
+        return self._choose_plain(question, now)
+
+    def _choose_head(self, question, engine, now):
+        model = engine.models.get(question.model)
+        heads = self._heads.get((question.service, question.model), ())
+        best = None
+        best_cost = 0.0
+        for record in heads:
+            if record.endpoint_id in question.excluded:
+                continue
+            if self._health.is_avoided(record.endpoint_id, now):
+                continue
+            present = self._load.estimate(record.endpoint_id, now)
+            predicted_s = cost_model.first_event_time(engine, model, question.work, present)
+            predicted_s *= self._health.slowness(record.endpoint_id)
+            # Groups with more room finish a request sooner, also when the first event is alike.
+            cost = predicted_s * (1.0 + present / engine.slots)
+            if record.data_centre != self._data_centre:
+                cost += REMOTE_PENALTY_S
+            cost *= 1.0 + 0.05 * self._random_state.random()
+            if best is None or cost < best_cost:
+                best = choice.Send(record, present, predicted_s)
+                best_cost = cost
+        if best is None:
+            if not heads:
+                return choice.Refuse("no open group of the model", GROUP_RETURN_S)
+            return choice.Refuse("every open group was tried or has just failed", SHORT_RETURN_S)
+        allowed_s = question.route.target_latency_s * LATENESS_FACTOR
+        if best.present >= engine.slots and best.predicted_s + question.waited_s > allowed_s:
+            excess_s = best.predicted_s - question.route.target_latency_s
+            return choice.Refuse(
+                "the request would be late on every group", max(SHORTEST_RETRY_AFTER_S, excess_s)
+            )
+        self._load.begin(best.record.endpoint_id)
+        return best
+
+    def _choose_plain(self, question, now):
+        candidates = self._plain.get(question.service, ())
+        best = None
+        best_cost = 0.0
+        for record in candidates:
+            if record.endpoint_id in question.excluded:
+                continue
+            present = self._load.estimate(record.endpoint_id, now)
+            cost = (present + 0.5) / max(1, record.slots)
+            cost *= self._health.slowness(record.endpoint_id)
+            if self._health.is_avoided(record.endpoint_id, now):
+                cost += 10.0
+            if record.data_centre != self._data_centre:
+                cost += 0.05
+            cost *= 1.0 + 0.1 * self._random_state.random()
+            if best is None or cost < best_cost:
+                best = choice.Send(record, present, 0.0)
+                best_cost = cost
+        if best is None:
+            return choice.Refuse("no endpoint of the service", SHORT_RETURN_S)
+        if best.present >= best.record.slots * PLAIN_QUEUE_FACTOR:
+            return choice.Refuse("every endpoint of the service is full", SHORT_RETURN_S)
+        self._load.begin(best.record.endpoint_id)
+        return best
+
+    def _allowance(self, service):
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            allowance = retry_allowance.RetryAllowance(*self._retry_limits)
+            self._allowances[service] = allowance
+        return allowance
--- /dev/null
+++ b/src/lynxlanding/dispatch/endpoint_health.py
@@ -0,0 +1,56 @@
+"""Recent failures and slowness of endpoints, as seen by the node."""
+
+import dataclasses
+
+# After a failure the endpoint is avoided for this long; repeated failures double the time.
+FIRST_AVOIDANCE_S = 0.5
+LONGEST_AVOIDANCE_S = 4.0
+# Weight of a new observation in the average of observed over predicted times.
+CALIBRATION_WEIGHT = 0.3
+CALIBRATION_BOUNDS = (0.25, 8.0)
+
+
+@dataclasses.dataclass(slots=True)
+class _State:
+    failures: int = 0
+    avoided_until: float = 0.0
+    slowness: float = 1.0
+
+
+class EndpointHealth:
+    """Keeps a short memory of each endpoint."""
+
+    def __init__(self):
+        self._states = {}
+
+    def note_failure(self, endpoint_id, now):
+        """Record that an attempt failed through the endpoint's fault."""
+        state = self._states.setdefault(endpoint_id, _State())
+        pause_s = min(LONGEST_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**state.failures)
+        state.failures += 1
+        state.avoided_until = max(state.avoided_until, now + pause_s)
+
+    def note_response(self, endpoint_id, observed_s, predicted_s):
+        """Record the time to the first event or response."""
+        state = self._states.setdefault(endpoint_id, _State())
+        state.failures = 0
+        state.avoided_until = 0.0
+        if predicted_s <= 0:
+            return
+        low, high = CALIBRATION_BOUNDS
+        ratio = min(high, max(low, observed_s / predicted_s))
+        state.slowness += CALIBRATION_WEIGHT * (ratio - state.slowness)
+
+    def is_avoided(self, endpoint_id, now):
+        """Return whether the endpoint should get no request at present."""
+        state = self._states.get(endpoint_id)
+        return state is not None and now < state.avoided_until
+
+    def slowness(self, endpoint_id):
+        """Return observed over predicted times; 1 for an unknown endpoint."""
+        state = self._states.get(endpoint_id)
+        return 1.0 if state is None else state.slowness
+
+    def forget(self, endpoint_id):
+        """Forget an endpoint that restarted or is gone."""
+        self._states.pop(endpoint_id, None)
--- /dev/null
+++ b/src/lynxlanding/dispatch/forward_request.py
@@ -0,0 +1,55 @@
+"""A caller's request on its way to an endpoint."""
+
+import dataclasses
+from collections.abc import Callable
+
+from lynxlanding.dispatch import cost_model, request_marks
+from lynxlanding.traffic import route as traffic_route
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForwardRequest:
+    """A request that was read and matched with a route.
+
+    Parameters
+    ----------
+    marks : RequestMarks
+        Decoded headers.
+    method, target : str
+        As sent by the caller.
+    headers : list of (str, str)
+        As sent by the caller.
+    body : bytes
+        Whole body.
+    route : Route
+        Matching route.
+    service : str
+        Service chosen from the route's split.
+    workspace : str or None
+        Name of the caller's workspace.
+    urgency : int or None
+        Rank in an endpoint's queue; 0 is the most urgent.
+    work : Work
+        Estimated size.
+    received_at, deadline : float
+        Monotonic seconds.
+    waited_s : float
+        How long the caller had waited before, over its earlier attempts.
+    has_caller_left : callable
+        Returns whether the caller has closed its connection.
+    """
+
+    marks: request_marks.RequestMarks
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    route: traffic_route.Route
+    service: str
+    workspace: str | None
+    urgency: int | None
+    work: cost_model.Work
+    received_at: float
+    deadline: float
+    waited_s: float
+    has_caller_left: Callable[[], bool]
--- /dev/null
+++ b/src/lynxlanding/dispatch/request_journal.py
@@ -0,0 +1,80 @@
+"""Log lines about the decisions that touch a request."""
+
+import eliot
+
+CHOSEN = "lynxlanding:request:chosen"
+REFUSED = "lynxlanding:request:refused"
+ATTEMPT_FAILED = "lynxlanding:request:attempt_failed"
+FINISHED = "lynxlanding:request:finished"
+
+
+class RequestJournal:
+    """Writes one line for each decision, with what it was based on.
+
+    Parameters
+    ----------
+    view : NodeView
+        Versions that the node knows.
+    """
+
+    def __init__(self, view):
+        self._view = view
+
+    def chosen(self, request, decision, sends):
+        """Log the choice of an endpoint."""
+        record = decision.record
+        membership = record.membership
+        eliot.log_message(
+            message_type=CHOSEN,
+            request_id=request.marks.request_id,
+            attempt=sends + 1,
+            endpoint=record.endpoint_id,
+            group=membership.name if membership else None,
+            epoch=membership.epoch if membership else None,
+            model=request.marks.model,
+            load=decision.present,
+            predicted_s=round(decision.predicted_s, 4),
+            registry_age_s=self._view.registry_age_s,
+            configuration_version=self._view.configuration_version,
+        )
+
+    def refused(self, request, decision, sends):
+        """Log an early refusal."""
+        eliot.log_message(
+            message_type=REFUSED,
+            request_id=request.marks.request_id,
+            route=request.route.name,
+            service=request.service,
+            model=request.marks.model,
+            reason=decision.reason,
+            retry_after_s=round(decision.retry_after_s, 3),
+            attempts=sends,
+            registry_age_s=self._view.registry_age_s,
+        )
+
+    def attempt_failed(self, request, record, error, will_repeat, history):
+        """Log a failed attempt and whether another one follows."""
+        eliot.log_message(
+            message_type=ATTEMPT_FAILED,
+            request_id=request.marks.request_id,
+            endpoint=record.endpoint_id,
+            error=error.type_name,
+            detail=str(error)[:200],
+            not_run=error.certainly_not_run,
+            will_repeat=will_repeat,
+            attempts=history.sends,
+            time_left_s=round(history.time_left_s, 3),
+        )
+
+
+def log_finished(request_id, summary):
+    """Log the end of a request.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the request.
+    summary : dict
+        Route, workspace, status, result, times and events.
+    """
+    eliot.log_message(message_type=FINISHED, request_id=request_id, **summary)
--- /dev/null
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -0,0 +1,339 @@
+"""Runs one request: chooses endpoints, sends attempts, relays the response."""
+
+import time
+
+from lynxlanding.dispatch import choice, event_buffer, exchange, retry_rules
+from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.errors import request as request_errors
+from lynxlanding.gateway import stream_aborted
+
+# A group makes an event every few tens of milliseconds; one that is silent for this long has lost
+# a member or is cut off.
+STREAM_STALL_S = 0.5
+# Time that the first event may take beyond its prediction.
+FIRST_EVENT_SLACK_S = 0.6
+FIRST_EVENT_FACTOR = 3.0
+# Plain services answer in one piece, some much later than usual.
+PLAIN_STALL_S = 1.0
+
+
+class Reply:
+    """Response to the caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of (str, str)
+        Headers for the caller.
+    body : bytes or None
+        Whole body; None for a stream.
+    stream : iterator of bytes or None
+        Events as they arrive.
+    """
+
+    __slots__ = ("body", "headers", "status", "stream")
+
+    def __init__(self, status, headers, body=None, stream=None):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.stream = stream
+
+
+class RequestRun:
+    """One request of a caller.
+
+    Parameters
+    ----------
+    request : ForwardRequest
+        The request.
+    serving : ServingActor proxy
+        Chooses endpoints and owns the counts.
+    exchange_client : Exchange
+        Sends attempts.
+    codec : module
+        Offers ``encode_forwarded`` and ``returned``.
+    journal : RequestJournal
+        Logs the decisions.
+    """
+
+    def __init__(self, request, serving, exchange_client, codec, journal):
+        self._request = request
+        self._serving = serving
+        self._exchange = exchange_client
+        self._codec = codec
+        self._journal = journal
+        self._sends = 0
+        self._may_have_run = 0
+        self._excluded = set()
+        self._granted_repeat = False
+
+    @property
+    def may_have_run(self):
+        """Whether an endpoint may have begun to work on the request."""
+        return self._may_have_run > 0
+
+    def start(self):
+        """Return a ``Reply``.
+
+        Raises
+        ------
+        errors.request.RequestError
+            If the request is refused or has failed.
+        """
+        while True:
+            record, send = self._choose()
+            try:
+                return self._attempt(record, send)
+            except endpoint_errors.AttemptError as e:
+                self._after_failure(record, e)
+
+    def _choose(self):
+        now = time.monotonic()
+        request = self._request
+        question = choice.Question(
+            request_id=request.marks.request_id,
+            service=request.service,
+            route=request.route,
+            model=request.marks.model,
+            work=request.work,
+            waited_s=request.waited_s + now - request.received_at,
+            time_left_s=request.deadline - now,
+            excluded=frozenset(self._excluded),
+            is_repeat=self._sends > 0,
+        )
+        decision = self._serving.choose(question, now).get()
+        if isinstance(decision, choice.Refuse):
+            self._journal.refused(request, decision, self._sends)
+            raise self._refusal(decision.reason, decision.retry_after_s)
+        self._journal.chosen(request, decision, self._sends)
+        return decision.record, decision
+
+    def _refusal(self, reason, retry_after_s):
+        if self._may_have_run:
+            return request_errors.EndpointFailed(reason)
+        return request_errors.Overloaded(reason, retry_after_s=retry_after_s)
+
+    def _attempt(self, record, send, resume_after=None):
+        """Send the request to an endpoint and return the ``Reply``."""
+        request = self._request
+        started_at = time.monotonic()
+        attempt = exchange.make_attempt(
+            request.deadline,
+            self._first_stall(send),
+            request.has_caller_left,
+            self._may_abandon,
+        )
+        self._sends += 1
+        self._may_have_run += 1
+        response = None
+        try:
+            response, marks = self._exchange.open(
+                record,
+                request.method,
+                request.target,
+                self._codec.encode_forwarded(
+                    request.headers,
+                    record.endpoint_id,
+                    request.deadline - started_at,
+                    request.workspace,
+                    request.urgency,
+                    resume_after,
+                ),
+                request.body,
+                attempt,
+                # A late response to an earlier request must not be taken for this one's.
+                fresh=not request.route.is_idempotent,
+            )
+            if marks.load is not None:
+                load = marks.load.running + marks.load.waiting
+                self._serving.state_load(record.endpoint_id, load, time.monotonic())
+            self._check(response, marks)
+            if request.route.is_stream and response.status == 200:
+                return self._begin_stream(record, send, response, attempt, started_at, resume_after)
+            return self._read_whole(record, response, started_at)
+        except BaseException as e:
+            if response is not None:
+                response.chunks.close()
+            if getattr(e, "certainly_not_run", False):
+                self._may_have_run -= 1
+            self._serving.end_attempt(record.endpoint_id)
+            raise
+
+    def _first_stall(self, send):
+        if not self._request.route.is_stream:
+            return PLAIN_STALL_S
+        return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * send.predicted_s
+
+    def _check(self, response, marks):
+        request = self._request
+        if marks.was_not_run or response.status == 421:
+            raise endpoint_errors.EndpointRefused(response.status)
+        if marks.request_id is not None and marks.request_id != request.marks.request_id:
+            raise endpoint_errors.ResponseMismatch("the response belongs to another request")
+        if marks.is_encoded or not marks.is_sealed:
+            raise endpoint_errors.MalformedResponse("the response is not the endpoint's own")
+
+    def _read_whole(self, record, response, started_at):
+        parts = []
+        for chunk in response.chunks:
+            parts.append(chunk)
+        observed_s = time.monotonic() - started_at
+        self._serving.end_response(record.endpoint_id, observed_s, 0.0, response.status)
+        headers = self._codec.returned(response.headers)
+        return Reply(response.status, headers, body=b"".join(parts))
+
+    def _begin_stream(self, record, send, response, attempt, started_at, resume_after):
+        last_id = resume_after
+        if last_id is None:
+            last_id = self._request.marks.last_event_id
+        events = event_buffer.EventBuffer(last_id)
+        first = self._next_events(response, events)
+        observed_s = time.monotonic() - started_at
+        self._serving.note_first_event(record.endpoint_id, observed_s, send.predicted_s)
+        attempt.expect_data_within(STREAM_STALL_S)
+        headers = self._codec.returned(response.headers)
+        relay = _Relay(self, record, response, events, first)
+        return Reply(response.status, headers, stream=relay)
+
+    def _next_events(self, response, events):
+        for chunk in response.chunks:
+            whole = events.feed(chunk)
+            if whole:
+                return whole
+        if not events.is_empty:
+            raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
+        return b""
+
+    def resume(self, record, error, last_id):
+        """Return the ``Reply`` of another endpoint that goes on after event ``last_id``.
+
+        Raises
+        ------
+        errors.request.RequestError
+            If the stream cannot go on.
+        """
+        if last_id is None:
+            raise request_errors.EndpointFailed("the stream broke without a position to resume at")
+        self._after_failure(record, error)
+        while True:
+            next_record, send = self._choose()
+            try:
+                reply = self._attempt(next_record, send, resume_after=last_id)
+            except endpoint_errors.AttemptError as e:
+                self._after_failure(next_record, e)
+                continue
+            if reply.stream is None:
+                raise request_errors.EndpointFailed(f"resuming was answered with {reply.status}")
+            return reply
+
+    def _may_abandon(self):
+        """Return whether a stalled attempt may be ended in favour of another one."""
+        history = self._history(last_was_not_run=False)
+        if not retry_rules.may_repeat(self._request.route, history):
+            return False
+        if not self._serving.take_repeat(self._request.service, time.monotonic()).get():
+            return False
+        self._granted_repeat = True
+        return True
+
+    def _after_failure(self, record, error):
+        """Decide about a repeat; raises the final ``RequestError`` if there is none."""
+        now = time.monotonic()
+        self._excluded.add(record.endpoint_id)
+        request = self._request
+        was_caller = request.has_caller_left()
+        if not was_caller:
+            self._serving.note_failure(record.endpoint_id, type(error), now)
+        if was_caller:
+            raise request_errors.CallerLeft("the caller has closed its connection")
+        not_run = error.certainly_not_run
+        history = self._history(last_was_not_run=not_run)
+        allowed = retry_rules.may_repeat(request.route, history)
+        # A send that found no connection is no arrival at the service.
+        uses_allowance = not isinstance(error, endpoint_errors.ConnectionRefused)
+        if allowed and uses_allowance and not self._granted_repeat:
+            allowed = self._serving.take_repeat(request.service, now).get()
+        self._granted_repeat = False
+        self._journal.attempt_failed(request, record, error, allowed, history)
+        if allowed:
+            return
+        if not self._may_have_run:
+            raise request_errors.Overloaded(str(error), retry_after_s=0.3) from error
+        if now >= request.deadline:
+            raise request_errors.DeadlineExceeded("no response before the deadline") from error
+        raise request_errors.EndpointFailed(str(error)) from error
+
+    def _history(self, *, last_was_not_run):
+        return retry_rules.AttemptHistory(
+            sends=self._sends,
+            may_have_run=self._may_have_run,
+            last_was_not_run=last_was_not_run,
+            time_left_s=self._request.deadline - time.monotonic(),
+        )
+
+    def finish_attempt(self, record):
+        """Release the count of an attempt whose stream has ended."""
+        self._serving.end_attempt(record.endpoint_id)
+
+
+class _Relay:
+    """Events of a stream, over the endpoints that serve it one after the other."""
+
+    def __init__(self, run, record, response, events, first):
+        self._run = run
+        self._record = record
+        self._response = response
+        self._events = events
+        self._first = first
+        self._iterator = self._iterate()
+
+    def __iter__(self):
+        return self._iterator
+
+    def close(self):
+        """End the stream, which also cancels the work at the endpoint."""
+        self._iterator.close()
+        self._release()
+
+    @property
+    def source(self):
+        """Endpoint, response, events and first bytes, for a relay that goes on with them."""
+        return self._record, self._response, self._events, self._first
+
+    def _iterate(self):
+        if self._first:
+            yield self._first
+        while True:
+            try:
+                for chunk in self._response.chunks:
+                    whole = self._events.feed(chunk)
+                    if whole:
+                        yield whole
+                if not self._events.is_empty:
+                    raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
+                self._release()
+                return
+            except endpoint_errors.AttemptError as e:
+                first = self._switch(e)
+            if first:
+                yield first
+
+    def _switch(self, error):
+        failed = self._record
+        self._release()
+        try:
+            reply = self._run.resume(failed, error, self._events.last_id)
+        except request_errors.RequestError as e:
+            raise stream_aborted.StreamAborted(str(e)) from e
+        self._record, self._response, self._events, first = reply.stream.source
+        return first
+
+    def _release(self):
+        response = self._response
+        if response is None:
+            return
+        self._response = None
+        response.chunks.close()
+        self._run.finish_attempt(self._record)
--- a/src/lynxlanding/errors/platform.py
+++ b/src/lynxlanding/errors/platform.py
@@ -77,3 +77,9 @@
     def __init__(self, retry_after_s):
         super().__init__(f"weight store permit denied; retry after {retry_after_s} s")
         self.retry_after_s = retry_after_s
+
+
+class MalformedEntry(PlatformError):
+    """An entry of the store does not describe an endpoint or a configuration."""
+
+    type_name = "malformed_entry"
--- a/src/lynxlanding/errors/request.py
+++ b/src/lynxlanding/errors/request.py
@@ -148,3 +148,18 @@
 
     type_name = "send_window_passed"
     status = 503
+
+
+class CallerLeft(RequestError):
+    """The caller closed its connection before the response was complete."""
+
+    type_name = "caller_left"
+    status = 499
+    default_executed = EXECUTED_UNKNOWN
+
+
+class NoConfiguration(RequestError):
+    """The node has not read a configuration yet."""
+
+    type_name = "no_configuration"
+    status = 503
--- a/src/lynxlanding/gateway/http_server.py
+++ b/src/lynxlanding/gateway/http_server.py
@@ -6,7 +6,7 @@
 import waitress
 from waitress import channel
 
-from lynxlanding.gateway import error_task, stream_aborted
+from lynxlanding.gateway import error_task, stream_aborted, strict_parser
 
 # A body slightly above the limit still reaches the application, which refuses it with more detail.
 BODY_MARGIN_BYTES = 64 << 10
@@ -20,6 +20,8 @@
     go to the socket directly while the buffer is empty.
     """
 
+    parser_class = strict_parser.StrictParser
+    task_class = strict_parser.KeepAliveTask
     error_task_class = error_task.JsonErrorTask
 
     def write_soon(self, data):
--- /dev/null
+++ b/src/lynxlanding/node/__init__.py
@@ -0,0 +1,1 @@
+"""A node in front of the users' platform: listeners, followers and life cycle."""
--- /dev/null
+++ b/src/lynxlanding/node/front_app.py
@@ -0,0 +1,186 @@
+"""WSGI application for callers on the users' platform."""
+
+import json
+import logging
+import time
+
+from lynxlanding.dispatch import request_journal, request_run
+from lynxlanding.errors import request as request_errors
+from lynxlanding.gateway import json_response, stream_aborted, strict_parser
+
+_logger = logging.getLogger(__name__)
+
+# Refusals after which the caller may send the same request again.
+_PROMISES = (429, 503)
+
+
+class FrontApp:
+    """Forwards the requests of callers.
+
+    Parameters
+    ----------
+    reader : RequestReader
+        Reads requests.
+    view : NodeView
+        Readiness and the count of requests.
+    serving : ServingActor proxy
+        Chooses endpoints.
+    exchange_client : Exchange
+        Sends attempts.
+    codec : module
+        Translates headers.
+    journal : RequestJournal
+        Logs decisions.
+    metrics : NodeMetrics
+        Counts.
+    """
+
+    def __init__(self, reader, view, serving, exchange_client, codec, journal, metrics):
+        self._reader = reader
+        self._view = view
+        self._serving = serving
+        self._exchange = exchange_client
+        self._codec = codec
+        self._journal = journal
+        self._metrics = metrics
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        received_at = time.monotonic()
+        marks = self._codec.decode_request(environ[strict_parser.RAW_HEADERS])
+        record = _Record(marks.request_id, received_at, self._metrics)
+        self._view.begin_request()
+        run = None
+        is_stream = False
+        try:
+            if self._view.refuses_requests:
+                raise request_errors.NodeStopping("the node is shutting down", retry_after_s=0.0)
+            request = self._reader.read(environ, marks, received_at)
+            record.identify(request)
+            self._serving.note_request(request.service, received_at)
+            run = request_run.RequestRun(
+                request, self._serving, self._exchange, self._codec, self._journal
+            )
+            reply = run.start()
+            start_response(json_response.status_line(reply.status), self._response_headers(reply))
+            if reply.stream is None:
+                record.finish(reply.status, "whole")
+                return [reply.body]
+            is_stream = True
+            return _StreamBody(reply.stream, record, self._view)
+        except request_errors.RequestError as e:
+            record.finish(e.status, "refused" if e.executed == "no" else "failed", e)
+            return self._refuse(start_response, e, marks.request_id)
+        except Exception:
+            _logger.exception("request %s failed inside the node", marks.request_id)
+            error = request_errors.RequestError("internal error", executed="unknown")
+            record.finish(error.status, "failed", error)
+            return self._refuse(start_response, error, marks.request_id)
+        finally:
+            if not is_stream:
+                self._view.end_request()
+
+    def _response_headers(self, reply):
+        headers = list(reply.headers)
+        if reply.body is not None:
+            headers.append(("Content-Length", str(len(reply.body))))
+        return headers
+
+    def _refuse(self, start_response, error, request_id):
+        status = error.status
+        if status == request_errors.CallerLeft.status:
+            # Nobody reads this response.
+            status = 502
+        body = json.dumps(json_response.error_document(error)).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("X-Request-Id", request_id),
+            ("X-Executed", error.executed),
+        ]
+        if status in _PROMISES:
+            headers.append(("Retry-After", f"{error.retry_after_s or 0.0:.2f}"))
+        start_response(json_response.status_line(status), headers)
+        return [body]
+
+
+class _Record:
+    """Log line and counts of one request."""
+
+    def __init__(self, request_id, received_at, metrics):
+        self._request_id = request_id
+        self._received_at = received_at
+        self._metrics = metrics
+        self._request = None
+        self._first_at = None
+        self._is_finished = False
+        self._events = 0
+
+    def identify(self, request):
+        self._request = request
+
+    def count(self, chunk):
+        if self._first_at is None:
+            self._first_at = time.monotonic()
+        self._events += chunk.count(b"\n\n")
+
+    def finish(self, status, result, error=None):
+        if self._is_finished:
+            return
+        self._is_finished = True
+        now = time.monotonic()
+        request = self._request
+        first_s = None if self._first_at is None else self._first_at - self._received_at
+        summary = {
+            "status": status,
+            "result": result,
+            "duration_s": round(now - self._received_at, 4),
+            "first_event_s": None if first_s is None else round(first_s, 4),
+            "events": self._events,
+        }
+        if request is not None:
+            summary["route"] = request.route.name
+            summary["service"] = request.service
+            summary["workspace"] = request.workspace
+            summary["model"] = request.marks.model
+            summary["waited_before_s"] = round(request.waited_s, 3)
+        if error is not None:
+            summary["error"] = error.type_name
+            summary["detail"] = str(error)[:200]
+            summary["executed"] = error.executed
+            summary["retry_after_s"] = error.retry_after_s
+        request_journal.log_finished(self._request_id, summary)
+        service = "" if request is None else request.service
+        self._metrics.record(service, result, status, now - self._received_at, first_s)
+
+
+class _StreamBody:
+    """A stream on its way to the caller."""
+
+    def __init__(self, stream, record, view):
+        self._stream = stream
+        self._record = record
+        self._view = view
+        self._is_open = True
+
+    def __iter__(self):
+        try:
+            for chunk in self._stream:
+                self._record.count(chunk)
+                yield chunk
+            self._record.finish(200, "whole")
+        except stream_aborted.StreamAborted as e:
+            self._record.finish(200, "broken", request_errors.EndpointFailed(str(e)))
+            raise
+
+    def close(self):
+        """Stop the stream, which also cancels its work at the endpoint."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        try:
+            self._stream.close()
+        finally:
+            self._view.end_request()
+            # A stream that ended by itself was recorded before.
+            self._record.finish(200, "abandoned")
--- /dev/null
+++ b/src/lynxlanding/node/vm_node.py
@@ -0,0 +1,291 @@
+"""One node on the users' platform: its parts and its life cycle."""
+
+import logging
+import os
+import random
+import signal
+import threading
+import time
+
+import eliot
+import pykka
+from eliot import stdlib
+
+from lynxlanding.dispatch import (
+    connection_pool,
+    dispatcher,
+    exchange,
+    request_journal,
+    serving_actor,
+)
+from lynxlanding.errors import settings as settings_errors
+from lynxlanding.fleet import registry as fleet_registry
+from lynxlanding.gateway import http_server
+from lynxlanding.node import (
+    configuration_handler,
+    endpoint_handler,
+    front_app,
+    node_view,
+    probe_app,
+    request_reader,
+    store_follower,
+)
+from lynxlanding.observability import bounded_log, node_metrics
+from lynxlanding.peers import node_directory, node_identity, peer_exchange, peer_table, report_codec
+from lynxlanding.platform import (
+    configuration_codec,
+    endpoint_codec,
+    engine_client,
+    object_client,
+    paths,
+    request_headers,
+    sockets,
+)
+from lynxlanding.replicas import group_director
+from lynxlanding.requests import attempt_monitor
+from lynxlanding.settings import loading, vm_settings
+
+EXPIRY_INTERVAL_S = 0.2
+DRAIN_POLL_S = 0.05
+# The balancer takes a node out after two missed checks a second apart.
+UNREADY_S = 2.5
+# New requests are refused when less than this is left of the grace time.
+REFUSE_BEFORE_END_S = 3.5
+# The process ends this long before it would be killed.
+END_MARGIN_S = 0.5
+LOG_FLUSH_S = 0.5
+
+STARTED = "lynxlanding:node:started"
+STOPPING = "lynxlanding:node:stopping"
+STOPPED = "lynxlanding:node:stopped"
+RELOADED = "lynxlanding:node:reloaded"
+
+_logger = logging.getLogger(__name__)
+
+
+class VmNode:
+    """Builds the parts of a node and runs them.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        Checked settings.
+    path : str
+        File that the settings came from; read again on SIGHUP.
+    """
+
+    def __init__(self, settings, path):
+        self._settings = settings
+        self._path = path
+        self._stop = threading.Event()
+        self._reload = threading.Event()
+        self._random_state = random.Random()
+        self._view = node_view.NodeView()
+        self._log = bounded_log.BoundedLog()
+        self._metrics = node_metrics.NodeMetrics(settings.node_id, settings.data_centre)
+        self._pool = connection_pool.ConnectionPool(sockets.OPTIONS)
+        self._monitor = attempt_monitor.AttemptMonitor()
+        self._identity = node_identity.NodeIdentity(
+            settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
+        )
+        self._table = peer_table.PeerTable(settings.node_id)
+        self._serving_ref = self._start_serving()
+        self._serving = self._serving_ref.proxy()
+        self._store = object_client.PlatformObjectStore(settings.store_address)
+        self._director = group_director.GroupDirector(
+            settings.node_id,
+            self._store,
+            engine_client.PlatformEngineClient(),
+            self._read_fleet,
+            self._live_nodes,
+            settings.groups,
+        )
+        self._endpoint_handler = endpoint_handler.EndpointHandler(
+            self._serving, self._view, self._pool, self._on_endpoints_changed
+        )
+        self._followers = self._make_followers()
+        self._exchange = peer_exchange.PeerExchange(
+            self._identity, self._table, self._build_loads, self._on_report, self._random_state
+        )
+        self._directory = node_directory.NodeDirectory(
+            self._store, self._identity, self._table, self._on_node_count
+        )
+        self._endpoint_ids = {}
+
+    def run(self):
+        """Serve until SIGTERM or SIGINT, then drain."""
+        eliot.add_global_fields(node=self._settings.node_id)
+        self._log.start()
+        logging.getLogger().addHandler(stdlib.EliotHandler())
+        logging.getLogger().setLevel(logging.WARNING)
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        self._add_gauges()
+        servers = self._make_servers()
+        for server in servers:
+            threading.Thread(target=server.run, daemon=True).start()
+        self._monitor.start()
+        for follower in self._followers:
+            follower.start()
+        self._directory.start()
+        self._exchange.start()
+        self._director.start()
+        threading.Thread(target=self._keep_time, daemon=True).start()
+        eliot.log_message(
+            message_type=STARTED,
+            data_centre=self._settings.data_centre,
+            incarnation=self._identity.incarnation,
+            is_first_start=self._settings.is_first_start,
+        )
+        self._stop.wait()
+        self._drain(servers)
+
+    def _start_serving(self):
+        settings = self._settings
+        limits = (
+            settings.requests.repeat_ratio,
+            settings.requests.repeat_slack,
+            settings.requests.repeat_window_s,
+        )
+        registry = fleet_registry.EndpointRegistry()
+        decisions = dispatcher.Dispatcher(
+            settings.data_centre, registry, limits, self._random_state
+        )
+        return serving_actor.ServingActor.start(registry, decisions)
+
+    def _make_followers(self):
+        configuration = configuration_handler.ConfigurationHandler(
+            self._serving, self._view, self._director.use_configuration
+        )
+        return [
+            store_follower.StoreFollower(self._store, configuration_codec.KIND, configuration),
+            store_follower.StoreFollower(self._store, endpoint_codec.KIND, self._endpoint_handler),
+        ]
+
+    def _make_servers(self):
+        settings = self._settings
+        reader = request_reader.RequestReader(self._view, request_headers, self._random_state)
+        app = front_app.FrontApp(
+            reader,
+            self._view,
+            self._serving,
+            exchange.Exchange(self._pool, self._monitor, request_headers),
+            request_headers,
+            request_journal.RequestJournal(self._view),
+            self._metrics,
+        )
+        servers = [
+            _serve(app, settings.listen.callers, settings.requests.concurrency),
+            _serve(probe_app.ReadyApp(self._view, paths.READY), settings.listen.readiness, 2),
+        ]
+        if settings.listen.metrics is not None:
+            servers.append(_serve(probe_app.MetricsApp(self._metrics), settings.listen.metrics, 2))
+        return servers
+
+    def _read_fleet(self):
+        return self._serving.records().get()
+
+    def _live_nodes(self):
+        return self._table.live(time.monotonic())
+
+    def _on_endpoints_changed(self):
+        self._director.wake()
+
+    def _on_node_count(self, nodes):
+        self._serving.use_node_count(nodes)
+
+    def _build_loads(self):
+        return self._serving.own_load().get(), self._view.configuration_version
+
+    def _on_report(self, report, now):
+        counts = {}
+        for key, requests in report.loads.items():
+            endpoint_id = self._endpoint_ids.get(key)
+            if endpoint_id is not None:
+                counts[endpoint_id] = requests
+        self._serving.apply_peer_load(report.node_id, counts, now)
+
+    def _keep_time(self):
+        while not self._stop.wait(EXPIRY_INTERVAL_S):
+            now = time.monotonic()
+            self._endpoint_handler.report(self._serving.expire(now).get(), None)
+            self._pool.close_idle(now)
+            records, _ = self._serving.records().get()
+            ids = {}
+            for endpoint_id in records:
+                ids[report_codec.endpoint_key(endpoint_id)] = endpoint_id
+            self._endpoint_ids = ids
+            if self._reload.is_set():
+                self._reload.clear()
+                self._load_settings()
+
+    def _load_settings(self):
+        try:
+            settings = loading.load(self._path, vm_settings.VmSettings)
+        except settings_errors.SettingsError as e:
+            _logger.error("the settings were not reloaded: %s", e)
+            return
+        eliot.log_message(message_type=RELOADED, is_changed=settings != self._settings)
+        self._settings = settings
+
+    def _add_gauges(self):
+        self._metrics.add_gauge(
+            "lynxlanding_requests_in_flight", "Requests in progress.", lambda: self._view.in_flight
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_log_lines_dropped",
+            "Log lines dropped to bound their volume.",
+            lambda: self._log.dropped_total,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_configuration_version",
+            "Version of the configuration in force.",
+            lambda: self._view.configuration_version or 0,
+        )
+
+    def _on_stop(self, number, frame):
+        del number, frame
+        self._stop.set()
+
+    def _on_reload(self, number, frame):
+        del number, frame
+        self._reload.set()
+
+    def _drain(self, servers):
+        started_at = time.monotonic()
+        end_at = started_at + self._settings.stop.grace_s - END_MARGIN_S
+        self._view.begin_stop()
+        eliot.log_message(message_type=STOPPING, in_flight=self._view.in_flight)
+        self._director.stop()
+        while True:
+            now = time.monotonic()
+            if now >= end_at:
+                break
+            if now >= end_at - REFUSE_BEFORE_END_S:
+                self._view.refuse_requests()
+            busy = max(self._view.in_flight, http_server.count_busy_connections(servers[0]))
+            if not busy and now - started_at >= UNREADY_S:
+                break
+            time.sleep(DRAIN_POLL_S)
+        eliot.log_message(
+            message_type=STOPPED,
+            in_flight=self._view.in_flight,
+            duration_s=round(time.monotonic() - started_at, 3),
+        )
+        self._exchange.stop()
+        self._directory.stop()
+        for follower in self._followers:
+            follower.stop()
+        for server in servers:
+            server.close()
+        self._log.flush(LOG_FLUSH_S)
+        pykka.ActorRegistry.stop_all(block=False)
+        # Threads that wait for the platform would hold up the end of the process.
+        os._exit(0)
+
+
+def _serve(app, address, concurrency):
+    host, _, port = address.rpartition(":")
+    limits = vm_settings.ServerLimits(concurrency)
+    return http_server.create(app, host, int(port), limits)
--- a/src/lynxlanding/observability/metrics.py
+++ b/src/lynxlanding/observability/metrics.py
@@ -38,9 +38,9 @@
                 {"service.name": "lynxlandingd", "service.instance.id": node_id, "place": place}
             ),
             views=[
-                _bounded("lynxlanding_first_token_seconds", FIRST_TOKEN_BOUNDS_S),
-                _bounded("lynxlanding_token_interval_seconds", TOKEN_INTERVAL_BOUNDS_S),
-                _bounded("lynxlanding_request_duration_seconds", DURATION_BOUNDS_S),
+                bounded_view("lynxlanding_first_token_seconds", FIRST_TOKEN_BOUNDS_S),
+                bounded_view("lynxlanding_token_interval_seconds", TOKEN_INTERVAL_BOUNDS_S),
+                bounded_view("lynxlanding_request_duration_seconds", DURATION_BOUNDS_S),
             ],
             shutdown_on_exit=False,
         )
@@ -101,12 +101,7 @@
 
     def add_gauge(self, name, description, read):
         """Export the number that ``read()`` returns at each scrape."""
-
-        def observe(options):
-            del options
-            return [otel_metrics.Observation(read())]
-
-        self._meter.create_observable_gauge(name, [observe], description=description)
+        add_gauge(self._meter, name, description, read)
 
     def add_counter(self, name, description):
         """Return a counter with ``add(amount, labels)``."""
@@ -120,7 +115,18 @@
         )
 
 
-def _bounded(name, bounds):
+def add_gauge(meter, name, description, read):
+    """Export the number that ``read()`` returns at each scrape of a meter."""
+
+    def observe(options):
+        del options
+        return [otel_metrics.Observation(read())]
+
+    meter.create_observable_gauge(name, [observe], description=description)
+
+
+def bounded_view(name, bounds):
+    """Return the view that gives a histogram its bounds."""
     return view.View(
         instrument_name=name, aggregation=view.ExplicitBucketHistogramAggregation(bounds)
     )
--- /dev/null
+++ b/src/lynxlanding/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Load reports between nodes."""
--- /dev/null
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -0,0 +1,17 @@
+@0xd3a8f1c2b4e69705;
+# What a node tells the others several times a second.
+
+struct EndpointLoad {
+  # xxHash64 of the endpoint id.
+  key @0 :UInt64;
+  requests @1 :UInt16;
+}
+
+struct PeerReport {
+  nodeId @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt32;
+  address @3 :Text;
+  configurationVersion @4 :UInt64;
+  loads @5 :List(EndpointLoad);
+}
--- /dev/null
+++ b/src/lynxlanding/peers/peer_report.py
@@ -0,0 +1,31 @@
+"""What a node tells the others several times a second."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerReport:
+    """Report of one node.
+
+    Parameters
+    ----------
+    node_id : str
+        Sender.
+    incarnation : int
+        Start of the sender's process; a later one replaces an earlier one.
+    sequence : int
+        Number of the report within the incarnation.
+    address : str
+        ``host:port`` that the sender receives reports at.
+    configuration_version : int
+        Version in force at the sender; 0 if there is none.
+    loads : dict of int to int
+        Requests in flight by the hash of the endpoint id.
+    """
+
+    node_id: str
+    incarnation: int
+    sequence: int
+    address: str
+    configuration_version: int
+    loads: dict[int, int]
--- /dev/null
+++ b/src/lynxlanding/peers/report_codec.py
@@ -0,0 +1,61 @@
+"""Encodes reports with Cap'n Proto."""
+
+import importlib.resources
+
+import capnp
+import xxhash
+
+from lynxlanding.errors import membership as membership_errors
+from lynxlanding.peers import peer_report
+
+# One datagram without fragments carries about 100 endpoints.
+MAX_DATAGRAM_BYTES = 8192
+_MAX_WORDS = 1 << 16
+
+
+def endpoint_key(endpoint_id):
+    """Return the hash that stands for an endpoint id."""
+    return xxhash.xxh64_intdigest(endpoint_id)
+
+
+class ReportCodec:
+    """Codec of ``PeerReport``; the schema is loaded from the package's data."""
+
+    def __init__(self):
+        resource = importlib.resources.files("lynxlanding.peers") / "peer_report.capnp"
+        with importlib.resources.as_file(resource) as path:
+            self._schema = capnp.load(str(path))
+
+    def encode(self, report):
+        """Return the encoded report."""
+        message = self._schema.PeerReport.new_message()
+        message.nodeId = report.node_id
+        message.incarnation = report.incarnation
+        message.sequence = report.sequence
+        message.address = report.address
+        message.configurationVersion = report.configuration_version
+        loads = message.init("loads", len(report.loads))
+        for index, (key, requests) in enumerate(report.loads.items()):
+            loads[index].key = key
+            loads[index].requests = min(requests, 0xFFFF)
+        return message.to_bytes_packed()
+
+    def decode(self, data):
+        """Return the report; raises ``MalformedMessage``."""
+        try:
+            message = self._schema.PeerReport.from_bytes_packed(
+                data, traversal_limit_in_words=_MAX_WORDS
+            )
+            loads = {}
+            for item in message.loads:
+                loads[item.key] = item.requests
+            return peer_report.PeerReport(
+                message.nodeId,
+                message.incarnation,
+                message.sequence,
+                message.address,
+                message.configurationVersion,
+                loads,
+            )
+        except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
+            raise membership_errors.MalformedMessage(str(e)) from e
--- /dev/null
+++ b/src/lynxlanding/platform/paths.py
@@ -0,0 +1,3 @@
+"""Paths that the platform calls on a node."""
+
+READY = "/v1/ready"
--- /dev/null
+++ b/src/lynxlanding/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Replica groups on the users' engines: plans, placement and orders."""
--- /dev/null
+++ b/src/lynxlanding/replicas/demand.py
@@ -0,0 +1,58 @@
+"""How many groups of each model the fleet needs."""
+
+import dataclasses
+
+# Part of the engines that is planned for when traffic starts; the rest are spares.
+INITIAL_USE = 0.8
+# Planned groups over the groups that the measured work would keep busy.
+HEADROOM = 1.7
+MIN_GROUPS = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Demand:
+    """Needed groups of the whole fleet.
+
+    Parameters
+    ----------
+    groups_by_model : dict of str to float
+        Groups of each model.
+    """
+
+    groups_by_model: dict[str, float]
+
+
+def initial(engine, engines):
+    """Return the demand before any work was measured.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Models with their shares of the work.
+    engines : int
+        Engines of the fleet.
+    """
+    total = 0.0
+    for model in engine.models.values():
+        total += model.share
+    groups = {}
+    for model in engine.models.values():
+        share = model.share / total if total > 0 else 1.0 / len(engine.models)
+        groups[model.name] = max(MIN_GROUPS, INITIAL_USE * share * engines / model.size)
+    return Demand(groups)
+
+
+def measured(engine, busy_groups):
+    """Return the demand for measured work.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Models.
+    busy_groups : dict of str to float
+        Groups of each model that the work of all nodes keeps busy.
+    """
+    groups = {}
+    for name in engine.models:
+        groups[name] = max(MIN_GROUPS, HEADROOM * busy_groups.get(name, 0.0))
+    return Demand(groups)
--- /dev/null
+++ b/src/lynxlanding/replicas/group_director.py
@@ -0,0 +1,261 @@
+"""Keeps the replica groups of the fabric domains that a node is responsible for."""
+
+import dataclasses
+import threading
+import time
+
+import eliot
+
+from lynxlanding.errors import platform as platform_errors
+from lynxlanding.membership import rendezvous
+from lynxlanding.replicas import (
+    demand,
+    domain_planner,
+    engine_order,
+    engine_view,
+    group_plan,
+    order_outcome,
+    order_pacer,
+    placement,
+)
+
+TICK_S = 0.1
+# Wait after a failed store call about a domain.
+STORE_PAUSE_S = 0.5
+
+PLAN_STORED = "lynxlanding:domain:plan_stored"
+PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
+DOMAIN_TAKEN = "lynxlanding:domain:taken"
+DOMAIN_LEFT = "lynxlanding:domain:left"
+ORDER_SENT = "lynxlanding:order:sent"
+
+
+@dataclasses.dataclass(slots=True)
+class _Domain:
+    planner: domain_planner.DomainPlanner
+    plan: group_plan.DomainPlan
+    version: int | None
+    paused_until: float = 0.0
+
+
+class GroupDirector:
+    """Plans and orders, from one thread.
+
+    Parameters
+    ----------
+    node_id : str
+        This node.
+    store : ObjectStore
+        Holds the plans.
+    engine_client : EngineClient
+        Sends orders.
+    fleet : callable
+        Returns the registry's records and whether the store answers.
+    live_nodes : callable
+        Returns the ids of the nodes that are alive, including this one.
+    settings : GroupSettings
+        Times and limits.
+    """
+
+    def __init__(self, node_id, store, engine_client, fleet, live_nodes, settings):
+        self._node_id = node_id
+        self._store = store
+        self._client = engine_client
+        self._fleet = fleet
+        self._live_nodes = live_nodes
+        self._settings = settings
+        self._engine_services = {}
+        self._domains = {}
+        self._missing_since = {}
+        self._last_records = {}
+        self._pacer = order_pacer.OrderPacer(settings.load_window_s)
+        self._wake = threading.Event()
+        self._stop = threading.Event()
+
+    def start(self):
+        """Run from a thread of its own."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def stop(self):
+        """Stop planning."""
+        self._stop.set()
+        self._wake.set()
+
+    def wake(self):
+        """Plan soon: something has changed."""
+        self._wake.set()
+
+    def use_configuration(self, configuration):
+        """Use the engine services of a configuration."""
+        services = {}
+        for name, service in configuration.services.items():
+            if service.engine is not None and service.engine.models:
+                services[name] = service.engine
+        self._engine_services = services
+        self._wake.set()
+
+    def _run(self):
+        while not self._stop.is_set():
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+            try:
+                self._tick(time.monotonic())
+            except platform_errors.PlatformError as e:
+                eliot.log_message(
+                    message_type=PLAN_NOT_STORED, error=e.type_name, detail=str(e)[:200]
+                )
+
+    def _tick(self, now):
+        records, is_store_available = self._fleet()
+        self._pacer.forget_old(now)
+        by_domain = {}
+        for record in records.values():
+            if record.is_engine and record.service in self._engine_services:
+                by_domain.setdefault((record.service, record.fabric_domain), []).append(record)
+        live = self._live_nodes()
+        for key in list(self._domains):
+            if key not in by_domain or not self._is_responsible(key, live):
+                del self._domains[key]
+                eliot.log_message(message_type=DOMAIN_LEFT, domain=key[1], live_nodes=len(live))
+        if not is_store_available:
+            return
+        for key, members in by_domain.items():
+            if self._is_responsible(key, live):
+                self._tend(key, members, by_domain, len(live), now)
+
+    def _is_responsible(self, key, live):
+        return rendezvous.choose(key[1], live, 1) == [self._node_id]
+
+    def _tend(self, key, members, by_domain, nodes, now):
+        domain = self._domains.get(key)
+        if domain is None:
+            domain = self._take(key)
+            self._domains[key] = domain
+        if now < domain.paused_until:
+            return
+        engine = self._engine_services[key[0]]
+        views = self._views(domain.plan, members, now)
+        counts = self._counts(key, engine, members, by_domain)
+        step = domain.planner.step(domain.plan, engine, views, counts, now)
+        if step.plan is not None:
+            if not self._save(key, domain, step, now):
+                return
+            step = domain.planner.step(domain.plan, engine, views, counts, now)
+        part = 1.0 / max(1, len(by_domain))
+        for order in step.orders:
+            self._send(order, views[order.endpoint_id].record, engine, part * len(self._domains))
+
+    def _take(self, key):
+        plan = group_plan.DomainPlan()
+        version = None
+        try:
+            stored = self._store.get(group_plan.KIND, key[1])
+            plan = group_plan.from_value(stored.value)
+            version = stored.version
+        except platform_errors.ObjectNotFound:
+            # Nobody has planned for this domain yet.
+            pass
+        eliot.log_message(
+            message_type=DOMAIN_TAKEN,
+            domain=key[1],
+            plan_version=version,
+            groups=len(plan.groups),
+            next_epoch=plan.next_epoch,
+        )
+        planner = domain_planner.DomainPlanner(key[1], self._settings.stall_ms / 1000)
+        return _Domain(planner, plan, version)
+
+    def _save(self, key, domain, step, now):
+        """Store a plan; return whether it is in force."""
+        value = step.plan.to_value()
+        try:
+            if domain.version is None:
+                stored = self._store.create(group_plan.KIND, key[1], value)
+            else:
+                stored = self._store.update(group_plan.KIND, key[1], value, domain.version)
+        except platform_errors.PlatformError as e:
+            # Another node was first, or the outcome is open: read the plan before going on.
+            del self._domains[key]
+            eliot.log_message(
+                message_type=PLAN_NOT_STORED,
+                domain=key[1],
+                plan_version=domain.version,
+                reasons=step.reasons,
+                error=e.type_name,
+                detail=str(e)[:200],
+            )
+            return False
+        domain.plan = step.plan
+        domain.version = stored.version
+        eliot.log_message(
+            message_type=PLAN_STORED,
+            domain=key[1],
+            plan_version=stored.version,
+            reasons=step.reasons,
+            groups=len(step.plan.groups),
+        )
+        return True
+
+    def _views(self, plan, members, now):
+        views = {}
+        for record in members:
+            self._last_records[record.endpoint_id] = record
+            self._missing_since.pop(record.endpoint_id, None)
+            views[record.endpoint_id] = engine_view.EngineView(record, True, 0.0, False)
+        for group in plan.groups:
+            for endpoint_id in group.members:
+                if endpoint_id in views:
+                    continue
+                since = self._missing_since.setdefault(endpoint_id, now)
+                views[endpoint_id] = engine_view.EngineView(
+                    self._last_records.get(endpoint_id), False, now - since, False
+                )
+        return views
+
+    def _counts(self, key, engine, members, by_domain):
+        engines = 0
+        elsewhere = {}
+        for other, records in by_domain.items():
+            if other[0] != key[0]:
+                continue
+            engines += len(records)
+            if other == key:
+                continue
+            for record in records:
+                held = record.membership
+                if held is None or not held.is_head or held.state == "broken":
+                    continue
+                for model in record.models:
+                    elsewhere[model] = elsewhere.get(model, 0.0) + 1.0
+        needed = demand.initial(engine, engines)
+        return placement.FleetCounts(
+            needed.groups_by_model, elsewhere, len(members) / max(1, engines)
+        )
+
+    def _send(self, order, record, engine, part):
+        now = time.monotonic()
+        if not self._pacer.is_due(order, now):
+            return
+        is_load = order.kind in (engine_order.JOIN, engine_order.STAGE) and placement.needs_load(
+            record, order.model
+        )
+        if is_load and not self._pacer.may_load(engine.loads_per_s, part, now):
+            return
+        self._pacer.note_sent(order, is_load, now)
+        threading.Thread(target=self._deliver, args=(order, record), daemon=True).start()
+
+    def _deliver(self, order, record):
+        started_at = time.monotonic()
+        outcome = self._client.send_order(record, order)
+        eliot.log_message(
+            message_type=ORDER_SENT,
+            order=order.kind,
+            endpoint=order.endpoint_id,
+            group=order.group,
+            epoch=order.epoch,
+            model=order.model,
+            outcome=outcome,
+            duration_s=round(time.monotonic() - started_at, 4),
+        )
+        if outcome in (order_outcome.BEGUN, order_outcome.ALREADY_DONE):
+            self._wake.set()
--- /dev/null
+++ b/src/lynxlanding/replicas/placement.py
@@ -0,0 +1,104 @@
+"""Chooses the groups that a fabric domain forms from its free engines."""
+
+import dataclasses
+import math
+
+# Part of a domain's engines that is kept as spares once every model has what it needs.
+SPARE_PART = 0.2
+# Groups are formed beyond the need up to this multiple, as long as enough spares are left.
+MAX_COVER = 2.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FleetCounts:
+    """Groups and engines of the whole fleet.
+
+    Parameters
+    ----------
+    needed : dict of str to float
+        Needed groups by model.
+    elsewhere : dict of str to float
+        Groups of the other domains by model.
+    domain_part : float
+        Part of the fleet's engines that are in this domain.
+    """
+
+    needed: dict[str, float]
+    elsewhere: dict[str, float]
+    domain_part: float
+
+
+def choose_groups(engine, free, planned, counts):
+    """Return the members of the groups to form, as a list of (model, member ids).
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Models with their sizes.
+    free : list of EndpointRecord
+        Engines that may be used.
+    planned : dict of str to int
+        Groups of this domain by model that exist or form already.
+    counts : FleetCounts
+        The fleet.
+    """
+    free = list(free)
+    planned = dict(planned)
+    engines = len(free)
+    for name, number in planned.items():
+        engines += number * engine.models[name].size
+    spares = math.ceil(engines * SPARE_PART)
+    chosen = []
+    while free:
+        model = _next_model(engine, len(free), planned, counts, spares)
+        if model is None:
+            return chosen
+        members = _choose_members(free, model)
+        for record in members:
+            free.remove(record)
+        planned[model.name] = planned.get(model.name, 0) + 1
+        chosen.append((model.name, tuple(record.endpoint_id for record in members)))
+    return chosen
+
+
+def _next_model(engine, free, planned, counts, spares):
+    best = None
+    best_cover = math.inf
+    for model in engine.models.values():
+        if model.size > free:
+            continue
+        cover = _cover(model.name, planned, counts)
+        if cover >= MAX_COVER or (cover >= 1.0 and free - model.size < spares):
+            continue
+        if cover < best_cover:
+            best = model
+            best_cover = cover
+    return best
+
+
+def _cover(name, planned, counts):
+    """Return existing over needed groups of a model."""
+    needed = max(1e-6, counts.needed.get(name, 1.0))
+    here = planned.get(name, 0)
+    fleet = (counts.elsewhere.get(name, 0.0) + here) / needed
+    # The other domains are expected to do what this one does: all of them plan at the same time.
+    local = here / (needed * max(1e-6, counts.domain_part))
+    return max(fleet, local)
+
+
+def _choose_members(free, model):
+    """Return the engines that are ready soonest for a model."""
+    ranked = sorted(free, key=lambda record: (_join_cost(record, model.name), record.endpoint_id))
+    return ranked[: model.size]
+
+
+def _join_cost(record, model):
+    """Return 0 for an engine that holds the model, 1 if its host does, otherwise 2."""
+    if model in record.models:
+        return 0
+    return 1 if model in record.staged_models else 2
+
+
+def needs_load(record, model):
+    """Return whether joining a group of the model loads weights from the weight store."""
+    return _join_cost(record, model) == 2
--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -4,7 +4,15 @@
 import threading
 import time
 
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.1
+
+DEADLINE = "deadline"
+CALLER_LEFT = "caller left"
+STALLED = "stalled"
+
+
+def _always():
+    return True
 
 
 class MonitoredAttempt:
@@ -18,22 +26,26 @@
         Longest time without data.
     has_caller_left : callable
         Returns whether the caller has closed its connection.
+    may_abandon : callable, optional
+        Asked when the attempt has stalled; False lets it wait for longer.
     """
 
     __slots__ = (
         "_deadline",
         "_has_caller_left",
         "_last_data_at",
+        "_may_abandon",
         "_reason",
         "_socket",
         "_stall_timeout_s",
     )
 
-    def __init__(self, deadline, stall_timeout_s, has_caller_left):
+    def __init__(self, deadline, stall_timeout_s, has_caller_left, may_abandon=_always):
         self._deadline = deadline
         self._stall_timeout_s = stall_timeout_s
         self._has_caller_left = has_caller_left
         self._last_data_at = time.monotonic()
+        self._may_abandon = may_abandon
         self._reason = None
         self._socket = None
 
@@ -60,16 +72,20 @@
         """Record that data arrived at the monotonic time ``now``."""
         self._last_data_at = now
 
+    def expect_data_within(self, stall_timeout_s):
+        """Change the longest time without data."""
+        self._stall_timeout_s = stall_timeout_s
+
     def check(self, now):
         """Abort the attempt if it must end; ``reason`` then says why."""
         if self._reason is not None or self._socket is None:
             return
         if now > self._deadline:
-            self._reason = "deadline"
-        elif now - self._last_data_at > self._stall_timeout_s:
-            self._reason = "stalled"
+            self._reason = DEADLINE
         elif self._has_caller_left():
-            self._reason = "caller left"
+            self._reason = CALLER_LEFT
+        elif now - self._last_data_at > self._stall_timeout_s and self._may_abandon():
+            self._reason = STALLED
         if self._reason is not None:
             self._shut_down()
 
@@ -85,7 +101,7 @@
     """Checks all attempts from one thread.
 
     A timeout on each read would create and cancel a timer for each token, which costs as much
-    as reading it; one check of all attempts four times a second costs next to nothing.
+    as reading it; one check of all attempts ten times a second costs next to nothing.
     """
 
     def __init__(self):
--- a/src/lynxlanding/settings/loading.py
+++ b/src/lynxlanding/settings/loading.py
@@ -7,17 +7,19 @@
 from lynxlanding.settings import daemon_settings
 
 
-def load(path):
+def load(path, model=daemon_settings.DaemonSettings):
     """Read and check a settings file.
 
     Parameters
     ----------
     path : str
         Path of the YAML file.
+    model : type of pydantic.BaseModel, optional
+        Type of the settings.
 
     Returns
     -------
-    DaemonSettings
+    pydantic.BaseModel
         The checked settings.
 
     Raises
@@ -35,7 +37,7 @@
     if not isinstance(document, dict):
         raise settings_errors.SettingsError(path, "must contain a mapping")
     try:
-        return daemon_settings.DaemonSettings.model_validate(document)
+        return model.model_validate(document)
     except pydantic.ValidationError as e:
         first = e.errors()[0]
         location = ".".join(str(part) for part in first["loc"]) or path
