Stage models on spares, probe members of stalled groups, close incomplete groups

Loads before the first request were bounded like those under traffic, so some groups opened at 16 s. A read timeout of 0.4 s that urllib3 sets again with each request also cut running requests.

Change: nodes report stalled heads to each other; the responsible node probes the members and retires the group when one is silent; the head of an incomplete group is closed without waiting for its work; spares stage the largest model; loads are unbounded until a request was seen.

--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -57,7 +57,9 @@
         except (urllib3.exceptions.HTTPError, OSError) as e:
             connection.close()
             raise endpoint_errors.ConnectionRefused(f"{record.address}: {e}") from e
-        # From here on the monitor of attempts takes the place of timeouts.
+        # From here on the monitor of attempts takes the place of timeouts. urllib3 sets the
+        # connection's timeout on the socket again with each request.
+        connection.timeout = None
         connection.sock.settimeout(None)
         return connection, True
 
--- a/src/lynxlanding/dispatch/request_run.py
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -123,7 +123,7 @@
             request.deadline,
             self._first_stall(send),
             request.has_caller_left,
-            self._may_abandon,
+            lambda: self._may_abandon(record),
         )
         self._sends += 1
         self._may_have_run += 1
@@ -228,8 +228,9 @@
                 raise request_errors.EndpointFailed(f"resuming was answered with {reply.status}")
             return reply
 
-    def _may_abandon(self):
+    def _may_abandon(self, record):
         """Return whether a stalled attempt may be ended in favour of another one."""
+        self._serving.note_stall(record.endpoint_id, time.monotonic())
         history = self._history(last_was_not_run=False)
         if not retry_rules.may_repeat(self._request.route, history):
             return False
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -63,10 +63,23 @@
         """Return the node's requests in flight by endpoint id."""
         return dict(self._dispatcher.load.own)
 
+    def stalled(self, now):
+        """Return the endpoints that this node saw stalling a moment ago."""
+        return self._dispatcher.health.stalled(now)
+
+    def note_stall(self, endpoint_id, now):
+        """Record an endpoint whose work makes no progress."""
+        self._dispatcher.health.note_stall(endpoint_id, now)
+
     def apply_peer_load(self, peer_id, counts, now):
         """Replace the requests in flight of a peer."""
         self._dispatcher.load.replace_peer(peer_id, counts, now)
 
+    def avoid(self, endpoint_ids, now):
+        """Avoid endpoints that a peer saw stalling."""
+        for endpoint_id in endpoint_ids:
+            self._dispatcher.health.avoid(endpoint_id, now)
+
     def use_node_count(self, nodes):
         """Use the number of nodes that share the limit on repeats."""
         self._dispatcher.use_node_count(nodes)
--- a/src/lynxlanding/node/endpoint_handler.py
+++ b/src/lynxlanding/node/endpoint_handler.py
@@ -61,6 +61,8 @@
                 address=record.address,
                 born_ms=record.born_ms,
                 is_leaving=record.is_leaving,
+                models=record.models,
+                staged=record.staged_models,
                 group=held.name if held else None,
                 epoch=held.epoch if held else None,
                 rank=held.rank if held else None,
--- a/src/lynxlanding/node/node_view.py
+++ b/src/lynxlanding/node/node_view.py
@@ -12,6 +12,12 @@
         self._is_stopping = False
         self._refuses = False
         self._in_flight = 0
+        self._has_traffic = False
+
+    @property
+    def has_traffic(self):
+        """Whether a caller's request has arrived."""
+        return self._has_traffic
 
     @property
     def configuration(self):
@@ -74,6 +80,7 @@
     def begin_request(self):
         """Count a request."""
         self._in_flight += 1
+        self._has_traffic = True
 
     def end_request(self):
         """Count the end of a request."""
--- a/src/lynxlanding/node/request_reader.py
+++ b/src/lynxlanding/node/request_reader.py
@@ -1,6 +1,5 @@
 """Reads a request from the WSGI environment and matches it with a route."""
 
-
 from lynxlanding.dispatch import cost_model, forward_request
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import strict_parser
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -14,6 +14,7 @@
 from lynxlanding.dispatch import (
     connection_pool,
     dispatcher,
+    endpoint_health,
     exchange,
     request_journal,
     serving_actor,
@@ -31,7 +32,14 @@
     store_follower,
 )
 from lynxlanding.observability import bounded_log, node_metrics
-from lynxlanding.peers import node_directory, node_identity, peer_exchange, peer_table, report_codec
+from lynxlanding.peers import (
+    node_directory,
+    node_identity,
+    node_state,
+    peer_exchange,
+    peer_table,
+    report_codec,
+)
 from lynxlanding.platform import (
     configuration_codec,
     endpoint_codec,
@@ -98,6 +106,8 @@
             engine_client.PlatformEngineClient(),
             self._read_fleet,
             self._live_nodes,
+            self._has_traffic,
+            self._read_stalled,
             settings.groups,
         )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
@@ -105,12 +115,14 @@
         )
         self._followers = self._make_followers()
         self._exchange = peer_exchange.PeerExchange(
-            self._identity, self._table, self._build_loads, self._on_report, self._random_state
+            self._identity, self._table, self._build_state, self._on_report, self._random_state
         )
         self._directory = node_directory.NodeDirectory(
             self._store, self._identity, self._table, self._on_node_count
         )
         self._endpoint_ids = {}
+        self._peer_has_traffic = False
+        self._peer_stalls = {}
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -195,10 +207,40 @@
     def _on_node_count(self, nodes):
         self._serving.use_node_count(nodes)
 
-    def _build_loads(self):
-        return self._serving.own_load().get(), self._view.configuration_version
+    def _has_traffic(self):
+        # After a restart nothing shows whether requests arrived before.
+        has_begun = self._view.has_traffic or self._peer_has_traffic
+        return has_begun or not self._settings.is_first_start
+
+    def _read_stalled(self):
+        now = time.monotonic()
+        stalled = set(self._serving.stalled(now).get())
+        for endpoint_id, at in list(self._peer_stalls.items()):
+            if now - at > endpoint_health.STALL_MEMORY_S:
+                del self._peer_stalls[endpoint_id]
+                continue
+            stalled.add(endpoint_id)
+        return stalled
+
+    def _build_state(self):
+        return node_state.NodeState(
+            self._serving.own_load().get(),
+            self._serving.stalled(time.monotonic()).get(),
+            self._view.configuration_version or 0,
+            self._view.has_traffic or self._peer_has_traffic,
+        )
 
     def _on_report(self, report, now):
+        self._peer_has_traffic = self._peer_has_traffic or report.has_traffic
+        stalled = []
+        for key in report.stalled:
+            endpoint_id = self._endpoint_ids.get(key)
+            if endpoint_id is not None:
+                stalled.append(endpoint_id)
+                self._peer_stalls[endpoint_id] = now
+        if stalled:
+            self._serving.avoid(stalled, now)
+            self._director.wake()
         counts = {}
         for key, requests in report.loads.items():
             endpoint_id = self._endpoint_ids.get(key)
--- a/src/lynxlanding/peers/peer_exchange.py
+++ b/src/lynxlanding/peers/peer_exchange.py
@@ -27,18 +27,18 @@
         This node: ``node_id``, ``incarnation`` and ``address``.
     table : PeerTable
         Other nodes.
-    build_loads : callable
-        Returns the requests in flight by endpoint id and the configuration's version.
+    build_state : callable
+        Returns the ``NodeState`` to report.
     on_report : callable
         Called with a ``PeerReport`` that is news and the time.
     random_state : random.Random
         Chooses the targets among many peers.
     """
 
-    def __init__(self, identity, table, build_loads, on_report, random_state=None):
+    def __init__(self, identity, table, build_state, on_report, random_state=None):
         self._identity = identity
         self._table = table
-        self._build_loads = build_loads
+        self._build_state = build_state
         self._on_report = on_report
         self._random_state = random_state or random.Random()
         self._codec = report_codec.ReportCodec()
@@ -62,18 +62,18 @@
         last_at = 0.0
         while not self._stop.wait(REPORT_INTERVAL_S):
             now = time.monotonic()
-            loads, version = self._build_loads()
-            content = (loads, version)
-            if content == last_sent and now - last_at < HEARTBEAT_INTERVAL_S:
+            state = self._build_state()
+            if state == last_sent and now - last_at < HEARTBEAT_INTERVAL_S:
                 continue
-            last_sent = content
+            last_sent = state
             last_at = now
-            self._send(loads, version, now)
+            self._send(state, now)
 
-    def _send(self, loads, version, now):
+    def _send(self, state, now):
         keyed = {}
-        for endpoint_id, requests in loads.items():
+        for endpoint_id, requests in state.loads.items():
             keyed[report_codec.endpoint_key(endpoint_id)] = requests
+        stalled = frozenset(report_codec.endpoint_key(item) for item in state.stalled)
         self._sequence += 1
         data = self._codec.encode(
             peer_report.PeerReport(
@@ -81,8 +81,10 @@
                 self._identity.incarnation,
                 self._sequence,
                 self._identity.address,
-                version or 0,
+                state.configuration_version,
                 keyed,
+                state.has_traffic,
+                stalled,
             )
         )
         targets = self._table.targets(now)
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -14,4 +14,7 @@
   address @3 :Text;
   configurationVersion @4 :UInt64;
   loads @5 :List(EndpointLoad);
+  hasTraffic @6 :Bool;
+  # Endpoints whose work stalls, by the same hash.
+  stalled @7 :List(UInt64);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -21,6 +21,10 @@
         Version in force at the sender; 0 if there is none.
     loads : dict of int to int
         Requests in flight by the hash of the endpoint id.
+    has_traffic : bool
+        Whether the sender knows of a caller's request at any node.
+    stalled : frozenset of int
+        Hashes of the endpoints whose work stalls, as seen by the sender.
     """
 
     node_id: str
@@ -29,3 +33,5 @@
     address: str
     configuration_version: int
     loads: dict[int, int]
+    has_traffic: bool = False
+    stalled: frozenset[int] = frozenset()
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -34,6 +34,8 @@
         message.sequence = report.sequence
         message.address = report.address
         message.configurationVersion = report.configuration_version
+        message.hasTraffic = report.has_traffic
+        message.stalled = sorted(report.stalled)
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -56,6 +58,8 @@
                 message.address,
                 message.configurationVersion,
                 loads,
+                message.hasTraffic,
+                frozenset(message.stalled),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -97,7 +97,9 @@
         new_plan = group_plan.DomainPlan(next_epoch, tuple(groups))
         if new_plan != plan:
             return Step(new_plan, [], reasons)
-        return Step(None, self._orders(plan, engines), [])
+        orders = self._orders(plan, engines)
+        orders.extend(_stage_orders(engine, free))
+        return Step(None, orders, [])
 
     def _review(self, group, engine, engines, reasons, now):
         """Return the group after its next transition, as a list of no or one group."""
@@ -207,10 +209,31 @@
         return []
     if held.state in (group_membership.JOINING, group_membership.READY):
         return [engine_order.EngineOrder(engine_order.LEAVE, group.head, group.name, group.epoch)]
-    if held.state == group_membership.OPEN and _is_complete(group, engines):
-        return [engine_order.EngineOrder(engine_order.CLOSE, group.head, group.name, group.epoch)]
-    # The head of an incomplete group stalls and is broken by itself.
-    return []
+    if held.state != group_membership.OPEN:
+        return []
+    # Without one of its members the group makes no progress, so waiting for its work is useless.
+    return [
+        engine_order.EngineOrder(
+            engine_order.CLOSE,
+            group.head,
+            group.name,
+            group.epoch,
+            aborts_work=not _is_complete(group, engines),
+        )
+    ]
+
+
+def _stage_orders(engine, spares):
+    """Return the orders that make spares ready for the largest groups."""
+    model = max(engine.models.values(), key=lambda model: model.size)
+    orders = []
+    for record in spares:
+        if model.name in record.staged_models or model.name in record.models:
+            continue
+        orders.append(
+            engine_order.EngineOrder(engine_order.STAGE, record.endpoint_id, model=model.name)
+        )
+    return orders
 
 
 def _is_complete(group, engines):
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -14,6 +14,7 @@
     engine_order,
     engine_view,
     group_plan,
+    member_prober,
     order_outcome,
     order_pacer,
     placement,
@@ -53,16 +54,25 @@
         Returns the registry's records and whether the store answers.
     live_nodes : callable
         Returns the ids of the nodes that are alive, including this one.
+    has_traffic : callable
+        Returns whether callers' requests may have arrived at any node.
+    stalled : callable
+        Returns the ids of heads whose work stalls, as seen by any node.
     settings : GroupSettings
         Times and limits.
     """
 
-    def __init__(self, node_id, store, engine_client, fleet, live_nodes, settings):
+    def __init__(
+        self, node_id, store, engine_client, fleet, live_nodes, has_traffic, stalled, settings
+    ):
         self._node_id = node_id
         self._store = store
         self._client = engine_client
         self._fleet = fleet
         self._live_nodes = live_nodes
+        self._has_traffic = has_traffic
+        self._stalled = stalled
+        self._prober = member_prober.MemberProber(engine_client)
         self._settings = settings
         self._engine_services = {}
         self._domains = {}
@@ -134,6 +144,7 @@
         if now < domain.paused_until:
             return
         engine = self._engine_services[key[0]]
+        self._probe_suspects(domain.plan, members, now)
         views = self._views(domain.plan, members, now)
         counts = self._counts(key, engine, members, by_domain)
         step = domain.planner.step(domain.plan, engine, views, counts, now)
@@ -196,12 +207,25 @@
         )
         return True
 
+    def _probe_suspects(self, plan, members, now):
+        stalled = self._stalled()
+        records = {}
+        for record in members:
+            records[record.endpoint_id] = record
+        for group in plan.groups:
+            if group.head not in stalled:
+                continue
+            for endpoint_id in group.members:
+                if endpoint_id in records:
+                    self._prober.probe(records[endpoint_id], now)
+
     def _views(self, plan, members, now):
         views = {}
         for record in members:
             self._last_records[record.endpoint_id] = record
             self._missing_since.pop(record.endpoint_id, None)
-            views[record.endpoint_id] = engine_view.EngineView(record, True, 0.0, False)
+            is_silent = self._prober.is_silent(record.endpoint_id, now)
+            views[record.endpoint_id] = engine_view.EngineView(record, True, 0.0, is_silent)
         for group in plan.groups:
             for endpoint_id in group.members:
                 if endpoint_id in views:
@@ -234,12 +258,16 @@
 
     def _send(self, order, record, engine, part):
         now = time.monotonic()
-        if not self._pacer.is_due(order, now):
+        repeat_s = order_pacer.REPEAT_S
+        if order.kind == engine_order.STAGE:
+            repeat_s = order_pacer.STAGE_REPEAT_FACTOR * engine.models[order.model].load_s
+        if not self._pacer.is_due(order, repeat_s, now):
             return
         is_load = order.kind in (engine_order.JOIN, engine_order.STAGE) and placement.needs_load(
             record, order.model
         )
-        if is_load and not self._pacer.may_load(engine.loads_per_s, part, now):
+        is_bounded = is_load and self._has_traffic()
+        if is_bounded and not self._pacer.may_load(engine.loads_per_s, part, now):
             return
         self._pacer.note_sent(order, is_load, now)
         threading.Thread(target=self._deliver, args=(order, record), daemon=True).start()
--- a/src/lynxlanding/replicas/order_pacer.py
+++ b/src/lynxlanding/replicas/order_pacer.py
@@ -4,6 +4,9 @@
 
 # An engine shows the effect of an order in its registration within some ten milliseconds.
 REPEAT_S = 0.8
+# A stage order shows its effect only when the load has ended.
+STAGE_REPEAT_FACTOR = 3.0
+FORGET_S = 120.0
 # Part of the weight store's limit that is used; a load that is ordered can begin later than that.
 USED_PART = 0.8
 
@@ -22,13 +25,13 @@
         self._sent = {}
         self._loads = collections.deque()
 
-    def is_due(self, order, now):
-        """Return whether an order was not sent a moment ago."""
+    def is_due(self, order, repeat_s, now):
+        """Return whether an order was not sent within the last ``repeat_s`` seconds."""
         sent_at = self._sent.get(order)
-        return sent_at is None or now - sent_at >= REPEAT_S
+        return sent_at is None or now - sent_at >= repeat_s
 
     def may_load(self, loads_per_s, part, now):
-        """Return whether another load may begin.
+        """Return whether another load may begin while callers are served.
 
         Parameters
         ----------
@@ -51,5 +54,5 @@
     def forget_old(self, now):
         """Forget orders that have not been sent for a while."""
         for order, sent_at in list(self._sent.items()):
-            if now - sent_at > 60 * REPEAT_S:
+            if now - sent_at > FORGET_S:
                 del self._sent[order]
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -62,11 +62,21 @@
 
 
 def _next_model(engine, free, planned, counts, spares):
+    best = _least_covered(engine.models.values(), free, planned, counts, spares)
+    if best is None or best.size <= free:
+        return best
+    # Engines register one by one; small groups do not take them before a large one has formed.
+    if not any(planned.values()):
+        return None
+    fitting = [model for model in engine.models.values() if model.size <= free]
+    return _least_covered(fitting, free, planned, counts, spares)
+
+
+def _least_covered(models, free, planned, counts, spares):
     best = None
     best_cover = math.inf
-    for model in engine.models.values():
-        if model.size > free:
-            continue
+    # Large groups first: small ones fit into what is left, but not the other way round.
+    for model in sorted(models, key=lambda model: -model.size):
         cover = _cover(model.name, planned, counts)
         if cover >= MAX_COVER or (cover >= 1.0 and free - model.size < spares):
             continue
