--- a/src/lynxlanding/node/store_follower.py
+++ b/src/lynxlanding/node/store_follower.py
@@ -27,12 +27,16 @@
         Kind of the objects.
     handler : FollowerHandler
         Receives lists and changes.
+    pause_s : callable, optional
+        Returns how long changes are collected before the next watch. Every call is priced, and a
+        watch returns with the first change.
     """
 
-    def __init__(self, store, kind, handler):
+    def __init__(self, store, kind, handler, pause_s=None):
         self._store = store
         self._kind = kind
         self._handler = handler
+        self._pause_s = pause_s
         self._stop = threading.Event()
         self._lost_at = None
 
@@ -49,6 +53,8 @@
         while not self._stop.is_set():
             try:
                 version = self._step(version)
+                if self._pause_s is not None:
+                    self._stop.wait(self._pause_s())
             except platform_errors.WatchExpired as e:
                 eliot.log_message(
                     message_type="lynxlanding:store:history_expired",
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -54,6 +54,10 @@
 from lynxlanding.settings import loading, vm_settings
 
 EXPIRY_INTERVAL_S = 0.2
+# Changes of endpoints are collected for this long; leaving endpoints must get no requests 2 s
+# after they said so. A node that is changing groups waits for each step.
+WATCH_PAUSE_S = 0.4
+PLANNING_PAUSE_S = 0.05
 DRAIN_POLL_S = 0.05
 # The balancer takes a node out after two missed checks a second apart.
 UNREADY_S = 2.5
@@ -172,7 +176,9 @@
         )
         return [
             store_follower.StoreFollower(self._store, configuration_codec.KIND, configuration),
-            store_follower.StoreFollower(self._store, endpoint_codec.KIND, self._endpoint_handler),
+            store_follower.StoreFollower(
+                self._store, endpoint_codec.KIND, self._endpoint_handler, self._watch_pause
+            ),
         ]
 
     def _make_servers(self):
@@ -195,6 +201,9 @@
             servers.append(_serve(probe_app.MetricsApp(self._metrics), settings.listen.metrics, 2))
         return servers
 
+    def _watch_pause(self):
+        return PLANNING_PAUSE_S if self._director.is_busy else WATCH_PAUSE_S
+
     def _read_fleet(self):
         return self._serving.records().get()
 
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -82,6 +82,15 @@
         self._wake = threading.Event()
         self._stop = threading.Event()
 
+    @property
+    def is_busy(self):
+        """Whether a group of this node's domains is being formed or taken apart."""
+        for domain in self._domains.values():
+            for group in domain.plan.groups:
+                if group.phase != group_plan.SERVING:
+                    return True
+        return False
+
     def start(self):
         """Run from a thread of its own."""
         threading.Thread(target=self._run, daemon=True).start()
