Keep every engine ready for two models and plan by measured work

Cause: after each loss every domain formed another group of the small model from its spares, with loads of 12 s, and the large model found no spares: the need was the share at the start, not what callers asked for, and spares held one model only.

Change: before traffic every engine joins a group once and stages a second model, then surplus groups retire as spares; the last spares go only to a model below 0.8 of its need; a surplus group is given up for a scarce model; the need is measured from requests, refused ones included, and shared between nodes.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -1,6 +1,13 @@
 """Chooses the endpoint of each request."""
 
-from lynxlanding.dispatch import choice, cost_model, endpoint_health, load_book, retry_allowance
+from lynxlanding.dispatch import (
+    choice,
+    cost_model,
+    endpoint_health,
+    load_book,
+    retry_allowance,
+    work_meter,
+)
 from lynxlanding.fleet import endpoint_change
 
 # Used where a model has no open group: a group forms from staged weights in about this time.
@@ -41,6 +48,7 @@
         self._load = load_book.LoadBook()
         self._health = endpoint_health.EndpointHealth()
         self._allowances = {}
+        self._meter = work_meter.WorkMeter()
         self._plain = {}
         self._heads = {}
 
@@ -92,9 +100,19 @@
         """Return the open groups of a model."""
         return len(self._heads.get((service, model), ()))
 
-    def note_request(self, service, now):
+    def note_request(self, service, model, work, now):
         """Count a request from a caller."""
         self._allowance(service).note_request(now)
+        spec = self._configuration.services.get(service)
+        if spec is None or spec.engine is None or model not in spec.engine.models:
+            return
+        engine = spec.engine
+        slot_s = cost_model.service_time(engine, engine.models[model], work, engine.slots)
+        self._meter.add(model, slot_s / engine.slots, now)
+
+    def busy_groups(self, now):
+        """Return the groups that this node's requests keep busy, by model."""
+        return self._meter.busy_groups(now)
 
     def take_repeat(self, service, now):
         """Take one repeat from the node's allowance; return whether there was one."""
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -84,9 +84,13 @@
         """Use the number of nodes that share the limit on repeats."""
         self._dispatcher.use_node_count(nodes)
 
-    def note_request(self, service, now):
+    def note_request(self, service, model, work, now):
         """Count a request from a caller."""
-        self._dispatcher.note_request(service, now)
+        self._dispatcher.note_request(service, model, work, now)
+
+    def busy_groups(self, now):
+        """Return the groups that this node's requests keep busy, by model."""
+        return self._dispatcher.busy_groups(now)
 
     def take_repeat(self, service, now):
         """Take one repeat; return whether there was one."""
--- a/src/lynxlanding/fleet/endpoint_record.py
+++ b/src/lynxlanding/fleet/endpoint_record.py
@@ -36,6 +36,9 @@
         Models whose weights are on the host.
     membership : GroupMembership or None
         The engine's group.
+    last_model : str or None
+        Model of the last group of this incarnation, as far as the node has seen it. The engine
+        joins another group of that model without loading.
     """
 
     endpoint_id: str
@@ -50,6 +53,7 @@
     models: tuple[str, ...] = ()
     staged_models: tuple[str, ...] = ()
     membership: group_membership.GroupMembership | None = None
+    last_model: str | None = None
 
     @property
     def is_engine(self):
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -99,6 +99,7 @@
             record = dataclasses.replace(record, is_leaving=True)
         if known is not None and record.precedes(known):
             return []
+        record = _with_last_model(record, known)
         self._records[record.endpoint_id] = record
         if record.is_leaving:
             self._leaving[record.endpoint_id] = record.born_ms
@@ -131,3 +132,11 @@
         # A late write of the same incarnation must not bring the endpoint back as a usable one,
         # unless it registers under a later start.
         return [endpoint_change.EndpointChange(endpoint_change.REMOVED, record)]
+
+
+def _with_last_model(record, known):
+    """Return the record with the model of the incarnation's last group."""
+    last_model = record.models[0] if record.models else None
+    if last_model is None and known is not None and known.born_ms == record.born_ms:
+        last_model = known.last_model
+    return dataclasses.replace(record, last_model=last_model)
--- a/src/lynxlanding/node/front_app.py
+++ b/src/lynxlanding/node/front_app.py
@@ -57,7 +57,9 @@
                 raise request_errors.NodeStopping("the node is shutting down", retry_after_s=0.0)
             request = self._reader.read(environ, marks, received_at)
             record.identify(request)
-            self._serving.note_request(request.service, received_at)
+            self._serving.note_request(
+                request.service, request.marks.model, request.work, received_at
+            )
             run = request_run.RequestRun(
                 request, self._serving, self._exchange, self._codec, self._journal
             )
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -112,6 +112,7 @@
             self._live_nodes,
             self._has_traffic,
             self._read_stalled,
+            self._read_busy_groups,
             settings.groups,
         )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
@@ -127,6 +128,7 @@
         self._endpoint_ids = {}
         self._peer_has_traffic = False
         self._peer_stalls = {}
+        self._peer_work = {}
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -231,16 +233,30 @@
             stalled.add(endpoint_id)
         return stalled
 
+    def _read_busy_groups(self):
+        now = time.monotonic()
+        total = self._serving.busy_groups(now).get()
+        live = set(self._table.live(now))
+        for node_id, groups in list(self._peer_work.items()):
+            if node_id not in live:
+                del self._peer_work[node_id]
+                continue
+            for model, busy in groups.items():
+                total[model] = total.get(model, 0.0) + busy
+        return total
+
     def _build_state(self):
         return node_state.NodeState(
             self._serving.own_load().get(),
             self._serving.stalled(time.monotonic()).get(),
             self._view.configuration_version or 0,
             self._view.has_traffic or self._peer_has_traffic,
+            self._serving.busy_groups(time.monotonic()).get(),
         )
 
     def _on_report(self, report, now):
         self._peer_has_traffic = self._peer_has_traffic or report.has_traffic
+        self._peer_work[report.node_id] = report.busy_groups
         stalled = []
         for key in report.stalled:
             endpoint_id = self._endpoint_ids.get(key)
--- a/src/lynxlanding/peers/node_state.py
+++ b/src/lynxlanding/peers/node_state.py
@@ -17,9 +17,12 @@
         Version in force; 0 if there is none.
     has_traffic : bool
         Whether a caller's request has arrived at any node.
+    busy_groups : dict of str to float
+        Groups that this node's requests keep busy, by model.
     """
 
     loads: dict[str, int]
     stalled: frozenset[str]
     configuration_version: int
     has_traffic: bool
+    busy_groups: dict[str, float]
--- a/src/lynxlanding/peers/peer_exchange.py
+++ b/src/lynxlanding/peers/peer_exchange.py
@@ -63,7 +63,7 @@
         while not self._stop.wait(REPORT_INTERVAL_S):
             now = time.monotonic()
             state = self._build_state()
-            if state == last_sent and now - last_at < HEARTBEAT_INTERVAL_S:
+            if _is_like(state, last_sent) and now - last_at < HEARTBEAT_INTERVAL_S:
                 continue
             last_sent = state
             last_at = now
@@ -85,6 +85,7 @@
                 keyed,
                 state.has_traffic,
                 stalled,
+                state.busy_groups,
             )
         )
         targets = self._table.targets(now)
@@ -113,3 +114,8 @@
             now = time.monotonic()
             if self._table.note_report(report, now):
                 self._on_report(report, now)
+
+
+def _is_like(state, other):
+    """Return whether two states need not be told apart; work changes with every moment."""
+    return other is not None and (state.loads, state.stalled) == (other.loads, other.stalled)
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -7,6 +7,12 @@
   requests @1 :UInt16;
 }
 
+struct ModelWork {
+  model @0 :Text;
+  # Groups that the sender's requests keep busy.
+  groups @1 :Float32;
+}
+
 struct PeerReport {
   nodeId @0 :Text;
   incarnation @1 :UInt64;
@@ -17,4 +23,5 @@
   hasTraffic @6 :Bool;
   # Endpoints whose work stalls, by the same hash.
   stalled @7 :List(UInt64);
+  work @8 :List(ModelWork);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -25,6 +25,8 @@
         Whether the sender knows of a caller's request at any node.
     stalled : frozenset of int
         Hashes of the endpoints whose work stalls, as seen by the sender.
+    busy_groups : dict of str to float
+        Groups that the sender's requests keep busy, by model.
     """
 
     node_id: str
@@ -35,3 +37,4 @@
     loads: dict[int, int]
     has_traffic: bool = False
     stalled: frozenset[int] = frozenset()
+    busy_groups: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -36,6 +36,10 @@
         message.configurationVersion = report.configuration_version
         message.hasTraffic = report.has_traffic
         message.stalled = sorted(report.stalled)
+        work = message.init("work", len(report.busy_groups))
+        for index, (model, groups) in enumerate(report.busy_groups.items()):
+            work[index].model = model
+            work[index].groups = groups
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -60,6 +64,7 @@
                 loads,
                 message.hasTraffic,
                 frozenset(message.stalled),
+                {item.model: item.groups for item in message.work},
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/replicas/demand.py
+++ b/src/lynxlanding/replicas/demand.py
@@ -7,6 +7,9 @@
 # Planned groups over the groups that the measured work would keep busy.
 HEADROOM = 1.7
 MIN_GROUPS = 1.0
+# Part of the initial demand that is kept up whatever was measured: a node that has just started
+# has measured nothing yet.
+FLOOR_PART = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -42,7 +45,7 @@
     return Demand(groups)
 
 
-def measured(engine, busy_groups):
+def measured(engine, busy_groups, engines):
     """Return the demand for measured work.
 
     Parameters
@@ -51,8 +54,12 @@
         Models.
     busy_groups : dict of str to float
         Groups of each model that the work of all nodes keeps busy.
+    engines : int
+        Engines of the fleet.
     """
+    floor = initial(engine, engines).groups_by_model
     groups = {}
     for name in engine.models:
-        groups[name] = max(MIN_GROUPS, HEADROOM * busy_groups.get(name, 0.0))
+        needed = HEADROOM * busy_groups.get(name, 0.0)
+        groups[name] = max(MIN_GROUPS, FLOOR_PART * floor[name], needed)
     return Demand(groups)
--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -87,7 +87,12 @@
             if _is_bound_elsewhere(view, plan, engines):
                 continue
             free.append(view.record)
-        for model, members in placement.choose_groups(engine, free, planned, counts):
+        chosen = placement.choose_groups(engine, free, planned, counts)
+        if not chosen:
+            groups = self._give_up_surplus(
+                groups, engine, engines, len(free), planned, counts, reasons
+            )
+        for model, members in chosen:
             name = f"{self._domain}.{next_epoch}"
             groups.append(
                 group_plan.GroupPlan(name, next_epoch, model, members, group_plan.FORMING)
@@ -99,8 +104,29 @@
             return Step(new_plan, [], reasons)
         orders = self._orders(plan, engines)
         orders.extend(_stage_orders(engine, free))
+        if counts.is_before_traffic:
+            orders.extend(_stage_orders(engine, _settled_members(groups, engines)))
         return Step(None, orders, [])
 
+    def _give_up_surplus(self, groups, engine, engines, free, planned, counts, reasons):
+        """Return the groups with at most one more that retires for the sake of others."""
+        for group in groups:
+            if group.phase != group_plan.SERVING:
+                # The engines of groups that form or retire are not counted yet.
+                return groups
+        if counts.is_before_traffic and not _is_staged(groups, engine, engines):
+            return groups
+        model = placement.choose_surplus(engine, free, planned, counts)
+        kept = []
+        for group in groups:
+            if model is not None and group.model == model:
+                reasons.append(f"{group.name}: its engines are needed as spares or elsewhere")
+                kept.append(group.in_phase(group_plan.RETIRING))
+                model = None
+                continue
+            kept.append(group)
+        return kept
+
     def _review(self, group, engine, engines, reasons, now):
         """Return the group after its next transition, as a list of no or one group."""
         if group.phase == group_plan.RETIRING:
@@ -223,19 +249,48 @@
     ]
 
 
-def _stage_orders(engine, spares):
-    """Return the orders that make spares ready for the largest groups."""
-    model = max(engine.models.values(), key=lambda model: model.size)
+def _stage_orders(engine, records):
+    """Return the orders that put a second model on the hosts of engines."""
     orders = []
-    for record in spares:
-        if model.name in record.staged_models or model.name in record.models:
-            continue
-        orders.append(
-            engine_order.EngineOrder(engine_order.STAGE, record.endpoint_id, model=model.name)
-        )
+    for record in records:
+        model = _model_to_stage(engine, record)
+        if model is not None:
+            orders.append(
+                engine_order.EngineOrder(engine_order.STAGE, record.endpoint_id, model=model)
+            )
     return orders
 
 
+def _model_to_stage(engine, record):
+    """Return the largest model that an engine holds neither in memory nor on its host."""
+    wanted = []
+    for model in sorted(engine.models.values(), key=lambda model: -model.size):
+        if model.name != record.last_model:
+            wanted.append(model.name)
+    for name in wanted[: engine.retained_models]:
+        if name not in record.staged_models:
+            return name
+    return None
+
+
+def _settled_members(groups, engines):
+    """Return the members of serving groups; a load in progress would replace a staged model."""
+    records = []
+    for group in groups:
+        if group.phase != group_plan.SERVING:
+            continue
+        for member in group.members:
+            records.append(engines[member].record)
+    return records
+
+
+def _is_staged(groups, engine, engines):
+    for record in _settled_members(groups, engines):
+        if _model_to_stage(engine, record) is not None:
+            return False
+    return True
+
+
 def _is_complete(group, engines):
     for member in group.members:
         view = engines.get(member)
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -58,12 +58,23 @@
         Returns whether callers' requests may have arrived at any node.
     stalled : callable
         Returns the ids of heads whose work stalls, as seen by any node.
+    busy_groups : callable
+        Returns the groups of each model that the work of all nodes keeps busy.
     settings : GroupSettings
         Times and limits.
     """
 
     def __init__(
-        self, node_id, store, engine_client, fleet, live_nodes, has_traffic, stalled, settings
+        self,
+        node_id,
+        store,
+        engine_client,
+        fleet,
+        live_nodes,
+        has_traffic,
+        stalled,
+        busy_groups,
+        settings,
     ):
         self._node_id = node_id
         self._store = store
@@ -72,6 +83,7 @@
         self._live_nodes = live_nodes
         self._has_traffic = has_traffic
         self._stalled = stalled
+        self._busy_groups = busy_groups
         self._prober = member_prober.MemberProber(engine_client)
         self._settings = settings
         self._engine_services = {}
@@ -260,9 +272,13 @@
                     continue
                 for model in record.models:
                     elsewhere[model] = elsewhere.get(model, 0.0) + 1.0
-        needed = demand.initial(engine, engines)
+        has_traffic = self._has_traffic()
+        if has_traffic:
+            needed = demand.measured(engine, self._busy_groups(), engines)
+        else:
+            needed = demand.initial(engine, engines)
         return placement.FleetCounts(
-            needed.groups_by_model, elsewhere, len(members) / max(1, engines)
+            needed.groups_by_model, elsewhere, len(members) / max(1, engines), not has_traffic
         )
 
     def _send(self, order, record, engine, part):
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -7,6 +7,11 @@
 SPARE_PART = 0.2
 # Groups are formed beyond the need up to this multiple, as long as enough spares are left.
 MAX_COVER = 2.0
+# The last spares are used when a model has less than this part of the groups that it needs.
+SPARE_COVER = 0.8
+# A group of another model is given up for a model below this cover, if its own stays at about 1.
+SCARCE_COVER = 0.75
+KEPT_COVER = 0.99
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -21,11 +26,14 @@
         Groups of the other domains by model.
     domain_part : float
         Part of the fleet's engines that are in this domain.
+    is_before_traffic : bool
+        Whether no caller's request has arrived yet.
     """
 
     needed: dict[str, float]
     elsewhere: dict[str, float]
     domain_part: float
+    is_before_traffic: bool = False
 
 
 def choose_groups(engine, free, planned, counts):
@@ -44,10 +52,10 @@
     """
     free = list(free)
     planned = dict(planned)
-    engines = len(free)
-    for name, number in planned.items():
-        engines += number * engine.models[name].size
-    spares = math.ceil(engines * SPARE_PART)
+    spares = spare_count(engine, len(free), planned)
+    if counts.is_before_traffic and any(record.last_model is None for record in free):
+        # Every engine joins a group once, which leaves the model in its memory.
+        spares = 0
     chosen = []
     while free:
         model = _next_model(engine, len(free), planned, counts, spares)
@@ -61,6 +69,48 @@
     return chosen
 
 
+def spare_count(engine, free, planned):
+    """Return the number of engines of a domain that are kept as spares."""
+    engines = free
+    for name, number in planned.items():
+        engines += number * engine.models[name].size
+    return math.ceil(engines * SPARE_PART)
+
+
+def choose_surplus(engine, free, planned, counts):
+    """Return the model whose groups are to be reduced by one, or None.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Models with their sizes.
+    free : int
+        Engines that are in no group.
+    planned : dict of str to int
+        Groups of this domain by model.
+    counts : FleetCounts
+        The fleet.
+    """
+    scarce = None
+    for model in engine.models.values():
+        is_scarce = cover(model.name, planned, counts) < SCARCE_COVER and model.size > free
+        if is_scarce and (scarce is None or model.size > scarce.size):
+            scarce = model
+    lacks_spares = counts.is_before_traffic and free < spare_count(engine, free, planned)
+    if scarce is None and not lacks_spares:
+        return None
+    best = None
+    for model in sorted(engine.models.values(), key=lambda model: model.size):
+        number = planned.get(model.name, 0)
+        if model is scarce or not number:
+            continue
+        if cover(model.name, {**planned, model.name: number - 1}, counts) < KEPT_COVER:
+            continue
+        if best is None:
+            best = model.name
+    return best
+
+
 def _next_model(engine, free, planned, counts, spares):
     best = _least_covered(engine.models.values(), free, planned, counts, spares)
     if best is None or best.size <= free:
@@ -77,16 +127,17 @@
     best_cover = math.inf
     # Large groups first: small ones fit into what is left, but not the other way round.
     for model in sorted(models, key=lambda model: -model.size):
-        cover = _cover(model.name, planned, counts)
-        if cover >= MAX_COVER or (cover >= 1.0 and free - model.size < spares):
+        present = cover(model.name, planned, counts)
+        uses_spares = free - model.size < spares
+        if present >= MAX_COVER or (present >= SPARE_COVER and uses_spares):
             continue
-        if cover < best_cover:
+        if present < best_cover:
             best = model
-            best_cover = cover
+            best_cover = present
     return best
 
 
-def _cover(name, planned, counts):
+def cover(name, planned, counts):
     """Return existing over needed groups of a model."""
     needed = max(1e-6, counts.needed.get(name, 1.0))
     here = planned.get(name, 0)
@@ -103,8 +154,8 @@
 
 
 def _join_cost(record, model):
-    """Return 0 for an engine that holds the model, 1 if its host does, otherwise 2."""
-    if model in record.models:
+    """Return 0 for an engine that still holds the model, 1 if its host does, otherwise 2."""
+    if model in record.models or record.last_model == model:
         return 0
     return 1 if model in record.staged_models else 2
 
