--- a/src/lynxlanding/node/store_follower.py
+++ b/src/lynxlanding/node/store_follower.py
@@ -7,7 +7,11 @@
 
 from lynxlanding.errors import platform as platform_errors
 
-WATCH_S = 8.0
+# A store that has gone silent is noticed only when a watch ends, and nodes must follow it again
+# within about three seconds of its return.
+WATCH_S = 2.5
+# Watch while the store is away, so that its return is noticed at once.
+SHORT_WATCH_S = 0.2
 RETRY_PAUSE_S = 0.2
 # A store that was silent for longer than this counts as having been away.
 OUTAGE_S = 0.5
@@ -72,7 +76,8 @@
             objects, version = self._store.list(self._kind)
             self._handler.on_list(objects, version, time.monotonic(), self._note_regained())
             return version
-        batch = self._store.watch(self._kind, version, WATCH_S)
+        wait_s = WATCH_S if self._lost_at is None else SHORT_WATCH_S
+        batch = self._store.watch(self._kind, version, wait_s)
         was_outage = self._note_regained()
         self._handler.on_changes(batch.puts, batch.deletes, time.monotonic(), was_outage)
         return batch.version
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -12,7 +12,7 @@
 # The store answers in milliseconds, or in a few hundred when it is slow.
 READ_TIMEOUT_S = 1.5
 # A long poll is given up this long after its answer is due.
-WATCH_MARGIN_S = 1.5
+WATCH_MARGIN_S = 0.8
 
 _REFUSALS = {
     404: platform_errors.ObjectNotFound,
