Let members leave before they are planned for another group

Cause: the head of a group cannot be told dead from outside.

Change: members that can be reached leave their group first, and are free at once; a silent head lives on without members and makes no progress. A member without a registration that answers probes counts as present. Under traffic no group waits for a load: free engines stage the model that lacks groups.

--- a/src/lynxlanding/replicas/engine_view.py
+++ b/src/lynxlanding/replicas/engine_view.py
@@ -13,20 +13,17 @@
     ----------
     record : EndpointRecord or None
         The engine's registration; the last one known, if any, when it is gone.
-    is_registered : bool
-        Whether the registration is in force.
-    gone_s : float
-        Seconds since the planner found the registration to be missing; 0 while it is in force.
+    is_present : bool
+        Whether the registration is in force, or the engine has answered a probe a moment ago.
     is_silent : bool
         Whether the engine has not answered its last probes.
     """
 
     record: endpoint_record.EndpointRecord | None
-    is_registered: bool
-    gone_s: float
+    is_present: bool
     is_silent: bool
 
     @property
-    def is_free_to_use(self):
+    def is_usable(self):
         """Whether new groups may contain the engine."""
-        return self.is_registered and not self.record.is_leaving and not self.is_silent
+        return self.is_present and not self.record.is_leaving and not self.is_silent
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -88,7 +88,6 @@
         self._settings = settings
         self._engine_services = {}
         self._domains = {}
-        self._missing_since = {}
         self._last_records = {}
         self._pacer = order_pacer.OrderPacer(settings.load_window_s)
         self._wake = threading.Event()
@@ -194,7 +193,7 @@
             groups=len(plan.groups),
             next_epoch=plan.next_epoch,
         )
-        planner = domain_planner.DomainPlanner(key[1], self._settings.stall_ms / 1000)
+        planner = domain_planner.DomainPlanner(key[1])
         return _Domain(planner, plan, version)
 
     def _save(self, key, domain, step, now):
@@ -229,32 +228,39 @@
         return True
 
     def _probe_suspects(self, plan, members, now):
+        """Probe the members of groups that stall or that have lost a registration."""
         stalled = self._stalled()
-        records = {}
         for record in members:
-            records[record.endpoint_id] = record
+            self._last_records[record.endpoint_id] = record
+        registered = {record.endpoint_id for record in members}
         for group in plan.groups:
-            if group.head not in stalled:
+            if group.phase == group_plan.RETIRING:
                 continue
-            for endpoint_id in group.members:
-                if endpoint_id in records:
-                    self._prober.probe(records[endpoint_id], now)
+            missing = [member for member in group.members if member not in registered]
+            suspects = group.members if group.head in stalled else missing
+            for endpoint_id in suspects:
+                record = self._last_records.get(endpoint_id)
+                if record is not None:
+                    self._prober.probe(record, now)
 
     def _views(self, plan, members, now):
         views = {}
         for record in members:
-            self._last_records[record.endpoint_id] = record
-            self._missing_since.pop(record.endpoint_id, None)
             is_silent = self._prober.is_silent(record.endpoint_id, now)
-            views[record.endpoint_id] = engine_view.EngineView(record, True, 0.0, is_silent)
+            views[record.endpoint_id] = engine_view.EngineView(record, True, is_silent)
         for group in plan.groups:
             for endpoint_id in group.members:
                 if endpoint_id in views:
                     continue
-                since = self._missing_since.setdefault(endpoint_id, now)
-                views[endpoint_id] = engine_view.EngineView(
-                    self._last_records.get(endpoint_id), False, now - since, False
+                record = self._last_records.get(endpoint_id)
+                # A head without a registration gets no requests, so its group is of no use. Other
+                # members serve on while they answer.
+                is_present = (
+                    record is not None
+                    and endpoint_id != group.head
+                    and self._prober.has_answered(record, now)
                 )
+                views[endpoint_id] = engine_view.EngineView(record, is_present, False)
         return views
 
     def _counts(self, key, engine, members, by_domain):
--- a/src/lynxlanding/replicas/member_prober.py
+++ b/src/lynxlanding/replicas/member_prober.py
@@ -15,6 +15,8 @@
 SILENT_PROBES = 2
 # Results older than this say nothing.
 RESULT_LIFETIME_S = 3.0
+# An engine without a registration counts as present for this long after an answer.
+ANSWER_AGE_S = 1.2
 
 SILENT = "lynxlanding:engine:silent"
 ANSWERS = "lynxlanding:engine:answers_again"
@@ -26,6 +28,8 @@
     is_running: bool = False
     failures: int = 0
     ended_at: float = 0.0
+    answered_at: float | None = None
+    answered_born_ms: int = 0
 
 
 class MemberProber:
@@ -59,9 +63,16 @@
             return False
         return state.failures >= SILENT_PROBES
 
+    def has_answered(self, record, now):
+        """Return whether the same incarnation has answered a probe a moment ago."""
+        state = self._states.get(record.endpoint_id)
+        if state is None or state.answered_at is None:
+            return False
+        return state.answered_born_ms == record.born_ms and now - state.answered_at <= ANSWER_AGE_S
+
     def _run(self, record, state):
         try:
-            self._client.fetch_report(record)
+            report = self._client.fetch_report(record)
         except (endpoint_errors.AttemptTimedOut, endpoint_errors.ConnectionRefused) as e:
             state.failures += 1
             if state.failures == SILENT_PROBES:
@@ -73,6 +84,8 @@
             self._note_answer(record, state)
         else:
             self._note_answer(record, state)
+            state.answered_at = time.monotonic()
+            state.answered_born_ms = report.born_ms
         finally:
             state.ended_at = time.monotonic()
             state.is_running = False
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -58,10 +58,9 @@
         spares = 0
     chosen = []
     while free:
-        model = _next_model(engine, len(free), planned, counts, spares)
+        model, members = _next_group(engine, free, planned, counts, spares)
         if model is None:
             return chosen
-        members = _choose_members(free, model)
         for record in members:
             free.remove(record)
         planned[model.name] = planned.get(model.name, 0) + 1
@@ -111,30 +110,26 @@
     return best
 
 
-def _next_model(engine, free, planned, counts, spares):
-    best = _least_covered(engine.models.values(), free, planned, counts, spares)
-    if best is None or best.size <= free:
-        return best
-    # Engines register one by one; small groups do not take them before a large one has formed.
-    if not any(planned.values()):
-        return None
-    fitting = [model for model in engine.models.values() if model.size <= free]
-    return _least_covered(fitting, free, planned, counts, spares)
-
-
-def _least_covered(models, free, planned, counts, spares):
-    best = None
-    best_cover = math.inf
-    # Large groups first: small ones fit into what is left, but not the other way round.
-    for model in sorted(models, key=lambda model: -model.size):
+def _next_group(engine, free, planned, counts, spares):
+    """Return the model of the next group and its members, or None and an empty list."""
+    # The model that lacks groups most comes first; of two, the larger one, since small groups fit
+    # into what is left but not the other way round.
+    ranked = sorted(
+        engine.models.values(),
+        key=lambda model: (cover(model.name, planned, counts), -model.size),
+    )
+    for model in ranked:
         present = cover(model.name, planned, counts)
-        uses_spares = free - model.size < spares
+        uses_spares = len(free) - model.size < spares
         if present >= MAX_COVER or (present >= SPARE_COVER and uses_spares):
             continue
-        if present < best_cover:
-            best = model
-            best_cover = present
-    return best
+        members = _choose_members(free, model, counts)
+        if len(members) == model.size:
+            return model, members
+        if counts.is_before_traffic and not any(planned.values()):
+            # Engines register one by one; small groups do not take them before a large one.
+            return None, []
+    return None, []
 
 
 def cover(name, planned, counts):
@@ -147,10 +142,16 @@
     return max(fleet, local)
 
 
-def _choose_members(free, model):
-    """Return the engines that are ready soonest for a model."""
-    ranked = sorted(free, key=lambda record: (_join_cost(record, model.name), record.endpoint_id))
-    return ranked[: model.size]
+def _choose_members(free, model, counts):
+    """Return the engines that are ready soonest for a model, fewer if there are not enough."""
+    candidates = []
+    for record in free:
+        # A load takes many times longer than the forming of a group. Under traffic, engines stage
+        # their next model while they are free, and the others are not held up meanwhile.
+        if counts.is_before_traffic or not needs_load(record, model.name):
+            candidates.append(record)
+    candidates.sort(key=lambda record: (_join_cost(record, model.name), record.endpoint_id))
+    return candidates[: model.size]
 
 
 def _join_cost(record, model):
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -88,13 +88,10 @@
 
     Attributes
     ----------
-    stall_ms : float
-        Time in milliseconds after which the head of an incomplete group is broken.
     load_window_s : float
         Window of the weight store's limit on loads.
     """
 
-    stall_ms: daemon_settings.Seconds = 5000.0
     load_window_s: daemon_settings.Seconds = 5.0
 
 
