Find stalled groups within a tenth of a second and calibrate predictions

Cause: a stream on a group that lost a member waited 0.5 s before it went on elsewhere (late for the callers' 200 to 300 ms), the wait that callers had before was inferred from their deadline although deadlines differ from the route's timeout, which refused requests falsely, and published times leave out about 90 ms.

Change: stalls are judged by the engine's own pass time, shared by all requests on the head and by peers; a switch is made only where another group can take the request; the constant part of the first event is learnt.

Ruled out: engine load (6 in flight on a group of 9 slots give p90 0.30 s).

--- a/src/lynxlanding/dispatch/choice.py
+++ b/src/lynxlanding/dispatch/choice.py
@@ -23,8 +23,6 @@
         Requested model.
     work : Work
         Size of the request.
-    waited_s : float
-        How long the caller has waited already, over all of its attempts.
     time_left_s : float
         Time until the caller gives up.
     excluded : frozenset of str
@@ -38,7 +36,6 @@
     route: traffic_route.Route
     model: str | None
     work: cost_model.Work
-    waited_s: float
     time_left_s: float
     excluded: frozenset
     is_repeat: bool
@@ -46,11 +43,24 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Send:
-    """Send the request to ``record``; the endpoint counts as loaded from now on."""
+    """Send the request.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        Endpoint.
+    present : int
+        Requests that run or wait there.
+    predicted_s : float
+        Predicted time to the first event; 0 for plain services.
+    stall_s : float
+        Time without any progress after which the endpoint counts as stalled.
+    """
 
     record: endpoint_record.EndpointRecord
     present: int
     predicted_s: float
+    stall_s: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/dispatch/cost_model.py
+++ b/src/lynxlanding/dispatch/cost_model.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 
+# A group counts as stalled after the time of so many passes and of reading so many usual prompts.
+STALL_PASSES = 2.0
+STALL_PROMPTS = 3.0
+STALL_SLACK_S = 0.04
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Work:
@@ -42,6 +47,17 @@
     return prefill_time(engine, model, work.prompt_tokens) + writing_s
 
 
+def stall_time(engine, model, present):
+    """Return the pause between two events, in seconds, that a working group does not exceed.
+
+    A pass can be prolonged by the prompts of other requests.
+    """
+    running = min(present + 1, engine.slots)
+    pass_s = engine.stride * step_time(engine, model, running)
+    prompt_s = prefill_time(engine, model, engine.usual_prompt_tokens)
+    return STALL_PASSES * pass_s + STALL_PROMPTS * prompt_s + STALL_SLACK_S
+
+
 def first_event_time(engine, model, work, present):
     """Return the predicted time to the first event, in seconds.
 
--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -4,6 +4,7 @@
     choice,
     cost_model,
     endpoint_health,
+    first_event_offset,
     load_book,
     retry_allowance,
     work_meter,
@@ -21,6 +22,8 @@
 # A request is refused when the predicted time exceeds its objective by this factor.
 LATENESS_FACTOR = 1.5
 SHORTEST_RETRY_AFTER_S = 0.2
+# A repeatable call to a plain service is tried elsewhere after this part of its objective.
+PLAIN_STALL_PART = 0.8
 
 
 class Dispatcher:
@@ -34,14 +37,17 @@
         Known endpoints.
     retry_limits : tuple of float
         Ratio, slack and window in seconds of the limit on repeats.
-    random_state : numpy.random.Generator
+    stalls : StallBoard
+        Endpoints that have stopped making progress.
+    random_state : random.Random
         Breaks ties.
     """
 
-    def __init__(self, data_centre, registry, retry_limits, random_state):
+    def __init__(self, data_centre, registry, retry_limits, stalls, random_state):
         self._data_centre = data_centre
         self._registry = registry
         self._retry_limits = retry_limits
+        self._stalls = stalls
         self._random_state = random_state
         self._configuration = None
         self._nodes = 1
@@ -49,6 +55,7 @@
         self._health = endpoint_health.EndpointHealth()
         self._allowances = {}
         self._meter = work_meter.WorkMeter()
+        self._offset = first_event_offset.FirstEventOffset()
         self._plain = {}
         self._heads = {}
 
@@ -82,6 +89,7 @@
         for change in changes:
             if change.kind in (endpoint_change.RESTARTED, endpoint_change.REMOVED):
                 self._health.forget(change.record.endpoint_id)
+                self._stalls.forget(change.record.endpoint_id)
                 self._load.forget(change.record.endpoint_id)
         self._plain = {}
         self._heads = {}
@@ -118,8 +126,27 @@
         """Take one repeat from the node's allowance; return whether there was one."""
         return self._allowance(service).take(now, self._nodes)
 
+    def note_first_event(self, question, send, observed_s):
+        """Record the time to the first event of a stream."""
+        self._health.note_response(send.record.endpoint_id, observed_s, send.predicted_s)
+        known = self._offset.get(question.service, question.model)
+        # The slowness of single endpoints is learnt apart from what is common to all.
+        self._offset.note(question.service, question.model, observed_s - send.predicted_s + known)
+
     def choose(self, question, now):
-        """Return ``Send`` or ``Refuse`` for a request."""
+        """Return ``Send`` or ``Refuse`` for a request; what is sent counts as load at once."""
+        decision = self._decide(question, now)
+        if isinstance(decision, choice.Send):
+            self._load.begin(decision.record.endpoint_id)
+        return decision
+
+    def may_switch(self, question, now):
+        """Take one repeat if another endpoint could serve the request at once."""
+        if not isinstance(self._decide(question, now), choice.Send):
+            return False
+        return self.take_repeat(question.service, now)
+
+    def _decide(self, question, now):
         service = self._configuration.services.get(question.service)
         if service is not None and service.engine is not None:
             return self._choose_head(question, service.engine, now)
@@ -128,6 +155,7 @@
     def _choose_head(self, question, engine, now):
         model = engine.models.get(question.model)
         heads = self._heads.get((question.service, question.model), ())
+        offset_s = self._offset.get(question.service, question.model)
         best = None
         best_cost = 0.0
         for record in heads:
@@ -135,8 +163,12 @@
                 continue
             if self._health.is_avoided(record.endpoint_id, now):
                 continue
+            if self._stalls.is_stalled(record.endpoint_id, now):
+                continue
             present = self._load.estimate(record.endpoint_id, now)
-            predicted_s = cost_model.first_event_time(engine, model, question.work, present)
+            predicted_s = offset_s + cost_model.first_event_time(
+                engine, model, question.work, present
+            )
             predicted_s *= self._health.slowness(record.endpoint_id)
             # Groups with more room finish a request sooner, also when the first event is alike.
             cost = predicted_s * (1.0 + present / engine.slots)
@@ -144,19 +176,19 @@
                 cost += REMOTE_PENALTY_S
             cost *= 1.0 + 0.05 * self._random_state.random()
             if best is None or cost < best_cost:
-                best = choice.Send(record, present, predicted_s)
+                stall_s = cost_model.stall_time(engine, model, present)
+                best = choice.Send(record, present, predicted_s, stall_s)
                 best_cost = cost
         if best is None:
             if not heads:
                 return choice.Refuse("no open group of the model", GROUP_RETURN_S)
             return choice.Refuse("every open group was tried or has just failed", SHORT_RETURN_S)
         allowed_s = question.route.target_latency_s * LATENESS_FACTOR
-        if best.present >= engine.slots and best.predicted_s + question.waited_s > allowed_s:
+        if best.present >= engine.slots and best.predicted_s > allowed_s:
             excess_s = best.predicted_s - question.route.target_latency_s
             return choice.Refuse(
                 "the request would be late on every group", max(SHORTEST_RETRY_AFTER_S, excess_s)
             )
-        self._load.begin(best.record.endpoint_id)
         return best
 
     def _choose_plain(self, question, now):
@@ -175,13 +207,13 @@
                 cost += 0.05
             cost *= 1.0 + 0.1 * self._random_state.random()
             if best is None or cost < best_cost:
-                best = choice.Send(record, present, 0.0)
+                stall_s = question.route.target_latency_s * PLAIN_STALL_PART
+                best = choice.Send(record, present, 0.0, stall_s)
                 best_cost = cost
         if best is None:
             return choice.Refuse("no endpoint of the service", SHORT_RETURN_S)
         if best.present >= best.record.slots * PLAIN_QUEUE_FACTOR:
             return choice.Refuse("every endpoint of the service is full", SHORT_RETURN_S)
-        self._load.begin(best.record.endpoint_id)
         return best
 
     def _allowance(self, service):
--- a/src/lynxlanding/dispatch/endpoint_health.py
+++ b/src/lynxlanding/dispatch/endpoint_health.py
@@ -5,8 +5,6 @@
 # After a failure the endpoint is avoided for this long; repeated failures double the time.
 FIRST_AVOIDANCE_S = 0.5
 LONGEST_AVOIDANCE_S = 4.0
-# A stall is passed on to peers and to the planner for this long.
-STALL_MEMORY_S = 1.5
 # Weight of a new observation in the average of observed over predicted times.
 CALIBRATION_WEIGHT = 0.3
 CALIBRATION_BOUNDS = (0.25, 8.0)
@@ -24,7 +22,6 @@
 
     def __init__(self):
         self._states = {}
-        self._stalled_at = {}
 
     def note_failure(self, endpoint_id, now):
         """Record that an attempt failed through the endpoint's fault."""
@@ -33,25 +30,8 @@
         state.failures += 1
         state.avoided_until = max(state.avoided_until, now + pause_s)
 
-    def note_stall(self, endpoint_id, now):
-        """Record that work at the endpoint makes no progress."""
-        self._stalled_at[endpoint_id] = now
-        self.avoid(endpoint_id, now)
-
-    def avoid(self, endpoint_id, now):
-        """Avoid the endpoint for a moment."""
-        state = self._states.setdefault(endpoint_id, _State())
-        state.avoided_until = max(state.avoided_until, now + FIRST_AVOIDANCE_S)
-
-    def stalled(self, now):
-        """Return the endpoints that this node saw stalling a moment ago."""
-        for endpoint_id, at in list(self._stalled_at.items()):
-            if now - at > STALL_MEMORY_S:
-                del self._stalled_at[endpoint_id]
-        return frozenset(self._stalled_at)
-
     def note_response(self, endpoint_id, observed_s, predicted_s):
-        """Record the time to the first event or response."""
+        """Record the time to the first event or response, and its prediction."""
         state = self._states.setdefault(endpoint_id, _State())
         state.failures = 0
         state.avoided_until = 0.0
--- a/src/lynxlanding/dispatch/exchange.py
+++ b/src/lynxlanding/dispatch/exchange.py
@@ -6,7 +6,6 @@
 import urllib3
 
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.requests import attempt_monitor
 
 READ_SIZE = 65536
 
@@ -60,12 +59,15 @@
         Ends attempts that stall, pass their deadline or have lost their caller.
     codec : module
         Offers ``decode_response(headers)``.
+    stalls : StallBoard
+        Told when an endpoint sends something.
     """
 
-    def __init__(self, pool, monitor, codec):
+    def __init__(self, pool, monitor, codec, stalls):
         self._pool = pool
         self._monitor = monitor
         self._codec = codec
+        self._stalls = stalls
 
     def open(self, record, method, target, headers, body, attempt, *, fresh):
         """Send a request and return its ``EndpointResponse`` and ``ResponseMarks``.
@@ -115,7 +117,9 @@
         is_complete = False
         try:
             for chunk in _iterate(response):
-                attempt.note_data(time.monotonic())
+                now = time.monotonic()
+                attempt.note_data(now)
+                self._stalls.note_event(record.endpoint_id, now)
                 yield chunk
             if attempt.reason is not None:
                 raise endpoint_errors.AttemptTimedOut(f"{record.address}: {attempt.reason}")
@@ -172,8 +176,3 @@
     if attempt.reason is not None:
         return endpoint_errors.AttemptTimedOut(f"{record.address}: {attempt.reason}")
     return error_type(f"{record.address}: {type(error).__name__}: {error}")
-
-
-def make_attempt(deadline, stall_s, has_caller_left, may_abandon):
-    """Return the ``MonitoredAttempt`` for one exchange."""
-    return attempt_monitor.MonitoredAttempt(deadline, stall_s, has_caller_left, may_abandon)
--- a/src/lynxlanding/dispatch/forward_request.py
+++ b/src/lynxlanding/dispatch/forward_request.py
@@ -33,8 +33,6 @@
         Estimated size.
     received_at, deadline : float
         Monotonic seconds.
-    waited_s : float
-        How long the caller had waited before, over its earlier attempts.
     has_caller_left : callable
         Returns whether the caller has closed its connection.
     """
@@ -51,5 +49,4 @@
     work: cost_model.Work
     received_at: float
     deadline: float
-    waited_s: float
     has_caller_left: Callable[[], bool]
--- a/src/lynxlanding/dispatch/request_run.py
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -2,19 +2,15 @@
 
 import time
 
-from lynxlanding.dispatch import choice, event_buffer, exchange, retry_rules
+from lynxlanding.dispatch import choice, event_buffer, retry_rules
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import stream_aborted
+from lynxlanding.requests import attempt_monitor
 
-# A group makes an event every few tens of milliseconds; one that is silent for this long has lost
-# a member or is cut off.
-STREAM_STALL_S = 0.5
-# Time that the first event may take beyond its prediction.
-FIRST_EVENT_SLACK_S = 0.6
-FIRST_EVENT_FACTOR = 3.0
-# Plain services answer in one piece, some much later than usual.
-PLAIN_STALL_S = 1.0
+# Time that the first event of a stream may take beyond its prediction.
+FIRST_EVENT_SLACK_S = 0.1
+FIRST_EVENT_FACTOR = 1.5
 
 
 class Reply:
@@ -54,15 +50,18 @@
         Sends attempts.
     codec : module
         Offers ``encode_forwarded`` and ``returned``.
+    stalls : StallBoard
+        Endpoints that have stopped making progress.
     journal : RequestJournal
         Logs the decisions.
     """
 
-    def __init__(self, request, serving, exchange_client, codec, journal):
+    def __init__(self, request, serving, exchange_client, codec, stalls, journal):
         self._request = request
         self._serving = serving
         self._exchange = exchange_client
         self._codec = codec
+        self._stalls = stalls
         self._journal = journal
         self._sends = 0
         self._may_have_run = 0
@@ -89,21 +88,23 @@
             except endpoint_errors.AttemptError as e:
                 self._after_failure(record, e)
 
-    def _choose(self):
-        now = time.monotonic()
+    def _question(self, now):
         request = self._request
-        question = choice.Question(
+        return choice.Question(
             request_id=request.marks.request_id,
             service=request.service,
             route=request.route,
             model=request.marks.model,
             work=request.work,
-            waited_s=request.waited_s + now - request.received_at,
             time_left_s=request.deadline - now,
             excluded=frozenset(self._excluded),
             is_repeat=self._sends > 0,
         )
-        decision = self._serving.choose(question, now).get()
+
+    def _choose(self):
+        now = time.monotonic()
+        request = self._request
+        decision = self._serving.choose(self._question(now), now).get()
         if isinstance(decision, choice.Refuse):
             self._journal.refused(request, decision, self._sends)
             raise self._refusal(decision.reason, decision.retry_after_s)
@@ -119,11 +120,12 @@
         """Send the request to an endpoint and return the ``Reply``."""
         request = self._request
         started_at = time.monotonic()
-        attempt = exchange.make_attempt(
+        attempt = attempt_monitor.MonitoredAttempt(
             request.deadline,
             self._first_stall(send),
             request.has_caller_left,
             lambda: self._may_abandon(record),
+            lambda: self._stalls.is_stalled(record.endpoint_id, time.monotonic()),
         )
         self._sends += 1
         self._may_have_run += 1
@@ -163,7 +165,7 @@
 
     def _first_stall(self, send):
         if not self._request.route.is_stream:
-            return PLAIN_STALL_S
+            return send.stall_s
         return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * send.predicted_s
 
     def _check(self, response, marks):
@@ -191,8 +193,8 @@
         events = event_buffer.EventBuffer(last_id)
         first = self._next_events(response, events)
         observed_s = time.monotonic() - started_at
-        self._serving.note_first_event(record.endpoint_id, observed_s, send.predicted_s)
-        attempt.expect_data_within(STREAM_STALL_S)
+        self._serving.note_first_event(self._question(started_at), send, observed_s)
+        attempt.expect_data_within(send.stall_s)
         headers = self._codec.returned(response.headers)
         relay = _Relay(self, record, response, events, first)
         return Reply(response.status, headers, stream=relay)
@@ -230,11 +232,14 @@
 
     def _may_abandon(self, record):
         """Return whether a stalled attempt may be ended in favour of another one."""
-        self._serving.note_stall(record.endpoint_id, time.monotonic())
+        now = time.monotonic()
+        if self._request.route.is_stream:
+            self._stalls.note_stall(record.endpoint_id, now)
         history = self._history(last_was_not_run=False)
         if not retry_rules.may_repeat(self._request.route, history):
             return False
-        if not self._serving.take_repeat(self._request.service, time.monotonic()).get():
+        self._excluded.add(record.endpoint_id)
+        if not self._serving.may_switch(self._question(now), now).get():
             return False
         self._granted_repeat = True
         return True
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -63,23 +63,10 @@
         """Return the node's requests in flight by endpoint id."""
         return dict(self._dispatcher.load.own)
 
-    def stalled(self, now):
-        """Return the endpoints that this node saw stalling a moment ago."""
-        return self._dispatcher.health.stalled(now)
-
-    def note_stall(self, endpoint_id, now):
-        """Record an endpoint whose work makes no progress."""
-        self._dispatcher.health.note_stall(endpoint_id, now)
-
     def apply_peer_load(self, peer_id, counts, now):
         """Replace the requests in flight of a peer."""
         self._dispatcher.load.replace_peer(peer_id, counts, now)
 
-    def avoid(self, endpoint_ids, now):
-        """Avoid endpoints that a peer saw stalling."""
-        for endpoint_id in endpoint_ids:
-            self._dispatcher.health.avoid(endpoint_id, now)
-
     def use_node_count(self, nodes):
         """Use the number of nodes that share the limit on repeats."""
         self._dispatcher.use_node_count(nodes)
@@ -96,6 +83,10 @@
         """Take one repeat; return whether there was one."""
         return self._dispatcher.take_repeat(service, now)
 
+    def may_switch(self, question, now):
+        """Take one repeat if another endpoint could serve the request at once."""
+        return self._dispatcher.may_switch(question, now)
+
     def choose(self, question, now):
         """Return the decision about a request."""
         return self._dispatcher.choose(question, now)
@@ -114,9 +105,9 @@
         if status < 500:
             self._dispatcher.health.note_response(endpoint_id, observed_s, predicted_s)
 
-    def note_first_event(self, endpoint_id, observed_s, predicted_s):
+    def note_first_event(self, question, send, observed_s):
         """Record the time to the first event of a stream."""
-        self._dispatcher.health.note_response(endpoint_id, observed_s, predicted_s)
+        self._dispatcher.note_first_event(question, send, observed_s)
 
     def note_failure(self, endpoint_id, error_type, now):
         """Record a failed attempt."""
--- a/src/lynxlanding/node/front_app.py
+++ b/src/lynxlanding/node/front_app.py
@@ -29,18 +29,21 @@
         Sends attempts.
     codec : module
         Translates headers.
+    stalls : StallBoard
+        Endpoints that have stopped making progress.
     journal : RequestJournal
         Logs decisions.
     metrics : NodeMetrics
         Counts.
     """
 
-    def __init__(self, reader, view, serving, exchange_client, codec, journal, metrics):
+    def __init__(self, reader, view, serving, exchange_client, codec, stalls, journal, metrics):
         self._reader = reader
         self._view = view
         self._serving = serving
         self._exchange = exchange_client
         self._codec = codec
+        self._stalls = stalls
         self._journal = journal
         self._metrics = metrics
 
@@ -61,7 +64,7 @@
                 request.service, request.marks.model, request.work, received_at
             )
             run = request_run.RequestRun(
-                request, self._serving, self._exchange, self._codec, self._journal
+                request, self._serving, self._exchange, self._codec, self._stalls, self._journal
             )
             reply = run.start()
             start_response(json_response.status_line(reply.status), self._response_headers(reply))
@@ -145,7 +148,6 @@
             summary["service"] = request.service
             summary["workspace"] = request.workspace
             summary["model"] = request.marks.model
-            summary["waited_before_s"] = round(request.waited_s, 3)
         if error is not None:
             summary["error"] = error.type_name
             summary["detail"] = str(error)[:200]
--- a/src/lynxlanding/node/request_reader.py
+++ b/src/lynxlanding/node/request_reader.py
@@ -84,7 +84,6 @@
             work=_estimate(marks, configuration.services.get(service)),
             received_at=received_at,
             deadline=received_at + patience_s,
-            waited_s=max(0.0, route.timeout_s - patience_s),
             has_caller_left=environ["waitress.client_disconnected"],
         )
 
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -14,10 +14,10 @@
 from lynxlanding.dispatch import (
     connection_pool,
     dispatcher,
-    endpoint_health,
     exchange,
     request_journal,
     serving_actor,
+    stall_board,
 )
 from lynxlanding.errors import settings as settings_errors
 from lynxlanding.fleet import registry as fleet_registry
@@ -54,6 +54,8 @@
 from lynxlanding.settings import loading, vm_settings
 
 EXPIRY_INTERVAL_S = 0.2
+# Pauses between events of more than 200 ms are late for callers.
+CHECK_INTERVAL_S = 0.02
 # Changes of endpoints are collected for this long; leaving endpoints must get no requests 2 s
 # after they said so. A node that is changing groups waits for each step.
 WATCH_PAUSE_S = 0.4
@@ -96,7 +98,8 @@
         self._log = bounded_log.BoundedLog()
         self._metrics = node_metrics.NodeMetrics(settings.node_id, settings.data_centre)
         self._pool = connection_pool.ConnectionPool(sockets.OPTIONS)
-        self._monitor = attempt_monitor.AttemptMonitor()
+        self._monitor = attempt_monitor.AttemptMonitor(CHECK_INTERVAL_S)
+        self._stalls = stall_board.StallBoard()
         self._identity = node_identity.NodeIdentity(
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
         )
@@ -127,7 +130,6 @@
         )
         self._endpoint_ids = {}
         self._peer_has_traffic = False
-        self._peer_stalls = {}
         self._peer_work = {}
 
     def run(self):
@@ -168,7 +170,7 @@
         )
         registry = fleet_registry.EndpointRegistry()
         decisions = dispatcher.Dispatcher(
-            settings.data_centre, registry, limits, self._random_state
+            settings.data_centre, registry, limits, self._stalls, self._random_state
         )
         return serving_actor.ServingActor.start(registry, decisions)
 
@@ -190,8 +192,9 @@
             reader,
             self._view,
             self._serving,
-            exchange.Exchange(self._pool, self._monitor, request_headers),
+            exchange.Exchange(self._pool, self._monitor, request_headers, self._stalls),
             request_headers,
+            self._stalls,
             request_journal.RequestJournal(self._view),
             self._metrics,
         )
@@ -224,14 +227,7 @@
         return has_begun or not self._settings.is_first_start
 
     def _read_stalled(self):
-        now = time.monotonic()
-        stalled = set(self._serving.stalled(now).get())
-        for endpoint_id, at in list(self._peer_stalls.items()):
-            if now - at > endpoint_health.STALL_MEMORY_S:
-                del self._peer_stalls[endpoint_id]
-                continue
-            stalled.add(endpoint_id)
-        return stalled
+        return self._stalls.all(time.monotonic())
 
     def _read_busy_groups(self):
         now = time.monotonic()
@@ -248,7 +244,7 @@
     def _build_state(self):
         return node_state.NodeState(
             self._serving.own_load().get(),
-            self._serving.stalled(time.monotonic()).get(),
+            self._stalls.own(time.monotonic()),
             self._view.configuration_version or 0,
             self._view.has_traffic or self._peer_has_traffic,
             self._serving.busy_groups(time.monotonic()).get(),
@@ -257,14 +253,11 @@
     def _on_report(self, report, now):
         self._peer_has_traffic = self._peer_has_traffic or report.has_traffic
         self._peer_work[report.node_id] = report.busy_groups
-        stalled = []
         for key in report.stalled:
             endpoint_id = self._endpoint_ids.get(key)
             if endpoint_id is not None:
-                stalled.append(endpoint_id)
-                self._peer_stalls[endpoint_id] = now
-        if stalled:
-            self._serving.avoid(stalled, now)
+                self._stalls.note_peer_stall(endpoint_id, now)
+        if report.stalled:
             self._director.wake()
         counts = {}
         for key, requests in report.loads.items():
--- a/src/lynxlanding/replicas/demand.py
+++ b/src/lynxlanding/replicas/demand.py
@@ -5,11 +5,13 @@
 # Part of the engines that is planned for when traffic starts; the rest are spares.
 INITIAL_USE = 0.8
 # Planned groups over the groups that the measured work would keep busy.
-HEADROOM = 1.7
+HEADROOM = 2.0
+# Further groups of each model, since one is always being formed again.
+SPARE_GROUPS = 1.5
 MIN_GROUPS = 1.0
 # Part of the initial demand that is kept up whatever was measured: a node that has just started
-# has measured nothing yet.
-FLOOR_PART = 0.5
+# has measured nothing yet, and traffic can jump.
+FLOOR_PART = 0.9
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -60,6 +62,6 @@
     floor = initial(engine, engines).groups_by_model
     groups = {}
     for name in engine.models:
-        needed = HEADROOM * busy_groups.get(name, 0.0)
+        needed = HEADROOM * busy_groups.get(name, 0.0) + SPARE_GROUPS
         groups[name] = max(MIN_GROUPS, FLOOR_PART * floor[name], needed)
     return Demand(groups)
--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -94,9 +94,9 @@
             return Step(new_plan, [], reasons)
         orders = _orders(plan, engines, used)
         orders.extend(staging.orders(engine, free, planned, counts))
-        if counts.is_before_traffic:
-            members = _settled_members(groups, engines)
-            orders.extend(staging.orders(engine, members, planned, counts))
+        # After the free engines, since those are waited for.
+        members = _settled_members(groups, engines)
+        orders.extend(staging.orders(engine, members, planned, counts))
         return Step(None, orders, [])
 
     def _review(self, group, engine, engines, reasons, now):
@@ -144,23 +144,22 @@
         return None
 
     def _give_up_surplus(self, groups, engine, engines, free, planned, counts, reasons):
-        """Retire at most one group whose engines are needed otherwise."""
-        for group in groups:
+        """Retire groups whose engines are needed otherwise."""
+        serving = []
+        for index, group in enumerate(groups):
             if group.phase != group_plan.SERVING:
                 # Engines of groups that form or retire will be counted soon.
                 return
+            records = [engines[member].record for member in group.members]
+            serving.append((index, group.model, records))
         if counts.is_before_traffic:
             members = _settled_members(groups, engines)
             if staging.orders(engine, members, planned, counts):
                 return
-        model = placement.choose_surplus(engine, len(free), planned, counts)
-        if model is None:
-            return
-        for index, group in enumerate(groups):
-            if group.model == model:
-                groups[index] = group.in_phase(group_plan.RETIRING)
-                reasons.append(f"{group.name}: its engines are needed as spares or elsewhere")
-                return
+        for index in placement.choose_surplus(engine, free, planned, counts, serving):
+            group = groups[index]
+            groups[index] = group.in_phase(group_plan.RETIRING)
+            reasons.append(f"{group.name}: its engines are needed as spares or elsewhere")
 
 
 def _free_records(engines, used):
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -169,7 +169,7 @@
         counts = self._counts(key, engine, members, by_domain)
         step = domain.planner.step(domain.plan, engine, views, counts, now)
         if step.plan is not None:
-            if not self._save(key, domain, step, now):
+            if not self._save(key, domain, step, counts):
                 return
             step = domain.planner.step(domain.plan, engine, views, counts, now)
         part = 1.0 / max(1, len(by_domain))
@@ -196,7 +196,7 @@
         planner = domain_planner.DomainPlanner(key[1])
         return _Domain(planner, plan, version)
 
-    def _save(self, key, domain, step, now):
+    def _save(self, key, domain, step, counts):
         """Store a plan; return whether it is in force."""
         value = step.plan.to_value()
         try:
@@ -224,6 +224,8 @@
             plan_version=stored.version,
             reasons=step.reasons,
             groups=len(step.plan.groups),
+            needed=_rounded(counts.needed),
+            elsewhere=counts.elsewhere,
         )
         return True
 
@@ -318,3 +320,7 @@
         )
         if outcome in (order_outcome.BEGUN, order_outcome.ALREADY_DONE):
             self._wake.set()
+
+
+def _rounded(numbers):
+    return {name: round(number, 2) for name, number in numbers.items()}
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -8,7 +8,7 @@
 # Groups are formed beyond the need up to this multiple, as long as enough spares are left.
 MAX_COVER = 2.0
 # The last spares are used when a model has less than this part of the groups that it needs.
-SPARE_COVER = 0.8
+SPARE_COVER = 1.2
 # A group of another model is given up for a model below this cover, if its own stays at about 1.
 SCARCE_COVER = 0.75
 KEPT_COVER = 0.99
@@ -76,38 +76,53 @@
     return math.ceil(engines * SPARE_PART)
 
 
-def choose_surplus(engine, free, planned, counts):
-    """Return the model whose groups are to be reduced by one, or None.
+def choose_surplus(engine, free, planned, counts, groups):
+    """Return the groups to give up for a scarce model or as spares.
 
     Parameters
     ----------
     engine : EngineSpec
         Models with their sizes.
-    free : int
+    free : list of EndpointRecord
         Engines that are in no group.
     planned : dict of str to int
         Groups of this domain by model.
     counts : FleetCounts
         The fleet.
+    groups : list of tuple
+        Serving groups as (index, model, records of the members).
     """
-    scarce = None
-    for model in engine.models.values():
-        is_scarce = cover(model.name, planned, counts) < SCARCE_COVER and model.size > free
-        if is_scarce and (scarce is None or model.size > scarce.size):
-            scarce = model
-    lacks_spares = counts.is_before_traffic and free < spare_count(engine, free, planned)
-    if scarce is None and not lacks_spares:
-        return None
-    best = None
-    for model in sorted(engine.models.values(), key=lambda model: model.size):
-        number = planned.get(model.name, 0)
-        if model is scarce or not number:
+    if counts.is_before_traffic and len(free) < spare_count(engine, len(free), planned):
+        for index, model, _ in sorted(groups, key=lambda group: engine.models[group[1]].size):
+            if cover(model, {**planned, model: planned[model] - 1}, counts) >= KEPT_COVER:
+                return [index]
+    for model in sorted(engine.models.values(), key=lambda model: -model.size):
+        if cover(model.name, planned, counts) < SCARCE_COVER:
+            given_up = _give_up_for(model, free, planned, counts, groups)
+            if given_up:
+                return given_up
+    return []
+
+
+def _give_up_for(scarce, free, planned, counts, groups):
+    """Return the groups whose engines complete a group of the scarce model, or nothing."""
+    planned = dict(planned)
+    ready = sum(not needs_load(record, scarce.name) for record in free)
+    given_up = []
+    for index, model, records in groups:
+        if ready >= scarce.size:
+            break
+        if model == scarce.name:
             continue
-        if cover(model.name, {**planned, model.name: number - 1}, counts) < KEPT_COVER:
+        left = planned[model] - 1
+        if cover(model, {**planned, model: left}, counts) < KEPT_COVER:
             continue
-        if best is None:
-            best = model.name
-    return best
+        useful = sum(not needs_load(record, scarce.name) for record in records)
+        if useful:
+            planned[model] = left
+            ready += useful
+            given_up.append(index)
+    return given_up if ready >= scarce.size else []
 
 
 def _next_group(engine, free, planned, counts, spares):
@@ -137,8 +152,11 @@
     needed = max(1e-6, counts.needed.get(name, 1.0))
     here = planned.get(name, 0)
     fleet = (counts.elsewhere.get(name, 0.0) + here) / needed
-    # The other domains are expected to do what this one does: all of them plan at the same time.
     local = here / (needed * max(1e-6, counts.domain_part))
+    if counts.is_before_traffic:
+        # Engines register one by one, and every domain takes its part.
+        return local
+    # The other domains are expected to do what this one does: all of them plan at the same time.
     return max(fleet, local)
 
 
--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -4,7 +4,12 @@
 import threading
 import time
 
+from urllib3.util import wait
+
 CHECK_INTERVAL_S = 0.1
+# A check that comes later than this shows that the process itself was held up, and then data may
+# wait unread.
+LATE_CHECK_FACTOR = 4.0
 
 DEADLINE = "deadline"
 CALLER_LEFT = "caller left"
@@ -15,6 +20,10 @@
     return True
 
 
+def _never():
+    return False
+
+
 class MonitoredAttempt:
     """One attempt that waits for its response or reads it.
 
@@ -28,11 +37,14 @@
         Returns whether the caller has closed its connection.
     may_abandon : callable, optional
         Asked when the attempt has stalled; False lets it wait for longer.
+    is_endpoint_stalled : callable, optional
+        Returns whether other attempts show that the endpoint has stalled.
     """
 
     __slots__ = (
         "_deadline",
         "_has_caller_left",
+        "_is_endpoint_stalled",
         "_last_data_at",
         "_may_abandon",
         "_reason",
@@ -40,12 +52,20 @@
         "_stall_timeout_s",
     )
 
-    def __init__(self, deadline, stall_timeout_s, has_caller_left, may_abandon=_always):
+    def __init__(
+        self,
+        deadline,
+        stall_timeout_s,
+        has_caller_left,
+        may_abandon=_always,
+        is_endpoint_stalled=_never,
+    ):
         self._deadline = deadline
         self._stall_timeout_s = stall_timeout_s
         self._has_caller_left = has_caller_left
         self._last_data_at = time.monotonic()
         self._may_abandon = may_abandon
+        self._is_endpoint_stalled = is_endpoint_stalled
         self._reason = None
         self._socket = None
 
@@ -84,11 +104,16 @@
             self._reason = DEADLINE
         elif self._has_caller_left():
             self._reason = CALLER_LEFT
-        elif now - self._last_data_at > self._stall_timeout_s and self._may_abandon():
+        elif self._is_stalled(now) and self._may_abandon():
             self._reason = STALLED
         if self._reason is not None:
             self._shut_down()
 
+    def _is_stalled(self, now):
+        if now - self._last_data_at <= self._stall_timeout_s and not self._is_endpoint_stalled():
+            return False
+        return not wait.wait_for_read(self._socket, timeout=0)
+
     def _shut_down(self):
         try:
             self._socket.shutdown(socket.SHUT_RDWR)
@@ -101,10 +126,11 @@
     """Checks all attempts from one thread.
 
     A timeout on each read would create and cancel a timer for each token, which costs as much
-    as reading it; one check of all attempts ten times a second costs next to nothing.
+    as reading it; one check of all attempts many times a second costs next to nothing.
     """
 
-    def __init__(self):
+    def __init__(self, interval_s=CHECK_INTERVAL_S):
+        self._interval_s = interval_s
         self._attempts = set()
 
     def start(self):
@@ -125,6 +151,11 @@
             attempt.check(now)
 
     def _run(self):
+        last_at = time.monotonic()
         while True:
-            time.sleep(CHECK_INTERVAL_S)
-            self.check_all(time.monotonic())
+            time.sleep(self._interval_s)
+            now = time.monotonic()
+            is_late = now - last_at > LATE_CHECK_FACTOR * self._interval_s
+            last_at = now
+            if not is_late:
+                self.check_all(now)
