Choose a head that has just failed where no other is left

A recent failure is now a penalty; only stalled heads are excluded. Surplus groups of a well-covered model are given up earlier for a scarce one.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -17,6 +17,8 @@
 SHORT_RETURN_S = 0.5
 # Preference for endpoints of the node's own data centre, as a time.
 REMOTE_PENALTY_S = 0.004
+# An endpoint that has just failed is chosen only where every other one is much slower.
+AVOIDANCE_PENALTY_S = 1.0
 # A plain service's endpoint takes this multiple of its slots before requests are refused.
 PLAIN_QUEUE_FACTOR = 2.0
 # A request is refused when the predicted time exceeds its objective by this factor.
@@ -161,8 +163,6 @@
         for record in heads:
             if record.endpoint_id in question.excluded:
                 continue
-            if self._health.is_avoided(record.endpoint_id, now):
-                continue
             if self._stalls.is_stalled(record.endpoint_id, now):
                 continue
             present = self._load.estimate(record.endpoint_id, now)
@@ -174,6 +174,8 @@
             cost = predicted_s * (1.0 + present / engine.slots)
             if record.data_centre != self._data_centre:
                 cost += REMOTE_PENALTY_S
+            if self._health.is_avoided(record.endpoint_id, now):
+                cost += AVOIDANCE_PENALTY_S
             cost *= 1.0 + 0.05 * self._random_state.random()
             if best is None or cost < best_cost:
                 stall_s = cost_model.stall_time(engine, model, present)
@@ -182,7 +184,7 @@
         if best is None:
             if not heads:
                 return choice.Refuse("no open group of the model", GROUP_RETURN_S)
-            return choice.Refuse("every open group was tried or has just failed", SHORT_RETURN_S)
+            return choice.Refuse("every open group was tried or has stalled", SHORT_RETURN_S)
         allowed_s = question.route.target_latency_s * LATENESS_FACTOR
         if best.present >= engine.slots and best.predicted_s > allowed_s:
             excess_s = best.predicted_s - question.route.target_latency_s
@@ -202,7 +204,7 @@
             cost = (present + 0.5) / max(1, record.slots)
             cost *= self._health.slowness(record.endpoint_id)
             if self._health.is_avoided(record.endpoint_id, now):
-                cost += 10.0
+                cost += AVOIDANCE_PENALTY_S
             if record.data_centre != self._data_centre:
                 cost += 0.05
             cost *= 1.0 + 0.1 * self._random_state.random()
--- a/src/lynxlanding/replicas/demand.py
+++ b/src/lynxlanding/replicas/demand.py
@@ -5,13 +5,13 @@
 # Part of the engines that is planned for when traffic starts; the rest are spares.
 INITIAL_USE = 0.8
 # Planned groups over the groups that the measured work would keep busy.
-HEADROOM = 2.0
+HEADROOM = 1.6
 # Further groups of each model, since one is always being formed again.
-SPARE_GROUPS = 1.5
+SPARE_GROUPS = 2.0
 MIN_GROUPS = 1.0
 # Part of the initial demand that is kept up whatever was measured: a node that has just started
 # has measured nothing yet, and traffic can jump.
-FLOOR_PART = 0.9
+FLOOR_PART = 0.75
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -9,9 +9,10 @@
 MAX_COVER = 2.0
 # The last spares are used when a model has less than this part of the groups that it needs.
 SPARE_COVER = 1.2
-# A group of another model is given up for a model below this cover, if its own stays at about 1.
-SCARCE_COVER = 0.75
-KEPT_COVER = 0.99
+# A group of another model is given up for a model below the first cover, as long as its own stays
+# above the second.
+SCARCE_COVER = 0.9
+KEPT_COVER = 0.9
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
