Form the scarcer model first and repeat stage orders in time

Cause: domains whose hosts had staged a model before their engines first joined a group were not ordered to stage again for 48 s, so their surplus groups never retired and they had no spares; freed engines went to the small model while the large one waited for one more; the large model had 3 to 4 groups of the 5 that it needs, and took 5 to 16 s to return.

Ruled out: false silence of engines (each retired group had lost a member).

--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -294,6 +294,8 @@
         repeat_s = order_pacer.REPEAT_S
         if order.kind == engine_order.STAGE:
             repeat_s = order_pacer.STAGE_REPEAT_FACTOR * engine.models[order.model].load_s
+            if not self._has_traffic():
+                repeat_s *= order_pacer.STARTING_LOAD_PART
         if not self._pacer.is_due(order, repeat_s, now):
             return
         is_load = order.kind in (engine_order.JOIN, engine_order.STAGE) and placement.needs_load(
--- a/src/lynxlanding/replicas/order_pacer.py
+++ b/src/lynxlanding/replicas/order_pacer.py
@@ -5,7 +5,9 @@
 # An engine shows the effect of an order in its registration within some ten milliseconds.
 REPEAT_S = 0.8
 # A stage order shows its effect only when the load has ended.
-STAGE_REPEAT_FACTOR = 3.0
+STAGE_REPEAT_FACTOR = 1.5
+# Part of the time of a load that it takes before any request has arrived.
+STARTING_LOAD_PART = 0.1
 FORGET_S = 120.0
 # Part of the weight store's limit that is used; a load that is ordered can begin later than that.
 USED_PART = 0.8
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -134,14 +134,19 @@
         engine.models.values(),
         key=lambda model: (cover(model.name, planned, counts), -model.size),
     )
+    is_scarcer_waiting = False
     for model in ranked:
         present = cover(model.name, planned, counts)
         uses_spares = len(free) - model.size < spares
         if present >= MAX_COVER or (present >= SPARE_COVER and uses_spares):
             continue
+        if is_scarcer_waiting and present >= KEPT_COVER:
+            # Its engines would be missing as soon as the scarcer model has enough of them.
+            continue
         members = _choose_members(free, model, counts)
         if len(members) == model.size:
             return model, members
+        is_scarcer_waiting = is_scarcer_waiting or present < SCARCE_COVER
         if counts.is_before_traffic and not any(planned.values()):
             # Engines register one by one; small groups do not take them before a large one.
             return None, []
--- a/src/lynxlanding/replicas/staging.py
+++ b/src/lynxlanding/replicas/staging.py
@@ -19,6 +19,9 @@
     """
     stage_orders = []
     for record in records:
+        if counts.is_before_traffic and record.last_model is None:
+            # The engine joins a group first, and its load would replace what was staged.
+            continue
         model = _choose(engine, record, planned, counts)
         if model is not None:
             stage_orders.append(
