--- a/src/lynxlanding/observability/bounded_log.py
+++ b/src/lynxlanding/observability/bounded_log.py
@@ -9,8 +9,8 @@
 
 import eliot
 
-# Lines that wait for a slow reader of standard output.
-MAX_WAITING_LINES = 2000
+# Bytes that wait for a slow reader of standard output.
+MAX_WAITING_BYTES = 1 << 20
 # Above this rate lines are dropped and counted; a second's burst is let through.
 MAX_LINES_PER_S = 400
 WRITE_PAUSE_S = 0.05
@@ -32,6 +32,7 @@
         self._descriptor = descriptor
         self._clock = clock
         self._lines = collections.deque()
+        self._waiting_bytes = 0
         self._has_lines = threading.Event()
         self._dropped = 0
         self._dropped_total = 0
@@ -55,7 +56,7 @@
             self._dropped += 1
             self._dropped_total += 1
             return
-        self._lines.append(_encode(message))
+        self._queue(message)
         self._has_lines.set()
 
     def flush(self, limit_s):
@@ -71,11 +72,16 @@
             float(MAX_LINES_PER_S), self._tokens + (now - self._refilled_at) * MAX_LINES_PER_S
         )
         self._refilled_at = now
-        if self._tokens < 1 or len(self._lines) >= MAX_WAITING_LINES:
+        if self._tokens < 1 or self._waiting_bytes >= MAX_WAITING_BYTES:
             return False
         self._tokens -= 1
         return True
 
+    def _queue(self, message):
+        line = json.dumps(message, default=str, separators=(",", ":")).encode() + b"\n"
+        self._lines.append(line)
+        self._waiting_bytes += len(line)
+
     def _run(self):
         while True:
             self._has_lines.wait()
@@ -89,9 +95,7 @@
         if self._dropped:
             dropped = self._dropped
             self._dropped = 0
-            self._lines.append(
-                _encode({"message_type": DROPPED, "timestamp": time.time(), "lines": dropped})
-            )
+            self._queue({"message_type": DROPPED, "timestamp": time.time(), "lines": dropped})
         batch = b"".join(self._lines)
         self._lines.clear()
         try:
@@ -101,12 +105,10 @@
         except OSError as e:
             if e.errno in (errno.EPIPE, errno.EBADF):
                 # Nobody reads the log any more.
+                self._waiting_bytes -= len(batch)
                 return True
             raise
+        self._waiting_bytes -= written
         if written < len(batch):
             self._lines.appendleft(batch[written:])
         return written > 0
-
-
-def _encode(message):
-    return json.dumps(message, default=str, separators=(",", ":")).encode() + b"\n"
