--- a/src/lynxlanding/dispatch/tests/test_exchange.py
+++ b/src/lynxlanding/dispatch/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """The endpoint client against peers that do not follow the protocol."""
 
+import re
 import socket
 import threading
 import time
@@ -49,6 +50,11 @@
                     connection.close()
                     return
                 data += more
+            head, _, body = data.partition(b"\r\n\r\n")
+            length = int(re.search(rb"Content-Length: (\d+)", head).group(1))
+            while len(body) < length:
+                # A connection that is closed with unread bytes is reset.
+                body += connection.recv(65536)
             self.received.append(data)
             if part == "reset":
                 linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
