Start failed loops again and follow a changed settings file

Cause found by reading: an unexpected error ended a loop (planning, reports, following the store) for good while its node stayed responsible for domains, and the settings were read again only on SIGHUP and not used. Loops are guarded and log the error; limits on repeats follow the file.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -80,6 +80,12 @@
         """Use a newer configuration."""
         self._configuration = configuration
 
+    def use_retry_limits(self, retry_limits):
+        """Use another limit on repeats; what was counted under the old one is forgotten."""
+        if retry_limits != self._retry_limits:
+            self._retry_limits = retry_limits
+            self._allowances = {}
+
     def use_node_count(self, nodes):
         """Use the number of nodes that share the limit on repeats."""
         self._nodes = max(1, nodes)
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -67,6 +67,10 @@
         """Replace the requests in flight of a peer."""
         self._dispatcher.load.replace_peer(peer_id, counts, now)
 
+    def use_retry_limits(self, retry_limits):
+        """Use another limit on repeats: ratio, slack and window in seconds."""
+        self._dispatcher.use_retry_limits(retry_limits)
+
     def use_node_count(self, nodes):
         """Use the number of nodes that share the limit on repeats."""
         self._dispatcher.use_node_count(nodes)
--- a/src/lynxlanding/node/store_follower.py
+++ b/src/lynxlanding/node/store_follower.py
@@ -6,6 +6,7 @@
 import eliot
 
 from lynxlanding.errors import platform as platform_errors
+from lynxlanding.observability import guarded_thread
 
 # A store that has gone silent is noticed only when a watch ends, and nodes must follow it again
 # within about three seconds of its return.
@@ -46,7 +47,7 @@
 
     def start(self):
         """Follow from a thread of its own."""
-        threading.Thread(target=self._run, daemon=True).start()
+        guarded_thread.start(self._run, f"follow {self._kind}")
 
     def stop(self):
         """Stop following."""
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -31,7 +31,7 @@
     request_reader,
     store_follower,
 )
-from lynxlanding.observability import bounded_log, node_metrics
+from lynxlanding.observability import bounded_log, guarded_thread, node_metrics
 from lynxlanding.peers import (
     node_directory,
     node_identity,
@@ -130,6 +130,7 @@
         )
         self._endpoint_ids = {}
         self._peer_has_traffic = False
+        self._file_changed_at = None
         self._peer_work = {}
 
     def run(self):
@@ -144,14 +145,14 @@
         self._add_gauges()
         servers = self._make_servers()
         for server in servers:
-            threading.Thread(target=server.run, daemon=True).start()
+            guarded_thread.start(server.run, "http server")
         self._monitor.start()
         for follower in self._followers:
             follower.start()
         self._directory.start()
         self._exchange.start()
         self._director.start()
-        threading.Thread(target=self._keep_time, daemon=True).start()
+        guarded_thread.start(self._keep_time, "upkeep")
         eliot.log_message(
             message_type=STARTED,
             data_centre=self._settings.data_centre,
@@ -276,11 +277,25 @@
             for endpoint_id in records:
                 ids[report_codec.endpoint_key(endpoint_id)] = endpoint_id
             self._endpoint_ids = ids
-            if self._reload.is_set():
+            if self._reload.is_set() or self._has_file_changed():
                 self._reload.clear()
                 self._load_settings()
 
+    def _has_file_changed(self):
+        try:
+            changed_at = os.stat(self._path).st_mtime_ns
+        except OSError as e:
+            _logger.warning("the settings file cannot be read: %s", e)
+            return False
+        if self._file_changed_at is None:
+            self._file_changed_at = changed_at
+        if changed_at == self._file_changed_at:
+            return False
+        self._file_changed_at = changed_at
+        return True
+
     def _load_settings(self):
+        """Use the settings that can change in a running process; addresses need a restart."""
         try:
             settings = loading.load(self._path, vm_settings.VmSettings)
         except settings_errors.SettingsError as e:
@@ -288,6 +303,10 @@
             return
         eliot.log_message(message_type=RELOADED, is_changed=settings != self._settings)
         self._settings = settings
+        requests = settings.requests
+        self._serving.use_retry_limits(
+            (requests.repeat_ratio, requests.repeat_slack, requests.repeat_window_s)
+        )
 
     def _add_gauges(self):
         self._metrics.add_gauge(
--- a/src/lynxlanding/observability/bounded_log.py
+++ b/src/lynxlanding/observability/bounded_log.py
@@ -9,6 +9,8 @@
 
 import eliot
 
+from lynxlanding.observability import guarded_thread
+
 # Bytes that wait for a slow reader of standard output.
 MAX_WAITING_BYTES = 1 << 20
 # Above this rate lines are dropped and counted; a second's burst is let through.
@@ -48,7 +50,7 @@
         """Take the lines of eliot and write them from a thread of its own."""
         os.set_blocking(self._descriptor, False)
         eliot.add_destinations(self)
-        threading.Thread(target=self._run, daemon=True).start()
+        guarded_thread.start(self._run, "log")
 
     def __call__(self, message):
         """Queue a message or drop it."""
--- a/src/lynxlanding/peers/node_directory.py
+++ b/src/lynxlanding/peers/node_directory.py
@@ -6,6 +6,7 @@
 import eliot
 
 from lynxlanding.errors import platform as platform_errors
+from lynxlanding.observability import guarded_thread
 
 KIND = "lynxlanding-nodes"
 REFRESH_S = 5.0
@@ -39,7 +40,7 @@
 
     def start(self):
         """Register and look for others from a thread of its own."""
-        threading.Thread(target=self._run, daemon=True).start()
+        guarded_thread.start(self._run, "directory")
 
     def stop(self):
         """Stop looking."""
--- a/src/lynxlanding/peers/peer_exchange.py
+++ b/src/lynxlanding/peers/peer_exchange.py
@@ -7,6 +7,7 @@
 import time
 
 from lynxlanding.errors import membership as membership_errors
+from lynxlanding.observability import guarded_thread
 from lynxlanding.peers import peer_report, report_codec
 
 # Changed counts are sent this often; unchanged ones often enough to be seen as alive.
@@ -50,8 +51,8 @@
         """Bind the socket and run from threads of its own."""
         host, _, port = self._identity.address.rpartition(":")
         self._socket.bind((host, int(port)))
-        threading.Thread(target=self._receive, daemon=True).start()
-        threading.Thread(target=self._report, daemon=True).start()
+        guarded_thread.start(self._receive, "receive reports")
+        guarded_thread.start(self._report, "send reports")
 
     def stop(self):
         """Stop reporting."""
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -8,6 +8,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.membership import rendezvous
+from lynxlanding.observability import guarded_thread
 from lynxlanding.replicas import (
     demand,
     domain_planner,
@@ -104,7 +105,7 @@
 
     def start(self):
         """Run from a thread of its own."""
-        threading.Thread(target=self._run, daemon=True).start()
+        guarded_thread.start(self._run, "groups")
 
     def stop(self):
         """Stop planning."""
