--- a/src/lynxlanding/observability/tests/test_documentation.py
+++ b/src/lynxlanding/observability/tests/test_documentation.py
@@ -1,4 +1,4 @@
-"""Compares docs/operations.md with the code."""
+"""Compares docs/OPERATIONS.md with the code."""
 
 import pathlib
 import re
@@ -7,7 +7,7 @@
 from lynxlanding.operators.language import evaluation, parsing
 
 ROOT = pathlib.Path(__file__).parents[4]
-PAGE = (ROOT / "docs" / "operations.md").read_text("utf-8")
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text("utf-8")
 
 
 def test_metrics_exist():
--- a/src/lynxlanding/operators/lynxctl.py
+++ b/src/lynxlanding/operators/lynxctl.py
@@ -15,6 +15,7 @@
     _cli_support,
     admin_app,
     exit_codes,
+    explain_command,
     formatting,
 )
 from lynxlanding.operators.language import evaluation, parsing
@@ -158,6 +159,9 @@
     click.echo(f"{file.name}: valid against revision {answer['revision']}")
 
 
+main.add_command(explain_command.explain)
+
+
 @main.group()
 def report():
     """Show reports."""
