Add a stand-in for the users' platform and play the node against it

Found: a request refused for its framing was answered with HTTP/1.0, because the check came before the version was read.

--- a/src/lynxlanding/gateway/strict_parser.py
+++ b/src/lynxlanding/gateway/strict_parser.py
@@ -31,10 +31,10 @@
             name = field.group(1).decode("latin-1")
             names.add(name.lower())
             raw_headers.append((name, field.group(2).strip(b" \t").decode("latin-1")))
-        if "transfer-encoding" in names and "content-length" in names:
-            raise parser.ParsingError("Content-Length beside Transfer-Encoding")
         self.raw_headers = raw_headers
         super().parse_header(header_plus)
+        if "transfer-encoding" in names and "content-length" in names:
+            raise parser.ParsingError("Content-Length beside Transfer-Encoding")
 
 
 class KeepAliveTask(task.WSGITask):
--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -14,6 +14,7 @@
     vm_list,
     weight_store,
 )
+from lynxlanding_standins.site import application
 
 HOST = "127.0.0.1"
 
@@ -106,6 +107,16 @@
     _serve(service.ServiceApi(work_ms / 1000, record).app(), [port])
 
 
+@main.command("site")
+@click.option("--port", type=int, required=True, help="Port of the store.")
+@click.option("--engines", type=int, default=20, help="Engines, on the ports that follow.")
+@click.option("--plain", type=int, default=2, help="Endpoints of the plain service.")
+def run_site(port, engines, plain):
+    """Serve the users' platform: its store, engines that form groups, and a plain service."""
+    ports = list(range(port, port + 1 + engines + plain))
+    _serve(application.Site(ports, engines), ports)
+
+
 def _serve(app, ports):
     sockets = []
     for port in ports:
--- /dev/null
+++ b/src/lynxlanding_standins/site/application.py
@@ -0,0 +1,170 @@
+"""The whole site in one process, on consecutive ports of loopback."""
+
+import asyncio
+import json
+import time
+
+from lynxlanding_standins.site import asgi, engine, store
+
+HEARTBEAT_S = 0.3
+SILENT_BEATS = 3
+ZONES = ("a", "b")
+KEY = "secret-key"
+TENANT = "small"
+HOST_NAME = "site.example"
+
+
+class Site:
+    """ASGI application of the store and all endpoints; the port tells them apart.
+
+    The first port is the store's, which also takes ``POST /control``. The engines follow, then
+    the endpoints of the plain service.
+
+    Parameters
+    ----------
+    ports : list of int
+        Ports.
+    engines : int
+        Number of engines; each fabric domain has half of them.
+    """
+
+    def __init__(self, ports, engines):
+        self._store_port = ports[0]
+        self._store = store.SiteStore()
+        self._history = []
+        self._silent = {}
+        endpoints = {}
+        for index, port in enumerate(ports[1:]):
+            is_engine = index < engines
+            domain = f"d{index * 2 // engines}" if is_engine else None
+            endpoints[port] = engine.SiteEndpoint(
+                endpoint_id=f"i-{index:03d}",
+                service="model" if is_engine else "app",
+                address=f"127.0.0.1:{port}",
+                zone=ZONES[index % len(ZONES)],
+                domain=domain,
+                born=int(time.time() * 1000),
+            )
+        self._endpoints = endpoints
+        self._engines = engine.SiteEngines(endpoints, self._publish, self._history)
+        self._beats = None
+        self._store.put("config", "main", configuration(1))
+        # An entry of another writer names no endpoint.
+        self._store.put("servers", "foreign", {"state": 7})
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        if self._beats is None:
+            self._beats = asyncio.get_running_loop().create_task(self._beat())
+        port = scope["server"][1]
+        if port != self._store_port:
+            await self._engines.serve(port, scope, receive, send)
+        elif scope["path"] == "/control":
+            await self._control(receive, send)
+        else:
+            await self._store.serve(scope, receive, send)
+
+    async def _control(self, receive, send):
+        """Change faults and return the history."""
+        order = json.loads(await asgi.read_body(receive) or b"{}")
+        for endpoint in self._endpoints.values():
+            if endpoint.endpoint_id in order.get("dark", ()):
+                endpoint.is_dark = True
+            if endpoint.endpoint_id in order.get("leaving", ()):
+                endpoint.is_leaving = True
+                self._publish(endpoint)
+        if "store" in order:
+            self._store.fault = order["store"]
+        self._store.lost_answers = order.get("lost_answers", self._store.lost_answers)
+        if "configuration" in order:
+            self._store.put("config", "main", configuration(order["configuration"]))
+        groups = []
+        for endpoint in self._endpoints.values():
+            if endpoint.group is not None:
+                groups.append(
+                    {"id": endpoint.endpoint_id, "dark": endpoint.is_dark, **endpoint.group}
+                )
+        document = {"history": self._history, "groups": groups, "calls": self._store.calls}
+        await asgi.send_json(send, 200, document)
+
+    def _publish(self, endpoint):
+        if not endpoint.is_dark:
+            self._store.put("servers", endpoint.endpoint_id, endpoint.entry())
+
+    async def _beat(self):
+        while True:
+            for endpoint in self._endpoints.values():
+                if not endpoint.is_dark:
+                    self._publish(endpoint)
+                    continue
+                beats = self._silent.get(endpoint.endpoint_id, 0) + 1
+                self._silent[endpoint.endpoint_id] = beats
+                if beats == SILENT_BEATS:
+                    self._store.remove("servers", endpoint.endpoint_id)
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+def configuration(version):
+    """Return a configuration document."""
+    route = {
+        "host": HOST_NAME,
+        "timeout_ms": 8000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "max_attempts": 2,
+        "public": False,
+    }
+    engine_spec = {
+        "slots": 9,
+        "kv_capacity": 900000,
+        "stride": 5,
+        "models": [
+            {"name": "large", "size": 4, "share": 0.5, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1},
+            {"name": "small", "size": 2, "share": 0.5, "pace": 0.6, "load_s": 1.0, "warm_s": 0.1},
+        ],
+        "step_ms": 7.8,
+        "per_seq_ms": 0.18,
+        "context_per_k": 0.018,
+        "read_per_s": 45900.0,
+        "pairs_per_m": 0.433,
+        "chunk": 2048,
+        "loads_per_s": 5.0,
+        "loads_at_once": 7,
+        "usual": {"prompt": 979, "answer": 154},
+        "retain_count": 1,
+        "form_ms": 50,
+    }
+    routes = [
+        {
+            **route,
+            "name": "chat",
+            "path_prefix": "/chat/",
+            "kind": "streaming",
+            "service": "model",
+            "stream_resume": True,
+            "gap_aim_ms": 300,
+        },
+        {
+            **route,
+            "name": "book",
+            "path_prefix": "/book/",
+            "kind": "unsafe",
+            "service": "app",
+            "max_attempts": 1,
+        },
+        {**route, "name": "look", "path_prefix": "/look/", "kind": "safe", "service": "app"},
+    ]
+    if version > 1:
+        routes.append({**routes[2], "name": "added", "path_prefix": "/added/"})
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "model", "max_conns": 278, "engine": engine_spec},
+            {"name": "app", "max_conns": 110},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+        "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
+    }
--- /dev/null
+++ b/src/lynxlanding_standins/site/engine.py
@@ -0,0 +1,227 @@
+"""Engines that form replica groups, and a plain service."""
+
+import asyncio
+import dataclasses
+import json
+import time
+
+from lynxlanding_standins.site import asgi
+
+STALL_S = 2.0
+JOIN_S = 0.05
+EVENTS = 12
+EVENT_S = 0.03
+SEAL = (b"x-response-seal", b"seal")
+
+
+@dataclasses.dataclass(slots=True)
+class SiteEndpoint:
+    """State of one endpoint.
+
+    Attributes
+    ----------
+    is_dark : bool
+        Whether the endpoint answers nothing and sends no heartbeats.
+    group : dict or None
+        ``name``, ``epoch``, ``members`` and ``state``.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    zone: str
+    domain: str | None
+    born: int
+    is_dark: bool = False
+    is_leaving: bool = False
+    group: dict | None = None
+    model: str | None = None
+    staged: list = dataclasses.field(default_factory=list)
+    orders: int = 0
+    running: int = 0
+    seen_epoch: int = 0
+
+    def entry(self):
+        """Return what the endpoint registers in the store."""
+        spec = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 9,
+            "state": "draining" if self.is_leaving else "ready",
+            "cold_remaining_ms": 0,
+            "seq_no": self.orders,
+            "born": self.born,
+        }
+        if self.domain is not None:
+            spec.update(self.state())
+        return spec
+
+    def state(self):
+        """Return the engine's state as registrations and reports have it."""
+        group = None
+        if self.group is not None:
+            group = {
+                "name": self.group["name"],
+                "epoch": self.group["epoch"],
+                "rank": self.group["members"].index(self.endpoint_id),
+                "state": self.group["state"],
+            }
+        models = [{"name": self.model, "version": 1, "adapters": []}] if self.model else []
+        return {
+            "domain": self.domain,
+            "stage": "both",
+            "models": models,
+            "staged": self.staged,
+            "group": group,
+        }
+
+
+class SiteEngines:
+    """All endpoints of the site.
+
+    Parameters
+    ----------
+    endpoints : dict of int to SiteEndpoint
+        Endpoints by port.
+    publish : callable
+        Called with an endpoint whose registration has changed.
+    history : list
+        Receives ``(event, request id, endpoint id)`` for each run.
+    """
+
+    def __init__(self, endpoints, publish, history):
+        self._endpoints = endpoints
+        self._publish = publish
+        self._history = history
+        self._by_id = {item.endpoint_id: item for item in endpoints.values()}
+
+    async def serve(self, port, scope, receive, send):
+        """Serve one request at an endpoint."""
+        endpoint = self._endpoints[port]
+        body = await asgi.read_body(receive)
+        while endpoint.is_dark:
+            await asyncio.sleep(0.05)
+        expected = asgi.header(scope, b"x-expect-instance")
+        if expected is not None and expected != endpoint.endpoint_id:
+            await asgi.send_json(send, 421, {})
+            return
+        if scope["path"] == "/v1/order":
+            status = await self._order(endpoint, json.loads(body))
+            await asgi.send_json(send, status, {})
+        elif scope["path"] == "/v1/report":
+            report = {**endpoint.state(), "born": endpoint.born, "running": endpoint.running}
+            await asgi.send_json(send, 200, report)
+        elif endpoint.domain is None:
+            await self._answer(endpoint, scope, body, send)
+        else:
+            await self._stream(endpoint, scope, send)
+
+    async def _order(self, endpoint, order):
+        kind = order["operation"]
+        if kind == "stage":
+            endpoint.staged = [order["model"]]
+            endpoint.orders += 1
+            self._publish(endpoint)
+            return 202
+        if kind == "join":
+            return self._join(endpoint, order)
+        group = endpoint.group
+        if group is None or (group["name"], group["epoch"]) != (order["group"], order["epoch"]):
+            return 409
+        if kind == "leave":
+            endpoint.group = None
+            endpoint.model = None
+        elif kind == "open" and group["state"] == "ready":
+            group["state"] = "open"
+        elif kind == "close" and group["state"] == "open":
+            group["state"] = "ready"
+        elif kind == "open" and group["state"] != "open":
+            return 409
+        endpoint.orders += 1
+        self._publish(endpoint)
+        return 200
+
+    def _join(self, endpoint, order):
+        if order["epoch"] < endpoint.seen_epoch:
+            return 412
+        endpoint.seen_epoch = order["epoch"]
+        group = {
+            "name": order["group"],
+            "epoch": order["epoch"],
+            "members": order["members"],
+            "state": "joining",
+        }
+        if endpoint.group is not None and endpoint.group["name"] == group["name"]:
+            return 200
+        endpoint.group = group
+        endpoint.orders += 1
+        self._publish(endpoint)
+        asyncio.get_running_loop().call_later(
+            JOIN_S, self._finish_join, endpoint, group, order["model"]
+        )
+        return 202
+
+    def _finish_join(self, endpoint, group, model):
+        if endpoint.group is not group:
+            return
+        group["state"] = "ready"
+        endpoint.model = model
+        endpoint.staged = [model]
+        self._publish(endpoint)
+
+    def _is_whole(self, endpoint):
+        for member in endpoint.group["members"]:
+            other = self._by_id[member]
+            if (
+                other.is_dark
+                or other.group is None
+                or other.group["name"] != endpoint.group["name"]
+            ):
+                return False
+        return True
+
+    async def _answer(self, endpoint, scope, body, send):
+        request_id = asgi.header(scope, b"x-request-id") or ""
+        self._history.append(("run", request_id, endpoint.endpoint_id))
+        await asyncio.sleep(EVENT_S)
+        document = {
+            "target": scope["raw_path"].decode() + "?" + scope["query_string"].decode(),
+            "body": body.decode("latin-1"),
+            "workspace": asgi.header(scope, b"x-tenant"),
+            "key": asgi.header(scope, b"authorization"),
+        }
+        headers = [SEAL, (b"x-request-id", request_id.encode())]
+        await asgi.send_json(send, 200, document, headers)
+
+    async def _stream(self, endpoint, scope, send):
+        group = endpoint.group
+        if group is None or group["state"] != "open" or endpoint.endpoint_id != group["members"][0]:
+            await asgi.send_json(send, 503, {}, [(b"x-not-executed", b"1")])
+            return
+        request_id = asgi.header(scope, b"x-request-id") or ""
+        first = int(asgi.header(scope, b"last-event-id") or 0) + 1
+        headers = [
+            (b"content-type", b"text/event-stream"),
+            (b"x-request-id", request_id.encode()),
+            SEAL,
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        endpoint.running += 1
+        self._history.append(("run", request_id, endpoint.endpoint_id))
+        try:
+            for number in range(first, EVENTS + 1):
+                stalled_at = time.monotonic()
+                while endpoint.is_dark or not self._is_whole(endpoint):
+                    await asyncio.sleep(0.02)
+                    if time.monotonic() - stalled_at > STALL_S:
+                        group["state"] = "broken"
+                        self._publish(endpoint)
+                        return
+                await asyncio.sleep(EVENT_S)
+                event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
+                await send({"type": "http.response.body", "body": event, "more_body": True})
+            await send({"type": "http.response.body", "body": b""})
+        finally:
+            endpoint.running -= 1
--- /dev/null
+++ b/src/lynxlanding_standins/site/store.py
@@ -0,0 +1,139 @@
+"""The platform's metadata store in its objects form."""
+
+import asyncio
+import json
+import urllib.parse
+
+from lynxlanding_standins.site import asgi
+
+PAGE = 50
+HISTORY = 2000
+PREFIX = "/v1/objects/"
+
+
+class SiteStore:
+    """Objects by kind and name, with one revision counter and watches.
+
+    Attributes
+    ----------
+    fault : str
+        ``""``, ``"busy"`` (503) or ``"silent"`` (no answer).
+    lost_answers : int
+        Writes that are still to be carried out without an answer.
+    """
+
+    def __init__(self):
+        self._objects = {}
+        self._revision = 1
+        self._events = []
+        self._changed = asyncio.Event()
+        self.fault = ""
+        self.lost_answers = 0
+        self.calls = 0
+
+    def put(self, kind, name, spec):
+        """Write an object as another writer than the system does."""
+        known = self._objects.get((kind, name))
+        if known is not None and known["spec"] == spec:
+            return
+        self._write(kind, name, spec, known)
+
+    def remove(self, kind, name):
+        """Remove an object if it exists."""
+        known = self._objects.pop((kind, name), None)
+        if known is not None:
+            self._revision += 1
+            self._note(kind, known, True)
+
+    async def serve(self, scope, receive, send):
+        """Serve one call."""
+        self.calls += 1
+        body = await asgi.read_body(receive)
+        if self.fault == "silent":
+            await asyncio.sleep(60)
+        if self.fault == "busy":
+            await asgi.send_json(send, 503, {})
+            return
+        kind, _, name = scope["path"][len(PREFIX) :].partition("/")
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        method = scope["method"]
+        if method == "GET":
+            status, document = await self._read(kind, name, query)
+        else:
+            document = json.loads(body) if body else {}
+            status, document = self._change(method, kind, name, document, query)
+            if self.lost_answers > 0 and status == 200:
+                self.lost_answers -= 1
+                await asyncio.sleep(60)
+        await asgi.send_json(send, status, document)
+
+    async def _read(self, kind, name, query):
+        if name:
+            known = self._objects.get((kind, name))
+            return (404, {}) if known is None else (200, known)
+        if "watch" in query:
+            return await self._watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)))
+        names = sorted(key[1] for key in self._objects if key[0] == kind)
+        after = query.get("since_rev")
+        if after is not None:
+            names = [item for item in names if item > after]
+        items = [self._objects[(kind, item)] for item in names[:PAGE]]
+        return 200, {"items": items, "has_more": len(names) > PAGE, "current_rev": self._revision}
+
+    async def _watch(self, kind, after, wait_ms):
+        if self._events and after < self._events[0][0] - 1 and len(self._events) >= HISTORY:
+            return 410, {}
+        end = asyncio.get_running_loop().time() + wait_ms / 1000
+        while True:
+            found = [item for item in self._events if item[0] > after and item[1] == kind]
+            left = end - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                events = [{"object": item[2], "tombstone": item[3]} for item in found]
+                return 200, {"events": events, "current_rev": self._revision}
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _change(self, method, kind, name, document, query):
+        known = self._objects.get((kind, name))
+        expected = document.get("metadata", {}).get("revision") or query.get("revision")
+        if method == "POST":
+            if known is not None:
+                return 409, known
+            return 200, self._write(kind, name, document.get("spec"), None)
+        if known is None:
+            return 404, {}
+        if expected is not None and int(expected) != known["metadata"]["revision"]:
+            return 409, known
+        if method == "DELETE":
+            self.remove(kind, name)
+            return 200, known
+        if document.get("spec") == known["spec"]:
+            return 200, known
+        return 200, self._write(kind, name, document.get("spec"), known)
+
+    def _write(self, kind, name, spec, known):
+        self._revision += 1
+        created = self._revision if known is None else known["metadata"]["create_rev"]
+        written = {
+            "metadata": {
+                "name": name,
+                "revision": self._revision,
+                "create_rev": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self._objects[(kind, name)] = written
+        self._note(kind, written, False)
+        return written
+
+    def _note(self, kind, written, is_tombstone):
+        self._events.append((self._revision, kind, written, is_tombstone))
+        del self._events[:-HISTORY]
+        self._changed.set()
+        self._changed = asyncio.Event()
