--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -24,7 +24,7 @@
 # A request is refused when the predicted time exceeds its objective by this factor.
 LATENESS_FACTOR = 1.5
 # Heads that one decision compares; more cost time and hardly find a better one.
-MAX_COMPARED = 24
+MAX_COMPARED = 16
 SHORTEST_RETRY_AFTER_S = 0.2
 # A repeatable call to a plain service is tried elsewhere after this part of its objective.
 PLAIN_STALL_PART = 0.8
