Hear a node again whose clock was set back before its restart

Found by reading: incarnations follow the sender's clock, so after a step back the others ignored all reports of the restarted node, counted it as dead and took its domains. Test fails without the change.

--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -61,7 +61,11 @@
         if peer is None:
             peer = Peer(report.node_id, report.address, known_at=now)
             self._peers[report.node_id] = peer
-        if (report.incarnation, report.sequence) <= (peer.incarnation, peer.sequence):
+        is_silent = peer.heard_at is None or now - peer.heard_at > SILENCE_S
+        # Incarnations follow the sender's clock, which may have been set back before a restart.
+        is_restarted = is_silent and report.incarnation != peer.incarnation
+        is_newer = (report.incarnation, report.sequence) > (peer.incarnation, peer.sequence)
+        if not is_newer and not is_restarted:
             return False
         peer.incarnation = report.incarnation
         peer.sequence = report.sequence
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -50,3 +50,13 @@
     table.note_registered("n2", "127.0.0.1:8", 0.0)
     table.note_registered("n2", "127.0.0.1:9", 5.0)
     assert table.targets(5.0) == ["127.0.0.1:9"]
+
+
+def test_a_node_whose_clock_was_set_back_is_heard_after_its_restart():
+    """Guards against a node that is ignored for as long as its clock was ahead."""
+    table = peer_table.PeerTable("n1")
+    table.note_report(report(incarnation=900, sequence=50), 0.0)
+    assert not table.note_report(report(incarnation=100, sequence=1), 0.5)
+    later = peer_table.SILENCE_S + 0.1
+    assert table.note_report(report(incarnation=100, sequence=1), later)
+    assert table.live(later) == ["n1", "n2"]
