Do not pass on a 503 of an endpoint that does not say it has not run

Cause, found by reading: callers take 408, 421, 429 and 503 for a promise. An endpoint's own 503 without that statement reached the caller of a request that may run once at most.

--- a/src/lynxlanding/dispatch/request_run.py
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -12,6 +12,9 @@
 FIRST_EVENT_SLACK_S = 0.1
 FIRST_EVENT_FACTOR = 1.5
 
+# Statuses that tell callers that a request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
+
 
 class Reply:
     """Response to the caller.
@@ -174,6 +177,9 @@
             raise endpoint_errors.EndpointRefused(response.status)
         if marks.request_id is not None and marks.request_id != request.marks.request_id:
             raise endpoint_errors.ResponseMismatch("the response belongs to another request")
+        if response.status in PROMISES and not request.route.is_idempotent:
+            # The caller would take the status for a promise that the endpoint has not made.
+            raise endpoint_errors.FalsePromise(f"status {response.status} without that statement")
         if marks.is_encoded or not marks.is_sealed:
             raise endpoint_errors.MalformedResponse("the response is not the endpoint's own")
 
--- a/src/lynxlanding/errors/endpoint.py
+++ b/src/lynxlanding/errors/endpoint.py
@@ -77,3 +77,9 @@
     """The response does not follow the protocol."""
 
     type_name = "malformed_response"
+
+
+class FalsePromise(AttemptError):
+    """The status says that the request has not run, but the endpoint does not state it."""
+
+    type_name = "false_promise"
