--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -6,6 +6,8 @@
 
 # Endpoints that are alive register again within about two seconds of the store's return.
 LAPSE_GRACE_S = 2.0
+# Endpoints whose leaving is remembered after they are gone; several days of replacements.
+MAX_LEAVING = 5000
 
 
 class EndpointRegistry:
@@ -103,6 +105,8 @@
         self._records[record.endpoint_id] = record
         if record.is_leaving:
             self._leaving[record.endpoint_id] = record.born_ms
+            while len(self._leaving) > MAX_LEAVING:
+                del self._leaving[next(iter(self._leaving))]
         if known is None:
             return [endpoint_change.EndpointChange(endpoint_change.ADDED, record)]
         changes = []
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -148,12 +148,23 @@
             if key not in by_domain or not self._is_responsible(key, live):
                 del self._domains[key]
                 eliot.log_message(message_type=DOMAIN_LEFT, domain=key[1], live_nodes=len(live))
+        self._forget_gone(records)
         if not is_store_available:
             return
         for key, members in by_domain.items():
             if self._is_responsible(key, live):
                 self._tend(key, members, by_domain, len(live), now)
 
+    def _forget_gone(self, records):
+        planned = set()
+        for domain in self._domains.values():
+            for group in domain.plan.groups:
+                planned.update(group.members)
+        for endpoint_id in list(self._last_records):
+            if endpoint_id not in records and endpoint_id not in planned:
+                del self._last_records[endpoint_id]
+                self._prober.forget(endpoint_id)
+
     def _is_responsible(self, key, live):
         return rendezvous.choose(key[1], live, 1) == [self._node_id]
 
--- a/src/lynxlanding/replicas/member_prober.py
+++ b/src/lynxlanding/replicas/member_prober.py
@@ -56,6 +56,10 @@
         state.is_running = True
         threading.Thread(target=self._run, args=(record, state), daemon=True).start()
 
+    def forget(self, endpoint_id):
+        """Forget an engine that is gone."""
+        self._states.pop(endpoint_id, None)
+
     def is_silent(self, endpoint_id, now):
         """Return whether the engine has left its last probes without an answer."""
         state = self._states.get(endpoint_id)
