--- a/src/lynxlanding/dispatch/request_run.py
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -2,10 +2,9 @@
 
 import time
 
-from lynxlanding.dispatch import choice, event_buffer, retry_rules
+from lynxlanding.dispatch import choice, event_buffer, reply, retry_rules, stream_relay
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
-from lynxlanding.gateway import stream_aborted
 from lynxlanding.requests import attempt_monitor
 
 # Time that the first event of a stream may take beyond its prediction.
@@ -16,30 +15,6 @@
 PROMISES = frozenset({408, 421, 429, 503})
 
 
-class Reply:
-    """Response to the caller.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : list of (str, str)
-        Headers for the caller.
-    body : bytes or None
-        Whole body; None for a stream.
-    stream : iterator of bytes or None
-        Events as they arrive.
-    """
-
-    __slots__ = ("body", "headers", "status", "stream")
-
-    def __init__(self, status, headers, body=None, stream=None):
-        self.status = status
-        self.headers = headers
-        self.body = body
-        self.stream = stream
-
-
 class RequestRun:
     """One request of a caller.
 
@@ -190,7 +165,7 @@
         observed_s = time.monotonic() - started_at
         self._serving.end_response(record.endpoint_id, observed_s, 0.0, response.status)
         headers = self._codec.returned(response.headers)
-        return Reply(response.status, headers, body=b"".join(parts))
+        return reply.Reply(response.status, headers, body=b"".join(parts))
 
     def _begin_stream(self, record, send, response, attempt, started_at, resume_after):
         last_id = resume_after
@@ -202,8 +177,8 @@
         self._serving.note_first_event(self._question(started_at), send, observed_s)
         attempt.expect_data_within(send.stall_s)
         headers = self._codec.returned(response.headers)
-        relay = _Relay(self, record, response, events, first)
-        return Reply(response.status, headers, stream=relay)
+        relay = stream_relay.StreamRelay(self, record, response, events, first)
+        return reply.Reply(response.status, headers, stream=relay)
 
     def _next_events(self, response, events):
         for chunk in response.chunks:
@@ -228,13 +203,13 @@
         while True:
             next_record, send = self._choose()
             try:
-                reply = self._attempt(next_record, send, resume_after=last_id)
+                resumed = self._attempt(next_record, send, resume_after=last_id)
             except endpoint_errors.AttemptError as e:
                 self._after_failure(next_record, e)
                 continue
-            if reply.stream is None:
-                raise request_errors.EndpointFailed(f"resuming was answered with {reply.status}")
-            return reply
+            if resumed.stream is None:
+                raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
+            return resumed
 
     def _may_abandon(self, record):
         """Return whether a stalled attempt may be ended in favour of another one."""
@@ -288,64 +263,3 @@
     def finish_attempt(self, record):
         """Release the count of an attempt whose stream has ended."""
         self._serving.end_attempt(record.endpoint_id)
-
-
-class _Relay:
-    """Events of a stream, over the endpoints that serve it one after the other."""
-
-    def __init__(self, run, record, response, events, first):
-        self._run = run
-        self._record = record
-        self._response = response
-        self._events = events
-        self._first = first
-        self._iterator = self._iterate()
-
-    def __iter__(self):
-        return self._iterator
-
-    def close(self):
-        """End the stream, which also cancels the work at the endpoint."""
-        self._iterator.close()
-        self._release()
-
-    @property
-    def source(self):
-        """Endpoint, response, events and first bytes, for a relay that goes on with them."""
-        return self._record, self._response, self._events, self._first
-
-    def _iterate(self):
-        if self._first:
-            yield self._first
-        while True:
-            try:
-                for chunk in self._response.chunks:
-                    whole = self._events.feed(chunk)
-                    if whole:
-                        yield whole
-                if not self._events.is_empty:
-                    raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
-                self._release()
-                return
-            except endpoint_errors.AttemptError as e:
-                first = self._switch(e)
-            if first:
-                yield first
-
-    def _switch(self, error):
-        failed = self._record
-        self._release()
-        try:
-            reply = self._run.resume(failed, error, self._events.last_id)
-        except request_errors.RequestError as e:
-            raise stream_aborted.StreamAborted(str(e)) from e
-        self._record, self._response, self._events, first = reply.stream.source
-        return first
-
-    def _release(self):
-        response = self._response
-        if response is None:
-            return
-        self._response = None
-        response.chunks.close()
-        self._run.finish_attempt(self._record)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -38,7 +38,7 @@
     node_state,
     peer_exchange,
     peer_table,
-    report_codec,
+    peer_view,
 )
 from lynxlanding.platform import (
     configuration_codec,
@@ -100,6 +100,7 @@
         self._pool = connection_pool.ConnectionPool(sockets.OPTIONS)
         self._monitor = attempt_monitor.AttemptMonitor(CHECK_INTERVAL_S)
         self._stalls = stall_board.StallBoard()
+        self._peer_view = peer_view.PeerView(self._stalls)
         self._identity = node_identity.NodeIdentity(
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
         )
@@ -128,10 +129,7 @@
         self._directory = node_directory.NodeDirectory(
             self._store, self._identity, self._table, self._on_node_count
         )
-        self._endpoint_ids = {}
-        self._peer_has_traffic = False
         self._file_changed_at = None
-        self._peer_work = {}
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -224,7 +222,7 @@
 
     def _has_traffic(self):
         # After a restart nothing shows whether requests arrived before.
-        has_begun = self._view.has_traffic or self._peer_has_traffic
+        has_begun = self._view.has_traffic or self._peer_view.has_traffic
         return has_begun or not self._settings.is_first_start
 
     def _read_stalled(self):
@@ -232,39 +230,23 @@
 
     def _read_busy_groups(self):
         now = time.monotonic()
-        total = self._serving.busy_groups(now).get()
-        live = set(self._table.live(now))
-        for node_id, groups in list(self._peer_work.items()):
-            if node_id not in live:
-                del self._peer_work[node_id]
-                continue
-            for model, busy in groups.items():
-                total[model] = total.get(model, 0.0) + busy
-        return total
+        own = self._serving.busy_groups(now).get()
+        return self._peer_view.add_busy_groups(own, self._table.live(now))
 
     def _build_state(self):
+        now = time.monotonic()
         return node_state.NodeState(
             self._serving.own_load().get(),
-            self._stalls.own(time.monotonic()),
+            self._stalls.own(now),
             self._view.configuration_version or 0,
-            self._view.has_traffic or self._peer_has_traffic,
-            self._serving.busy_groups(time.monotonic()).get(),
+            self._view.has_traffic or self._peer_view.has_traffic,
+            self._serving.busy_groups(now).get(),
         )
 
     def _on_report(self, report, now):
-        self._peer_has_traffic = self._peer_has_traffic or report.has_traffic
-        self._peer_work[report.node_id] = report.busy_groups
-        for key in report.stalled:
-            endpoint_id = self._endpoint_ids.get(key)
-            if endpoint_id is not None:
-                self._stalls.note_peer_stall(endpoint_id, now)
+        counts = self._peer_view.apply(report, now)
         if report.stalled:
             self._director.wake()
-        counts = {}
-        for key, requests in report.loads.items():
-            endpoint_id = self._endpoint_ids.get(key)
-            if endpoint_id is not None:
-                counts[endpoint_id] = requests
         self._serving.apply_peer_load(report.node_id, counts, now)
 
     def _keep_time(self):
@@ -273,10 +255,7 @@
             self._endpoint_handler.report(self._serving.expire(now).get(), None)
             self._pool.close_idle(now)
             records, _ = self._serving.records().get()
-            ids = {}
-            for endpoint_id in records:
-                ids[report_codec.endpoint_key(endpoint_id)] = endpoint_id
-            self._endpoint_ids = ids
+            self._peer_view.use_endpoints(records)
             if self._reload.is_set() or self._has_file_changed():
                 self._reload.clear()
                 self._load_settings()
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -1,7 +1,8 @@
 import pytest
 
+from lynxlanding.dispatch import stall_board
 from lynxlanding.errors import membership as membership_errors
-from lynxlanding.peers import peer_report, peer_table, report_codec
+from lynxlanding.peers import peer_report, peer_table, peer_view, report_codec
 
 
 def report(node="n2", incarnation=1, sequence=1, **fields):
@@ -60,3 +61,19 @@
     later = peer_table.SILENCE_S + 0.1
     assert table.note_report(report(incarnation=100, sequence=1), later)
     assert table.live(later) == ["n1", "n2"]
+
+
+def test_what_peers_report_is_added_up_while_they_live():
+    """Guards against a need that counts the work of nodes that are gone."""
+    stalls = stall_board.StallBoard()
+    view = peer_view.PeerView(stalls)
+    view.use_endpoints(["e1", "e2"])
+    key = report_codec.endpoint_key("e1")
+    sent = peer_report.PeerReport(
+        "n2", 1, 1, "127.0.0.1:7", 4, {key: 3, 99: 1}, True, frozenset({key}), {"m": 1.5}
+    )
+    assert view.apply(sent, 10.0) == {"e1": 3}
+    assert view.has_traffic
+    assert stalls.all(10.1) == {"e1"}
+    assert view.add_busy_groups({"m": 1.0}, ["n1", "n2"]) == {"m": 2.5}
+    assert view.add_busy_groups({"m": 1.0}, ["n1"]) == {"m": 1.0}
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -6,7 +6,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import fields, sockets
-from lynxlanding.store import stored_object, watch_batch
+from lynxlanding.store import http_call, stored_object, watch_batch
 
 CONNECT_TIMEOUT_S = 1.0
 # The store answers in milliseconds, or in a few hundred when it is slow.
@@ -107,42 +107,22 @@
         conflict=platform_errors.VersionConflict,
         read_timeout_s=READ_TIMEOUT_S,
     ):
-        changes = method != "GET"
-        unanswered = platform_errors.StoreUnavailable
-        if changes:
-            unanswered = platform_errors.StoreOutcomeUnknown
         body = None
         headers = {}
         if document is not None:
             body = json.dumps(document).encode()
             headers["Content-Type"] = "application/json"
-        call = f"{method} {path}"
-        try:
-            response = self._pool.request(
-                method,
-                self._url + path,
-                body=body,
-                headers=headers,
-                retries=False,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
-            )
-        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
-            raise platform_errors.StoreUnavailable(f"{call}: {e}") from e
-        except urllib3.exceptions.HTTPError as e:
-            raise unanswered(f"{call}: {e}") from e
-        if response.status == 409:
-            raise conflict(f"{call}: status 409")
-        refusal = _REFUSALS.get(response.status)
-        if refusal is not None:
-            raise refusal(f"{call}: status {response.status}")
-        if response.status >= 300:
-            raise unanswered(f"{call}: status {response.status}")
-        if not response.data:
-            return {}
-        try:
-            return json.loads(response.data)
-        except ValueError as e:
-            raise platform_errors.MalformedPlatformAnswer(f"{call}: {e}") from e
+        answer = http_call.send(
+            self._pool,
+            method,
+            self._url + path,
+            body=body,
+            headers=headers,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            is_change=method != "GET",
+            refusals={**_REFUSALS, 409: conflict},
+        )
+        return answer or {}
 
 
 def _decode_object(kind, document):
--- a/src/lynxlanding/store/http_store.py
+++ b/src/lynxlanding/store/http_store.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.store import object_store, stored_object, watch_batch
+from lynxlanding.store import http_call, object_store, stored_object, watch_batch
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 5.0
@@ -88,34 +88,16 @@
                 raise platform_errors.ValueTooLarge(f"{path}: {len(body)} bytes")
         if version is not None:
             headers["If-Match"] = str(version)
-        try:
-            response = self._pool.request(
-                method,
-                self._url + path,
-                body=body,
-                headers=headers,
-                retries=False,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
-            )
-        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
-            raise platform_errors.StoreUnavailable(f"{method} {path}: {e}") from e
-        except urllib3.exceptions.HTTPError as e:
-            if changes:
-                raise platform_errors.StoreOutcomeUnknown(f"{method} {path}: {e}") from e
-            raise platform_errors.StoreUnavailable(f"{method} {path}: {e}") from e
-        refusal = _REFUSALS.get(response.status)
-        if refusal is not None:
-            raise refusal(f"{method} {path}: status {response.status}")
-        if response.status >= 300:
-            if changes:
-                raise platform_errors.StoreOutcomeUnknown(f"{method} {path}: {response.status}")
-            raise platform_errors.StoreUnavailable(f"{method} {path}: {response.status}")
-        if response.status == 204 or not response.data:
-            return None
-        try:
-            return json.loads(response.data)
-        except ValueError as e:
-            raise platform_errors.MalformedPlatformAnswer(f"{method} {path}: {e}") from e
+        return http_call.send(
+            self._pool,
+            method,
+            self._url + path,
+            body=body,
+            headers=headers,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            is_change=changes,
+            refusals=_REFUSALS,
+        )
 
 
 def _decode_object(answer):
