Keep watching attempts after one whose connection has closed; spread the giving up of groups

The test fails without the change.

Names of groups tell the model, and a lack must last 0.3 to 1.8 s, by domain.

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -2,12 +2,18 @@
 
 import dataclasses
 
+import xxhash
+
 from lynxlanding.fleet import group_membership
 from lynxlanding.replicas import engine_order, group_plan, placement, staging
 
 # A forming group whose member does not get ready is given up after this many load times.
 FORMING_FACTOR = 3.0
 FORMING_SLACK_S = 4.0
+# A lack must last for this long before serving groups are given up for it, plus a part of the
+# spread that depends on the domain: another domain may be forming the missing group already.
+SURPLUS_DELAY_S = 0.3
+SURPLUS_SPREAD_S = 1.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -49,6 +55,10 @@
     def __init__(self, domain):
         self._domain = domain
         self._forming_since = {}
+        self._surplus_since = None
+        # Domains that see the same lack do not all act on it at once.
+        spread = xxhash.xxh32_intdigest(domain) / 2**32
+        self._surplus_delay_s = SURPLUS_DELAY_S + spread * SURPLUS_SPREAD_S
 
     def step(self, plan, engine, engines, counts, now):
         """Return the next ``Step``.
@@ -81,14 +91,14 @@
         chosen = placement.choose_groups(engine, free, planned, counts)
         next_epoch = plan.next_epoch
         for model, members in chosen:
-            name = f"{self._domain}.{next_epoch}"
+            name = group_plan.make_name(self._domain, next_epoch, model)
             groups.append(
                 group_plan.GroupPlan(name, next_epoch, model, members, group_plan.FORMING)
             )
             reasons.append(f"{name}: forms {model} with {len(members)} engines")
             next_epoch += 1
         if not chosen:
-            self._give_up_surplus(groups, engine, engines, free, planned, counts, reasons)
+            self._give_up_surplus(groups, engine, engines, free, planned, counts, reasons, now)
         new_plan = group_plan.DomainPlan(next_epoch, tuple(groups))
         if new_plan != plan:
             return Step(new_plan, [], reasons)
@@ -143,7 +153,7 @@
                 return "its members did not get ready in time"
         return None
 
-    def _give_up_surplus(self, groups, engine, engines, free, planned, counts, reasons):
+    def _give_up_surplus(self, groups, engine, engines, free, planned, counts, reasons, now):
         """Retire groups whose engines are needed otherwise."""
         serving = []
         for index, group in enumerate(groups):
@@ -156,7 +166,16 @@
             members = _settled_members(groups, engines)
             if staging.orders(engine, members, planned, counts):
                 return
-        for index in placement.choose_surplus(engine, free, planned, counts, serving):
+        surplus = placement.choose_surplus(engine, free, planned, counts, serving)
+        if not surplus:
+            self._surplus_since = None
+            return
+        if self._surplus_since is None:
+            self._surplus_since = now
+        if not counts.is_before_traffic and now - self._surplus_since < self._surplus_delay_s:
+            return
+        self._surplus_since = None
+        for index in surplus:
             group = groups[index]
             groups[index] = group.in_phase(group_plan.RETIRING)
             reasons.append(f"{group.name}: its engines are needed as spares or elsewhere")
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -290,7 +290,8 @@
                 held = record.membership
                 if held is None or not held.is_head or held.state == "broken":
                     continue
-                for model in record.models:
+                model = group_plan.model_of(held.name)
+                if model in engine.models:
                     elsewhere[model] = elsewhere.get(model, 0.0) + 1.0
         has_traffic = self._has_traffic()
         if has_traffic:
--- a/src/lynxlanding/replicas/group_plan.py
+++ b/src/lynxlanding/replicas/group_plan.py
@@ -15,6 +15,17 @@
 PHASES = frozenset({FORMING, SERVING, RETIRING})
 
 
+def make_name(domain, epoch, model):
+    """Return the name of a group; an engine that joins tells no model but this name."""
+    return f"{domain}.{epoch}.{model}"
+
+
+def model_of(name):
+    """Return the model in a group's name, or None if another system gave the name."""
+    parts = name.split(".")
+    return parts[-1] if len(parts) >= 3 else None
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class GroupPlan:
     """A planned group.
--- a/src/lynxlanding/replicas/tests/test_domain_planner.py
+++ b/src/lynxlanding/replicas/tests/test_domain_planner.py
@@ -1,7 +1,7 @@
 import random
 
 from lynxlanding.fleet import group_membership
-from lynxlanding.replicas import domain_planner, engine_order, engine_view, group_plan
+from lynxlanding.replicas import domain_planner, engine_order, engine_view, group_plan, placement
 from lynxlanding.replicas.tests import plan_world
 
 GROUP = group_plan.GroupPlan("d0.1", 1, "small", ("e0", "e1"), group_plan.SERVING)
@@ -99,3 +99,37 @@
     play(4.0)
     assert sum(engine.state == "open" for engine in world.engines.values()) >= 3
     assert world.violations == []
+
+
+def test_a_short_lack_does_not_take_a_serving_group():
+    """Pattern: a group lost under load that another domain is forming again already."""
+    groups = []
+    views = {}
+    for pair in range(3):
+        name = group_plan.make_name("d0", pair + 1, "small")
+        members = (f"e{2 * pair}", f"e{2 * pair + 1}")
+        groups.append(group_plan.GroupPlan(name, pair + 1, "small", members, group_plan.SERVING))
+        for rank, member in enumerate(members):
+            held = group_membership.GroupMembership(
+                name, pair + 1, rank, "ready" if rank else "open"
+            )
+            views[member] = engine_view.EngineView(
+                plan_world.record(member, "small", ("large",), held), True, False
+            )
+    plan = group_plan.DomainPlan(9, tuple(groups))
+    planner = domain_planner.DomainPlanner("d0")
+    spec = plan_world.engine_spec()
+    lack = placement.FleetCounts({"large": 5, "small": 9}, {"large": 4, "small": 12}, 1 / 6)
+    covered = placement.FleetCounts({"large": 5, "small": 9}, {"large": 5, "small": 12}, 1 / 6)
+    assert planner.step(plan, spec, views, lack, 0.0).plan is None
+    assert planner.step(plan, spec, views, covered, 0.2).plan is None
+    assert planner.step(plan, spec, views, lack, 1.0).plan is None
+    lasting = planner.step(plan, spec, views, lack, 1.0 + 2.0)
+    phases = [group.phase for group in lasting.plan.groups]
+    assert phases.count(group_plan.RETIRING) == 2
+
+
+def test_the_name_of_a_group_tells_its_model():
+    """Guards against several domains that form the same missing group."""
+    assert group_plan.model_of(group_plan.make_name("a-d0", 7, "large")) == "large"
+    assert group_plan.model_of("g7") is None
--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -1,11 +1,12 @@
 """Aborts attempts whose endpoint stalls, whose deadline passes or whose caller has left."""
 
 import socket
-import threading
 import time
 
 from urllib3.util import wait
 
+from lynxlanding.observability import guarded_thread
+
 CHECK_INTERVAL_S = 0.1
 # A check that comes later than this shows that the process itself was held up, and then data may
 # wait unread.
@@ -112,6 +113,9 @@
     def _is_stalled(self, now):
         if now - self._last_data_at <= self._stall_timeout_s and not self._is_endpoint_stalled():
             return False
+        if self._socket.fileno() < 0:
+            # The response has ended and closed its connection since.
+            return False
         return not wait.wait_for_read(self._socket, timeout=0)
 
     def _shut_down(self):
@@ -135,7 +139,7 @@
 
     def start(self):
         """Start the checking thread."""
-        threading.Thread(target=self._run, daemon=True).start()
+        guarded_thread.start(self._run, "attempts")
 
     def add(self, attempt):
         """Watch an attempt."""
--- a/src/lynxlanding/requests/tests/test_attempt_monitor.py
+++ b/src/lynxlanding/requests/tests/test_attempt_monitor.py
@@ -35,3 +35,18 @@
         assert other.recv(1) == b""
     own.close()
     other.close()
+
+
+def test_an_attempt_whose_connection_has_closed_does_not_end_the_checks():
+    """Guards against a monitor that dies and leaves every later attempt unwatched."""
+    started_at = time.monotonic()
+    own, other = socket.socketpair()
+    monitor = attempt_monitor.AttemptMonitor()
+    attempt = attempt_monitor.MonitoredAttempt(started_at + 30.0, 1.0, lambda: False)
+    attempt.note_data(started_at)
+    attempt.attach(own)
+    monitor.add(attempt)
+    own.close()
+    other.close()
+    monitor.check_all(started_at + 5.0)
+    assert attempt.reason is None
