--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -134,11 +134,13 @@
         engine.models.values(),
         key=lambda model: (cover(model.name, planned, counts), -model.size),
     )
+    # Before traffic, a group that was given up for its spares must not form again from them.
+    spare_cover = KEPT_COVER if counts.is_before_traffic else SPARE_COVER
     is_scarcer_waiting = False
     for model in ranked:
         present = cover(model.name, planned, counts)
         uses_spares = len(free) - model.size < spares
-        if present >= MAX_COVER or (present >= SPARE_COVER and uses_spares):
+        if present >= MAX_COVER or (present >= spare_cover and uses_spares):
             continue
         if is_scarcer_waiting and present >= KEPT_COVER:
             # Its engines would be missing as soon as the scarcer model has enough of them.
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -105,3 +105,13 @@
     """Guards against a staged model that the load of the first group replaces."""
     needs = plan_world.counts(before_traffic=True)
     assert staging.orders(plan_world.engine_spec(), [fresh(0)], {}, needs) == []
+
+
+def test_spares_stay_spares_before_traffic():
+    """Guards against surplus groups that retire and form again until traffic starts."""
+    needs = plan_world.counts(before_traffic=True)
+    spec = plan_world.engine_spec()
+    planned = {"large": 1, "small": 2}
+    assert placement.choose_groups(spec, [dual(0), dual(1)], planned, needs) == []
+    groups = [(0, "large", []), (1, "small", []), (2, "small", [])]
+    assert placement.choose_surplus(spec, [dual(0), dual(1)], planned, needs, groups) == []
