Complete three survivors with a pair of the better covered model

Giving up a group asked for 0.9 of the need to be left. Now 0.65 and more than the scarce model has.

--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -10,8 +10,10 @@
 # The last spares are used when a model has less than this part of the groups that it needs.
 SPARE_COVER = 1.2
 # A group of another model is given up for a model below the first cover, as long as its own stays
-# above the second.
+# above the second one and above that of the scarce model.
 SCARCE_COVER = 0.9
+DONOR_COVER = 0.65
+# Before traffic a group becomes spares while its model stays covered.
 KEPT_COVER = 0.9
 
 
@@ -108,6 +110,7 @@
 def _give_up_for(scarce, free, planned, counts, groups):
     """Return the groups whose engines complete a group of the scarce model, or nothing."""
     planned = dict(planned)
+    lacking = cover(scarce.name, planned, counts)
     ready = sum(not needs_load(record, scarce.name) for record in free)
     given_up = []
     for index, model, records in groups:
@@ -116,7 +119,8 @@
         if model == scarce.name:
             continue
         left = planned[model] - 1
-        if cover(model, {**planned, model: left}, counts) < KEPT_COVER:
+        after = cover(model, {**planned, model: left}, counts)
+        if after < DONOR_COVER or after < lacking:
             continue
         useful = sum(not needs_load(record, scarce.name) for record in records)
         if useful:
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -115,3 +115,14 @@
     assert placement.choose_groups(spec, [dual(0), dual(1)], planned, needs) == []
     groups = [(0, "large", []), (1, "small", []), (2, "small", [])]
     assert placement.choose_surplus(spec, [dual(0), dual(1)], planned, needs, groups) == []
+
+
+def test_three_survivors_are_completed_by_a_pair_of_the_better_covered_model():
+    """Pattern: engines lost one after the other, without a spare in the domain."""
+    survivors = [dual(i, "large", "small") for i in range(3)]
+    pairs = [(0, "small", [dual(4), dual(5)]), (1, "small", [dual(6), dual(7)])]
+    spec = plan_world.engine_spec()
+    needs = plan_world.counts(large=6, small=11, elsewhere={"large": 4, "small": 7}, part=1 / 6)
+    assert placement.choose_surplus(spec, survivors, {"small": 2}, needs, pairs) == [0]
+    worse = plan_world.counts(large=6, small=11, elsewhere={"large": 4, "small": 5}, part=1 / 6)
+    assert placement.choose_surplus(spec, survivors, {"small": 2}, worse, pairs) == []
