--- a/src/lynxlanding/store/http_store.py
+++ b/src/lynxlanding/store/http_store.py
@@ -43,8 +43,10 @@
         """Return an object; raises ``ObjectNotFound``."""
         return _decode_object(self._call("GET", f"/objects/{kind}/{name}", changes=False))
 
-    def list(self, kind):
+    def list(self, kind, *, may_be_stale=False):
         """Return all objects of a kind and the store version to watch from."""
+        # Every list is current here.
+        del may_be_stale
         answer = self._call("GET", f"/objects/{kind}", changes=False)
         items = []
         for item in answer["items"]:
--- a/src/lynxlanding/store/memory_store.py
+++ b/src/lynxlanding/store/memory_store.py
@@ -35,8 +35,10 @@
             raise platform_errors.ObjectNotFound(f"{kind}/{name}")
         return copy.deepcopy(found)
 
-    def list(self, kind):
+    def list(self, kind, *, may_be_stale=False):
         """Return all objects of a kind and the store version."""
+        # Every list is current here.
+        del may_be_stale
         self._begin("list")
         items = []
         for (item_kind, _), item in sorted(self._objects.items()):
--- a/src/lynxlanding/store/object_store.py
+++ b/src/lynxlanding/store/object_store.py
@@ -18,8 +18,13 @@
         """Return an object; raises ``ObjectNotFound``."""
         ...
 
-    def list(self, kind: str) -> tuple[list[stored_object.StoredObject], int]:
-        """Return all objects of a kind and the store version to watch from."""
+    def list(
+        self, kind: str, *, may_be_stale: bool = False
+    ) -> tuple[list[stored_object.StoredObject], int]:
+        """Return all objects of a kind and the store version to watch from.
+
+        A list that may be stale costs less where the store has such calls.
+        """
         ...
 
     def create(self, kind: str, name: str, value: Any) -> stored_object.StoredObject:
