--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -25,7 +25,12 @@
 LATENESS_FACTOR = 1.5
 # Heads that one decision compares; more cost time and hardly find a better one.
 MAX_COMPARED = 16
-SHORTEST_RETRY_AFTER_S = 0.2
+# Requests in progress give their places up within about this time.
+BUSY_RETURN_S = 0.8
+# A wait is prolonged by up to this part of itself.
+RETURN_SPREAD = 0.8
+# Callers wait for at most a third of the time that they have left.
+LONGEST_RETURN_PART = 0.3
 # A repeatable call to a plain service is tried elsewhere after this part of its objective.
 PLAIN_STALL_PART = 0.8
 
@@ -191,13 +196,15 @@
                 best_cost = cost
         if best is None:
             if not heads:
-                return choice.Refuse("no open group of the model", GROUP_RETURN_S)
-            return choice.Refuse("every open group was tried or has stalled", SHORT_RETURN_S)
+                return self._refuse(question, "no open group of the model", GROUP_RETURN_S)
+            return self._refuse(
+                question, "every open group was tried or has stalled", GROUP_RETURN_S
+            )
         allowed_s = question.route.target_latency_s * LATENESS_FACTOR
         if best.present >= engine.slots and best.predicted_s > allowed_s:
             excess_s = best.predicted_s - question.route.target_latency_s
-            return choice.Refuse(
-                "the request would be late on every group", max(SHORTEST_RETRY_AFTER_S, excess_s)
+            return self._refuse(
+                question, "the request would be late on every group", BUSY_RETURN_S + excess_s
             )
         return best
 
@@ -227,11 +234,20 @@
                 best = choice.Send(record, present, 0.0, stall_s)
                 best_cost = cost
         if best is None:
-            return choice.Refuse("no endpoint of the service", SHORT_RETURN_S)
+            return self._refuse(question, "no endpoint of the service", SHORT_RETURN_S)
         if best.present >= best.record.slots * PLAIN_QUEUE_FACTOR:
-            return choice.Refuse("every endpoint of the service is full", SHORT_RETURN_S)
+            return self._refuse(question, "every endpoint of the service is full", SHORT_RETURN_S)
         return best
 
+    def _refuse(self, question, reason, wait_s):
+        """Return a refusal that asks the caller to come back when it is likely to be served.
+
+        Callers that were refused together do not return together, and none is asked to wait for
+        longer than it does.
+        """
+        spread_s = wait_s * (1.0 + RETURN_SPREAD * self._random_state.random())
+        return choice.Refuse(reason, min(spread_s, question.time_left_s * LONGEST_RETURN_PART))
+
     def _allowance(self, service):
         allowance = self._allowances.get(service)
         if allowance is None:
--- a/src/lynxlanding/dispatch/tests/test_dispatcher.py
+++ b/src/lynxlanding/dispatch/tests/test_dispatcher.py
@@ -100,3 +100,19 @@
     assert first.record.endpoint_id == "p0"
     decisions = [made.choose(dispatch_world.question(service="app"), 0.0) for _ in range(40)]
     assert sum(isinstance(item, choice.Send) for item in decisions) <= 24
+
+
+def test_refused_callers_return_spread_and_in_time():
+    """Pattern: repeats at once. Callers refused together must not come back together."""
+    made, _ = dispatch_world.make_dispatcher([dispatch_world.head(0)])
+    waits = []
+    for _ in range(300):
+        decision = made.choose(dispatch_world.question(), 0.0)
+        if isinstance(decision, choice.Refuse):
+            waits.append(decision.retry_after_s)
+    waits.sort()
+    assert len(waits) > 250
+    # A place is free again within a second or so, and a caller with 6 s waits for 2 s at most.
+    assert waits[0] >= 0.5
+    assert waits[-1] <= 2.0
+    assert waits[int(len(waits) * 0.9)] - waits[int(len(waits) * 0.1)] > 0.4
