--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -17,6 +17,13 @@
 SHORT_RETURN_S = 0.5
 # Preference for endpoints of the node's own data centre, as a time.
 REMOTE_PENALTY_S = 0.004
+# The same for plain services, as a part of an endpoint's slots.
+PLAIN_REMOTE_PENALTY = 0.05
+# Nodes that see the same loads do not all choose the same endpoint.
+HEAD_SPREAD = 0.05
+PLAIN_SPREAD = 0.1
+# The request's own share in the load of an idle endpoint, so that slower ones differ.
+OWN_SHARE = 0.5
 # An endpoint that has just failed is chosen only where every other one is much slower.
 AVOIDANCE_PENALTY_S = 1.0
 # A plain service's endpoint takes this multiple of its slots before requests are refused.
@@ -189,7 +196,7 @@
                 cost += REMOTE_PENALTY_S
             if self._health.is_avoided(record.endpoint_id, now):
                 cost += AVOIDANCE_PENALTY_S
-            cost *= 1.0 + 0.05 * self._random_state.random()
+            cost *= 1.0 + HEAD_SPREAD * self._random_state.random()
             if best is None or cost < best_cost:
                 stall_s = cost_model.stall_time(engine, model, present)
                 best = choice.Send(record, present, predicted_s, stall_s)
@@ -222,13 +229,13 @@
             if record.endpoint_id in question.excluded:
                 continue
             present = self._load.estimate(record.endpoint_id, now)
-            cost = (present + 0.5) / max(1, record.slots)
+            cost = (present + OWN_SHARE) / max(1, record.slots)
             cost *= self._health.slowness(record.endpoint_id)
             if self._health.is_avoided(record.endpoint_id, now):
                 cost += AVOIDANCE_PENALTY_S
             if record.data_centre != self._data_centre:
-                cost += 0.05
-            cost *= 1.0 + 0.1 * self._random_state.random()
+                cost += PLAIN_REMOTE_PENALTY
+            cost *= 1.0 + PLAIN_SPREAD * self._random_state.random()
             if best is None or cost < best_cost:
                 stall_s = question.route.target_latency_s * PLAIN_STALL_PART
                 best = choice.Send(record, present, 0.0, stall_s)
--- a/src/lynxlanding/dispatch/endpoint_health.py
+++ b/src/lynxlanding/dispatch/endpoint_health.py
@@ -7,6 +7,7 @@
 LONGEST_AVOIDANCE_S = 4.0
 # Weight of a new observation in the average of observed over predicted times.
 CALIBRATION_WEIGHT = 0.3
+# Single observations beyond these ratios count as these.
 CALIBRATION_BOUNDS = (0.25, 8.0)
 
 
--- a/src/lynxlanding/dispatch/first_event_offset.py
+++ b/src/lynxlanding/dispatch/first_event_offset.py
@@ -2,7 +2,9 @@
 
 # Weight of a new observation in the average.
 WEIGHT = 0.05
+# Engines take some 80 to 110 ms for the first token beyond what they publish.
 INITIAL_S = 0.08
+# A single late event says little about the constant part.
 MAX_S = 0.5
 
 
--- a/src/lynxlanding/node/front_app.py
+++ b/src/lynxlanding/node/front_app.py
@@ -53,7 +53,6 @@
         marks = self._codec.decode_request(environ[strict_parser.RAW_HEADERS])
         record = _Record(marks.request_id, received_at, self._metrics)
         self._view.begin_request()
-        run = None
         is_stream = False
         try:
             if self._view.refuses_requests:
--- a/src/lynxlanding/node/store_follower.py
+++ b/src/lynxlanding/node/store_follower.py
@@ -13,6 +13,7 @@
 WATCH_S = 2.5
 # Watch while the store is away, so that its return is noticed at once.
 SHORT_WATCH_S = 0.2
+# Every call is priced, refused ones too; five a second find the store's return soon enough.
 RETRY_PAUSE_S = 0.2
 # A store that was silent for longer than this counts as having been away.
 OUTAGE_S = 0.5
--- a/src/lynxlanding/peers/node_directory.py
+++ b/src/lynxlanding/peers/node_directory.py
@@ -9,7 +9,9 @@
 from lynxlanding.observability import guarded_thread
 
 KIND = "lynxlanding-nodes"
+# New nodes report to all others by themselves; the list is for nodes that start in a partition.
 REFRESH_S = 5.0
+# A node that is not registered gets no reports, so it tries again soon.
 RETRY_S = 0.4
 # A registration whose node was not heard for this long is deleted by the nodes that are alive.
 DELETE_AFTER_S = 60.0
--- a/src/lynxlanding/platform/engine_client.py
+++ b/src/lynxlanding/platform/engine_client.py
@@ -9,7 +9,10 @@
 from lynxlanding.platform import endpoint_codec, fields, request_headers, sockets
 from lynxlanding.replicas import engine_order, engine_report, order_outcome
 
+# Engines answer orders and probes in a few milliseconds, or do not answer at all; an order is sent
+# again anyway.
 ORDER_TIMEOUT_S = 0.8
+# Two lost probes show a silent engine, so this decides how soon its group is formed again.
 REPORT_TIMEOUT_S = 0.4
 
 _OUTCOMES = {
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -8,6 +8,7 @@
 from lynxlanding.platform import fields, sockets
 from lynxlanding.store import http_call, stored_object, watch_batch
 
+# Connecting takes a few milliseconds; after a second the store is away.
 CONNECT_TIMEOUT_S = 1.0
 # The store answers in milliseconds, or in a few hundred when it is slow.
 READ_TIMEOUT_S = 1.5
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -21,9 +21,8 @@
     placement,
 )
 
+# Changes wake the planner; the tick only bounds the wait for probes and repeated orders.
 TICK_S = 0.1
-# Wait after a failed store call about a domain.
-STORE_PAUSE_S = 0.5
 
 PLAN_STORED = "lynxlanding:domain:plan_stored"
 PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
@@ -37,7 +36,6 @@
     planner: domain_planner.DomainPlanner
     plan: group_plan.DomainPlan
     version: int | None
-    paused_until: float = 0.0
 
 
 class GroupDirector:
@@ -173,8 +171,6 @@
         if domain is None:
             domain = self._take(key)
             self._domains[key] = domain
-        if now < domain.paused_until:
-            return
         engine = self._engine_services[key[0]]
         self._probe_suspects(domain.plan, members, now)
         views = self._views(domain.plan, members, now)
