Send mutated requests to the node of the users' platform

150 seeded mutations over one connection each: every answer is HTTP or the connection ends, no request runs twice, the node stays ready.

--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import random
 import signal
 import socket
 import threading
@@ -252,6 +253,45 @@
     assert b"lynxlanding_first_event_seconds_bucket" in text
 
 
+def test_mutated_requests_get_typed_answers_and_run_nothing_foreign(site):
+    """Guards against requests that are read in another way than they were sent."""
+    random_state = random.Random(20261203)
+    base = (
+        b"POST /book/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: %s\r\n"
+        b"X-Deadline-Ms: 2000\r\nAuthorization: Bearer secret-key\r\n"
+        b"Content-Length: 4\r\n\r\nbody"
+    )
+    junk = [b"\x00", b"\r", b"\n", b"\r\n", b":", b" ", b"\xff", b"Content-Length: 9\r\n", b"\t"]
+    for number in range(150):
+        request_id = b"f%03d" % number
+        data = bytearray(base % request_id)
+        for _ in range(random_state.randrange(1, 4)):
+            at = random_state.randrange(len(data))
+            if random_state.random() < 0.5:
+                data[at:at] = random_state.choice(junk)
+            else:
+                del data[at : at + random_state.randrange(1, 6)]
+        with socket.create_connection(("127.0.0.1", site.nodes["n0"][0]), 5) as connection:
+            connection.sendall(bytes(data))
+            connection.shutdown(socket.SHUT_WR)
+            connection.settimeout(5)
+            answer = b""
+            try:
+                while True:
+                    more = connection.recv(65536)
+                    if not more:
+                        break
+                    answer += more
+            except ConnectionResetError:
+                continue
+        assert answer == b"" or answer.startswith((b"HTTP/1.1 ", b"HTTP/1.0 ")), (data, answer)
+    history = site.control()["history"]
+    runs = [item[1] for item in history if item[1].startswith("f")]
+    assert len(runs) == len(set(runs))
+    assert site.is_ready("n0")
+    assert site.call("n0", "POST", "/book/x", "after", b"b")[0] == 200
+
+
 def test_a_stop_lets_streams_end_and_the_other_node_serves(site):
     """Pattern: nodes stopped in turn, under streams."""
     answers = []
