Keep plans of domains apart by service

Found by reading: two model services whose fabric domains have the same name would have overwritten each other's plans, and neither would ever have planned. The plan's object is named by service and domain.

--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -164,7 +164,7 @@
                 self._prober.forget(endpoint_id)
 
     def _is_responsible(self, key, live):
-        return rendezvous.choose(key[1], live, 1) == [self._node_id]
+        return rendezvous.choose(_object_name(key), live, 1) == [self._node_id]
 
     def _tend(self, key, members, by_domain, nodes, now):
         domain = self._domains.get(key)
@@ -188,7 +188,7 @@
         plan = group_plan.DomainPlan()
         version = None
         try:
-            stored = self._store.get(group_plan.KIND, key[1])
+            stored = self._store.get(group_plan.KIND, _object_name(key))
             plan = group_plan.from_value(stored.value)
             version = stored.version
         except platform_errors.ObjectNotFound:
@@ -209,9 +209,11 @@
         value = step.plan.to_value()
         try:
             if domain.version is None:
-                stored = self._store.create(group_plan.KIND, key[1], value)
+                stored = self._store.create(group_plan.KIND, _object_name(key), value)
             else:
-                stored = self._store.update(group_plan.KIND, key[1], value, domain.version)
+                stored = self._store.update(
+                    group_plan.KIND, _object_name(key), value, domain.version
+                )
         except platform_errors.PlatformError as e:
             # Another node was first, or the outcome is open: read the plan before going on.
             del self._domains[key]
@@ -335,3 +337,9 @@
 
 def _rounded(numbers):
     return {name: round(number, 2) for name, number in numbers.items()}
+
+
+def _object_name(key):
+    """Return the name of a domain's plan; services may use the same names for their domains."""
+    service, domain = key
+    return f"{service}.{domain}"
--- a/src/lynxlanding/replicas/tests/test_group_director.py
+++ b/src/lynxlanding/replicas/tests/test_group_director.py
@@ -79,7 +79,7 @@
         return sum(engine.state == "open" for engine in self.world.engines.values())
 
     def plan(self):
-        return group_plan.from_value(self.store.get(group_plan.KIND, "d0").value)
+        return group_plan.from_value(self.store.get(group_plan.KIND, "model.d0").value)
 
 
 def test_forms_and_opens_groups():
@@ -139,3 +139,9 @@
     assert group.name not in {
         item.name for item in installation.plan().groups if item.phase == group_plan.SERVING
     }
+
+
+def test_domains_of_two_services_with_one_name_have_plans_of_their_own():
+    """Guards against two services that overwrite each other's plans."""
+    first = group_director._object_name(("chat", "d0"))
+    assert first != group_director._object_name(("draft", "d0"))
