--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -29,6 +29,7 @@
     node_view,
     probe_app,
     request_reader,
+    stop_plan,
     store_follower,
 )
 from lynxlanding.observability import bounded_log, guarded_thread, node_metrics
@@ -61,12 +62,6 @@
 WATCH_PAUSE_S = 0.4
 PLANNING_PAUSE_S = 0.05
 DRAIN_POLL_S = 0.05
-# The balancer takes a node out after two missed checks a second apart.
-UNREADY_S = 2.5
-# New requests are refused when less than this is left of the grace time.
-REFUSE_BEFORE_END_S = 3.5
-# The process ends this long before it would be killed.
-END_MARGIN_S = 0.5
 LOG_FLUSH_S = 0.5
 
 STARTED = "lynxlanding:node:started"
@@ -312,18 +307,16 @@
 
     def _drain(self, servers):
         started_at = time.monotonic()
-        end_at = started_at + self._settings.stop.grace_s - END_MARGIN_S
+        plan = stop_plan.StopPlan(started_at, self._settings.stop.grace_s)
         self._view.begin_stop()
         eliot.log_message(message_type=STOPPING, in_flight=self._view.in_flight)
         self._director.stop()
         while True:
             now = time.monotonic()
-            if now >= end_at:
-                break
-            if now >= end_at - REFUSE_BEFORE_END_S:
+            if not plan.accepts_requests(now):
                 self._view.refuse_requests()
             busy = max(self._view.in_flight, http_server.count_busy_connections(servers[0]))
-            if not busy and now - started_at >= UNREADY_S:
+            if plan.is_over(now, busy):
                 break
             time.sleep(DRAIN_POLL_S)
         eliot.log_message(
--- a/src/lynxlanding/retry/classification.py
+++ b/src/lynxlanding/retry/classification.py
@@ -38,6 +38,7 @@
     endpoint_errors.ResponseTruncated: _BROKEN,
     endpoint_errors.EventGap: _BROKEN,
     endpoint_errors.MalformedResponse: _BROKEN,
+    endpoint_errors.FalsePromise: _BROKEN,
 }
 # A failure that nobody has classified may have run and is not repeated.
 _UNCLASSIFIED = FailureClass(may_have_run=True, retryable=False, endpoint_fault=True)
