Call an engine silent only while others answer

Its nodes' logs: the stand-in stood still for longer than two probes, the planner took every engine of every group for silent and retired all of them, and 24 streams broke. A node that is cut off from the engines or held up itself would do the same to healthy groups.

Change: silence counts only if another engine has answered since the first lost probe; an engine that is not suspected is probed for that. Test fails without the change. Ruled out: the allowance on repeats (left over), the stall time (the streams did stand still).

--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -1,6 +1,7 @@
 """Keeps the replica groups of the fabric domains that a node is responsible for."""
 
 import dataclasses
+import random
 import threading
 import time
 
@@ -61,6 +62,8 @@
         Returns the groups of each model that the work of all nodes keeps busy.
     settings : GroupSettings
         Times and limits.
+    random_state : random.Random, optional
+        Chooses engines for control probes.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         stalled,
         busy_groups,
         settings,
+        random_state=None,
     ):
         self._node_id = node_id
         self._store = store
@@ -85,6 +89,7 @@
         self._busy_groups = busy_groups
         self._prober = member_prober.MemberProber(engine_client)
         self._settings = settings
+        self._random_state = random_state or random.Random()
         self._engine_services = {}
         self._domains = {}
         self._last_records = {}
@@ -172,7 +177,8 @@
             domain = self._take(key)
             self._domains[key] = domain
         engine = self._engine_services[key[0]]
-        self._probe_suspects(domain.plan, members, now)
+        everyone = [record for records in by_domain.values() for record in records]
+        self._probe_suspects(domain.plan, members, everyone, now)
         views = self._views(domain.plan, members, now)
         counts = self._counts(key, engine, members, by_domain)
         step = domain.planner.step(domain.plan, engine, views, counts, now)
@@ -239,12 +245,19 @@
         )
         return True
 
-    def _probe_suspects(self, plan, members, now):
+    def _probe_control(self, probed, everyone, now):
+        """Probe an engine that is not suspected, to tell a lost engine from a node cut off."""
+        others = [record for record in everyone if record.endpoint_id not in probed]
+        if others:
+            self._prober.probe(self._random_state.choice(others), now)
+
+    def _probe_suspects(self, plan, members, everyone, now):
         """Probe the members of groups that stall or that have lost a registration."""
         stalled = self._stalled()
         for record in members:
             self._last_records[record.endpoint_id] = record
         registered = {record.endpoint_id for record in members}
+        probed = set()
         for group in plan.groups:
             if group.phase == group_plan.RETIRING:
                 continue
@@ -254,6 +267,9 @@
                 record = self._last_records.get(endpoint_id)
                 if record is not None:
                     self._prober.probe(record, now)
+                    probed.add(endpoint_id)
+        if probed:
+            self._probe_control(probed, everyone, now)
 
     def _views(self, plan, members, now):
         views = {}
--- a/src/lynxlanding/replicas/member_prober.py
+++ b/src/lynxlanding/replicas/member_prober.py
@@ -27,6 +27,7 @@
     begun_at: float = 0.0
     is_running: bool = False
     failures: int = 0
+    first_failure_at: float = 0.0
     ended_at: float = 0.0
     answered_at: float | None = None
     answered_born_ms: int = 0
@@ -35,6 +36,9 @@
 class MemberProber:
     """Remembers which engines do not answer.
 
+    Where no engine answers, the node may be cut off or held up itself, and says nothing about
+    them: an engine is silent only if another one has answered since its first lost probe.
+
     Parameters
     ----------
     engine_client : EngineClient
@@ -44,6 +48,7 @@
     def __init__(self, engine_client):
         self._client = engine_client
         self._states = {}
+        self._last_answer_at = None
 
     def probe(self, record, now):
         """Probe an engine unless that was done a moment ago."""
@@ -65,7 +70,9 @@
         state = self._states.get(endpoint_id)
         if state is None or now - state.ended_at > RESULT_LIFETIME_S:
             return False
-        return state.failures >= SILENT_PROBES
+        if state.failures < SILENT_PROBES or self._last_answer_at is None:
+            return False
+        return self._last_answer_at > state.first_failure_at
 
     def has_answered(self, record, now):
         """Return whether the same incarnation has answered a probe a moment ago."""
@@ -75,9 +82,12 @@
         return state.answered_born_ms == record.born_ms and now - state.answered_at <= ANSWER_AGE_S
 
     def _run(self, record, state):
+        started_at = time.monotonic()
         try:
             report = self._client.fetch_report(record)
         except (endpoint_errors.AttemptTimedOut, endpoint_errors.ConnectionRefused) as e:
+            if state.failures == 0:
+                state.first_failure_at = started_at
             state.failures += 1
             if state.failures == SILENT_PROBES:
                 eliot.log_message(
@@ -98,3 +108,4 @@
         if state.failures >= SILENT_PROBES:
             eliot.log_message(message_type=ANSWERS, endpoint=record.endpoint_id)
         state.failures = 0
+        self._last_answer_at = time.monotonic()
--- a/src/lynxlanding/replicas/tests/test_group_director.py
+++ b/src/lynxlanding/replicas/tests/test_group_director.py
@@ -4,7 +4,7 @@
 import time
 
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.replicas import group_director, group_plan, order_outcome
+from lynxlanding.replicas import engine_report, group_director, group_plan, order_outcome
 from lynxlanding.replicas.tests import plan_world
 from lynxlanding.settings import vm_settings
 from lynxlanding.store import memory_store
@@ -18,6 +18,7 @@
         self._world = world
         self.silent = set()
         self.probed = []
+        self.answering = set()
 
     def send_order(self, record, order):
         if record.endpoint_id in self.silent:
@@ -27,6 +28,8 @@
 
     def fetch_report(self, record):
         self.probed.append(record.endpoint_id)
+        if record.endpoint_id in self.answering:
+            return engine_report.EngineReport(record.born_ms, None, (), 0, 0, 1.0)
         raise endpoint_errors.AttemptTimedOut("no answer")
 
 
@@ -132,6 +135,7 @@
     installation.play(20)
     group = installation.plan().groups[0]
     installation.stalled = frozenset({group.head})
+    installation.client.answering = set(installation.world.engines) - {group.members[1]}
     for _ in range(12):
         installation.play(1)
         time.sleep(0.05)
@@ -145,3 +149,17 @@
     """Guards against two services that overwrite each other's plans."""
     first = group_director._object_name(("chat", "d0"))
     assert first != group_director._object_name(("draft", "d0"))
+
+
+def test_a_node_that_no_engine_answers_retires_nothing():
+    """Guards against a planner that is cut off or held up and takes every group apart."""
+    installation = Installation()
+    installation.play(20)
+    before = installation.plan()
+    heads = [group.head for group in before.groups]
+    installation.stalled = frozenset(heads)
+    for _ in range(12):
+        installation.play(1)
+        time.sleep(0.05)
+    assert set(heads) <= set(installation.client.probed)
+    assert installation.plan() == before
