Remove what nothing uses and send refusals through the shared function

Found in the last read of the change: a count of open heads, the stopping flag's property, the repeat flag of a question, the endpoint at fault in a refusal, two unused names and a parameter were written and never read. The front application built a JSON response that json_response.send builds.

No behaviour changes.

--- a/src/lynxlanding/dispatch/choice.py
+++ b/src/lynxlanding/dispatch/choice.py
@@ -27,8 +27,6 @@
         Time until the caller gives up.
     excluded : frozenset of str
         Endpoints that were tried already.
-    is_repeat : bool
-        Whether the request was sent to an endpoint before.
     """
 
     request_id: str
@@ -38,7 +36,6 @@
     work: cost_model.Work
     time_left_s: float
     excluded: frozenset
-    is_repeat: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -126,10 +126,6 @@
             for model in record.models:
                 self._heads.setdefault((record.service, model), []).append(record)
 
-    def count_heads(self, service, model):
-        """Return the open groups of a model."""
-        return len(self._heads.get((service, model), ()))
-
     def note_request(self, service, model, work, now):
         """Count a request from a caller."""
         self._allowance(service).note_request(now)
--- a/src/lynxlanding/dispatch/request_run.py
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -46,11 +46,6 @@
         self._excluded = set()
         self._granted_repeat = False
 
-    @property
-    def may_have_run(self):
-        """Whether an endpoint may have begun to work on the request."""
-        return self._may_have_run > 0
-
     def start(self):
         """Return a ``Reply``.
 
@@ -76,7 +71,6 @@
             work=request.work,
             time_left_s=request.deadline - now,
             excluded=frozenset(self._excluded),
-            is_repeat=self._sends > 0,
         )
 
     def _choose(self):
--- a/src/lynxlanding/dispatch/response_marks.py
+++ b/src/lynxlanding/dispatch/response_marks.py
@@ -26,8 +26,6 @@
         Whether the endpoint states that it did not run the request.
     load : EndpointLoad or None
         Load of the endpoint.
-    failed_endpoint_id : str or None
-        Endpoint at fault in a refusal.
     is_encoded : bool
         Whether something on the way changed the encoding of the body.
     closes_connection : bool
@@ -40,7 +38,6 @@
     is_sealed: bool
     was_not_run: bool
     load: EndpointLoad | None
-    failed_endpoint_id: str | None
     is_encoded: bool
     closes_connection: bool
     idle_timeout_s: float | None
--- a/src/lynxlanding/dispatch/tests/dispatch_world.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_world.py
@@ -78,5 +78,4 @@
         work=cost_model.Work(700, 170),
         time_left_s=6.0,
         excluded=frozenset(excluded),
-        is_repeat=False,
     )
--- a/src/lynxlanding/dispatch/tests/test_request_run.py
+++ b/src/lynxlanding/dispatch/tests/test_request_run.py
@@ -147,7 +147,7 @@
 
 def marks(request_id="q", was_not_run=False):
     return response_marks.ResponseMarks(
-        request_id, not was_not_run, was_not_run, None, None, False, False, None
+        request_id, not was_not_run, was_not_run, None, False, False, None
     )
 
 
--- a/src/lynxlanding/node/front_app.py
+++ b/src/lynxlanding/node/front_app.py
@@ -1,6 +1,5 @@
 """WSGI application for callers on the users' platform."""
 
-import json
 import logging
 import time
 
@@ -95,17 +94,11 @@
         if status == request_errors.CallerLeft.status:
             # Nobody reads this response.
             status = 502
-        body = json.dumps(json_response.error_document(error)).encode()
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("X-Request-Id", request_id),
-            ("X-Executed", error.executed),
-        ]
+        headers = [("X-Request-Id", request_id), ("X-Executed", error.executed)]
         if status in _PROMISES:
             headers.append(("Retry-After", f"{error.retry_after_s or 0.0:.2f}"))
-        start_response(json_response.status_line(status), headers)
-        return [body]
+        document = json_response.error_document(error)
+        return json_response.send(start_response, status, document, headers)
 
 
 class _Record:
--- a/src/lynxlanding/node/node_view.py
+++ b/src/lynxlanding/node/node_view.py
@@ -42,11 +42,6 @@
         known = self._configuration is not None and self._registry_at is not None
         return known and not self._is_stopping
 
-    @property
-    def is_stopping(self):
-        """Whether the node shuts down."""
-        return self._is_stopping
-
     @property
     def refuses_requests(self):
         """Whether the node is too close to its end for new requests."""
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -100,8 +100,7 @@
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
         )
         self._table = peer_table.PeerTable(settings.node_id)
-        self._serving_ref = self._start_serving()
-        self._serving = self._serving_ref.proxy()
+        self._serving = self._start_serving().proxy()
         self._store = object_client.PlatformObjectStore(settings.store_address)
         self._director = group_director.GroupDirector(
             settings.node_id,
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -4,7 +4,6 @@
 
 REQUEST_ID = "X-Request-Id"
 EXPECT_INSTANCE = "X-Expect-Instance"
-RETRY_AFTER = "Retry-After"
 
 _DEADLINE = "X-Deadline-Ms"
 _WORKSPACE = "X-Tenant"
@@ -130,7 +129,6 @@
         is_sealed="x-response-seal" in values,
         was_not_run="x-not-executed" in values,
         load=_decode_load(values.get("x-instance-load")),
-        failed_endpoint_id=values.get("at-server"),
         is_encoded=encoding not in ("", "identity"),
         closes_connection="close" in connection,
         idle_timeout_s=_decode_idle_timeout(values.get("keep-alive")),
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -156,7 +156,7 @@
             return
         for key, members in by_domain.items():
             if self._is_responsible(key, live):
-                self._tend(key, members, by_domain, len(live), now)
+                self._tend(key, members, by_domain, now)
 
     def _forget_gone(self, records):
         planned = set()
@@ -171,7 +171,7 @@
     def _is_responsible(self, key, live):
         return rendezvous.choose(_object_name(key), live, 1) == [self._node_id]
 
-    def _tend(self, key, members, by_domain, nodes, now):
+    def _tend(self, key, members, by_domain, now):
         domain = self._domains.get(key)
         if domain is None:
             domain = self._take(key)
