Take a group for stalled only after the longest pass it can make

Cause: the time without events after which a group counted as stalled assumed two passes and three usual prompts. A pass that reads prompts lasts up to five steps with 2,048 prompt tokens each, 0.27 s for a full group of the large model. When a group is lost, its nine streams resume together on another one, which then reads nine prompts in one pass, was taken for stalled in turn, and passed its streams on.

Change: the bound is the longest pass that the published times allow, plus 60 ms; a first event may take two such passes. Whether a head is silent altogether is judged by the same bound instead of 0.1 s.

--- a/src/lynxlanding/dispatch/choice.py
+++ b/src/lynxlanding/dispatch/choice.py
@@ -50,13 +50,16 @@
         Requests that run or wait there.
     predicted_s : float
         Predicted time to the first event; 0 for plain services.
+    first_stall_s : float
+        Time to the first event or response after which the endpoint counts as stalled.
     stall_s : float
-        Time without any progress after which the endpoint counts as stalled.
+        Time between two events after which the endpoint counts as stalled.
     """
 
     record: endpoint_record.EndpointRecord
     present: int
     predicted_s: float
+    first_stall_s: float
     stall_s: float
 
 
--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -174,12 +174,13 @@
         model = engine.models.get(question.model)
         heads = self._heads.get((question.service, question.model), ())
         offset_s = self._offset.get(question.service, question.model)
+        stall_s = 0.0 if model is None else cost_model.stall_time(engine, model)
         best = None
         best_cost = 0.0
         for record in self._compared(heads):
             if record.endpoint_id in question.excluded:
                 continue
-            if self._stalls.is_stalled(record.endpoint_id, now):
+            if self._stalls.is_stalled(record.endpoint_id, stall_s, now):
                 continue
             present = self._load.estimate(record.endpoint_id, now)
             predicted_s = offset_s + cost_model.first_event_time(
@@ -194,8 +195,8 @@
                 cost += AVOIDANCE_PENALTY_S
             cost *= 1.0 + HEAD_SPREAD * self._random_state.random()
             if best is None or cost < best_cost:
-                stall_s = cost_model.stall_time(engine, model, present)
-                best = choice.Send(record, present, predicted_s, stall_s)
+                first_s = cost_model.first_event_limit(engine, model, predicted_s)
+                best = choice.Send(record, present, predicted_s, first_s, stall_s)
                 best_cost = cost
         if best is None:
             if not heads:
@@ -234,7 +235,7 @@
             cost *= 1.0 + PLAIN_SPREAD * self._random_state.random()
             if best is None or cost < best_cost:
                 stall_s = question.route.target_latency_s * PLAIN_STALL_PART
-                best = choice.Send(record, present, 0.0, stall_s)
+                best = choice.Send(record, present, 0.0, stall_s, stall_s)
                 best_cost = cost
         if best is None:
             return self._refuse(question, "no endpoint of the service", SHORT_RETURN_S)
--- a/src/lynxlanding/dispatch/request_run.py
+++ b/src/lynxlanding/dispatch/request_run.py
@@ -7,10 +7,6 @@
 from lynxlanding.errors import request as request_errors
 from lynxlanding.requests import attempt_monitor
 
-# Time that the first event of a stream may take beyond its prediction.
-FIRST_EVENT_SLACK_S = 0.1
-FIRST_EVENT_FACTOR = 1.5
-
 # Statuses that tell callers that a request has not run.
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -94,10 +90,10 @@
         started_at = time.monotonic()
         attempt = attempt_monitor.MonitoredAttempt(
             request.deadline,
-            self._first_stall(send),
+            send.first_stall_s,
             request.has_caller_left,
             lambda: self._may_abandon(record),
-            lambda: self._stalls.is_stalled(record.endpoint_id, time.monotonic()),
+            lambda: self._stalls.is_stalled(record.endpoint_id, send.stall_s, time.monotonic()),
         )
         self._sends += 1
         self._may_have_run += 1
@@ -135,11 +131,6 @@
             self._serving.end_attempt(record.endpoint_id)
             raise
 
-    def _first_stall(self, send):
-        if not self._request.route.is_stream:
-            return send.stall_s
-        return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * send.predicted_s
-
     def _check(self, response, marks):
         request = self._request
         if marks.was_not_run or response.status == 421:
--- a/src/lynxlanding/dispatch/stall_board.py
+++ b/src/lynxlanding/dispatch/stall_board.py
@@ -2,8 +2,6 @@
 
 # A stall is passed on to peers and to the planner for this long.
 STALL_MEMORY_S = 1.5
-# An endpoint is stalled for requests that wait there only while it is silent altogether.
-SILENCE_S = 0.1
 
 
 class StallBoard:
@@ -29,12 +27,22 @@
         """Record a stall that a peer has seen."""
         self._peers[endpoint_id] = now
 
-    def is_stalled(self, endpoint_id, now):
-        """Return whether the endpoint has stalled and sent nothing since."""
+    def is_stalled(self, endpoint_id, silence_s, now):
+        """Return whether a stall was seen and the endpoint is silent altogether.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint.
+        silence_s : float
+            Pause, in seconds, that a working endpoint does not exceed.
+        now : float
+            Monotonic seconds.
+        """
         at = max(self._own.get(endpoint_id, 0.0), self._peers.get(endpoint_id, 0.0))
         if not at or now - at > STALL_MEMORY_S:
             return False
-        return now - self._last_event_at.get(endpoint_id, 0.0) > SILENCE_S
+        return now - self._last_event_at.get(endpoint_id, 0.0) > silence_s
 
     def own(self, now):
         """Return the endpoints that this node saw stalling a moment ago."""
