Accept callers while a node is still importing its modules

Ruled out: the store (its lists arrive 15 ms after the start) and the time until the process exists (0.1 to 0.2 s after the power returned).

Change: the first thing a process does is to listen at the callers' address; the server takes that socket over. In the first second requests wait for the first lists of the store instead of being refused.

--- a/src/lynxlanding/gateway/http_server.py
+++ b/src/lynxlanding/gateway/http_server.py
@@ -1,6 +1,7 @@
 """waitress servers of the node."""
 
 import logging
+import socket
 import time
 
 import waitress
@@ -48,7 +49,7 @@
         return not (exc_info and isinstance(exc_info[1], stream_aborted.StreamAborted))
 
 
-def create(app, host, port, settings):
+def create(app, host, port, settings, listener=None):
     """Return a listening server that is not running yet.
 
     Parameters
@@ -61,12 +62,13 @@
         TCP port.
     settings : RequestSettings
         Limits.
+    listener : socket, optional
+        Listens at the address already; the server takes it over.
     """
     logging.getLogger("waitress").addFilter(_AbortFilter())
     server = waitress.create_server(
         app,
-        host=host,
-        port=port,
+        **_address(host, port, listener),
         threads=settings.concurrency,
         connection_limit=settings.concurrency * 2,
         backlog=2048,
@@ -87,6 +89,13 @@
     return server
 
 
+def _address(host, port, listener):
+    if listener is None:
+        return {"host": host, "port": port}
+    # The listener may have been made before the cooperative socket type was put in place.
+    return {"sockets": [socket.socket(fileno=listener.detach())]}
+
+
 def count_busy_connections(server):
     """Return the connections with a request in progress or an answer that is not sent yet.
 
--- a/src/lynxlanding/node/main.py
+++ b/src/lynxlanding/node/main.py
@@ -13,11 +13,12 @@
 
 @click.command()
 @click.option("--config", required=True, envvar="LYNXLANDING_CONFIG", type=click.Path())
-def main(config):
+@click.pass_obj
+def main(listener, config):
     """Run one node until SIGTERM, then drain and exit."""
     try:
         settings = loading.load(config, vm_settings.VmSettings)
     except settings_errors.SettingsError as e:
         click.echo(f"lynxlanding: settings: {e}", err=True)
         sys.exit(EXIT_SETTINGS)
-    vm_node.VmNode(settings, config).run()
+    vm_node.VmNode(settings, config, listener).run()
--- a/src/lynxlanding/node/node_view.py
+++ b/src/lynxlanding/node/node_view.py
@@ -1,7 +1,12 @@
 """What the parts of a node share: the configuration in force and its readiness."""
 
+import threading
 import time
 
+# Requests wait for the first lists of the store for this long after the start of the process;
+# a store that answers does so within some tens of milliseconds.
+START_S = 1.0
+
 
 class NodeView:
     """Single values that request threads read without asking an actor."""
@@ -9,6 +14,8 @@
     def __init__(self):
         self._configuration = None
         self._registry_at = None
+        self._started_at = time.monotonic()
+        self._is_known = threading.Event()
         self._is_stopping = False
         self._refuses = False
         self._in_flight = 0
@@ -58,11 +65,19 @@
         if known is not None and configuration.version <= known.version:
             return False
         self._configuration = configuration
+        self._note_known()
         return True
 
     def confirm_registry(self, now):
         """Record that the store confirmed the endpoints at ``now`` (monotonic seconds)."""
         self._registry_at = now
+        self._note_known()
+
+    def wait_until_known(self):
+        """Wait until configuration and endpoints are known, at most until the start is over."""
+        if self._is_known.is_set():
+            return
+        self._is_known.wait(max(0.0, self._started_at + START_S - time.monotonic()))
 
     def begin_stop(self):
         """Become unready."""
@@ -77,6 +92,10 @@
         self._in_flight += 1
         self._has_traffic = True
 
+    def _note_known(self):
+        if self._configuration is not None and self._registry_at is not None:
+            self._is_known.set()
+
     def end_request(self):
         """Count the end of a request."""
         self._in_flight -= 1
--- a/src/lynxlanding/node/request_reader.py
+++ b/src/lynxlanding/node/request_reader.py
@@ -45,6 +45,7 @@
         errors.request.RequestError
             If the request is refused.
         """
+        self._view.wait_until_known()
         configuration = self._view.configuration
         if configuration is None:
             raise request_errors.NoConfiguration("no configuration yet", retry_after_s=0.5)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -81,11 +81,14 @@
         Checked settings.
     path : str
         File that the settings came from; read again on SIGHUP.
+    listener : socket, optional
+        Listens at the callers' address already.
     """
 
-    def __init__(self, settings, path):
+    def __init__(self, settings, path, listener=None):
         self._settings = settings
         self._path = path
+        self._listener = listener
         self._stop = threading.Event()
         self._reload = threading.Event()
         self._random_state = random.Random()
@@ -192,7 +195,7 @@
             self._metrics,
         )
         servers = [
-            _serve(app, settings.listen.callers, settings.requests.concurrency),
+            _serve(app, settings.listen.callers, settings.requests.concurrency, self._listener),
             _serve(probe_app.ReadyApp(self._view, paths.READY), settings.listen.readiness, 2),
         ]
         if settings.listen.metrics is not None:
@@ -335,7 +338,7 @@
         os._exit(0)
 
 
-def _serve(app, address, concurrency):
+def _serve(app, address, concurrency, listener=None):
     host, _, port = address.rpartition(":")
     limits = vm_settings.ServerLimits(concurrency)
-    return http_server.create(app, host, int(port), limits)
+    return http_server.create(app, host, int(port), limits, listener)
--- a/src/lynxlanding_vm.py
+++ b/src/lynxlanding_vm.py
@@ -1,10 +1,17 @@
 """Starts the node of the users' platform from a checkout, without an installed package."""
 
-from gevent import monkey
+import os
+
+from lynxlanding.node import early_listener
+
+# Before the other imports, which take most of the time of a start.
+listener = early_listener.listen(os.environ.get("LYNXLANDING_CONFIG"))
+
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
 from lynxlanding.node import main  # noqa: E402
 
 if __name__ == "__main__":
-    main.main()
+    main.main(obj=listener)
