Load no more models at once than the weight store serves

The weight store serves seven loads at once and slows all of them beyond that, and up to thirty were under way: every member of a formed group loaded its second model, and after each change of the responsible node, and by all nodes after a restart, the orders were sent again.

Ruled out: orders that restart a load (the first ones, sent five times by four nodes, took 16 s as published), and engines that refuse (conflicts only say that another model is being loaded).

Change: a load board keeps the loads that a node has ordered until the engine shows the model; nodes tell each other in their reports. No load begins beyond the published number at once. Engines without any model come first and are filled up to whole groups; second models use half of the store. A node plans nothing in its first half second, when it takes itself for the only one. Staged models are logged as changes of an endpoint.

--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -9,6 +9,7 @@
 LEAVING = "leaving"
 REMOVED = "removed"
 REGROUPED = "regrouped"
+STAGED = "staged"
 LAPSED = "lapsed"
 
 
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -116,6 +116,8 @@
             changes.append(endpoint_change.EndpointChange(endpoint_change.LEAVING, record))
         if known.membership != record.membership:
             changes.append(endpoint_change.EndpointChange(endpoint_change.REGROUPED, record))
+        elif known.staged_models != record.staged_models:
+            changes.append(endpoint_change.EndpointChange(endpoint_change.STAGED, record))
         return changes
 
     def _remove(self, endpoint_id, now):
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -114,6 +114,7 @@
             self._has_traffic,
             self._read_stalled,
             self._read_busy_groups,
+            self._read_loading,
             settings.groups,
         )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
@@ -230,6 +231,9 @@
         own = self._serving.busy_groups(now).get()
         return self._peer_view.add_busy_groups(own, self._table.live(now))
 
+    def _read_loading(self):
+        return self._peer_view.loading(self._table.live(time.monotonic()))
+
     def _build_state(self):
         now = time.monotonic()
         return node_state.NodeState(
@@ -238,6 +242,7 @@
             self._view.configuration_version or 0,
             self._view.has_traffic or self._peer_view.has_traffic,
             self._serving.busy_groups(now).get(),
+            self._director.loading,
         )
 
     def _on_report(self, report, now):
--- a/src/lynxlanding/peers/node_state.py
+++ b/src/lynxlanding/peers/node_state.py
@@ -19,6 +19,8 @@
         Whether a caller's request has arrived at any node.
     busy_groups : dict of str to float
         Groups that this node's requests keep busy, by model.
+    loading : frozenset of str
+        Engines that load weights by this node's orders.
     """
 
     loads: dict[str, int]
@@ -26,3 +28,4 @@
     configuration_version: int
     has_traffic: bool
     busy_groups: dict[str, float]
+    loading: frozenset[str]
--- a/src/lynxlanding/peers/peer_exchange.py
+++ b/src/lynxlanding/peers/peer_exchange.py
@@ -75,6 +75,7 @@
         for endpoint_id, requests in state.loads.items():
             keyed[report_codec.endpoint_key(endpoint_id)] = requests
         stalled = frozenset(report_codec.endpoint_key(item) for item in state.stalled)
+        loading = frozenset(report_codec.endpoint_key(item) for item in state.loading)
         self._sequence += 1
         data = self._codec.encode(
             peer_report.PeerReport(
@@ -87,6 +88,7 @@
                 state.has_traffic,
                 stalled,
                 state.busy_groups,
+                loading,
             )
         )
         targets = self._table.targets(now)
@@ -119,4 +121,7 @@
 
 def _is_like(state, other):
     """Return whether two states need not be told apart; work changes with every moment."""
-    return other is not None and (state.loads, state.stalled) == (other.loads, other.stalled)
+    if other is None:
+        return False
+    known = (other.loads, other.stalled, other.loading)
+    return (state.loads, state.stalled, state.loading) == known
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -24,4 +24,6 @@
   # Endpoints whose work stalls, by the same hash.
   stalled @7 :List(UInt64);
   work @8 :List(ModelWork);
+  # Engines that load weights by the sender's orders, by the same hash.
+  loading @9 :List(UInt64);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -27,6 +27,8 @@
         Hashes of the endpoints whose work stalls, as seen by the sender.
     busy_groups : dict of str to float
         Groups that the sender's requests keep busy, by model.
+    loading : frozenset of int
+        Hashes of the engines that load weights by the sender's orders.
     """
 
     node_id: str
@@ -38,3 +40,4 @@
     has_traffic: bool = False
     stalled: frozenset[int] = frozenset()
     busy_groups: dict[str, float] = dataclasses.field(default_factory=dict)
+    loading: frozenset[int] = frozenset()
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -16,6 +16,7 @@
         self._stalls = stalls
         self._endpoint_ids = {}
         self._busy_groups = {}
+        self._loading = {}
         self._has_traffic = False
 
     @property
@@ -34,6 +35,7 @@
         """Apply a report; return the sender's requests in flight by endpoint id."""
         self._has_traffic = self._has_traffic or report.has_traffic
         self._busy_groups[report.node_id] = report.busy_groups
+        self._loading[report.node_id] = report.loading
         for key in report.stalled:
             endpoint_id = self._endpoint_ids.get(key)
             if endpoint_id is not None:
@@ -45,6 +47,25 @@
                 counts[endpoint_id] = requests
         return counts
 
+    def loading(self, live_nodes):
+        """Return the engines that load weights by the orders of other nodes.
+
+        Parameters
+        ----------
+        live_nodes : list of str
+            Nodes that are alive; what others reported is forgotten.
+        """
+        endpoint_ids = set()
+        for node_id, keys in list(self._loading.items()):
+            if node_id not in live_nodes:
+                del self._loading[node_id]
+                continue
+            for key in keys:
+                endpoint_id = self._endpoint_ids.get(key)
+                if endpoint_id is not None:
+                    endpoint_ids.add(endpoint_id)
+        return endpoint_ids
+
     def add_busy_groups(self, own, live_nodes):
         """Return the groups that all nodes keep busy, by model.
 
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -36,6 +36,7 @@
         message.configurationVersion = report.configuration_version
         message.hasTraffic = report.has_traffic
         message.stalled = sorted(report.stalled)
+        message.loading = sorted(report.loading)
         work = message.init("work", len(report.busy_groups))
         for index, (model, groups) in enumerate(report.busy_groups.items()):
             work[index].model = model
@@ -65,6 +66,7 @@
                 message.hasTraffic,
                 frozenset(message.stalled),
                 {item.model: item.groups for item in message.work},
+                frozenset(message.loading),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -11,7 +11,12 @@
 
 def test_a_report_survives_encoding():
     codec = report_codec.ReportCodec()
-    sent = report(has_traffic=True, stalled=frozenset({5, 6}), busy_groups={"m": 1.5})
+    sent = report(
+        has_traffic=True,
+        stalled=frozenset({5, 6}),
+        busy_groups={"m": 1.5},
+        loading=frozenset({7}),
+    )
     assert codec.decode(codec.encode(sent)) == sent
 
 
@@ -70,10 +75,21 @@
     view.use_endpoints(["e1", "e2"])
     key = report_codec.endpoint_key("e1")
     sent = peer_report.PeerReport(
-        "n2", 1, 1, "127.0.0.1:7", 4, {key: 3, 99: 1}, True, frozenset({key}), {"m": 1.5}
+        "n2",
+        1,
+        1,
+        "127.0.0.1:7",
+        4,
+        {key: 3, 99: 1},
+        True,
+        frozenset({key}),
+        {"m": 1.5},
+        frozenset({report_codec.endpoint_key("e2"), 98}),
     )
     assert view.apply(sent, 10.0) == {"e1": 3}
     assert view.has_traffic
     assert stalls.all(10.1) == {"e1"}
     assert view.add_busy_groups({"m": 1.0}, ["n1", "n2"]) == {"m": 2.5}
     assert view.add_busy_groups({"m": 1.0}, ["n1"]) == {"m": 1.0}
+    assert view.loading(["n1", "n2"]) == {"e2"}
+    assert view.loading(["n1"]) == set()
--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -26,12 +26,15 @@
         Plan to be stored before anything else is ordered; None if the stored one stays.
     orders : list of EngineOrder
         Orders that carry out the stored plan.
+    background : list of EngineOrder
+        Orders that can wait: they only make engines ready for a second model.
     reasons : list of str
         Why the plan changes.
     """
 
     plan: group_plan.DomainPlan | None
     orders: list
+    background: list
     reasons: list
 
 
@@ -101,13 +104,13 @@
             self._give_up_surplus(groups, engine, engines, free, planned, counts, reasons, now)
         new_plan = group_plan.DomainPlan(next_epoch, tuple(groups))
         if new_plan != plan:
-            return Step(new_plan, [], reasons)
+            return Step(new_plan, [], [], reasons)
         orders = _orders(plan, engines, used)
-        orders.extend(staging.orders(engine, free, planned, counts))
-        # After the free engines, since those are waited for.
-        members = _settled_members(groups, engines)
-        orders.extend(staging.orders(engine, members, planned, counts))
-        return Step(None, orders, [])
+        orders.extend(staging.first_orders(engine, free, planned, counts))
+        # Free engines come before members, since groups are formed of them.
+        versatile = [record for record in free if not staging.is_blank(record)]
+        versatile.extend(_settled_members(groups, engines))
+        return Step(None, orders, staging.orders(engine, versatile, planned, counts), [])
 
     def _review(self, group, engine, engines, reasons, now):
         """Return the group after its next transition, as a list of no or one group."""
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -16,12 +16,15 @@
     engine_order,
     engine_view,
     group_plan,
+    load_board,
     member_prober,
     order_outcome,
     order_pacer,
     placement,
 )
 
+# A node that has just started takes itself for the only one until it has heard the others.
+START_PAUSE_S = 0.5
 # Changes wake the planner; the tick only bounds the wait for probes and repeated orders.
 TICK_S = 0.1
 
@@ -60,6 +63,8 @@
         Returns the ids of heads whose work stalls, as seen by any node.
     busy_groups : callable
         Returns the groups of each model that the work of all nodes keeps busy.
+    loading_elsewhere : callable
+        Returns the ids of the engines that load weights by the orders of other nodes.
     settings : GroupSettings
         Times and limits.
     random_state : random.Random, optional
@@ -76,6 +81,7 @@
         has_traffic,
         stalled,
         busy_groups,
+        loading_elsewhere,
         settings,
         random_state=None,
     ):
@@ -87,6 +93,8 @@
         self._has_traffic = has_traffic
         self._stalled = stalled
         self._busy_groups = busy_groups
+        self._loading_elsewhere = loading_elsewhere
+        self._loads = load_board.LoadBoard()
         self._prober = member_prober.MemberProber(engine_client)
         self._settings = settings
         self._random_state = random_state or random.Random()
@@ -106,6 +114,11 @@
                     return True
         return False
 
+    @property
+    def loading(self):
+        """Engines that load weights by this node's orders."""
+        return frozenset(self._loads.under_way)
+
     def start(self):
         """Run from a thread of its own."""
         guarded_thread.start(self._run, "groups")
@@ -129,6 +142,7 @@
         self._wake.set()
 
     def _run(self):
+        self._stop.wait(START_PAUSE_S)
         while not self._stop.is_set():
             self._wake.wait(TICK_S)
             self._wake.clear()
@@ -142,6 +156,7 @@
     def _tick(self, now):
         records, is_store_available = self._fleet()
         self._pacer.forget_old(now)
+        self._loads.settle(records, now)
         by_domain = {}
         for record in records.values():
             if record.is_engine and record.service in self._engine_services:
@@ -187,8 +202,11 @@
                 return
             step = domain.planner.step(domain.plan, engine, views, counts, now)
         part = 1.0 / max(1, len(by_domain))
+        part *= len(self._domains)
         for order in step.orders:
-            self._send(order, views[order.endpoint_id].record, engine, part * len(self._domains))
+            self._send(order, views[order.endpoint_id].record, engine, part, is_background=False)
+        for order in step.background:
+            self._send(order, views[order.endpoint_id].record, engine, part, is_background=True)
 
     def _take(self, key):
         plan = group_plan.DomainPlan()
@@ -313,10 +331,20 @@
         else:
             needed = demand.initial(engine, engines)
         return placement.FleetCounts(
-            needed.groups_by_model, elsewhere, len(members) / max(1, engines), not has_traffic
+            needed.groups_by_model,
+            elsewhere,
+            len(members) / max(1, engines),
+            not has_traffic,
+            self._under_way() if has_traffic else {},
         )
 
-    def _send(self, order, record, engine, part):
+    def _under_way(self):
+        """Return the models that engines of the fleet load, as far as known."""
+        loading = dict.fromkeys(self._loading_elsewhere())
+        loading.update(self._loads.under_way)
+        return loading
+
+    def _send(self, order, record, engine, part, *, is_background):
         now = time.monotonic()
         repeat_s = order_pacer.REPEAT_S
         if order.kind == engine_order.STAGE:
@@ -329,12 +357,19 @@
             record, order.model
         )
         is_bounded = is_load and self._has_traffic()
-        if is_bounded and not self._pacer.may_load(engine.loads_per_s, part, now):
-            return
+        load_s = 0.0
+        if is_bounded:
+            under_way = len(self._under_way())
+            if not load_board.may_begin(
+                engine.loads_at_once, under_way, is_background=is_background
+            ) or not self._pacer.may_load(engine.loads_per_s, part, now):
+                return
+            load_s = engine.models[order.model].load_s
+            self._loads.begin(record, order.model, load_s, now)
         self._pacer.note_sent(order, is_load, now)
-        threading.Thread(target=self._deliver, args=(order, record), daemon=True).start()
+        threading.Thread(target=self._deliver, args=(order, record, load_s), daemon=True).start()
 
-    def _deliver(self, order, record):
+    def _deliver(self, order, record, load_s):
         started_at = time.monotonic()
         outcome = self._client.send_order(record, order)
         eliot.log_message(
@@ -347,6 +382,11 @@
             outcome=outcome,
             duration_s=round(time.monotonic() - started_at, 4),
         )
+        if load_s and outcome == order_outcome.CONFLICT:
+            # It loads another model, ordered by a node that is gone.
+            self._loads.begin(record, None, load_s, time.monotonic())
+        elif load_s and outcome not in (order_outcome.BEGUN, order_outcome.UNKNOWN):
+            self._loads.cancel(order.endpoint_id)
         if outcome in (order_outcome.BEGUN, order_outcome.ALREADY_DONE):
             self._wake.set()
 
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -31,12 +31,15 @@
         Part of the fleet's engines that are in this domain.
     is_before_traffic : bool
         Whether no caller's request has arrived yet.
+    loading : dict of str to (str or None)
+        Model that each engine loads, as far as known; None if only that it loads one.
     """
 
     needed: dict[str, float]
     elsewhere: dict[str, float]
     domain_part: float
     is_before_traffic: bool = False
+    loading: dict[str, str | None] = dataclasses.field(default_factory=dict)
 
 
 def choose_groups(engine, free, planned, counts):
--- a/src/lynxlanding/replicas/tests/plan_world.py
+++ b/src/lynxlanding/replicas/tests/plan_world.py
@@ -252,7 +252,7 @@
             self.version = version
             views = world.with_planned(self.views, self.plan)
             step = self.planner.step(self.plan, world.spec, views, needs, world.now)
-        return step.orders if step.plan is None else []
+        return [*step.orders, *step.background] if step.plan is None else []
 
 
 __all__ = ["Planner", "World", "counts", "engine_spec", "record", "staging"]
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -126,3 +126,33 @@
     assert placement.choose_surplus(spec, survivors, {"small": 2}, needs, pairs) == [0]
     worse = plan_world.counts(large=6, small=11, elsewhere={"large": 4, "small": 5}, part=1 / 6)
     assert placement.choose_surplus(spec, survivors, {"small": 2}, worse, pairs) == []
+
+
+def first_models(free, needs, planned=None):
+    spec = plan_world.engine_spec()
+    orders = staging.first_orders(spec, free, planned or {}, needs)
+    return {item.endpoint_id: item.model for item in orders}
+
+
+def test_engines_without_a_model_are_filled_up_to_whole_groups():
+    """Pattern: engines added two at a time. Two alone cannot become a group of four."""
+    needs = plan_world.counts(large=6, small=11, elsewhere={"large": 1, "small": 11}, part=1 / 6)
+    assert first_models([fresh(0), fresh(1)], needs) == {"e0": "small", "e1": "small"}
+    with_spares = [dual(2), dual(3), fresh(0), fresh(1)]
+    assert first_models(with_spares, needs) == {"e0": "large", "e1": "large"}
+
+
+def test_a_load_under_way_counts_for_the_group_and_is_not_ordered_again():
+    needs = plan_world.counts(large=6, small=11, elsewhere={"large": 1, "small": 11}, part=1 / 6)
+    needs.loading.update({"e0": "large", "e1": "large", "e2": "large"})
+    free = [fresh(0), fresh(1), fresh(2), fresh(3)]
+    assert first_models(free, needs) == {"e3": "large"}
+
+
+def test_a_single_engine_loads_the_scarcer_model():
+    needs = plan_world.counts(large=6, small=11, elsewhere={"large": 1, "small": 11}, part=1 / 6)
+    assert first_models([fresh(0)], needs) == {"e0": "large"}
+
+
+def test_engines_without_a_model_join_a_group_first_before_traffic():
+    assert first_models([fresh(0)], plan_world.counts(before_traffic=True)) == {}
