Keep free engines for the group that retiring ones will complete

Ruled out: the threshold for giving groups up (it was met each time), and second models missing on the engines (the members held both).

Change: engines that are ready for a scarce model are reserved for it as long as engines of retiring groups will complete the group.

Test: test_placement.py (engines lost one after the other).

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -91,7 +91,8 @@
             used.update(group.members)
             planned[group.model] = planned.get(group.model, 0) + 1
         free = _free_records(engines, used)
-        chosen = placement.choose_groups(engine, free, planned, counts)
+        coming = _coming_records(groups, engines)
+        chosen = placement.choose_groups(engine, free, planned, counts, coming)
         next_epoch = plan.next_epoch
         for model, members in chosen:
             name = group_plan.make_name(self._domain, next_epoch, model)
@@ -194,6 +195,19 @@
     return free
 
 
+def _coming_records(groups, engines):
+    """Return the engines that will be free when the retiring groups have dissolved."""
+    coming = []
+    for group in groups:
+        if group.phase != group_plan.RETIRING:
+            continue
+        for member in group.members:
+            view = engines.get(member)
+            if view is not None and view.is_usable and _is_member(group, view):
+                coming.append(view.record)
+    return coming
+
+
 def _is_member(group, view):
     """Return whether an engine says that it belongs to the group."""
     if view is None or view.record is None:
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -42,7 +42,7 @@
     loading: dict[str, str | None] = dataclasses.field(default_factory=dict)
 
 
-def choose_groups(engine, free, planned, counts):
+def choose_groups(engine, free, planned, counts, coming=()):
     """Return the members of the groups to form, as a list of (model, member ids).
 
     Parameters
@@ -55,6 +55,8 @@
         Groups of this domain by model that exist or form already.
     counts : FleetCounts
         The fleet.
+    coming : iterable of EndpointRecord
+        Engines that are about to leave their groups.
     """
     free = list(free)
     planned = dict(planned)
@@ -64,7 +66,7 @@
         spares = 0
     chosen = []
     while free:
-        model, members = _next_group(engine, free, planned, counts, spares)
+        model, members = _next_group(engine, free, planned, counts, spares, coming)
         if model is None:
             return chosen
         for record in members:
@@ -114,7 +116,7 @@
     """Return the groups whose engines complete a group of the scarce model, or nothing."""
     planned = dict(planned)
     lacking = cover(scarce.name, planned, counts)
-    ready = sum(not needs_load(record, scarce.name) for record in free)
+    ready = _ready_count(free, scarce.name)
     given_up = []
     for index, model, records in groups:
         if ready >= scarce.size:
@@ -125,7 +127,7 @@
         after = cover(model, {**planned, model: left}, counts)
         if after < DONOR_COVER or after < lacking:
             continue
-        useful = sum(not needs_load(record, scarce.name) for record in records)
+        useful = _ready_count(records, scarce.name)
         if useful:
             planned[model] = left
             ready += useful
@@ -133,7 +135,7 @@
     return given_up if ready >= scarce.size else []
 
 
-def _next_group(engine, free, planned, counts, spares):
+def _next_group(engine, free, planned, counts, spares, coming):
     """Return the model of the next group and its members, or None and an empty list."""
     # The model that lacks groups most comes first; of two, the larger one, since small groups fit
     # into what is left but not the other way round.
@@ -144,6 +146,7 @@
     # Before traffic, a group that was given up for its spares must not form again from them.
     spare_cover = KEPT_COVER if counts.is_before_traffic else SPARE_COVER
     is_scarcer_waiting = False
+    reserved = set()
     for model in ranked:
         present = cover(model.name, planned, counts)
         uses_spares = len(free) - model.size < spares
@@ -152,9 +155,14 @@
         if is_scarcer_waiting and present >= KEPT_COVER:
             # Its engines would be missing as soon as the scarcer model has enough of them.
             continue
-        members = _choose_members(free, model, counts)
+        usable = [record for record in free if record.endpoint_id not in reserved]
+        members = _choose_members(usable, model, counts)
         if len(members) == model.size:
             return model, members
+        lacking = model.size - len(members)
+        if present < SCARCE_COVER and lacking <= _ready_count(coming, model.name):
+            # The others of its next group are on their way.
+            reserved.update(record.endpoint_id for record in members)
         is_scarcer_waiting = is_scarcer_waiting or present < SCARCE_COVER
         if counts.is_before_traffic and not any(planned.values()):
             # Engines register one by one; small groups do not take them before a large one.
@@ -194,6 +202,10 @@
     return 1 if model in record.staged_models else 2
 
 
+def _ready_count(records, model):
+    return sum(not needs_load(record, model) for record in records)
+
+
 def needs_load(record, model):
     """Return whether joining a group of the model loads weights from the weight store."""
     return _join_cost(record, model) == 2
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -156,3 +156,20 @@
 
 def test_engines_without_a_model_join_a_group_first_before_traffic():
     assert first_models([fresh(0)], plan_world.counts(before_traffic=True)) == {}
+
+
+def test_free_engines_wait_for_those_that_are_about_to_join_them():
+    """Pattern: engines lost one after the other. A group is given up to complete a scarcer one.
+
+    Its engines leave two seconds later; what waits for them must not become another group of the
+    model that was given up.
+    """
+    needs = plan_world.counts(large=6, small=11, elsewhere={"large": 3, "small": 8}, part=1 / 6)
+    survivors = [dual(0), dual(1)]
+    spec = plan_world.engine_spec()
+    coming = [dual(2), dual(3)]
+    assert placement.choose_groups(spec, survivors, {"small": 1}, needs, coming) == []
+    chosen = placement.choose_groups(spec, survivors + coming, {"small": 1}, needs)
+    assert chosen[0] == ("large", ("e0", "e1", "e2", "e3"))
+    without = placement.choose_groups(spec, survivors, {"small": 1}, needs)
+    assert [model for model, _ in without] == ["small"]
