Split the sending of orders from the group director; fill up second groups anew

When several engines without a model came at once, each round of first loads counted the same partners: two held and four new engines made three halves of two large groups instead of a large and a small one (test_a_second_group_is_filled_up_anew). What earlier rounds took counts now.

The hashes of endpoint ids are computed only when the endpoints have changed, no longer five times a second.

--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -26,6 +26,8 @@
 
     def use_endpoints(self, endpoint_ids):
         """Use the ids of all known endpoints."""
+        if set(self._endpoint_ids.values()) == set(endpoint_ids):
+            return
         ids = {}
         for endpoint_id in endpoint_ids:
             ids[report_codec.endpoint_key(endpoint_id)] = endpoint_id
--- a/src/lynxlanding/replicas/group_director.py
+++ b/src/lynxlanding/replicas/group_director.py
@@ -13,13 +13,10 @@
 from lynxlanding.replicas import (
     demand,
     domain_planner,
-    engine_order,
     engine_view,
     group_plan,
-    load_board,
     member_prober,
-    order_outcome,
-    order_pacer,
+    order_desk,
     placement,
 )
 
@@ -32,7 +29,6 @@
 PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
 DOMAIN_TAKEN = "lynxlanding:domain:taken"
 DOMAIN_LEFT = "lynxlanding:domain:left"
-ORDER_SENT = "lynxlanding:order:sent"
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,22 +83,20 @@
     ):
         self._node_id = node_id
         self._store = store
-        self._client = engine_client
         self._fleet = fleet
         self._live_nodes = live_nodes
         self._has_traffic = has_traffic
         self._stalled = stalled
         self._busy_groups = busy_groups
-        self._loading_elsewhere = loading_elsewhere
-        self._loads = load_board.LoadBoard()
         self._prober = member_prober.MemberProber(engine_client)
-        self._settings = settings
         self._random_state = random_state or random.Random()
         self._engine_services = {}
         self._domains = {}
         self._last_records = {}
-        self._pacer = order_pacer.OrderPacer(settings.load_window_s)
         self._wake = threading.Event()
+        self._desk = order_desk.OrderDesk(
+            engine_client, settings.load_window_s, loading_elsewhere, self._wake.set
+        )
         self._stop = threading.Event()
 
     @property
@@ -117,7 +111,7 @@
     @property
     def loading(self):
         """Engines that load weights by this node's orders."""
-        return frozenset(self._loads.under_way)
+        return self._desk.loading
 
     def start(self):
         """Run from a thread of its own."""
@@ -155,8 +149,7 @@
 
     def _tick(self, now):
         records, is_store_available = self._fleet()
-        self._pacer.forget_old(now)
-        self._loads.settle(records, now)
+        self._desk.settle(records, now)
         by_domain = {}
         for record in records.values():
             if record.is_engine and record.service in self._engine_services:
@@ -203,10 +196,15 @@
             step = domain.planner.step(domain.plan, engine, views, counts, now)
         part = 1.0 / max(1, len(by_domain))
         part *= len(self._domains)
+        has_traffic = not counts.is_before_traffic
         for order in step.orders:
-            self._send(order, views[order.endpoint_id].record, engine, part, is_background=False)
+            record = views[order.endpoint_id].record
+            self._desk.send(order, record, engine, part, has_traffic=has_traffic)
         for order in step.background:
-            self._send(order, views[order.endpoint_id].record, engine, part, is_background=True)
+            record = views[order.endpoint_id].record
+            self._desk.send(
+                order, record, engine, part, has_traffic=has_traffic, is_background=True
+            )
 
     def _take(self, key):
         plan = group_plan.DomainPlan()
@@ -335,60 +333,8 @@
             elsewhere,
             len(members) / max(1, engines),
             not has_traffic,
-            self._under_way() if has_traffic else {},
-        )
-
-    def _under_way(self):
-        """Return the models that engines of the fleet load, as far as known."""
-        loading = dict.fromkeys(self._loading_elsewhere())
-        loading.update(self._loads.under_way)
-        return loading
-
-    def _send(self, order, record, engine, part, *, is_background):
-        now = time.monotonic()
-        repeat_s = order_pacer.REPEAT_S
-        if order.kind == engine_order.STAGE:
-            repeat_s = order_pacer.STAGE_REPEAT_FACTOR * engine.models[order.model].load_s
-            if not self._has_traffic():
-                repeat_s *= order_pacer.STARTING_LOAD_PART
-        if not self._pacer.is_due(order, repeat_s, now):
-            return
-        is_load = order.kind in (engine_order.JOIN, engine_order.STAGE) and placement.needs_load(
-            record, order.model
-        )
-        is_bounded = is_load and self._has_traffic()
-        load_s = 0.0
-        if is_bounded:
-            under_way = len(self._under_way())
-            if not load_board.may_begin(
-                engine.loads_at_once, under_way, is_background=is_background
-            ) or not self._pacer.may_load(engine.loads_per_s, part, now):
-                return
-            load_s = engine.models[order.model].load_s
-            self._loads.begin(record, order.model, load_s, now)
-        self._pacer.note_sent(order, is_load, now)
-        threading.Thread(target=self._deliver, args=(order, record, load_s), daemon=True).start()
-
-    def _deliver(self, order, record, load_s):
-        started_at = time.monotonic()
-        outcome = self._client.send_order(record, order)
-        eliot.log_message(
-            message_type=ORDER_SENT,
-            order=order.kind,
-            endpoint=order.endpoint_id,
-            group=order.group,
-            epoch=order.epoch,
-            model=order.model,
-            outcome=outcome,
-            duration_s=round(time.monotonic() - started_at, 4),
+            self._desk.under_way() if has_traffic else {},
         )
-        if load_s and outcome == order_outcome.CONFLICT:
-            # It loads another model, ordered by a node that is gone.
-            self._loads.begin(record, None, load_s, time.monotonic())
-        elif load_s and outcome not in (order_outcome.BEGUN, order_outcome.UNKNOWN):
-            self._loads.cancel(order.endpoint_id)
-        if outcome in (order_outcome.BEGUN, order_outcome.ALREADY_DONE):
-            self._wake.set()
 
 
 def _rounded(numbers):
--- a/src/lynxlanding/replicas/staging.py
+++ b/src/lynxlanding/replicas/staging.py
@@ -27,12 +27,14 @@
         if is_blank(record) and record.endpoint_id not in counts.loading:
             waiting.append(record)
     planned = dict(planned)
+    held = _held_by_model(engine, free, counts)
     stage_orders = []
     while waiting:
-        model, number = _next_first(engine, free, waiting, planned, counts)
+        model, number = _next_first(engine, held, len(waiting), planned, counts)
         for record in waiting[:number]:
             stage_orders.append(_order(record, model.name))
         del waiting[:number]
+        held[model.name] += number
         planned[model.name] = planned.get(model.name, 0) + 1
     return stage_orders
 
@@ -73,21 +75,28 @@
     return engine_order.EngineOrder(engine_order.STAGE, record.endpoint_id, model=model)
 
 
-def _next_first(engine, free, waiting, planned, counts):
+def _held_by_model(engine, free, counts):
+    """Return the free engines that hold or load each model."""
+    held = {}
+    for name in engine.models:
+        held[name] = 0
+        for record in free:
+            is_loading = counts.loading.get(record.endpoint_id) == name
+            held[name] += is_loading or not placement.needs_load(record, name)
+    return held
+
+
+def _next_first(engine, held, waiting, planned, counts):
     """Return the model to load next and the number of engines that load it."""
     ranked = sorted(
         engine.models.values(),
         key=lambda model: (placement.cover(model.name, planned, counts), -model.size),
     )
     for model in ranked:
-        held = 0
-        for record in free:
-            is_loading = counts.loading.get(record.endpoint_id) == model.name
-            held += is_loading or not placement.needs_load(record, model.name)
-        missing = -held % model.size or model.size
-        if missing <= len(waiting):
+        missing = -held[model.name] % model.size or model.size
+        if missing <= waiting:
             return model, missing
-    return ranked[0], len(waiting)
+    return ranked[0], waiting
 
 
 def _choose(engine, record, planned, counts):
--- a/src/lynxlanding/replicas/tests/test_group_director.py
+++ b/src/lynxlanding/replicas/tests/test_group_director.py
@@ -5,7 +5,6 @@
 
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.replicas import (
-    engine_order,
     engine_report,
     group_director,
     group_plan,
@@ -25,14 +24,12 @@
         self.silent = set()
         self.probed = []
         self.answering = set()
-        self.outcome = order_outcome.BEGUN
 
     def send_order(self, record, order):
         if record.endpoint_id in self.silent:
             return order_outcome.UNKNOWN
-        if self.outcome == order_outcome.BEGUN:
-            self._world.order(order)
-        return self.outcome
+        self._world.order(order)
+        return order_outcome.BEGUN
 
     def fetch_report(self, record):
         self.probed.append(record.endpoint_id)
@@ -47,7 +44,6 @@
         self.store = memory_store.MemoryObjectStore()
         self.client = Client(self.world)
         self.stalled = frozenset()
-        self.loading_elsewhere = frozenset()
         self.is_store_available = True
         self.live = list(nodes)
         self.directors = {name: self._make(name) for name in nodes}
@@ -62,7 +58,7 @@
             lambda: True,
             lambda: self.stalled,
             dict,
-            lambda: self.loading_elsewhere,
+            frozenset,
             vm_settings.GroupSettings(),
         )
         services = {"model": service_spec.ServiceSpec("model", 9, plan_world.engine_spec())}
@@ -155,38 +151,6 @@
     }
 
 
-def test_loads_keep_to_what_the_weight_store_serves_at_once():
-    """Pattern: engines added while others are lost; counts the loads that other nodes ordered."""
-    installation = Installation()
-    director = installation.directors["n1"]
-    spec = plan_world.engine_spec(loads_at_once=7)
-    installation.loading_elsewhere = {"e10", "e11", "e12", "e13", "e14"}
-    for number in range(4):
-        order = engine_order.EngineOrder(engine_order.STAGE, f"e{number}", model="large")
-        record = plan_world.record(f"e{number}")
-        director._send(order, record, spec, 1.0, is_background=False)
-    assert director.loading == {"e0", "e1"}
-    order = engine_order.EngineOrder(engine_order.STAGE, "e5", model="large")
-    director._loads.cancel("e0")
-    director._send(order, plan_world.record("e5"), spec, 1.0, is_background=True)
-    assert director.loading == {"e1"}
-
-
-def test_an_engine_that_loads_another_model_counts_as_loading():
-    """Guards against loads ordered by a node that is gone, which nobody else knows of."""
-    installation = Installation()
-    director = installation.directors["n1"]
-    order = engine_order.EngineOrder(engine_order.STAGE, "e0", model="large")
-    record = plan_world.record("e0")
-    installation.client.outcome = order_outcome.CONFLICT
-    director._loads.begin(record, "large", 16.0, time.monotonic())
-    director._deliver(order, record, 16.0)
-    assert director._loads.under_way == {"e0": None}
-    installation.client.outcome = order_outcome.REFUSED
-    director._deliver(order, record, 16.0)
-    assert director._loads.under_way == {}
-
-
 def test_domains_of_two_services_with_one_name_have_plans_of_their_own():
     """Guards against two services that overwrite each other's plans."""
     first = group_director._object_name(("chat", "d0"))
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -1,3 +1,5 @@
+import collections
+
 from lynxlanding.replicas import engine_order, placement, staging
 from lynxlanding.replicas.tests import plan_world
 
@@ -173,3 +175,11 @@
     assert chosen[0] == ("large", ("e0", "e1", "e2", "e3"))
     without = placement.choose_groups(spec, survivors, {"small": 1}, needs)
     assert [model for model, _ in without] == ["small"]
+
+
+def test_a_second_group_is_filled_up_anew():
+    """Guards against engines that wait for the same partners as those before them."""
+    needs = plan_world.counts(large=6, small=11, elsewhere={"large": 1, "small": 5}, part=1 / 6)
+    free = [dual(4), dual(5), *[fresh(number) for number in range(4)]]
+    models = collections.Counter(first_models(free, needs).values())
+    assert models == {"large": 2, "small": 2}
