Share what the change had written twice; build only the choice that wins

Found in the last read, behaviour unchanged: - The dispatcher built the decision and its time limit for each of up to 16 compared heads; now only where a head becomes the best so far. - The stand-in engine and the stand-in of the users' platform each had read_body and send_json for ASGI; lynxlanding_standins/asgi.py serves both. - test_plan_machine.py repeated the two mutants of test_plan_schedules.py; they stand in plan_world.py. No assertion changed.

Checks: ruff, and the whole test suite in four parallel parts, all passed.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -199,12 +199,17 @@
             if self._health.is_avoided(record.endpoint_id, now):
                 cost += AVOIDANCE_PENALTY_S
             cost *= 1.0 + HEAD_SPREAD * self._random_state.random()
+            is_best = best is None or cost < best_cost
+            has_room = present < engine.slots
+            is_best_with_room = has_room and (best_with_room is None or cost < cost_with_room)
+            if not is_best and not is_best_with_room:
+                continue
             first_s = cost_model.first_event_limit(engine, model, predicted_s)
             send = choice.Send(record, present, expected_s, predicted_s, first_s, stall_s)
-            if best is None or cost < best_cost:
+            if is_best:
                 best = send
                 best_cost = cost
-            if present < engine.slots and (best_with_room is None or cost < cost_with_room):
+            if is_best_with_room:
                 best_with_room = send
                 cost_with_room = cost
         if best is None:
--- a/src/lynxlanding/replicas/tests/plan_world.py
+++ b/src/lynxlanding/replicas/tests/plan_world.py
@@ -255,4 +255,35 @@
         return [*step.orders, *step.background] if step.plan is None else []
 
 
-__all__ = ["Planner", "World", "counts", "engine_spec", "record", "staging"]
+def join_at_once(group, engines):
+    """Return join orders without those to leave first; a fault to be found."""
+    del engines
+    orders = []
+    for member in group.members:
+        orders.append(
+            engine_order.EngineOrder(
+                engine_order.JOIN, member, group.name, group.epoch, group.model, group.members
+            )
+        )
+    return orders
+
+
+def all_usable(engines, used):
+    """Return also engines that have not left their groups; a fault to be found."""
+    free = []
+    for endpoint_id, view in sorted(engines.items()):
+        if endpoint_id not in used and view.is_usable:
+            free.append(view.record)
+    return free
+
+
+__all__ = [
+    "Planner",
+    "World",
+    "all_usable",
+    "counts",
+    "engine_spec",
+    "join_at_once",
+    "record",
+    "staging",
+]
--- a/src/lynxlanding/replicas/tests/test_plan_machine.py
+++ b/src/lynxlanding/replicas/tests/test_plan_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from lynxlanding.replicas import domain_planner, engine_order, group_plan
+from lynxlanding.replicas import domain_planner, group_plan
 from lynxlanding.replicas.tests import plan_world
 
 ENGINES = 8
@@ -108,27 +108,7 @@
     )
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(domain_planner, "_is_dissolved", lambda group, engines: True)
-        patch.setattr(domain_planner, "_join_orders", _join_at_once)
-        patch.setattr(domain_planner, "_free_records", _all_usable)
+        patch.setattr(domain_planner, "_join_orders", plan_world.join_at_once)
+        patch.setattr(domain_planner, "_free_records", plan_world.all_usable)
         with pytest.raises(AssertionError):
             stateful.run_state_machine_as_test(PlanMachine, settings=settings)
-
-
-def _join_at_once(group, engines):
-    del engines
-    orders = []
-    for member in group.members:
-        orders.append(
-            engine_order.EngineOrder(
-                engine_order.JOIN, member, group.name, group.epoch, group.model, group.members
-            )
-        )
-    return orders
-
-
-def _all_usable(engines, used):
-    free = []
-    for endpoint_id, view in sorted(engines.items()):
-        if endpoint_id not in used and view.is_usable:
-            free.append(view.record)
-    return free
--- a/src/lynxlanding/replicas/tests/test_plan_schedules.py
+++ b/src/lynxlanding/replicas/tests/test_plan_schedules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lynxlanding.replicas import domain_planner, engine_order
+from lynxlanding.replicas import domain_planner
 from lynxlanding.replicas.tests import plan_world
 
 SCHEDULES = 1000
@@ -55,20 +55,10 @@
 def test_schedules_find_members_that_join_without_leaving():
     """The schedules show a violation when engines are joined without having left."""
 
-    def join_at_once(group, engines):
-        orders = []
-        for member in group.members:
-            orders.append(
-                engine_order.EngineOrder(
-                    engine_order.JOIN, member, group.name, group.epoch, group.model, group.members
-                )
-            )
-        return orders
-
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(domain_planner, "_is_dissolved", lambda group, engines: True)
-        patch.setattr(domain_planner, "_free_records", _all_usable)
-        patch.setattr(domain_planner, "_join_orders", join_at_once)
+        patch.setattr(domain_planner, "_free_records", plan_world.all_usable)
+        patch.setattr(domain_planner, "_join_orders", plan_world.join_at_once)
         found = sum(bool(run_schedule(seed).violations) for seed in range(100))
     assert found > 0
 
@@ -94,11 +84,3 @@
                 # Without the check for lost members the planner looks at engines that are gone.
                 continue
     assert found > 0
-
-
-def _all_usable(engines, used):
-    free = []
-    for endpoint_id, view in sorted(engines.items()):
-        if endpoint_id not in used and view.is_usable:
-            free.append(view.record)
-    return free
--- a/src/lynxlanding_standins/engine.py
+++ b/src/lynxlanding_standins/engine.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from lynxlanding_standins import engine_state
+from lynxlanding_standins import asgi, engine_state
 
 DEFAULT_TOKENS = 16
 
@@ -47,11 +47,11 @@
         state = self._states[scope["server"][1]]
         path = scope["path"]
         if path == "/faults":
-            faults = json.loads(await _read_body(receive))
+            faults = json.loads(await asgi.read_body(receive))
             for name in ("down", "stall", "token_delay_factor"):
                 if name in faults:
                     setattr(state, name, faults[name])
-            await _send_json(send, 200, {})
+            await asgi.send_json(send, 200, {})
             return
         if state.down:
             await _break_connection(send)
@@ -60,21 +60,21 @@
             await self._complete(state, scope, receive, send)
             return
         if path == "/load":
-            await _send_json(send, 200, self._lagging_report(scope["server"][1], state))
+            await asgi.send_json(send, 200, self._lagging_report(scope["server"][1], state))
             return
         if path == "/cache/events":
             after = int((scope["query_string"] or b"after=0").split(b"=")[1])
             events = [event for event in state.cache_events if event["sequence"] > after]
             last = events[-1]["sequence"] if events else after
-            await _send_json(send, 200, {"events": events, "sequence": last})
+            await asgi.send_json(send, 200, {"events": events, "sequence": last})
             return
         if path == "/orders":
             await self._order(state, receive, send, scope["server"][1])
             return
         if path == "/healthz":
-            await _send_json(send, 200, {"instance": state.instance})
+            await asgi.send_json(send, 200, {"instance": state.instance})
             return
-        await _send_json(send, 404, {"error": {"type": "not_found"}})
+        await asgi.send_json(send, 404, {"error": {"type": "not_found"}})
 
     def _lagging_report(self, port, state):
         now = time.monotonic()
@@ -85,7 +85,7 @@
         return reports[0][1]
 
     async def _order(self, state, receive, send, port):
-        order = json.loads(await _read_body(receive))
+        order = json.loads(await asgi.read_body(receive))
         self._history.record(
             "order",
             engine=port,
@@ -97,20 +97,20 @@
         if order["order"] == "load" and order.get("model") != state.model:
             await asyncio.sleep(self._load_s)
         if not state.apply_order(order):
-            await _send_json(send, 409, {"error": {"type": "stale_fencing_number"}})
+            await asgi.send_json(send, 409, {"error": {"type": "stale_fencing_number"}})
             return
-        await _send_json(send, 200, state.report())
+        await asgi.send_json(send, 200, state.report())
 
     async def _complete(self, state, scope, receive, send):
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
-        body = json.loads(await _read_body(receive))
+        body = json.loads(await asgi.read_body(receive))
         identity = [
             (b"x-request-id", headers.get("x-request-id", "").encode()),
             (b"x-attempt-id", headers.get("x-attempt-id", "").encode()),
         ]
         if state.draining or state.queued >= state.queue_limit:
             refusal = [*identity, (b"x-executed", b"no"), (b"retry-after", b"1")]
-            await _send_json(send, 503, {"error": {"type": "refused"}}, refusal)
+            await asgi.send_json(send, 503, {"error": {"type": "refused"}}, refusal)
             return
         request = _CompletionRequest(headers, body, scope["path"].startswith("/v1/chat"))
         request.endpoint = "{}:{}".format(*scope["server"])
@@ -146,7 +146,7 @@
             remaining = request.count - request.first
             await asyncio.sleep(remaining * self._token_interval_s * state.token_delay_factor)
             text = "".join(request.token(i) for i in range(request.count))
-            await _send_json(send, 200, request.whole(text), identity)
+            await asgi.send_json(send, 200, request.whole(text), identity)
         finally:
             state.release()
 
@@ -227,15 +227,6 @@
     return states
 
 
-async def _read_body(receive):
-    parts = []
-    while True:
-        message = await receive()
-        parts.append(message.get("body", b""))
-        if not message.get("more_body"):
-            return b"".join(parts)
-
-
 async def _wait_for_disconnect(receive):
     while True:
         message = await receive()
@@ -247,14 +238,3 @@
     # The announced body never comes, so the server cuts the connection.
     headers = [(b"content-length", b"1000")]
     await send({"type": "http.response.start", "status": 503, "headers": headers})
-
-
-async def _send_json(send, status, document, headers=()):
-    body = json.dumps(document).encode()
-    all_headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(body)).encode()),
-        *headers,
-    ]
-    await send({"type": "http.response.start", "status": status, "headers": all_headers})
-    await send({"type": "http.response.body", "body": body})
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -4,7 +4,8 @@
 import json
 import time
 
-from lynxlanding_standins.site import asgi, engine, store
+from lynxlanding_standins import asgi
+from lynxlanding_standins.site import engine, store
 
 HEARTBEAT_S = 0.3
 SILENT_BEATS = 3
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-from lynxlanding_standins.site import asgi
+from lynxlanding_standins import asgi
 
 STALL_S = 2.0
 JOIN_S = 0.05
--- a/src/lynxlanding_standins/site/store.py
+++ b/src/lynxlanding_standins/site/store.py
@@ -4,7 +4,7 @@
 import json
 import urllib.parse
 
-from lynxlanding_standins.site import asgi
+from lynxlanding_standins import asgi
 
 PAGE = 50
 HISTORY = 2000
