Recover from a store that comes back from an older copy

Cause: nothing read the store's era. A watch from a revision that exists again missed changes, a conditional update could meet a revision given out twice, the plan read back was older than the groups that stood (their members were ordered to leave), epochs and names were given out again, and a node whose entry was gone stayed unregistered.

Change: versions carry the era, which the client reads from each answer; versions of another era are refused with a typed error. Watches list again; the registry keeps what is newer. Plans of an earlier era are recovered from the groups that the engines report before any order is sent. Epochs of an era are above all earlier ones, and a group's name contains a hash of its members. Nodes register again, and unregistered live nodes count for the retry limit.

Ruled out: keeping the newest plan in the memory of its node only (a node that starts has none); orders from plans read back, checked against reports one by one (the same name could stand for two member lists).

Open: a node that starts within the second after the drill uses the configuration and the registrations that the store has until they are written again (docs/platform.md).

--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -46,6 +46,10 @@
         self._registry.on_store_available(now, was_outage)
         return self._update_candidates(self._registry.apply_changes(records, removed_ids, now))
 
+    def on_store_rolled_back(self):
+        """Record that the next list comes from an older copy of the store."""
+        self._registry.on_store_rolled_back()
+
     def on_store_unavailable(self):
         """Record that the store does not respond."""
         self._registry.on_store_unavailable()
--- a/src/lynxlanding/errors/platform.py
+++ b/src/lynxlanding/errors/platform.py
@@ -51,6 +51,12 @@
     type_name = "watch_expired"
 
 
+class StoreRolledBack(StoreOutcomeUnknown):
+    """The store has been restored from an older copy; versions read before are not valid."""
+
+    type_name = "store_rolled_back"
+
+
 class ValueTooLarge(PlatformError):
     """The value exceeds the store's limit of 1 MB."""
 
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -26,6 +26,7 @@
         self._leaving = {}
         self._grace_period_end = None
         self._is_store_available = False
+        self._is_next_list_older = False
 
     @property
     def records(self):
@@ -50,6 +51,13 @@
         """Mark the store as unavailable; the registry keeps its records."""
         self._is_store_available = False
 
+    def on_store_rolled_back(self):
+        """Record that the store has come back from an older copy, which the next list shows.
+
+        Endpoints write their registrations again. Until then, the registry keeps what it knows.
+        """
+        self._is_next_list_older = True
+
     def on_store_available(self, now, was_outage):
         """Mark the store as available.
 
@@ -77,8 +85,15 @@
         """
         changes = []
         listed_ids = set()
+        is_older_list = self._is_next_list_older
+        self._is_next_list_older = False
+        if is_older_list:
+            self._grace_period_end = now + LAPSE_GRACE_S
         for record in records:
             listed_ids.add(record.endpoint_id)
+            known = self._records.get(record.endpoint_id)
+            if is_older_list and known is not None and not known.is_older_than(record):
+                continue
             changes.extend(self._put(record))
         for endpoint_id in list(self._records):
             if endpoint_id in listed_ids:
--- a/src/lynxlanding/fleet/tests/test_registry.py
+++ b/src/lynxlanding/fleet/tests/test_registry.py
@@ -85,3 +85,27 @@
     assert endpoints.get("i-1").last_model == "m"
     endpoints.apply_changes([make_record(started_ms=11)], [], 2.0)
     assert endpoints.get("i-1").last_model is None
+
+
+def test_a_list_from_an_older_copy_takes_nothing_back():
+    """Guards against endpoints that vanish or return to an earlier state with the store."""
+    endpoints = registry.EndpointRegistry()
+    endpoints.apply_list([make_record("i-1"), make_record("i-2", models=("m",))], 0.0)
+    endpoints.apply_changes([make_record("i-3", is_leaving=True)], [], 1.0)
+    endpoints.on_store_rolled_back()
+    older = [make_record("i-2"), make_record("i-3")]
+    changes = endpoints.apply_list(older, 2.0)
+    assert change_kinds(changes) == ["lapsed"]
+    assert endpoints.is_usable("i-1")
+    assert endpoints.get("i-2").models == ("m",)
+    assert not endpoints.is_usable("i-3")
+    endpoints.apply_changes([make_record("i-1")], [], 2.5)
+    assert endpoints.expire(5.0) == []
+
+
+def test_an_endpoint_that_does_not_return_after_a_roll_back_is_removed():
+    endpoints = registry.EndpointRegistry()
+    endpoints.apply_list([make_record("i-1"), make_record("i-2")], 0.0)
+    endpoints.on_store_rolled_back()
+    endpoints.apply_list([make_record("i-2")], 1.0)
+    assert change_kinds(endpoints.expire(1.0 + registry.LAPSE_GRACE_S)) == ["removed"]
--- a/src/lynxlanding/node/configuration_handler.py
+++ b/src/lynxlanding/node/configuration_handler.py
@@ -37,6 +37,9 @@
         del deletes, now, was_outage
         self._activate_newer(puts)
 
+    def on_store_rolled_back(self):
+        """Keep the active configuration; an older one is never activated."""
+
     def on_store_unavailable(self):
         """Keep the active configuration."""
 
@@ -48,7 +51,7 @@
                 configuration = configuration_codec.decode(stored.value)
             except platform_errors.MalformedEntry as e:
                 eliot.log_message(
-                    message_type=CONFIGURATION_SKIPPED, version=stored.version, reason=str(e)
+                    message_type=CONFIGURATION_SKIPPED, version=str(stored.version), reason=str(e)
                 )
                 continue
             previous = self._node_status.configuration_version
--- a/src/lynxlanding/node/endpoint_handler.py
+++ b/src/lynxlanding/node/endpoint_handler.py
@@ -44,6 +44,10 @@
             self._serving.apply_changes(records, removed_ids, now, was_outage).get(), now
         )
 
+    def on_store_rolled_back(self):
+        """Record that the next list is older than what the registry knows."""
+        self._serving.on_store_rolled_back()
+
     def on_store_unavailable(self):
         """Record that the store is unavailable; the registry keeps its endpoints."""
         self._serving.on_store_unavailable()
@@ -96,7 +100,7 @@
             eliot.log_message(
                 message_type=ENTRY_SKIPPED,
                 entry=stored.name,
-                version=stored.version,
+                version=str(stored.version),
                 reason=str(e),
             )
             malformed_ids.append(stored.name)
--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -21,6 +21,7 @@
 
 STORE_LOST = "lynxlanding:store:lost"
 STORE_REGAINED = "lynxlanding:store:regained"
+STORE_ROLLED_BACK = "lynxlanding:store:rolled_back"
 
 
 class StoreWatcher:
@@ -66,10 +67,19 @@
                 eliot.log_message(
                     message_type="lynxlanding:store:history_expired",
                     kind=self._kind,
-                    version=version,
+                    version=str(version),
                     detail=str(e),
                 )
                 version = None
+            except platform_errors.StoreRolledBack as e:
+                eliot.log_message(
+                    message_type=STORE_ROLLED_BACK,
+                    kind=self._kind,
+                    version=str(version),
+                    detail=str(e),
+                )
+                version = None
+                self._handler.on_store_rolled_back()
             except platform_errors.PlatformError as e:
                 self._mark_unavailable(e)
                 self._stop.wait(RETRY_PAUSE_S)
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -42,6 +42,9 @@
     def on_changes(self, puts, deletes, now, was_outage):
         self.events.append(("changes", [stored.name for stored in puts], deletes, was_outage))
 
+    def on_store_rolled_back(self):
+        self.events.append(("rolled back",))
+
     def on_store_unavailable(self):
         self.events.append(("lost",))
 
@@ -101,3 +104,15 @@
     assert handler.events.count(("lost",)) >= 1
     assert handler.events[1] == ("lost",)
     assert store.calls[4] == ("watch", 8, store_watcher.WATCH_TIMEOUT_S)
+
+
+def test_lists_again_after_the_store_was_rolled_back(monkeypatch):
+    """Guards against a node that follows a store whose revisions it cannot compare."""
+    store, handler = run_watcher(
+        monkeypatch,
+        ([make_stored("a")], 7),
+        platform_errors.StoreRolledBack("era 1 has ended"),
+        ([make_stored("a")], 5),
+    )
+    assert [call[0] for call in store.calls[:3]] == ["list", "watch", "list"]
+    assert handler.events[1:3] == [("rolled back",), ("list", ["a"], 5, False)]
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -324,6 +324,11 @@
             "Version of the configuration in force.",
             lambda: self._node_status.configuration_version or 0,
         )
+        self._metrics.add_gauge(
+            "lynxlanding_store_era",
+            "Era of the store; increases when it comes back from an older copy.",
+            lambda: self._store.era or 0,
+        )
 
     def _on_stop_signal(self, signal_number, frame):
         del signal_number, frame
--- a/src/lynxlanding/node/watch_handler.py
+++ b/src/lynxlanding/node/watch_handler.py
@@ -28,6 +28,10 @@
         """Apply the changes of one watch call."""
         ...
 
+    def on_store_rolled_back(self) -> None:
+        """Record that the next list comes from an older copy of the store."""
+        ...
+
     def on_store_unavailable(self) -> None:
         """Record that the store is unavailable."""
         ...
--- a/src/lynxlanding/peers/node_directory.py
+++ b/src/lynxlanding/peers/node_directory.py
@@ -50,13 +50,14 @@
         self._stop.set()
 
     def _run(self):
-        is_registered = False
+        # A store that comes back from an older copy may have lost the registration.
+        registered_era = None
         wait_s = 0.0
         while not self._stop.wait(wait_s):
             try:
-                if not is_registered:
+                if registered_era is None or registered_era != self._store.era:
                     self._register()
-                    is_registered = True
+                    registered_era = self._store.era
                     self._refresh(may_be_stale=False)
                 else:
                     self._refresh(may_be_stale=True)
@@ -92,7 +93,10 @@
             )
             if isinstance(address, str):
                 self._table.record_registration(registration.name, address, now)
-        self._on_node_count(max(1, len(registrations)))
+        live_ids = self._table.live_node_ids(now)
+        # Live nodes count even if the store has lost their registrations.
+        node_ids = {registration.name for registration in registrations}
+        self._on_node_count(len(node_ids.union(live_ids)))
         self._delete_stale(registrations, now)
 
     def _delete_stale(self, registrations, now):
--- a/src/lynxlanding/peers/tests/test_node_directory.py
+++ b/src/lynxlanding/peers/tests/test_node_directory.py
@@ -1,4 +1,6 @@
-from lynxlanding.peers import node_directory, peer_identity, peer_table
+import time
+
+from lynxlanding.peers import node_directory, peer_identity, peer_report, peer_table
 from lynxlanding.store import memory_store
 
 
@@ -43,3 +45,34 @@
     first._refresh(may_be_stale=False)
     first._refresh(may_be_stale=False)
     assert node_counts[-1] == 1
+
+
+def test_a_node_registers_again_after_the_store_has_lost_its_entry(monkeypatch):
+    """Guards against a retry limit divided by fewer nodes than there are."""
+    monkeypatch.setattr(node_directory, "REFRESH_INTERVAL_S", 0.01)
+    store = memory_store.MemoryObjectStore()
+    store.save_copy()
+    directory, _, _ = make_directory(store)
+    directory.start()
+    try:
+        wait_for(lambda: store.list(node_directory.KIND)[0])
+        store.roll_back()
+        assert store.list(node_directory.KIND)[0] == []
+        wait_for(lambda: store.list(node_directory.KIND)[0])
+    finally:
+        directory.stop()
+
+
+def wait_for(condition):
+    end = time.monotonic() + 5.0
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
+def test_live_nodes_count_without_a_registration():
+    store = memory_store.MemoryObjectStore()
+    directory, table, node_counts = make_directory(store)
+    table.record_report(peer_report.PeerReport("n2", 1, 1, "127.0.0.1:2", 1, {}), time.monotonic())
+    directory._refresh(may_be_stale=False)
+    assert node_counts == [2]
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -6,7 +6,13 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import fields, sockets
-from lynxlanding.store import http_call, stored_object, watch_batch
+from lynxlanding.store import (
+    era_tracker,
+    http_call,
+    store_version,
+    stored_object,
+    watch_batch,
+)
 
 # Connecting takes a few milliseconds; after a second the store is considered unavailable.
 CONNECT_TIMEOUT_S = 1.0
@@ -15,6 +21,8 @@
 # Added to the duration of a long poll to obtain its read timeout.
 WATCH_MARGIN_S = 0.8
 
+_ERA_HEADER = "Store-Era"
+
 _ERRORS_BY_STATUS = {
     404: platform_errors.ObjectNotFound,
     410: platform_errors.WatchExpired,
@@ -38,10 +46,17 @@
         self._pool = urllib3.PoolManager(
             maxsize=8, block=False, socket_options=sockets.OPTIONS, retries=False
         )
+        self._eras = era_tracker.EraTracker()
+
+    @property
+    def era(self):
+        """Era of the store as of its last response; None before the first response."""
+        return self._eras.current
 
     def get(self, kind, name):
         """Return an object; raises ``ObjectNotFound``."""
-        return _decode_object(kind, self._call("GET", f"/{kind}/{name}"))
+        document, era = self._call("GET", f"/{kind}/{name}")
+        return _decode_object(kind, document, era)
 
     def list(self, kind, *, may_be_stale=False):
         """Return all objects of a kind and the store version to watch from.
@@ -59,12 +74,15 @@
                 # Despite its name, the parameter takes the last object name of the previous page.
                 parameters.append(f"since_rev={last_name}")
             query_string = "?" + "&".join(parameters) if parameters else ""
-            page = self._call("GET", f"/{kind}{query_string}")
+            page, era = self._call("GET", f"/{kind}{query_string}")
             if version is None:
                 # A watch from the first page's version also returns changes made between two pages.
-                version = fields.require(page, "current_rev", int)
+                revision = fields.require(page, "current_rev", int)
+                version = store_version.StoreVersion(era, revision)
+            if era != version.era:
+                raise platform_errors.StoreRolledBack(f"the list of {kind} spans two eras")
             for document in fields.require(page, "items", list):
-                items.append(_decode_object(kind, document))
+                items.append(_decode_object(kind, document, era))
             if not fields.get(page, "has_more", bool, False) or not items:
                 return items, version
             last_name = items[-1].name
@@ -72,19 +90,20 @@
     def create(self, kind, name, value):
         """Create an object; raises ``ObjectExists`` or ``ValueTooLarge``."""
         document = {"metadata": {"name": name}, "spec": value}
-        response = self._call(
+        response, era = self._call(
             "POST", f"/{kind}/{name}", document, conflict_error=platform_errors.ObjectExists
         )
-        return _decode_object(kind, response)
+        return _decode_object(kind, response, era)
 
     def update(self, kind, name, value, version):
         """Replace the value if ``version`` is current; raises ``VersionConflict``."""
-        document = {"metadata": {"name": name, "revision": version}, "spec": value}
-        return _decode_object(kind, self._call("PUT", f"/{kind}/{name}", document))
+        document = {"metadata": {"name": name, "revision": version.revision}, "spec": value}
+        response = self._call_in_era(version.era, "PUT", f"/{kind}/{name}", document)
+        return _decode_object(kind, response, version.era)
 
     def delete(self, kind, name, version):
         """Delete the object if ``version`` is current; raises ``VersionConflict``."""
-        self._call("DELETE", f"/{kind}/{name}?revision={version}")
+        self._call_in_era(version.era, "DELETE", f"/{kind}/{name}?revision={version.revision}")
 
     def watch(self, kind, after, timeout_s):
         """Wait up to ``timeout_s`` seconds for changes since version ``after``.
@@ -92,19 +111,34 @@
         Raises ``WatchExpired`` if the store no longer keeps that version.
         """
         wait_ms = int(timeout_s * 1000)
-        path = f"/{kind}?watch={after}&wait_ms={wait_ms}"
-        response = self._call("GET", path, read_timeout_s=timeout_s + WATCH_MARGIN_S)
+        path = f"/{kind}?watch={after.revision}&wait_ms={wait_ms}"
+        response = self._call_in_era(
+            after.era, "GET", path, read_timeout_s=timeout_s + WATCH_MARGIN_S
+        )
         puts = []
         deletes = []
         for event in fields.require(response, "events", list):
-            item = _decode_object(kind, fields.require(event, "object", dict))
+            item = _decode_object(kind, fields.require(event, "object", dict), after.era)
             if fields.get(event, "tombstone", bool, False):
                 deletes.append(item.name)
                 continue
             puts.append(item)
-        version = fields.require(response, "current_rev", int)
+        revision = fields.require(response, "current_rev", int)
+        version = store_version.StoreVersion(after.era, revision)
         return watch_batch.WatchBatch(puts, deletes, version)
 
+    def _call_in_era(self, era, method, path, document=None, **options):
+        """Send a call that refers to a revision of an era and return the decoded response.
+
+        Raises ``StoreRolledBack`` if the store is in another era, before or after the call.
+        """
+        if self.era is not None and era != self.era:
+            raise platform_errors.StoreRolledBack(f"{method} {path}: era {era} has ended")
+        response, response_era = self._call(method, path, document, **options)
+        if response_era != era:
+            raise platform_errors.StoreRolledBack(f"{method} {path}: era {era} has ended")
+        return response
+
     def _call(
         self,
         method,
@@ -114,6 +148,8 @@
         conflict_error=platform_errors.VersionConflict,
         read_timeout_s=READ_TIMEOUT_S,
     ):
+        """Send a call; return the decoded response and the era of the store."""
+        era_at_call = self.era
         body = None
         headers = {}
         if document is not None:
@@ -128,15 +164,22 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
             is_write=method != "GET",
             errors_by_status={**_ERRORS_BY_STATUS, 409: conflict_error},
+            on_headers=lambda headers: self._eras.record(_decode_era(headers), era_at_call),
         )
-        return response or {}
+        return response or {}, self.era
+
+
+def _decode_era(headers):
+    """Return the era that a response states, or None if it states no valid one."""
+    value = headers.get(_ERA_HEADER, "")
+    return int(value) if value.isascii() and value.isdigit() else None
 
 
-def _decode_object(kind, document):
+def _decode_object(kind, document, era):
     metadata = fields.require(document, "metadata", dict)
     return stored_object.StoredObject(
         kind,
         fields.require(metadata, "name", str),
-        fields.require(metadata, "revision", int),
+        store_version.StoreVersion(era, fields.require(metadata, "revision", int)),
         document.get("spec"),
     )
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -9,7 +9,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import object_client
-from lynxlanding.store import memory_store
+from lynxlanding.store import era_tracker, memory_store, store_version
 from lynxlanding_standins.site import store as site_store
 
 HOST = "127.0.0.1"
@@ -56,6 +56,12 @@
     return object_client.PlatformObjectStore(f"{HOST}:{server.port}")
 
 
+@pytest.fixture
+def outer(store, server):
+    """The object that the store's ``save_copy`` and ``roll_back`` are called on."""
+    return store if isinstance(store, memory_store.MemoryObjectStore) else server.store
+
+
 def test_only_one_of_two_updates_of_the_same_version_succeeds(store):
     created = store.create("k1", "a", {"n": 1})
     updated = store.update("k1", "a", {"n": 2}, created.version)
@@ -117,4 +123,59 @@
 def test_refused_connection_raises_store_unavailable():
     client = object_client.PlatformObjectStore(f"{HOST}:1")
     with pytest.raises(platform_errors.StoreUnavailable):
-        client.update("k", "a", {}, 1)
+        client.update("k", "a", {}, store_version.StoreVersion(0, 1))
+
+
+def test_an_update_of_an_earlier_era_is_refused(store, outer):
+    """Guards against a condition that a revision given out twice happens to meet."""
+    first = store.create("k7", "a", {"n": 1})
+    outer.save_copy()
+    second = store.update("k7", "a", {"n": 2}, first.version)
+    outer.roll_back()
+    rewritten = store.update("k7", "a", {"n": 3}, store.get("k7", "a").version)
+    assert rewritten.version.revision == second.version.revision
+    with pytest.raises(platform_errors.StoreRolledBack):
+        store.update("k7", "a", {"n": 4}, second.version)
+    assert store.get("k7", "a").value == {"n": 3}
+
+
+def test_a_watch_from_an_earlier_era_is_refused(store, outer):
+    """Guards against changes that a watch misses because its revision exists again."""
+    store.create("k8", "a", {})
+    outer.save_copy()
+    store.create("k8", "b", {})
+    _, version = store.list("k8")
+    outer.roll_back()
+    store.create("k8", "c", {})
+    with pytest.raises((platform_errors.StoreRolledBack, platform_errors.WatchExpired)):
+        store.watch("k8", version, 0.2)
+    with pytest.raises(platform_errors.StoreRolledBack):
+        store.watch("k8", version, 0.2)
+    assert sorted(item.name for item in store.list("k8")[0]) == ["a", "c"]
+
+
+def test_versions_of_two_eras_cannot_be_compared():
+    with pytest.raises(platform_errors.StoreRolledBack):
+        assert store_version.StoreVersion(1, 5) < store_version.StoreVersion(2, 3)
+
+
+def test_a_response_sent_before_the_present_era_is_discarded():
+    """Guards against a late response whose contents the store has lost."""
+    eras = era_tracker.EraTracker()
+    eras.record(1, None)
+    era_at_call = eras.current
+    eras.record(2, 1)
+    with pytest.raises(platform_errors.StoreRolledBack):
+        eras.record(1, era_at_call)
+    assert eras.current == 2
+
+
+def test_an_era_that_goes_back_or_is_missing_is_handled():
+    eras = era_tracker.EraTracker()
+    eras.record(None, None)
+    assert eras.current == era_tracker.UNSTATED_ERA
+    eras.record(5, eras.current)
+    eras.record(None, eras.current)
+    assert eras.current == 5
+    eras.record(3, eras.current)
+    assert eras.current == 3
--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -98,7 +98,7 @@
         chosen = placement.choose_groups(engine_spec, free, planned, fleet_state, soon_free)
         next_epoch = plan.next_epoch
         for model, members in chosen:
-            name = group_plan.make_group_name(self._domain, next_epoch, model)
+            name = group_plan.make_group_name(self._domain, next_epoch, model, members)
             groups.append(
                 group_plan.GroupPlan(name, next_epoch, model, members, group_plan.FORMING)
             )
@@ -108,7 +108,7 @@
             self._retire_surplus(
                 groups, engine_spec, engines, free, planned, fleet_state, reasons, now
             )
-        new_plan = group_plan.DomainPlan(next_epoch, tuple(groups))
+        new_plan = dataclasses.replace(plan, next_epoch=next_epoch, groups=tuple(groups))
         if new_plan != plan:
             return PlanningStep(new_plan, [], [], reasons)
         orders = _orders(plan, engines, assigned_ids)
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -4,6 +4,7 @@
 import random
 import threading
 import time
+from typing import Any
 
 import eliot
 
@@ -18,6 +19,7 @@
     member_prober,
     order_sender,
     placement,
+    plan_recovery,
 )
 
 # A node that has just started considers itself the only live one until it has heard from others, so
@@ -26,18 +28,24 @@
 # Changes trigger reconciliation; the interval only bounds the wait for probe results and for
 # resending orders.
 MAX_RECONCILE_INTERVAL_S = 0.1
+# Live engines register again within about two seconds after the store has come back from an older
+# copy. Before that, the registrations do not show which groups stand.
+RECOVERY_DELAY_S = 2.0
 
 PLAN_STORED = "lynxlanding:domain:plan_stored"
 PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
 DOMAIN_TAKEN = "lynxlanding:domain:taken"
 DOMAIN_LEFT = "lynxlanding:domain:left"
+DOMAIN_RECOVERED = "lynxlanding:domain:recovered"
 
 
 @dataclasses.dataclass(slots=True)
 class _Domain:
     planner: domain_planner.DomainPlanner
     plan: group_plan.DomainPlan
-    version: int | None
+    version: Any
+    # When the plan, which is of an earlier era of the store, is recovered; None if it is valid.
+    recover_at: float | None = None
 
 
 class GroupController:
@@ -94,6 +102,9 @@
         self._random_state = random_state or random.Random()
         self._engine_services = {}
         self._domains = {}
+        self._era = None
+        # Highest epoch that this node has seen in use, by domain.
+        self._used_epochs = {}
         self._last_known_records = {}
         self._wake = threading.Event()
         self._order_sender = order_sender.OrderSender(
@@ -151,6 +162,10 @@
 
     def _reconcile(self, now):
         records, is_store_available = self._read_fleet()
+        if self._store.era != self._era:
+            # The plans in memory and their versions are of an era that has ended.
+            self._domains = {}
+            self._era = self._store.era
         self._order_sender.remove_finished(records, now)
         by_domain = {}
         for record in records.values():
@@ -184,13 +199,17 @@
     def _reconcile_domain(self, key, members, by_domain, now):
         domain = self._domains.get(key)
         if domain is None:
-            domain = self._load_domain(key)
+            domain = self._load_domain(key, members, now)
             self._domains[key] = domain
         engine_spec = self._engine_services[key[0]]
         all_records = [record for records in by_domain.values() for record in records]
         self._probe_suspects(domain.plan, members, all_records, now)
         views = self._build_views(domain.plan, members, now)
         fleet_state = self._build_fleet_state(key, engine_spec, members, by_domain)
+        if domain.recover_at is not None:
+            if now >= domain.recover_at:
+                self._recover_plan(key, domain, engine_spec, views, fleet_state)
+            return
         step = domain.planner.step(domain.plan, engine_spec, views, fleet_state, now)
         if step.plan is not None:
             if not self._store_plan(key, domain, step, fleet_state):
@@ -215,25 +234,56 @@
                 is_background=True,
             )
 
-    def _load_domain(self, key):
-        plan = group_plan.DomainPlan()
+    def _load_domain(self, key, members, now):
+        plan = None
         version = None
         try:
             stored = self._store.get(group_plan.KIND, _object_name(key))
             plan = group_plan.from_value(stored.value)
             version = stored.version
         except platform_errors.ObjectNotFound:
-            # No plan has been stored for this domain yet.
+            # No plan has been stored for this domain yet, or the store has lost it.
             pass
+        era = self._store.era
+        is_valid = plan is not None and plan.era == era
+        if plan is None:
+            plan = group_plan.DomainPlan(group_plan.first_epoch(era), (), era)
+            is_valid = all(record.membership is None for record in members)
+        recover_at = None if is_valid else now + RECOVERY_DELAY_S
         eliot.log_message(
             message_type=DOMAIN_TAKEN,
             domain=key[1],
-            plan_version=version,
+            plan_version=str(version),
+            plan_era=plan.era,
+            era=era,
+            is_recovery_needed=not is_valid,
             groups=len(plan.groups),
             next_epoch=plan.next_epoch,
         )
         planner = domain_planner.DomainPlanner(key[1])
-        return _Domain(planner, plan, version)
+        return _Domain(planner, plan, version, recover_at)
+
+    def _recover_plan(self, key, domain, engine_spec, views, fleet_state):
+        """Store the plan that fits the groups which the engines report in the present era."""
+        recovered = plan_recovery.recover(
+            domain.plan, engine_spec, views, self._era, self._used_epochs.get(key, 0)
+        )
+        previous = domain.plan
+        reasons = [f"recovered in era {self._era} from a plan of era {previous.era}"]
+        step = domain_planner.PlanningStep(recovered.plan, [], [], reasons)
+        if not self._store_plan(key, domain, step, fleet_state):
+            return
+        domain.recover_at = None
+        eliot.log_message(
+            message_type=DOMAIN_RECOVERED,
+            domain=key[1],
+            era=self._era,
+            plan_era=previous.era,
+            kept=recovered.kept,
+            taken_over=recovered.taken_over,
+            retired=recovered.retired,
+            next_epoch=recovered.plan.next_epoch,
+        )
 
     def _store_plan(self, key, domain, step, fleet_state):
         """Store the plan of a step; return whether the update is confirmed."""
@@ -252,7 +302,7 @@
             eliot.log_message(
                 message_type=PLAN_NOT_STORED,
                 domain=key[1],
-                plan_version=domain.version,
+                plan_version=str(domain.version),
                 reasons=step.reasons,
                 error=e.type_name,
                 detail=str(e)[:200],
@@ -260,10 +310,11 @@
             return False
         domain.plan = step.plan
         domain.version = stored.version
+        self._used_epochs[key] = max(self._used_epochs.get(key, 0), step.plan.next_epoch - 1)
         eliot.log_message(
             message_type=PLAN_STORED,
             domain=key[1],
-            plan_version=stored.version,
+            plan_version=str(stored.version),
             reasons=step.reasons,
             groups=len(step.plan.groups),
             needed=_round_values(fleet_state.needed),
--- a/src/lynxlanding/replicas/group_plan.py
+++ b/src/lynxlanding/replicas/group_plan.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import xxhash
+
 from lynxlanding.errors import platform as platform_errors
 
 KIND = "lynxlanding-domains"
@@ -14,13 +16,24 @@
 RETIRING = "retiring"
 PHASES = frozenset({FORMING, SERVING, RETIRING})
 
+# The epochs of an era of the store start at this multiple of the era, above those of all earlier
+# eras. A copy from which the store was restored may lack the latest epochs.
+EPOCHS_PER_ERA = 1_000_000
+
+
+def first_epoch(era):
+    """Return the lowest epoch of the groups that are planned in an era."""
+    return max(1, era * EPOCHS_PER_ERA)
+
 
-def make_group_name(domain, epoch, model):
+def make_group_name(domain, epoch, model, members):
     """Return the name of a group.
 
-    It contains the model because an engine that is joining reports the name but no model.
+    It contains a hash of the members, so that two groups with different members never have the same
+    name, and the model, because an engine that is joining reports the name but no model.
     """
-    return f"{domain}.{epoch}.{model}"
+    digest = xxhash.xxh32_hexdigest("\n".join(members))
+    return f"{domain}.{epoch}.{digest}.{model}"
 
 
 def model_from_name(name):
@@ -73,10 +86,13 @@
         Epoch for the next group to be formed.
     groups : tuple of GroupPlan
         Planned groups; an engine is a member of at most one.
+    era : int or None
+        Era of the store in which the plan was made; None if the plan does not say.
     """
 
     next_epoch: int = 1
     groups: tuple[GroupPlan, ...] = ()
+    era: int | None = 0
 
     def find(self, endpoint_id):
         """Return the group that contains an engine, or None."""
@@ -98,7 +114,7 @@
                     "phase": group.phase,
                 }
             )
-        return {"next_epoch": self.next_epoch, "groups": groups}
+        return {"next_epoch": self.next_epoch, "groups": groups, "era": self.era}
 
 
 def from_value(value):
@@ -121,8 +137,8 @@
                     item["phase"],
                 )
             )
-        return DomainPlan(int(value["next_epoch"]), tuple(groups))
-    except (KeyError, TypeError, ValueError) as e:
+        return DomainPlan(int(value["next_epoch"]), tuple(groups), value.get("era"))
+    except (AttributeError, KeyError, TypeError, ValueError) as e:
         raise platform_errors.MalformedEntry(
             f"cannot decode the stored plan of a domain: {e}"
         ) from e
--- a/src/lynxlanding/replicas/tests/simulated_domain.py
+++ b/src/lynxlanding/replicas/tests/simulated_domain.py
@@ -7,8 +7,10 @@
     domain_planner,
     engine_order,
     engine_view,
+    group_controller,
     group_plan,
     placement,
+    plan_recovery,
     staging,
 )
 from lynxlanding.traffic import service_spec
@@ -121,6 +123,9 @@
             self.engines[endpoint_id] = SimulatedEngine(endpoint_id)
         self.stored_plan = group_plan.DomainPlan()
         self.version = 0
+        self.era = 0
+        self._stored_copies = [(self.version, self.stored_plan)]
+        self._members_by_group = {}
         self.delayed_orders = []
         self.violations = []
         self.opened_groups = 0
@@ -198,8 +203,15 @@
             return None
         self.version += 1
         self.stored_plan = plan
+        self._stored_copies.append((self.version, plan))
         return self.version
 
+    def roll_back(self, writes):
+        """Return the store to a copy that lacks the latest writes; versions are given out again."""
+        del self._stored_copies[max(1, len(self._stored_copies) - writes) :]
+        self.version, self.stored_plan = self._stored_copies[-1]
+        self.era += 1
+
     def _join(self, engine, order):
         if order.epoch < engine.seen_epoch:
             return
@@ -213,6 +225,9 @@
                 self.violations.append(
                     f"{engine.endpoint_id} joins another group while its head is open"
                 )
+        members = self._members_by_group.setdefault((order.group, order.epoch), order.members)
+        if members != order.members:
+            self.violations.append(f"{order.group} was given out twice with different members")
         engine.seen_epoch = order.epoch
         engine.group = target
         engine.model = order.model
@@ -242,9 +257,14 @@
         self.plan = domain.stored_plan
         self.version = domain.version
         self.views = domain.views()
+        self._era = domain.era
+        self._recover_at = None
 
     def observe(self):
         """Read the stored plan and the registrations."""
+        if self.domain.era != self._era:
+            self._era = self.domain.era
+            self._recover_at = None
         self.plan = self.domain.stored_plan
         self.version = self.domain.version
         self.views = self.domain.views()
@@ -256,6 +276,9 @@
         """
         domain = self.domain
         views = domain.add_missing_members(self.views, self.plan)
+        if self.plan.era != self._era:
+            self._recover(views)
+            return []
         step = self.planner.step(self.plan, domain.engine_spec, views, fleet_state, domain.now)
         if step.plan is not None:
             version = domain.store_plan(step.plan, self.version)
@@ -268,6 +291,18 @@
             step = self.planner.step(self.plan, domain.engine_spec, views, fleet_state, domain.now)
         return [*step.orders, *step.background_orders] if step.plan is None else []
 
+    def _recover(self, views):
+        """Recover the plan once the engines have had time to register again."""
+        domain = self.domain
+        if self._recover_at is None:
+            self._recover_at = domain.now + group_controller.RECOVERY_DELAY_S
+        if domain.now < self._recover_at:
+            return
+        recovered = plan_recovery.recover(self.plan, domain.engine_spec, views, self._era)
+        domain.store_plan(recovered.plan, self.version)
+        self._recover_at = None
+        self.observe()
+
 
 def join_without_leaving(group, engines):
     """Return join orders for all members, without leave orders; a fault that tests must detect."""
--- a/src/lynxlanding/replicas/tests/test_domain_planner.py
+++ b/src/lynxlanding/replicas/tests/test_domain_planner.py
@@ -110,7 +110,7 @@
     groups = []
     views = {}
     for pair in range(3):
-        name = group_plan.make_group_name("d0", pair + 1, "small")
+        name = group_plan.make_group_name("d0", pair + 1, "small", (f"e{2 * pair}",))
         members = (f"e{2 * pair}", f"e{2 * pair + 1}")
         groups.append(group_plan.GroupPlan(name, pair + 1, "small", members, group_plan.SERVING))
         for rank, member in enumerate(members):
@@ -138,5 +138,8 @@
 
     The name is the only source for the model of a group that another domain is forming.
     """
-    assert group_plan.model_from_name(group_plan.make_group_name("a-d0", 7, "large")) == "large"
+    assert (
+        group_plan.model_from_name(group_plan.make_group_name("a-d0", 7, "large", ("e1",)))
+        == "large"
+    )
     assert group_plan.model_from_name("g7") is None
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -171,3 +171,32 @@
         time.sleep(0.05)
     assert set(heads) <= set(cluster.client.probed)
     assert cluster.plan() == before
+
+
+def test_standing_groups_survive_a_store_that_comes_back_from_an_older_copy(monkeypatch):
+    """Guards against a node that dissolves the groups which the older copy does not know."""
+    monkeypatch.setattr(group_controller, "RECOVERY_DELAY_S", 0.2)
+    cluster = Cluster()
+    cluster.store.save_copy()
+    cluster.run(20)
+    before = {item.group for item in cluster.domain.engines.values() if item.state == "open"}
+    assert before
+    cluster.store.roll_back()
+    cluster.run(20)
+    after = {item.group for item in cluster.domain.engines.values() if item.state == "open"}
+    assert before <= after
+    plan = cluster.plan()
+    assert plan.era == 1
+    assert {group.name for group in plan.groups} >= {group[0] for group in before}
+    assert cluster.domain.violations == []
+
+
+def test_nothing_is_ordered_before_the_engines_have_registered_again():
+    cluster = Cluster()
+    cluster.run(20)
+    cluster.store.save_copy()
+    cluster.store.roll_back()
+    sent = []
+    cluster.client.send_order = lambda record, order: sent.append(order) or order_outcome.BEGUN
+    cluster.run(5)
+    assert sent == []
--- a/src/lynxlanding/replicas/tests/test_plan_machine.py
+++ b/src/lynxlanding/replicas/tests/test_plan_machine.py
@@ -70,6 +70,12 @@
         engine = self._domain.engines[endpoint_id]
         engine.is_partitioned = not engine.is_partitioned
 
+    @stateful.rule(writes=st.integers(1, 6))
+    def roll_back(self, writes):
+        """The store comes back from a copy that lacks its latest writes."""
+        self._domain.roll_back(writes)
+        self._last_epoch = self._domain.stored_plan.next_epoch
+
     @stateful.invariant()
     def no_invariant_is_violated(self):
         assert self._domain.violations == []
--- a/src/lynxlanding/store/__init__.py
+++ b/src/lynxlanding/store/__init__.py
@@ -1,9 +1,11 @@
 """Clients of the platform's object API, VM list and weight store."""
 
 from lynxlanding.store import (
+    era_tracker,
     http_store,
     memory_store,
     object_store,
+    store_version,
     stored_object,
     vm,
     vm_list,
@@ -12,9 +14,11 @@
 )
 
 __all__ = [
+    "era_tracker",
     "http_store",
     "memory_store",
     "object_store",
+    "store_version",
     "stored_object",
     "vm",
     "vm_list",
--- a/src/lynxlanding/store/http_call.py
+++ b/src/lynxlanding/store/http_call.py
@@ -7,7 +7,18 @@
 from lynxlanding.errors import platform as platform_errors
 
 
-def send(pool, method, url, *, body=None, headers=None, timeout, is_write, errors_by_status):
+def send(
+    pool,
+    method,
+    url,
+    *,
+    body=None,
+    headers=None,
+    timeout,
+    is_write,
+    errors_by_status,
+    on_headers=None,
+):
     """Send a call and return the decoded JSON body, or None if the body is empty.
 
     Parameters
@@ -27,6 +38,9 @@
         outcome is unknown if it fails once the connection is established.
     errors_by_status : dict of int to type
         Exception types by HTTP status with which the store refuses a call.
+    on_headers : callable, optional
+        Called with the headers of each response, also of refusals, before anything else is done
+        with it. It may raise a ``PlatformError``.
 
     Raises
     ------
@@ -45,6 +59,8 @@
         raise platform_errors.StoreUnavailable(f"{call}: {e}") from e
     except urllib3.exceptions.HTTPError as e:
         raise failure_type(f"{call}: {e}") from e
+    if on_headers is not None:
+        on_headers(response.headers)
     error_type = errors_by_status.get(response.status)
     if error_type is not None:
         raise error_type(f"{call}: status {response.status}")
--- a/src/lynxlanding/store/http_store.py
+++ b/src/lynxlanding/store/http_store.py
@@ -39,6 +39,11 @@
         self._url = url.rstrip("/")
         self._pool = pool
 
+    @property
+    def era(self):
+        """Always 0: this API never returns to an older copy of its objects."""
+        return 0
+
     def get(self, kind, name):
         """Return an object; raises ``ObjectNotFound``."""
         return _decode_object(self._call("GET", f"/objects/{kind}/{name}", is_write=False))
--- a/src/lynxlanding/store/memory_store.py
+++ b/src/lynxlanding/store/memory_store.py
@@ -1,9 +1,10 @@
 """In-memory object store with fault injection, for tests."""
 
 import copy
+import dataclasses
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.store import stored_object, watch_batch
+from lynxlanding.store import store_version, stored_object, watch_batch
 
 
 class MemoryObjectStore:
@@ -25,7 +26,31 @@
         self.call_counts = {}
         self._objects = {}
         self._change_log = []
-        self._version = 0
+        self._revision = 0
+        self._era = 0
+        self._copies = []
+
+    @property
+    def era(self):
+        """Era of the store; increases with each ``roll_back``."""
+        return self._era
+
+    @property
+    def _version(self):
+        return store_version.StoreVersion(self._era, self._revision)
+
+    def save_copy(self):
+        """Keep a copy of all objects, to which ``roll_back`` returns."""
+        self._copies.append((copy.deepcopy(self._objects), self._revision))
+
+    def roll_back(self):
+        """Return to the latest copy and start a new era; revisions are given out again."""
+        self._objects, self._revision = self._copies.pop()
+        self._change_log = []
+        self._era += 1
+        for key, item in list(self._objects.items()):
+            version = store_version.StoreVersion(self._era, item.version.revision)
+            self._objects[key] = dataclasses.replace(item, version=version)
 
     def get(self, kind, name):
         """Return an object; raises ``ObjectNotFound``."""
@@ -64,13 +89,14 @@
         self._record_call("delete")
         self._check_version(kind, name, version)
         del self._objects[(kind, name)]
-        self._version += 1
+        self._revision += 1
         self._change_log.append((self._version, kind, name, None))
         self._finish_change()
 
     def watch(self, kind, after, timeout_s):
         """Return the changes after version ``after`` without waiting."""
         self._record_call("watch")
+        self._check_era(after)
         puts = []
         deletes = []
         for version, item_kind, name, item in self._change_log:
@@ -87,7 +113,12 @@
         if self.unavailable:
             raise platform_errors.StoreUnavailable("the store is unavailable")
 
+    def _check_era(self, version):
+        if version.era != self._era:
+            raise platform_errors.StoreRolledBack(f"version {version} is of an earlier era")
+
     def _check_version(self, kind, name, version):
+        self._check_era(version)
         stored = self._objects.get((kind, name))
         if stored is None:
             raise platform_errors.ObjectNotFound(f"{kind}/{name}")
@@ -95,7 +126,7 @@
             raise platform_errors.VersionConflict(f"{kind}/{name} is at version {stored.version}")
 
     def _store_value(self, kind, name, value):
-        self._version += 1
+        self._revision += 1
         item = stored_object.StoredObject(kind, name, self._version, copy.deepcopy(value))
         self._objects[(kind, name)] = item
         self._change_log.append((self._version, kind, name, item))
--- a/src/lynxlanding/store/object_store.py
+++ b/src/lynxlanding/store/object_store.py
@@ -12,9 +12,18 @@
 
     Every call may raise ``errors.platform.StoreUnavailable`` if nothing was changed. Calls that
     change the store may raise ``errors.platform.StoreOutcomeUnknown`` if the change may have taken
-    effect.
+    effect. Versions are opaque: they are only handed back to the store that returned them.
+
+    A store may come back from an older copy and thereby start a new era. Versions of an earlier era
+    are then refused with ``errors.platform.StoreRolledBack``; a change that was sent at that moment
+    may have taken effect.
     """
 
+    @property
+    def era(self) -> int | None:
+        """Era of the store as of its last response; None before the first response."""
+        ...
+
     def get(self, kind: str, name: str) -> stored_object.StoredObject:
         """Return an object; raises ``ObjectNotFound``."""
         ...
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -49,6 +49,7 @@
         self._endpoints = endpoints
         self._engines = engine.SiteEngines(endpoints, self._publish, self._history)
         self._beats = None
+        self._configuration_version = 1
         self._store.put("config", "main", configuration(1))
         # An entry of another writer names no endpoint.
         self._store.put("servers", "foreign", {"state": 7})
@@ -76,11 +77,16 @@
             if endpoint.endpoint_id in order.get("leaving", ()):
                 endpoint.is_leaving = True
                 self._publish(endpoint)
+        if order.get("save_store"):
+            self._store.save_copy()
+        if order.get("roll_back_store"):
+            self._store.roll_back()
         if "store" in order:
             self._store.fault = order["store"]
         self._store.lost_answers = order.get("lost_answers", self._store.lost_answers)
         if "configuration" in order:
-            self._store.put("config", "main", configuration(order["configuration"]))
+            self._configuration_version = order["configuration"]
+            self._store.put("config", "main", configuration(self._configuration_version))
         groups = []
         for endpoint in self._endpoints.values():
             if endpoint.group is not None:
@@ -96,6 +102,8 @@
 
     async def _beat(self):
         while True:
+            # What the operator and the endpoints have written is written again after a roll-back.
+            self._store.put("config", "main", configuration(self._configuration_version))
             for endpoint in self._endpoints.values():
                 if not endpoint.is_dark:
                     self._publish(endpoint)
--- a/src/lynxlanding_standins/site/store.py
+++ b/src/lynxlanding_standins/site/store.py
@@ -27,6 +27,8 @@
         self._revision = 1
         self._events = []
         self._changed = asyncio.Event()
+        self._era = 1
+        self._copy = None
         self.fault = ""
         self.lost_answers = 0
         self.calls = 0
@@ -45,6 +47,18 @@
             self._revision += 1
             self._note(kind, known, True)
 
+    def save_copy(self):
+        """Keep a copy of all objects, to which ``roll_back`` returns."""
+        self._copy = (dict(self._objects), self._revision)
+
+    def roll_back(self):
+        """Return to the copy; revisions are given out again and all history is gone."""
+        self._objects, self._revision = dict(self._copy[0]), self._copy[1]
+        self._events = []
+        self._era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def serve(self, scope, receive, send):
         """Serve one call."""
         self.calls += 1
@@ -52,7 +66,7 @@
         if self.fault == "silent":
             await asyncio.sleep(60)
         if self.fault == "busy":
-            await asgi.send_json(send, 503, {})
+            await asgi.send_json(send, 503, {}, self._headers())
             return
         kind, _, name = scope["path"][len(PREFIX) :].partition("/")
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
@@ -65,7 +79,10 @@
             if self.lost_answers > 0 and status == 200:
                 self.lost_answers -= 1
                 await asyncio.sleep(60)
-        await asgi.send_json(send, status, document)
+        await asgi.send_json(send, status, document, self._headers())
+
+    def _headers(self):
+        return [(b"store-era", str(self._era).encode())]
 
     async def _read(self, kind, name, query):
         if name:
@@ -83,8 +100,11 @@
     async def _watch(self, kind, after, wait_ms):
         if self._events and after < self._events[0][0] - 1 and len(self._events) >= HISTORY:
             return 410, {}
+        era = self._era
         end = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
+            if after > self._revision or era != self._era:
+                return 410, {}
             found = [item for item in self._events if item[0] > after and item[1] == kind]
             left = end - asyncio.get_running_loop().time()
             if found or left <= 0:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -14,6 +14,7 @@
 
 ENGINES = 20
 START_LIMIT_S = 25.0
+DRILLS = 10
 KEY = "secret-key"
 HOST = "site.example"
 EXPECTED = [b"id: %d" % number for number in range(1, 13)]
@@ -240,6 +241,46 @@
     assert site.is_ready("n0")
 
 
+def test_the_store_may_come_back_from_an_older_copy(site):
+    """Drill under streams and unsafe requests: nothing is cut, nothing runs twice."""
+    answers = {}
+    sent = []
+
+    def call(number):
+        name = f"n{number % 2}"
+        if number % 3:
+            answers[number] = site.stream(name, f"z{number}", ("small", "large")[number % 2])
+            return
+        sent.append(f"z{number}")
+        answers[number] = site.call(name, "POST", "/book/x", f"z{number}", b"b")
+
+    threads = []
+    for drill in range(DRILLS):
+        site.control(save_store=True)
+        time.sleep(0.3)
+        for number in range(drill * 9, drill * 9 + 9):
+            threads.append(threading.Thread(target=call, args=(number,)))
+            threads[-1].start()
+        time.sleep(0.1)
+        site.control(store="busy")
+        time.sleep(0.1)
+        site.control(roll_back_store=True, store="")
+        time.sleep(0.2)
+    for thread in threads:
+        thread.join()
+    for number, answer in answers.items():
+        assert answer[0] == 200 and answer[2] is not None, (number, answer)
+        assert not number % 3 or _is_whole(answer), (number, answer)
+    for request_id in sent:
+        assert len(site.runs(request_id)) == 1
+    heads = _open_heads(site)
+    time.sleep(4.0)
+    kept = [item for item in _open_heads(site) if item in heads]
+    assert len(kept) >= len(heads) - 1
+    assert site.is_ready("n0") and site.is_ready("n1")
+    assert site.call("n0", "GET", "/added/x", "z-added")[0] == 200
+
+
 def test_no_engine_is_in_two_groups_and_metrics_are_served(site):
     members = {}
     for item in _open_heads(site):
