Stage a model before traffic on engines that complete no group

Cause: a domain of 9 forms groups of 4 and 3 and leaves 2 engines that never join, so never hold a model. Loads before the first request take a tenth of the time.

Change: leftover engines of a domain that has groups stage a model before traffic. What completes no whole group is a spare: spread over the models of the domain's groups by members at risk, instead of all for one model.

Ruled out: staging before the domain has any group (the first join would replace it).

--- a/src/lynxlanding/replicas/staging.py
+++ b/src/lynxlanding/replicas/staging.py
@@ -7,7 +7,8 @@
     """Return the orders that stage a first model on engines that hold none.
 
     Models are assigned so that the engines complete whole groups: an engine without enough partners
-    for its model serves no requests.
+    for its model serves no requests. What remains are spares, which replace lost members of the
+    domain's groups.
 
     Parameters
     ----------
@@ -20,7 +21,7 @@
     fleet_state : FleetState
         State of the whole fleet, including the loads in progress.
     """
-    if fleet_state.is_before_traffic:
+    if fleet_state.is_before_traffic and not any(planned.values()):
         # The engines join a group first, and its load would replace the staged model.
         return []
     waiting = []
@@ -34,11 +35,14 @@
         model, count = _choose_first_model(
             engine_spec, engines_by_model, len(waiting), planned, fleet_state
         )
+        if model is None:
+            model, count = _choose_spare_model(engine_spec, engines_by_model, planned), 1
         for record in waiting[:count]:
             orders.append(_stage_order(record, model.name))
         del waiting[:count]
         engines_by_model[model.name] += count
-        planned[model.name] = planned.get(model.name, 0) + 1
+        if engines_by_model[model.name] % model.engines_per_group == 0:
+            planned[model.name] = planned.get(model.name, 0) + 1
     return orders
 
 
@@ -90,7 +94,10 @@
 
 
 def _choose_first_model(engine_spec, engines_by_model, waiting, planned, fleet_state):
-    """Return the model to stage next and the number of engines to stage it on."""
+    """Return the model to stage next and the number of engines that complete a group of it.
+
+    The model is None if the waiting engines complete no group.
+    """
     ranked = sorted(
         engine_spec.models.values(),
         key=lambda model: (
@@ -104,7 +111,17 @@
         )
         if engines_to_complete <= waiting:
             return model, engines_to_complete
-    return ranked[0], waiting
+    return None, 0
+
+
+def _choose_spare_model(engine_spec, engines_by_model, planned):
+    """Return the model with the fewest spares for each member of the domain's groups."""
+
+    def rank(model):
+        members = planned.get(model.name, 0) * model.engines_per_group
+        return (engines_by_model[model.name] + 1) / max(1, members), -model.engines_per_group
+
+    return min(engine_spec.models.values(), key=rank)
 
 
 def _choose_additional_model(engine_spec, record, planned, fleet_state):
