Send to heads that have just failed only if there are no others

Cause: a head in its cooldown cost one more second.

Change: heads in their cooldown are compared only if no other head is left, even a full one.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -25,8 +25,8 @@
 PLAIN_COST_JITTER = 0.1
 # Load that the request itself adds. It makes idle endpoints with different numbers of slots differ.
 OWN_LOAD = 0.5
-# Cost of an endpoint that has just failed; it is selected only if all others are much slower.
-COOLDOWN_PENALTY_S = 1.0
+# Cost of an endpoint of a plain service that has just failed, as a multiple of its slots.
+COOLDOWN_PENALTY = 1.0
 # A plain service refuses requests once the load of its best endpoint reaches this multiple of the
 # slots.
 PLAIN_QUEUE_FACTOR = 2.0
@@ -194,11 +194,7 @@
         best_cost = 0.0
         best_with_free_slot = None
         cost_with_free_slot = 0.0
-        for record in self._sample_heads(heads):
-            if record.endpoint_id in query.excluded:
-                continue
-            if self._stall_tracker.is_stalled(record.endpoint_id, stall_timeout_s, now):
-                continue
+        for record in self._usable_heads(query, heads, stall_timeout_s, now):
             load = self._load_tracker.estimate(record.endpoint_id, now)
             expected_s = offset_s + cost_model.first_event_time(engine, model, query.work, load)
             predicted_s = expected_s * self._health.slowness(record.endpoint_id, now)
@@ -207,8 +203,6 @@
             cost = predicted_s * (1.0 + load / engine.slots)
             if record.data_centre != self._data_centre:
                 cost += REMOTE_PENALTY_S
-            if self._health.is_cooling_down(record.endpoint_id, now):
-                cost += COOLDOWN_PENALTY_S
             cost *= 1.0 + HEAD_COST_JITTER * self._random_state.random()
             is_best = best is None or cost < best_cost
             has_free_slot = load < engine.slots
@@ -244,6 +238,25 @@
         # A slow group with a free slot serves the request sooner than a refusal and a retry would.
         return best_with_free_slot
 
+    def _usable_heads(self, query, heads, stall_timeout_s, now):
+        """Return the heads to compare.
+
+        Heads that have just failed are left out as long as there are others, even full ones: an
+        attempt at an engine that is gone costs the caller more time than a short queue.
+        """
+        usable = []
+        cooling_down = []
+        for record in self._sample_heads(heads):
+            if record.endpoint_id in query.excluded:
+                continue
+            if self._stall_tracker.is_stalled(record.endpoint_id, stall_timeout_s, now):
+                continue
+            if self._health.is_cooling_down(record.endpoint_id, now):
+                cooling_down.append(record)
+                continue
+            usable.append(record)
+        return usable or cooling_down
+
     def _sample_heads(self, heads):
         """Return the heads to compare: all of them, or a random sample if there are many."""
         if len(heads) <= MAX_COMPARED_HEADS:
@@ -260,7 +273,7 @@
             load = self._load_tracker.estimate(record.endpoint_id, now)
             cost = (load + OWN_LOAD) / max(1, record.slots)
             if self._health.is_cooling_down(record.endpoint_id, now):
-                cost += COOLDOWN_PENALTY_S
+                cost += COOLDOWN_PENALTY
             if record.data_centre != self._data_centre:
                 cost += PLAIN_REMOTE_PENALTY
             cost *= 1.0 + PLAIN_COST_JITTER * self._random_state.random()
--- a/src/lynxlanding/dispatch/tests/test_dispatcher.py
+++ b/src/lynxlanding/dispatch/tests/test_dispatcher.py
@@ -70,6 +70,23 @@
     assert last_choice.record.endpoint_id == "e0"
 
 
+def test_full_heads_are_preferred_to_one_that_has_just_failed():
+    """Pattern: an overload while the registrations of dead engines cannot lapse.
+
+    An idle head that is gone looks cheaper than a loaded one that serves.
+    """
+    dispatcher, _ = dispatch_factories.make_dispatcher(
+        [dispatch_factories.make_head(0), dispatch_factories.make_head(1)]
+    )
+    dispatcher.health.record_failure("e0", 0.0)
+    for _ in range(200):
+        decision = dispatcher.choose(dispatch_factories.make_query(), 0.1)
+        if isinstance(decision, dispatch_decision.Refuse):
+            return
+        assert decision.record.endpoint_id == "e1"
+    pytest.fail("the full head takes any number of requests")
+
+
 def test_failover_requires_another_group_and_retry_budget():
     """Guards against aborting a stalled stream that no other group can resume."""
     dispatcher, _ = dispatch_factories.make_dispatcher([dispatch_factories.make_head(0)])
