Retire groups together with the groups that replace them

Cause: the planner retired a group for a scarce model and decided only after its dissolution what to form. Spares of both models were meant for each domain, but two registered one after the other chose the same model, since loads before traffic were not tracked.

Change: retired and replacing groups are one plan; a retired model is formed again from what the scarce one leaves. A member joins only after the plan no longer has its old group. Loads before traffic are tracked, and among members that join equally fast, engines that hold no other model come first.

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from lynxlanding.fleet import group_membership
-from lynxlanding.replicas import engine_order, group_plan, placement, staging
+from lynxlanding.replicas import engine_order, group_plan, placement, regrouping, staging
 
 # A forming group is retired if its members are not ready within the load time of its model times
 # this factor, plus the slack.
@@ -44,9 +44,10 @@
     """Planner of one fabric domain; performs no I/O.
 
     Orders follow from the stored plan only: a group is formed, opened or dissolved only after the
-    change was stored by a conditional update, and an engine is planned for a group only after it
-    has left the previous one. Concurrent planners therefore at most repeat each other's orders, and
-    an engine rejects an order that arrives late because it has seen a higher epoch.
+    change was stored by a conditional update, and an engine is ordered to join a group only after
+    the plan no longer has its previous one, which all reachable members have left. Concurrent
+    planners therefore at most repeat each other's orders, and an engine rejects an order that
+    arrives late because it has seen a higher epoch.
 
     A group's head that has failed cannot be distinguished from one that is isolated by the network.
     The other members leave the group before they are used again, so that an isolated head makes no
@@ -94,8 +95,12 @@
             assigned_ids.update(group.members)
             planned[group.model] = planned.get(group.model, 0) + 1
         free = _free_records(engines, assigned_ids)
-        soon_free = _soon_free_records(groups, engines)
+        soon_free = _soon_free_records(groups, engines, assigned_ids)
         chosen = placement.choose_groups(engine_spec, free, planned, fleet_state, soon_free)
+        if not chosen:
+            chosen = self._regroup(
+                groups, engine_spec, engines, free, planned, fleet_state, reasons, now
+            )
         next_epoch = plan.next_epoch
         for model, members in chosen:
             name = group_plan.make_group_name(self._domain, next_epoch, model, members)
@@ -104,10 +109,6 @@
             )
             reasons.append(f"{name}: forming a group for {model} with {len(members)} engines")
             next_epoch += 1
-        if not chosen:
-            self._retire_surplus(
-                groups, engine_spec, engines, free, planned, fleet_state, reasons, now
-            )
         new_plan = dataclasses.replace(plan, next_epoch=next_epoch, groups=tuple(groups))
         if new_plan != plan:
             return PlanningStep(new_plan, [], [], reasons)
@@ -170,39 +171,51 @@
                 return "its members were not ready in time"
         return None
 
-    def _retire_surplus(
-        self, groups, engine_spec, engines, free, planned, fleet_state, reasons, now
-    ):
-        """Retire groups whose engines are needed as spares or for a scarce model."""
+    def _regroup(self, groups, engine_spec, engines, free, planned, fleet_state, reasons, now):
+        """Retire groups whose engines are needed as spares or for a scarce model.
+
+        Returns the model and the members of each group that is formed from them.
+        """
         serving = []
         for index, group in enumerate(groups):
             if group.phase != group_plan.SERVING:
                 # The engines of forming and retiring groups will be counted shortly.
-                return
+                return ()
             records = [engines[member].record for member in group.members]
             serving.append((index, group.model, records))
         if fleet_state.is_before_traffic:
-            members = _serving_members(groups, engines)
-            if staging.additional_model_orders(engine_spec, members, planned, fleet_state):
-                return
-        surplus = placement.choose_groups_to_retire(
-            engine_spec, free, planned, fleet_state, serving
-        )
-        if not surplus:
+            self._provide_spares(
+                groups, engine_spec, engines, free, planned, fleet_state, serving, reasons
+            )
+            return ()
+        change = regrouping.choose(engine_spec, free, planned, fleet_state, serving)
+        if not change.retired:
             self._shortage_since = None
-            return
+            return ()
         if self._shortage_since is None:
             self._shortage_since = now
-        if (
-            not fleet_state.is_before_traffic
-            and now - self._shortage_since < self._shortage_delay_s
-        ):
-            return
+        if now - self._shortage_since < self._shortage_delay_s:
+            return ()
         self._shortage_since = None
-        for index in surplus:
-            group = groups[index]
-            groups[index] = group.with_phase(group_plan.RETIRING)
-            reasons.append(f"{group.name}: its engines are needed as spares or for another model")
+        for index in change.retired:
+            self._retire(groups, index, reasons)
+        return change.formed
+
+    def _provide_spares(
+        self, groups, engine_spec, engines, free, planned, fleet_state, serving, reasons
+    ):
+        """Retire a group before traffic if its engines are needed as spares."""
+        members = _serving_members(groups, engines)
+        if staging.additional_model_orders(engine_spec, members, planned, fleet_state):
+            return
+        index = placement.choose_group_for_spares(engine_spec, free, planned, fleet_state, serving)
+        if index is not None:
+            self._retire(groups, index, reasons)
+
+    def _retire(self, groups, index, reasons):
+        group = groups[index]
+        groups[index] = group.with_phase(group_plan.RETIRING)
+        reasons.append(f"{group.name}: its engines are needed as spares or for another model")
 
 
 def _free_records(engines, assigned_ids):
@@ -215,15 +228,20 @@
     return free
 
 
-def _soon_free_records(groups, engines):
-    """Return the engines that will be free once the retiring groups are dissolved."""
+def _soon_free_records(groups, engines, assigned_ids):
+    """Return the engines that will be free once the retiring groups are dissolved.
+
+    Engines that are assigned to the next group already are left out.
+    """
     soon_free = []
     for group in groups:
         if group.phase != group_plan.RETIRING:
             continue
         for member in group.members:
             view = engines.get(member)
-            if view is not None and view.is_usable and _is_member(group, view):
+            if member in assigned_ids or view is None:
+                continue
+            if view.is_usable and _is_member(group, view):
                 soon_free.append(view.record)
     return soon_free
 
@@ -264,18 +282,18 @@
 
 
 def _orders(plan, engines, assigned_ids):
+    retiring = set()
+    for group in plan.groups:
+        if group.phase == group_plan.RETIRING:
+            retiring.update(group.members)
     orders = []
     for group in plan.groups:
         if group.phase == group_plan.RETIRING:
             orders.extend(_retire_orders(group, engines))
         elif group.phase == group_plan.FORMING:
-            orders.extend(_join_orders(group, engines))
+            orders.extend(_join_orders(group, engines, retiring))
         elif engines[group.head].record.membership.state == group_membership.READY:
             orders.append(_make_order(engine_order.OPEN, group.head, group))
-    retiring = set()
-    for group in plan.groups:
-        if group.phase == group_plan.RETIRING:
-            retiring.update(group.members)
     for endpoint_id, view in sorted(engines.items()):
         if endpoint_id in assigned_ids or endpoint_id in retiring or not view.is_usable:
             continue
@@ -295,11 +313,15 @@
     return engine_order.EngineOrder(kind, endpoint_id, group.name, group.epoch, **fields)
 
 
-def _join_orders(group, engines):
+def _join_orders(group, engines, retiring):
+    """Return the orders for members that have not joined yet.
+
+    A member joins only after the plan no longer has the retiring group that it comes from.
+    """
     orders = []
     for member in group.members:
         view = engines[member]
-        if _is_member(group, view):
+        if member in retiring or _is_member(group, view):
             continue
         membership = view.record.membership
         if membership is not None:
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -397,7 +397,7 @@
             groups_elsewhere,
             len(members) / max(1, engines),
             not has_traffic,
-            self._order_sender.fleet_loads() if has_traffic else {},
+            self._order_sender.fleet_loads(),
         )
 
 
--- a/src/lynxlanding/replicas/order_sender.py
+++ b/src/lynxlanding/replicas/order_sender.py
@@ -83,12 +83,14 @@
             record, order.model
         )
         load_s = 0.0
-        if is_load and has_traffic:
-            if not self._can_start_load(
+        if is_load:
+            if has_traffic and not self._can_start_load(
                 engine_spec, load_limit_share, now, is_background=is_background
             ):
                 return
             load_s = engine_spec.models[order.model].load_s
+            if not has_traffic:
+                load_s *= order_rate_limiter.LOAD_TIME_SHARE_BEFORE_TRAFFIC
             self._loads.start(record, order.model, load_s, now)
         self._rate_limiter.record_sent(order, is_load, now)
         threading.Thread(target=self._deliver, args=(order, record, load_s), daemon=True).start()
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -10,10 +10,8 @@
 MAX_COVERAGE = 2.0
 # Spares are used for a model whose coverage is below this.
 SPARE_USE_COVERAGE = 1.2
-# A model below SCARCE_COVERAGE may take the engines of another model's group, as long as the
-# coverage of that model stays at or above MIN_DONOR_COVERAGE and that of the scarce model.
+# Engines that will complete a group of a model below this coverage are not used otherwise.
 SCARCE_COVERAGE = 0.9
-MIN_DONOR_COVERAGE = 0.65
 # Before traffic, a group is retired to provide spares if its model keeps this coverage.
 SUFFICIENT_COVERAGE = 0.9
 
@@ -87,8 +85,8 @@
     return math.ceil(engines * SPARE_SHARE)
 
 
-def choose_groups_to_retire(engine_spec, free, planned, fleet_state, groups):
-    """Return the indices of the groups to retire for a scarce model or to provide spares.
+def choose_group_for_spares(engine_spec, free, planned, fleet_state, groups):
+    """Return the index of the group to retire before traffic to provide spares, or None.
 
     Parameters
     ----------
@@ -103,47 +101,14 @@
     groups : list of tuple
         Serving groups as (index, model, member records).
     """
-    if fleet_state.is_before_traffic and len(free) < spare_count(engine_spec, len(free), planned):
-        for index, model, _ in sorted(
-            groups, key=lambda group: engine_spec.models[group[1]].engines_per_group
-        ):
-            if (
-                coverage(model, {**planned, model: planned[model] - 1}, fleet_state)
-                >= SUFFICIENT_COVERAGE
-            ):
-                return [index]
-    for model in sorted(engine_spec.models.values(), key=lambda model: -model.engines_per_group):
-        if coverage(model.name, planned, fleet_state) < SCARCE_COVERAGE:
-            donors = _choose_donors(model, free, planned, fleet_state, groups)
-            if donors:
-                return donors
-    return []
-
-
-def _choose_donors(scarce, free, planned, fleet_state, groups):
-    """Return the indices of groups whose engines complete a group of the scarce model.
-
-    The list is empty if the donors together do not suffice.
-    """
-    planned = dict(planned)
-    scarce_coverage = coverage(scarce.name, planned, fleet_state)
-    ready_count = _count_preloaded(free, scarce.name)
-    donors = []
-    for index, model, records in groups:
-        if ready_count >= scarce.engines_per_group:
-            break
-        if model == scarce.name:
-            continue
-        remaining = planned[model] - 1
-        donor_coverage = coverage(model, {**planned, model: remaining}, fleet_state)
-        if donor_coverage < MIN_DONOR_COVERAGE or donor_coverage < scarce_coverage:
-            continue
-        preloaded = _count_preloaded(records, scarce.name)
-        if preloaded:
-            planned[model] = remaining
-            ready_count += preloaded
-            donors.append(index)
-    return donors if ready_count >= scarce.engines_per_group else []
+    if len(free) >= spare_count(engine_spec, len(free), planned):
+        return None
+    by_size = sorted(groups, key=lambda group: engine_spec.models[group[1]].engines_per_group)
+    for index, model, _ in by_size:
+        remaining = {**planned, model: planned[model] - 1}
+        if coverage(model, remaining, fleet_state) >= SUFFICIENT_COVERAGE:
+            return index
+    return None
 
 
 def _choose_next_group(engine_spec, free, planned, fleet_state, spares, soon_free):
@@ -175,7 +140,7 @@
         if len(members) == model.engines_per_group:
             return model, members
         missing_count = model.engines_per_group - len(members)
-        if current_coverage < SCARCE_COVERAGE and missing_count <= _count_preloaded(
+        if current_coverage < SCARCE_COVERAGE and missing_count <= count_preloaded(
             soon_free, model.name
         ):
             # The other members of its next group are about to become free.
@@ -208,10 +173,16 @@
         # stage a model first, so that the other members need not wait for them.
         if fleet_state.is_before_traffic or not needs_load(record, model.name):
             candidates.append(record)
-    candidates.sort(key=lambda record: (_join_cost(record, model.name), record.endpoint_id))
+    candidates.sort(key=lambda record: member_rank(record, model.name))
     return candidates[: model.engines_per_group]
 
 
+def member_rank(record, model):
+    """Return the sort key of a candidate member; engines that hold other models come last."""
+    held_models = {*record.models, *record.staged_models, record.last_model} - {None, model}
+    return _join_cost(record, model), len(held_models), record.endpoint_id
+
+
 def _join_cost(record, model):
     """Return 0 if the engine still holds the model, 1 if its host does, and 2 otherwise."""
     if model in record.models or record.last_model == model:
@@ -219,7 +190,7 @@
     return 1 if model in record.staged_models else 2
 
 
-def _count_preloaded(records, model):
+def count_preloaded(records, model):
     """Return how many engines can join a group of the model without loading weights."""
     return sum(not needs_load(record, model) for record in records)
 
--- a/src/lynxlanding/replicas/tests/simulated_domain.py
+++ b/src/lynxlanding/replicas/tests/simulated_domain.py
@@ -304,9 +304,9 @@
         self.observe()
 
 
-def join_without_leaving(group, engines):
+def join_without_leaving(group, engines, retiring):
     """Return join orders for all members, without leave orders; a fault that tests must detect."""
-    del engines
+    del engines, retiring
     orders = []
     for member in group.members:
         orders.append(
--- a/src/lynxlanding/replicas/tests/test_domain_planner.py
+++ b/src/lynxlanding/replicas/tests/test_domain_planner.py
@@ -143,3 +143,39 @@
         == "large"
     )
     assert group_plan.model_from_name("g7") is None
+
+
+def test_the_groups_that_replace_retired_ones_are_planned_with_them():
+    """Pattern: needs that change between the retirement of a group and its dissolution.
+
+    The engines of a group that was retired for a scarce model formed the same group again.
+    """
+    groups = []
+    views = {}
+    for pair in range(2):
+        members = (f"e{2 * pair}", f"e{2 * pair + 1}")
+        name = group_plan.make_group_name("d0", pair + 1, "small", members)
+        groups.append(group_plan.GroupPlan(name, pair + 1, "small", members, group_plan.SERVING))
+        for rank, member in enumerate(members):
+            state = "ready" if rank else "open"
+            membership = group_membership.GroupMembership(name, pair + 1, rank, state)
+            record = simulated_domain.engine_record(member, "small", ("large",), membership)
+            views[member] = engine_view.EngineView(record, True, False)
+    planner = domain_planner.DomainPlanner("d0")
+    spec = simulated_domain.make_engine_spec()
+    shortage = placement.FleetState({"large": 5, "small": 9}, {"large": 4, "small": 12}, 1 / 6)
+    plan = group_plan.DomainPlan(3, tuple(groups))
+    planner.step(plan, spec, views, shortage, 0.0)
+    plan = planner.step(plan, spec, views, shortage, 2.0).plan
+    assert [group.phase for group in plan.groups] == ["retiring", "retiring", "forming"]
+    assert plan.groups[2].model == "large"
+    reversed_needs = placement.FleetState({"large": 4, "small": 20}, {"large": 4}, 1 / 6)
+    orders = planner.step(plan, spec, views, reversed_needs, 2.1).orders
+    assert [order.kind for order in orders] == [engine_order.CLOSE, engine_order.CLOSE]
+    for endpoint_id, view_before in list(views.items()):
+        record = simulated_domain.engine_record(endpoint_id, "small", ("large",))
+        views[endpoint_id] = engine_view.EngineView(record, True, view_before.is_silent)
+    plan = planner.step(plan, spec, views, reversed_needs, 2.2).plan
+    assert [group.phase for group in plan.groups] == ["forming"]
+    orders = planner.step(plan, spec, views, reversed_needs, 2.3).orders
+    assert [order.kind for order in orders] == [engine_order.JOIN] * 4
--- a/src/lynxlanding/replicas/tests/test_order_sender.py
+++ b/src/lynxlanding/replicas/tests/test_order_sender.py
@@ -73,7 +73,7 @@
 def test_loads_are_not_limited_before_traffic(harness):
     for number in range(12):
         harness.stage(number, has_traffic=False)
-    assert harness.sender.loading_engines == frozenset()
+    assert harness.sender.loading_engines == {f"e{number}" for number in range(12)}
     assert harness.accepted.wait(WAIT_S)
 
 
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -1,7 +1,7 @@
 import collections
 import dataclasses
 
-from lynxlanding.replicas import engine_order, placement, staging
+from lynxlanding.replicas import engine_order, placement, regrouping, staging
 from lynxlanding.replicas.tests import simulated_domain
 
 
@@ -42,10 +42,10 @@
     """Guards against a domain without spares when traffic starts."""
     fleet_state = simulated_domain.make_fleet_state(is_before_traffic=True)
     groups = [(0, "large", []), (1, "small", []), (2, "small", []), (3, "small", [])]
-    surplus = placement.choose_groups_to_retire(
+    surplus = placement.choose_group_for_spares(
         simulated_domain.make_engine_spec(), [], {"large": 1, "small": 3}, fleet_state, groups
     )
-    assert surplus == [1]
+    assert surplus == 1
 
 
 def test_remaining_engines_and_a_spare_form_a_group_of_the_scarce_model():
@@ -97,14 +97,15 @@
         (index, "small", [dual_model_engine(2 * index), dual_model_engine(2 * index + 1)])
         for index in range(3)
     ]
-    surplus = placement.choose_groups_to_retire(
+    change = regrouping.choose(
         simulated_domain.make_engine_spec(),
         [dual_model_engine(8), dual_model_engine(9)],
         {"small": 3},
         fleet_state,
         pairs,
     )
-    assert surplus == [0]
+    assert change.retired == (0,)
+    assert change.formed == (("large", ("e0", "e1", "e8", "e9")),)
 
 
 def test_retires_no_group_that_does_not_complete_the_scarce_one():
@@ -113,14 +114,14 @@
         large=5, small=9, groups_elsewhere={"large": 3, "small": 12}, domain_share=1 / 6
     )
     pairs = [(0, "small", [dual_model_engine(0), blank_engine(1)])]
-    surplus = placement.choose_groups_to_retire(
+    change = regrouping.choose(
         simulated_domain.make_engine_spec(),
         [dual_model_engine(8)],
         {"small": 1},
         fleet_state,
         pairs,
     )
-    assert surplus == []
+    assert change == regrouping.Regrouping()
 
 
 def test_stages_the_model_that_an_engine_does_not_hold():
@@ -162,12 +163,8 @@
         == []
     )
     groups = [(0, "large", []), (1, "small", []), (2, "small", [])]
-    assert (
-        placement.choose_groups_to_retire(
-            spec, [dual_model_engine(0), dual_model_engine(1)], planned, fleet_state, groups
-        )
-        == []
-    )
+    spares = [dual_model_engine(0), dual_model_engine(1)]
+    assert placement.choose_group_for_spares(spec, spares, planned, fleet_state, groups) is None
 
 
 def test_a_group_of_a_better_covered_model_is_retired_to_complete_a_scarce_one():
@@ -181,11 +178,32 @@
     fleet_state = simulated_domain.make_fleet_state(
         large=6, small=11, groups_elsewhere={"large": 4, "small": 7}, domain_share=1 / 6
     )
-    assert placement.choose_groups_to_retire(spec, free, {"small": 2}, fleet_state, pairs) == [0]
+    assert regrouping.choose(spec, free, {"small": 2}, fleet_state, pairs).retired == (0,)
     lower_coverage = simulated_domain.make_fleet_state(
         large=6, small=11, groups_elsewhere={"large": 4, "small": 5}, domain_share=1 / 6
     )
-    assert placement.choose_groups_to_retire(spec, free, {"small": 2}, lower_coverage, pairs) == []
+    assert regrouping.choose(spec, free, {"small": 2}, lower_coverage, pairs).retired == ()
+
+
+def test_a_retired_group_is_formed_again_from_what_the_scarce_model_leaves():
+    """Pattern: a member of the large group is lost, and its spare went to an earlier loss.
+
+    Three remaining members, a spare of the small model and a small group suffice for both.
+    """
+    spec = simulated_domain.make_engine_spec()
+    spec.models["small"] = dataclasses.replace(spec.models["small"], engines_per_group=3)
+    free = [dual_model_engine(i, "large", "small") for i in range(3)]
+    free.append(simulated_domain.engine_record("e3", None, ("small",)))
+    members = [dual_model_engine(i) for i in (4, 5, 6)]
+    fleet_state = simulated_domain.make_fleet_state(
+        large=5, small=5, groups_elsewhere={"large": 4, "small": 4}, domain_share=1 / 6
+    )
+    change = regrouping.choose(spec, free, {"small": 1}, fleet_state, [(0, "small", members)])
+    assert change.retired == (0,)
+    assert change.formed == (
+        ("large", ("e0", "e1", "e2", "e4")),
+        ("small", ("e5", "e6", "e3")),
+    )
 
 
 def first_models(free, fleet_state, planned=None):
@@ -246,6 +264,33 @@
     }
 
 
+def test_engines_that_hold_only_one_model_become_members_first():
+    """Pattern: a small group formed from the engines that a large one is waiting for."""
+    spec = simulated_domain.make_engine_spec()
+    free = [
+        simulated_domain.engine_record("e0", "large", ("small",)),
+        simulated_domain.engine_record("e1", "large", ("small",)),
+        simulated_domain.engine_record("e2", None, ("small",)),
+        simulated_domain.engine_record("e3", None, ("small",)),
+    ]
+    fleet_state = simulated_domain.make_fleet_state(large=0.1, small=1)
+    assert placement.choose_groups(spec, free, {"large": 1}, fleet_state)[0] == (
+        "small",
+        ("e2", "e3"),
+    )
+
+
+def test_spares_are_spread_while_the_first_one_still_loads():
+    """Pattern: engines that register one after the other before the first request."""
+    spec = simulated_domain.make_engine_spec()
+    spec.models["small"] = dataclasses.replace(spec.models["small"], engines_per_group=3)
+    fleet_state = simulated_domain.make_fleet_state(is_before_traffic=True)
+    fleet_state.loads_in_progress["e1"] = "large"
+    free = [blank_engine(0), blank_engine(1)]
+    orders = staging.first_model_orders(spec, free, {"large": 1, "small": 1}, fleet_state)
+    assert {order.endpoint_id: order.model for order in orders} == {"e0": "small"}
+
+
 def test_spares_are_spread_over_the_models_of_the_groups():
     """Pattern: single losses in groups of both models."""
     free = [blank_engine(0), blank_engine(1)]
