Pass changes of the store on between nodes, and plan where it answers

(3) Reports went to random samples of 24 peers, so that with 83 nodes a third of the quiet ones counted as not live at any time, and domains changed hands.

Changes: one node in forty relays what it reads to subscribers by UDP, with the version that each message follows; gaps, lists and other eras are read from the store. Reports say whether the store answers their sender, and only such nodes plan and relay. Reports go to all peers in turn. Within one batch only the last change of an object counts (an endpoint put and deleted in one batch stayed). A report of an engine that is no object is a typed error.

Ruled out: stale lists (seconds old, too late for engines that leave); heartbeats of nodes that are fed themselves (two nodes could keep each other from reading).

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -7,6 +7,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.observability import restarting_thread
+from lynxlanding.store import watch_batch
 
 # An unresponsive store is noticed only when a watch ends, and nodes must receive changes again
 # within about three seconds of the store's recovery.
@@ -22,6 +23,8 @@
 STORE_LOST = "lynxlanding:store:lost"
 STORE_REGAINED = "lynxlanding:store:regained"
 STORE_ROLLED_BACK = "lynxlanding:store:rolled_back"
+FEED_FOLLOWED = "lynxlanding:feed:followed"
+FEED_LOST = "lynxlanding:feed:lost"
 
 
 class StoreWatcher:
@@ -38,13 +41,17 @@
     get_pause_s : callable, optional
         Returns how long to wait before the next watch, in seconds. A watch returns at the first
         change and the platform charges for every call, so the pause batches changes.
+    feed : ChangeFeed, optional
+        Changes that another node passes on; the store is read only where it has none.
     """
 
-    def __init__(self, store, kind, handler, get_pause_s=None):
+    def __init__(self, store, kind, handler, get_pause_s=None, feed=None):
         self._store = store
         self._kind = kind
         self._handler = handler
         self._get_pause_s = get_pause_s
+        self._feed = feed
+        self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
 
@@ -61,7 +68,7 @@
         while not self._stop.is_set():
             try:
                 version = self._sync(version)
-                if self._get_pause_s is not None:
+                if self._get_pause_s is not None and not self._is_fed:
                     self._stop.wait(self._get_pause_s())
             except platform_errors.WatchExpired as e:
                 eliot.log_message(
@@ -85,21 +92,54 @@
                 self._stop.wait(RETRY_PAUSE_S)
 
     def _sync(self, version):
-        """Perform one list or watch call; return the version to continue from."""
+        """Read a list or the next changes; return the version to continue from."""
         if version is None:
             objects, version = self._store.list(self._kind)
-            self._handler.on_list(objects, version, time.monotonic(), self._mark_available())
+            was_outage = self._mark_available()
+            self._handler.on_list(objects, version, time.monotonic(), was_outage)
+            self._publish(None, watch_batch.WatchBatch([], [], version), was_outage)
             return version
-        timeout_s = WATCH_TIMEOUT_S if self._unavailable_since is None else RECOVERY_WATCH_TIMEOUT_S
+        if self._feed is not None:
+            message = self._feed.watch(self._kind, version, WATCH_TIMEOUT_S)
+            if message is not None:
+                return self._apply_message(message)
+        # The feed may have ended because the store does not respond.
+        is_doubtful = self._unavailable_since is not None or self._is_fed
+        timeout_s = RECOVERY_WATCH_TIMEOUT_S if is_doubtful else WATCH_TIMEOUT_S
+        self._set_fed(False, version)
         batch = self._store.watch(self._kind, version, timeout_s)
         was_outage = self._mark_available()
         self._handler.on_changes(batch.puts, batch.deletes, time.monotonic(), was_outage)
+        self._publish(version, batch, was_outage)
         return batch.version
 
+    def _apply_message(self, message):
+        """Apply what another node has read; return the version to continue from."""
+        self._set_fed(True, message.version)
+        self._feed.withdraw(self._kind)
+        was_outage = self._mark_available() or message.was_outage
+        self._handler.on_changes(message.puts, message.deletes, time.monotonic(), was_outage)
+        return message.version
+
+    def _set_fed(self, is_fed, version):
+        if is_fed != self._is_fed:
+            self._is_fed = is_fed
+            eliot.log_message(
+                message_type=FEED_FOLLOWED if is_fed else FEED_LOST,
+                kind=self._kind,
+                version=str(version),
+            )
+
+    def _publish(self, after, batch, was_outage):
+        if self._feed is not None:
+            self._feed.publish(self._kind, after, batch, was_outage=was_outage)
+
     def _mark_unavailable(self, error):
         if self._unavailable_since is not None:
             return
         self._unavailable_since = time.monotonic()
+        if self._feed is not None:
+            self._feed.withdraw(self._kind)
         eliot.log_message(
             message_type=STORE_LOST, kind=self._kind, error=error.type_name, detail=str(error)[:200]
         )
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -2,6 +2,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.node import store_watcher
+from lynxlanding.peers import feed_message
 from lynxlanding.store import stored_object, watch_batch
 
 
@@ -116,3 +117,42 @@
     )
     assert [call[0] for call in store.calls[:3]] == ["list", "watch", "list"]
     assert handler.events[1:3] == [("rolled back",), ("list", ["a"], 5, False)]
+
+
+class ScriptedFeed:
+    """Returns the messages of a script; None once it has ended."""
+
+    def __init__(self, *messages):
+        self._messages = list(messages)
+        self.published = []
+        self.withdrawn = 0
+
+    def watch(self, kind, after, timeout_s):
+        return self._messages.pop(0) if self._messages else None
+
+    def publish(self, kind, after, batch, *, was_outage):
+        self.published.append((after, batch.version))
+
+    def withdraw(self, kind):
+        self.withdrawn += 1
+
+
+def test_the_store_is_not_read_while_another_node_passes_changes_on(monkeypatch):
+    """Pattern: many nodes, each of which would call the store for every change."""
+    messages = [
+        feed_message.FeedMessage("servers", 7, 8, (make_stored("b"),), ()),
+        feed_message.FeedMessage("servers", 8, 9, (), ("a",)),
+    ]
+    feed = ScriptedFeed(*messages)
+    store = ScriptedStore(([make_stored("a")], 7), watch_batch.WatchBatch([], [], 12))
+    handler = RecordingHandler()
+    watcher = store_watcher.StoreWatcher(store, "servers", handler, feed=feed)
+    monkeypatch.setattr(store_watcher, "RETRY_PAUSE_S", 0.01)
+    store.watcher = watcher
+    watcher.start()
+    assert store.done.wait(5.0)
+    assert handler.events[1:3] == [("changes", ["b"], (), False), ("changes", [], ("a",), False)]
+    # After the feed has ended, the first watch is short, since the store may not respond.
+    assert store.calls[1] == ("watch", 9, store_watcher.RECOVERY_WATCH_TIMEOUT_S)
+    assert feed.published == [(None, 7), (9, 12)]
+    assert feed.withdrawn >= 2
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -35,6 +35,7 @@
 )
 from lynxlanding.observability import bounded_log, deferred_metrics, restarting_thread
 from lynxlanding.peers import (
+    change_feed,
     local_state,
     node_directory,
     peer_identity,
@@ -63,6 +64,8 @@
 # the previous one to show up in the store, so the batches are shorter.
 WATCH_PAUSE_S = 0.4
 REGROUPING_WATCH_PAUSE_S = 0.05
+# Other nodes wait for what a relay reads.
+RELAY_WATCH_PAUSE_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.05
 LOG_FLUSH_TIMEOUT_S = 0.5
 
@@ -112,7 +115,7 @@
             self._store,
             engine_client.PlatformEngineClient(),
             self._get_endpoint_records,
-            self._get_live_nodes,
+            self._get_store_nodes,
             self._has_traffic,
             self._get_stalled_endpoints,
             self._get_busy_groups,
@@ -122,14 +125,21 @@
         self._endpoint_handler = endpoint_handler.EndpointHandler(
             self._serving, self._node_status, self._pool, self._on_endpoints_changed
         )
-        self._watchers = self._create_watchers()
+        self._change_feed = change_feed.ChangeFeed(
+            self._identity,
+            self._peer_table,
+            self._get_store_nodes,
+            self._send_datagram,
+        )
         self._report_transport = report_transport.ReportTransport(
             self._identity,
             self._peer_table,
             self._build_local_state,
             self._on_peer_report,
+            self._change_feed.receive,
             self._random_state,
         )
+        self._watchers = self._create_watchers()
         self._directory = node_directory.NodeDirectory(
             self._store, self._identity, self._peer_table, self._on_node_count
         )
@@ -154,6 +164,7 @@
             watcher.start()
         self._directory.start()
         self._report_transport.start()
+        self._change_feed.start()
         self._group_controller.start()
         restarting_thread.start(self._run_maintenance, "upkeep")
         eliot.log_message(
@@ -183,9 +194,15 @@
             self._serving, self._node_status, self._group_controller.use_configuration
         )
         return [
-            store_watcher.StoreWatcher(self._store, configuration_codec.KIND, handler),
             store_watcher.StoreWatcher(
-                self._store, endpoint_codec.KIND, self._endpoint_handler, self._get_watch_pause_s
+                self._store, configuration_codec.KIND, handler, feed=self._change_feed
+            ),
+            store_watcher.StoreWatcher(
+                self._store,
+                endpoint_codec.KIND,
+                self._endpoint_handler,
+                self._get_watch_pause_s,
+                self._change_feed,
             ),
         ]
 
@@ -225,13 +242,17 @@
         return servers
 
     def _get_watch_pause_s(self):
-        return REGROUPING_WATCH_PAUSE_S if self._group_controller.is_busy else WATCH_PAUSE_S
+        if self._group_controller.is_busy:
+            return REGROUPING_WATCH_PAUSE_S
+        return RELAY_WATCH_PAUSE_S if self._change_feed.has_subscribers else WATCH_PAUSE_S
 
     def _get_endpoint_records(self):
         return self._serving.records().get()
 
-    def _get_live_nodes(self):
-        return self._peer_table.live_node_ids(time.monotonic())
+    def _get_store_nodes(self):
+        return self._peer_table.store_node_ids(
+            time.monotonic(), is_own_store_unavailable=self._store.is_unavailable
+        )
 
     def _on_endpoints_changed(self):
         self._group_controller.wake()
@@ -264,6 +285,7 @@
             self._node_status.has_traffic or self._peer_view.has_traffic,
             self._serving.busy_groups(now).get(),
             self._group_controller.loading_engines,
+            self._store.is_unavailable,
         )
 
     def _on_peer_report(self, report, now):
@@ -272,6 +294,9 @@
             self._group_controller.wake()
         self._serving.apply_peer_load(report.node_id, requests_by_endpoint, now)
 
+    def _send_datagram(self, data, address):
+        self._report_transport.send_datagram(data, address)
+
     def _run_maintenance(self):
         while not self._stop_requested.wait(MAINTENANCE_INTERVAL_S):
             now = time.monotonic()
@@ -361,6 +386,7 @@
             in_flight=self._node_status.in_flight,
             duration_s=round(time.monotonic() - started_at, 3),
         )
+        self._change_feed.stop()
         self._report_transport.stop()
         self._directory.stop()
         for watcher in self._watchers:
--- /dev/null
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -0,0 +1,88 @@
+"""Encoding of feed messages and subscriptions as datagrams."""
+
+import dataclasses
+import json
+import zlib
+
+from lynxlanding.errors import membership as membership_errors
+from lynxlanding.peers import feed_message
+from lynxlanding.store import store_version, stored_object
+
+# No packed load report starts with these bytes, so that both fit on one socket.
+PREFIX = b"\xfflxf"
+# A larger datagram is fragmented by IP, and the loss of one fragment loses all of it.
+MAX_DATAGRAM_BYTES = 1400
+# Limit on the data decoded from one datagram, in bytes.
+_MAX_DECODED_BYTES = 1 << 18
+
+
+def is_feed(data):
+    """Return whether a datagram is a feed message or a subscription."""
+    return data.startswith(PREFIX)
+
+
+def encode(message):
+    """Return the datagram of a message; without the changes if they do not fit into it."""
+    data = _compress(_to_document(message))
+    if len(data) <= MAX_DATAGRAM_BYTES:
+        return data
+    notice = dataclasses.replace(message, puts=(), deletes=(), is_complete=False)
+    return _compress(_to_document(notice))
+
+
+def encode_subscription(subscription):
+    """Return the datagram of a subscription."""
+    return _compress({"subscriber": subscription.address})
+
+
+def decode(data):
+    """Return the decoded ``FeedMessage`` or ``Subscription``.
+
+    Raises
+    ------
+    errors.membership.MalformedMessage
+        If the data is neither.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        text = inflater.decompress(data[len(PREFIX) :], _MAX_DECODED_BYTES)
+        if not inflater.eof:
+            raise membership_errors.MalformedMessage("feed message is truncated or too large")
+        document = json.loads(text)
+        if "subscriber" in document:
+            return feed_message.Subscription(str(document["subscriber"]))
+        era = int(document["era"])
+        kind = document["kind"]
+        puts = []
+        for name, revision, value in document["puts"]:
+            version = store_version.StoreVersion(era, int(revision))
+            puts.append(stored_object.StoredObject(kind, name, version, value))
+        return feed_message.FeedMessage(
+            kind,
+            store_version.StoreVersion(era, int(document["after"])),
+            store_version.StoreVersion(era, int(document["version"])),
+            tuple(puts),
+            tuple(document["deletes"]),
+            bool(document["complete"]),
+            bool(document["was_outage"]),
+        )
+    except (zlib.error, ValueError, KeyError, TypeError) as e:
+        raise membership_errors.MalformedMessage(f"feed message: {e}") from e
+
+
+def _to_document(message):
+    puts = [[stored.name, stored.version.revision, stored.value] for stored in message.puts]
+    return {
+        "kind": message.kind,
+        "era": message.version.era,
+        "after": message.after.revision,
+        "version": message.version.revision,
+        "puts": puts,
+        "deletes": list(message.deletes),
+        "complete": message.is_complete,
+        "was_outage": message.was_outage,
+    }
+
+
+def _compress(document):
+    return PREFIX + zlib.compress(json.dumps(document, separators=(",", ":")).encode())
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -21,6 +21,8 @@
         Number of groups that this node's requests keep busy, by model.
     loading : frozenset of str
         Engines that are loading weights on this node's orders.
+    is_store_unavailable : bool
+        Whether the store refuses or does not answer this node.
     """
 
     loads: dict[str, int]
@@ -29,3 +31,4 @@
     has_traffic: bool
     busy_groups: dict[str, float]
     loading: frozenset[str]
+    is_store_unavailable: bool
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -26,4 +26,6 @@
   work @8 :List(ModelWork);
   # Hashes of the engines that are loading weights on the sender's orders.
   loading @9 :List(UInt64);
+  # Whether the store refuses or does not answer the sender.
+  isStoreUnavailable @10 :Bool;
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -30,6 +30,8 @@
         Number of groups that the sender's requests keep busy, by model.
     loading : frozenset of int
         Hashes of the engines that are loading weights on the sender's orders.
+    is_store_unavailable : bool
+        Whether the store refuses or does not answer the sender.
     """
 
     node_id: str
@@ -42,3 +44,4 @@
     stalled: frozenset[int] = frozenset()
     busy_groups: dict[str, float] = dataclasses.field(default_factory=dict)
     loading: frozenset[int] = frozenset()
+    is_store_unavailable: bool = False
--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -29,6 +29,8 @@
         first report if it has not been listed since.
     configuration_version : int
         Version of the configuration in the last report.
+    is_store_unavailable : bool
+        Whether the store refused or did not answer the node as of the last report.
     """
 
     node_id: str
@@ -38,6 +40,7 @@
     last_report_at: float | None = None
     last_listed_at: float = 0.0
     configuration_version: int = 0
+    is_store_unavailable: bool = False
 
 
 class PeerTable:
@@ -90,6 +93,7 @@
         peer.sequence = report.sequence
         peer.address = report.address
         peer.configuration_version = report.configuration_version
+        peer.is_store_unavailable = report.is_store_unavailable
         peer.last_report_at = now
         return True
 
@@ -101,6 +105,19 @@
                 nodes.append(peer.node_id)
         return nodes
 
+    def store_node_ids(self, now, *, is_own_store_unavailable):
+        """Return the ids of the live nodes that the store answers, or all if it answers none.
+
+        Work that needs the store is divided among these nodes.
+        """
+        nodes = []
+        for node_id in self.live_node_ids(now):
+            peer = self._peers.get(node_id)
+            is_unavailable = is_own_store_unavailable if peer is None else peer.is_store_unavailable
+            if not is_unavailable:
+                nodes.append(node_id)
+        return nodes or self.live_node_ids(now)
+
     def target_addresses(self, now):
         """Return the addresses to send reports to; drop the peers that have expired."""
         addresses = []
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -38,6 +38,7 @@
         message.hasTraffic = report.has_traffic
         message.stalled = sorted(report.stalled)
         message.loading = sorted(report.loading)
+        message.isStoreUnavailable = report.is_store_unavailable
         work = message.init("work", len(report.busy_groups))
         for index, (model, groups) in enumerate(report.busy_groups.items()):
             work[index].model = model
@@ -74,6 +75,7 @@
                 frozenset(message.stalled),
                 {item.model: item.groups for item in message.work},
                 frozenset(message.loading),
+                message.isStoreUnavailable,
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -1,6 +1,7 @@
 """Exchange of load reports with other nodes over UDP."""
 
 import logging
+import math
 import random
 import socket
 import threading
@@ -8,14 +9,16 @@
 
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.observability import restarting_thread
-from lynxlanding.peers import peer_report, report_codec
+from lynxlanding.peers import feed_codec, peer_report, report_codec
 
 # Changed loads are reported at this interval.
 REPORT_INTERVAL_S = 0.1
 # An unchanged state is reported this often, so that peers count the node as live.
 HEARTBEAT_INTERVAL_S = 0.4
-# With more peers, each report is sent to a random sample of this size.
+# With more peers, each report is sent to this many of them in turn.
 MAX_TARGETS = 24
+# Every peer must hear from this node within its liveness timeout, also if a datagram is lost.
+MAX_ROUND_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -33,15 +36,19 @@
         Returns the ``LocalState`` to report.
     on_report : callable
         Called with each new ``PeerReport`` and its time of arrival, in monotonic seconds.
+    on_feed : callable
+        Called with each datagram of the change feed and its time of arrival.
     random_state : random.Random
-        Selects the targets if there are more than ``MAX_TARGETS`` peers.
+        Shuffles the targets if there are more than ``MAX_TARGETS`` peers.
     """
 
-    def __init__(self, identity, table, build_state, on_report, random_state=None):
+    def __init__(self, identity, table, build_state, on_report, on_feed, random_state=None):
         self._identity = identity
         self._table = table
         self._build_state = build_state
         self._on_report = on_report
+        self._on_feed = on_feed
+        self._remaining_targets = []
         self._random_state = random_state or random.Random()
         self._codec = report_codec.ReportCodec()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -65,7 +72,9 @@
         while not self._stop.wait(REPORT_INTERVAL_S):
             now = time.monotonic()
             state = self._build_state()
-            if _is_unchanged(state, last_state) and now - last_sent_at < HEARTBEAT_INTERVAL_S:
+            rounds = math.ceil(len(self._table.peers) / MAX_TARGETS)
+            heartbeat_s = min(HEARTBEAT_INTERVAL_S, MAX_ROUND_S / max(1, rounds))
+            if _is_unchanged(state, last_state) and now - last_sent_at < heartbeat_s:
                 continue
             last_state = state
             last_sent_at = now
@@ -94,17 +103,30 @@
                 stalled,
                 state.busy_groups,
                 loading,
+                state.is_store_unavailable,
             )
         )
+        for address in self._next_targets(now):
+            self.send_datagram(data, address)
+
+    def send_datagram(self, data, address):
+        """Send a datagram to ``host:port`` from the socket that also receives."""
+        host, _, port = address.rpartition(":")
+        try:
+            self._socket.sendto(data, (host, int(port)))
+        except OSError as e:
+            _logger.info("failed to send a datagram to %s: %s", address, e)
+
+    def _next_targets(self, now):
+        """Return the peers that get the next report: all, or those whose turn it is."""
         targets = self._table.target_addresses(now)
-        if len(targets) > MAX_TARGETS:
-            targets = self._random_state.sample(targets, MAX_TARGETS)
-        for address in targets:
-            host, _, port = address.rpartition(":")
-            try:
-                self._socket.sendto(data, (host, int(port)))
-            except OSError as e:
-                _logger.info("failed to send a report to %s: %s", address, e)
+        if len(targets) <= MAX_TARGETS:
+            return targets
+        if not self._remaining_targets:
+            self._remaining_targets = self._random_state.sample(targets, len(targets))
+        next_targets = self._remaining_targets[:MAX_TARGETS]
+        del self._remaining_targets[:MAX_TARGETS]
+        return next_targets
 
     def _receive(self):
         while not self._stop.is_set():
@@ -114,6 +136,9 @@
                 _logger.warning("failed to receive a report: %s", e)
                 time.sleep(REPORT_INTERVAL_S)
                 continue
+            if feed_codec.is_feed(data):
+                self._on_feed(data, time.monotonic())
+                continue
             try:
                 report = self._codec.decode(data)
             except membership_errors.MalformedMessage as e:
@@ -125,11 +150,12 @@
 
 
 def _is_unchanged(state, previous):
-    """Return whether the loads, stalled endpoints and loading engines are as in ``previous``.
+    """Return whether nothing has changed that causes a report of its own.
 
-    The other fields do not cause a report of their own: ``busy_groups`` changes continuously.
+    ``busy_groups`` does not, because it changes continuously.
     """
-    if previous is None:
-        return False
-    previous_loads = (previous.loads, previous.stalled, previous.loading)
-    return (state.loads, state.stalled, state.loading) == previous_loads
+    return previous is not None and _reported_at_once(state) == _reported_at_once(previous)
+
+
+def _reported_at_once(state):
+    return state.loads, state.stalled, state.loading, state.is_store_unavailable
--- /dev/null
+++ b/src/lynxlanding/peers/tests/test_change_feed.py
@@ -0,0 +1,189 @@
+"""Nodes that follow the store through another node instead of calls of their own."""
+
+import random
+import time
+
+import pytest
+
+from lynxlanding.errors import membership as membership_errors
+from lynxlanding.peers import (
+    change_feed,
+    feed_codec,
+    feed_message,
+    feed_roles,
+    peer_identity,
+    peer_report,
+    peer_table,
+    report_codec,
+)
+from lynxlanding.store import store_version, stored_object, watch_batch
+
+KIND = "servers"
+NODES = [f"n{number}" for number in range(83)]
+
+
+def version(revision, era=1):
+    return store_version.StoreVersion(era, revision)
+
+
+def stored(name, revision, value=None):
+    return stored_object.StoredObject(KIND, name, version(revision), value or {"state": "ready"})
+
+
+class Network:
+    """Delivers datagrams between feeds at once, unless they are to be lost."""
+
+    def __init__(self, *node_ids):
+        self.feeds = {}
+        self.is_losing = False
+        self.sent = []
+        for node_id in node_ids:
+            identity = peer_identity.PeerIdentity(node_id, 1, node_id, "a")
+            table = peer_table.PeerTable(node_id)
+            self.feeds[node_id] = change_feed.ChangeFeed(
+                identity, table, lambda: ["relay"], self._send
+            )
+
+    def subscribe(self, subscriber, relay):
+        data = feed_codec.encode_subscription(feed_message.Subscription(subscriber))
+        self.feeds[relay].receive(data, time.monotonic())
+
+    def _send(self, data, address):
+        self.sent.append(data)
+        if not self.is_losing:
+            self.feeds[address].receive(data, time.monotonic())
+
+
+@pytest.fixture
+def network():
+    fed = Network("relay", "node")
+    fed.subscribe("node", "relay")
+    return fed
+
+
+def publish(network, after, to, puts=(), deletes=(), was_outage=False):
+    batch = watch_batch.WatchBatch(list(puts), list(deletes), version(to))
+    after = None if after is None else version(after)
+    network.feeds["relay"].publish(KIND, after, batch, was_outage=was_outage)
+
+
+def test_changes_reach_the_subscribers(network):
+    publish(network, 5, 7, [stored("a", 6)], ["b"], was_outage=True)
+    message = network.feeds["node"].watch(KIND, version(5), 0.0)
+    assert message.puts == (stored("a", 6),)
+    assert message.deletes == ("b",)
+    assert message.version == version(7)
+    assert message.was_outage
+
+
+def test_a_gap_is_read_from_the_store(network):
+    """Guards against changes that are missed because a datagram was lost."""
+    network.is_losing = True
+    publish(network, 5, 7, [stored("a", 6)])
+    network.is_losing = False
+    publish(network, 7, 8, [stored("b", 8)])
+    assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
+
+
+def test_a_lost_last_message_shows_in_the_next_heartbeat(network):
+    publish(network, 4, 5)
+    network.is_losing = True
+    publish(network, 5, 7, [stored("a", 6)])
+    network.is_losing = False
+    relay = network.feeds["relay"]
+    relay._send_to_subscribers(feed_message.FeedMessage(KIND, version(7), version(7)))
+    node = network.feeds["node"]
+    assert node.watch(KIND, version(4), 0.0).version == version(5)
+    assert node.watch(KIND, version(5), 0.0) is None
+
+
+def test_known_changes_are_skipped(network):
+    publish(network, 5, 7, [stored("a", 6)])
+    publish(network, 7, 9, [stored("b", 9)])
+    message = network.feeds["node"].watch(KIND, version(8), 0.0)
+    assert message.puts == (stored("b", 9),)
+
+
+def test_another_era_is_read_from_the_store(network):
+    batch = watch_batch.WatchBatch([], [], version(3, era=2))
+    network.feeds["relay"].publish(KIND, version(2, era=2), batch, was_outage=False)
+    assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
+
+
+def test_a_silent_relay_is_noticed(network, monkeypatch):
+    """Pattern: a relay that is killed, frozen or cut off."""
+    monkeypatch.setattr(change_feed, "FEED_TIMEOUT_S", 0.05)
+    publish(network, 5, 7)
+    started_at = time.monotonic()
+    assert network.feeds["node"].watch(KIND, version(7), 2.0) is None
+    assert time.monotonic() - started_at < 1.0
+
+
+def test_a_node_that_does_not_read_the_store_sends_no_heartbeats(network, monkeypatch):
+    """Guards against two nodes that keep each other from reading the store."""
+    monkeypatch.setattr(change_feed, "HEARTBEAT_INTERVAL_S", 0.01)
+    relay = network.feeds["relay"]
+    publish(network, 5, 7)
+    relay.withdraw(KIND)
+    network.sent.clear()
+    relay.start()
+    time.sleep(0.1)
+    relay.stop()
+    assert network.sent == []
+
+
+def test_changes_that_fit_no_datagram_are_announced_only(network):
+    random_state = random.Random(1)
+    names = [f"{random_state.getrandbits(128):032x}" for _ in range(200)]
+    puts = [stored(name, 6, {"address": name[::-1]}) for name in names]
+    publish(network, 5, 7, puts)
+    assert all(len(data) <= feed_codec.MAX_DATAGRAM_BYTES for data in network.sent)
+    assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
+
+
+def test_a_list_is_announced_only(network):
+    publish(network, None, 7)
+    assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
+    assert network.feeds["node"].watch(KIND, version(7), 0.0).version == version(7)
+
+
+def test_subscriptions_expire(network, monkeypatch):
+    monkeypatch.setattr(change_feed, "SUBSCRIPTION_LIFETIME_S", 0.0)
+    network.subscribe("node", "relay")
+    publish(network, 5, 7)
+    assert network.sent == []
+    assert not network.feeds["relay"].has_subscribers
+
+
+def test_load_reports_are_told_from_feed_messages():
+    report = peer_report.PeerReport("n1", 1, 1, "127.0.0.1:1", 1, {})
+    assert not feed_codec.is_feed(report_codec.ReportCodec().encode(report))
+
+
+def test_malformed_messages_are_dropped(network):
+    for data in (
+        b"",
+        b"junk",
+        feed_codec.encode(feed_message.FeedMessage(KIND, version(1), version(1)))[:-4],
+    ):
+        with pytest.raises(membership_errors.MalformedMessage):
+            feed_codec.decode(feed_codec.PREFIX + data[len(feed_codec.PREFIX) :])
+        network.feeds["node"].receive(feed_codec.PREFIX + data[len(feed_codec.PREFIX) :], 0.0)
+
+
+@pytest.mark.parametrize(("nodes", "relays"), [(1, 1), (9, 1), (83, 3)])
+def test_few_nodes_read_the_store(nodes, relays):
+    """Pattern: many nodes, each of which would call the store for every change."""
+    live = NODES[:nodes]
+    chosen = [feed_roles.choose_relay(node_id, live) for node_id in live]
+    assert len(set(chosen)) == relays
+    assert all(feed_roles.choose_relay(relay, live) == relay for relay in set(chosen))
+
+
+def test_few_nodes_change_their_relay_when_one_is_lost():
+    lost = feed_roles.choose_relay("n0", NODES)
+    rest = [node_id for node_id in NODES if node_id != lost]
+    changed = 0
+    for node_id in rest:
+        changed += feed_roles.choose_relay(node_id, NODES) != feed_roles.choose_relay(node_id, rest)
+    assert changed < len(NODES) * 0.7
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -18,6 +18,7 @@
         stalled=frozenset({5, 6}),
         busy_groups={"m": 1.5},
         loading=frozenset({7}),
+        is_store_unavailable=True,
     )
     assert codec.decode(codec.encode(sent)) == sent
 
@@ -95,3 +96,14 @@
     assert view.total_busy_groups({"m": 1.0}, ["n1"]) == {"m": 1.0}
     assert view.loading_engines(["n1", "n2"]) == {"e2"}
     assert view.loading_engines(["n1"]) == set()
+
+
+def test_work_with_the_store_goes_to_nodes_that_it_answers():
+    """Pattern: the store turns some nodes away and serves the others."""
+    table = peer_table.PeerTable("n1")
+    table.record_report(make_report("n2", is_store_unavailable=True), 0.0)
+    table.record_report(make_report("n3"), 0.0)
+    assert table.store_node_ids(0.1, is_own_store_unavailable=False) == ["n1", "n3"]
+    assert table.store_node_ids(0.1, is_own_store_unavailable=True) == ["n3"]
+    table.record_report(make_report("n3", sequence=2, is_store_unavailable=True), 0.2)
+    assert table.store_node_ids(0.3, is_own_store_unavailable=True) == ["n1", "n2", "n3"]
--- a/src/lynxlanding/platform/fields.py
+++ b/src/lynxlanding/platform/fields.py
@@ -21,8 +21,7 @@
     errors.platform.MalformedEntry
         If ``document`` is not an object, or the field is missing or of another type.
     """
-    if not isinstance(document, dict):
-        raise platform_errors.MalformedEntry(f"expected a JSON object with field {name!r}")
+    _check_object(document, name)
     if name not in document:
         raise platform_errors.MalformedEntry(f"required field {name!r} is missing")
     return _check_type(document[name], name, accepted_types)
@@ -34,14 +33,20 @@
     Raises
     ------
     errors.platform.MalformedEntry
-        If the field is of another type.
+        If ``document`` is not an object, or the field is of another type.
     """
+    _check_object(document, name)
     value = document.get(name)
     if value is None:
         return default
     return _check_type(value, name, accepted_types)
 
 
+def _check_object(document, name):
+    if not isinstance(document, dict):
+        raise platform_errors.MalformedEntry(f"expected a JSON object with field {name!r}")
+
+
 def _check_type(value, name, accepted_types):
     types = accepted_types if isinstance(accepted_types, tuple) else (accepted_types,)
     if not isinstance(value, accepted_types) or (isinstance(value, bool) and bool not in types):
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -47,12 +47,21 @@
             maxsize=8, block=False, socket_options=sockets.OPTIONS, retries=False
         )
         self._eras = era_tracker.EraTracker()
+        self._is_unavailable = False
 
     @property
     def era(self):
         """Era of the store as of its last response; None before the first response."""
         return self._eras.current
 
+    @property
+    def is_unavailable(self):
+        """Whether the store has refused or not answered the last call.
+
+        A write without an answer does not count, because such an answer can be lost alone.
+        """
+        return self._is_unavailable
+
     def get(self, kind, name):
         """Return an object; raises ``ObjectNotFound``."""
         document, era = self._call("GET", f"/{kind}/{name}")
@@ -115,17 +124,18 @@
         response = self._call_in_era(
             after.era, "GET", path, read_timeout_s=timeout_s + WATCH_MARGIN_S
         )
-        puts = []
-        deletes = []
+        puts = {}
+        deletes = {}
         for event in fields.require(response, "events", list):
             item = _decode_object(kind, fields.require(event, "object", dict), after.era)
-            if fields.get(event, "tombstone", bool, False):
-                deletes.append(item.name)
-                continue
-            puts.append(item)
+            # Only the last event of an object counts.
+            is_deleted = fields.get(event, "tombstone", bool, False)
+            puts.pop(item.name, None)
+            deletes.pop(item.name, None)
+            (deletes if is_deleted else puts)[item.name] = item
         revision = fields.require(response, "current_rev", int)
         version = store_version.StoreVersion(after.era, revision)
-        return watch_batch.WatchBatch(puts, deletes, version)
+        return watch_batch.WatchBatch(list(puts.values()), list(deletes), version)
 
     def _call_in_era(self, era, method, path, document=None, **options):
         """Send a call that refers to a revision of an era and return the decoded response.
@@ -155,17 +165,28 @@
         if document is not None:
             body = json.dumps(document).encode()
             headers["Content-Type"] = "application/json"
-        response = http_call.send(
-            self._pool,
-            method,
-            self._base_url + path,
-            body=body,
-            headers=headers,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
-            is_write=method != "GET",
-            errors_by_status={**_ERRORS_BY_STATUS, 409: conflict_error},
-            on_headers=lambda headers: self._eras.record(_decode_era(headers), era_at_call),
-        )
+        try:
+            response = http_call.send(
+                self._pool,
+                method,
+                self._base_url + path,
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+                is_write=method != "GET",
+                errors_by_status={**_ERRORS_BY_STATUS, 409: conflict_error},
+                on_headers=lambda headers: self._eras.record(_decode_era(headers), era_at_call),
+            )
+        except platform_errors.StoreUnavailable:
+            self._is_unavailable = True
+            raise
+        except platform_errors.StoreOutcomeUnknown:
+            raise
+        except platform_errors.PlatformError:
+            # The store has answered, if only with an error.
+            self._is_unavailable = False
+            raise
+        self._is_unavailable = False
         return response or {}, self.era
 
 
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -1,7 +1,7 @@
 import pytest
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import configuration_codec, endpoint_codec
+from lynxlanding.platform import configuration_codec, endpoint_codec, engine_client, fields
 from lynxlanding.traffic import route
 
 
@@ -141,3 +141,12 @@
 def test_rejects_invalid_configurations(changes):
     with pytest.raises(platform_errors.MalformedEntry):
         configuration_codec.decode(configuration_document(**changes))
+
+
+@pytest.mark.parametrize("document", [[], "text", 7, None])
+def test_a_report_that_is_no_object_is_malformed(document):
+    """Guards against an untyped error when an engine sends JSON of another form."""
+    with pytest.raises(platform_errors.MalformedEntry):
+        engine_client._decode_report(document)
+    with pytest.raises(platform_errors.MalformedEntry):
+        fields.get(document, "pace", int, 0)
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -179,3 +179,30 @@
     assert eras.current == 5
     eras.record(3, eras.current)
     assert eras.current == 3
+
+
+def test_only_the_last_change_of_an_object_counts(server):
+    """Guards against an endpoint that leaves and is removed within one batch, yet stays."""
+    client = object_client.PlatformObjectStore(f"{HOST}:{server.port}")
+    first = client.create("k9", "a", {"n": 1})
+    _, version = client.list("k9")
+    second = client.update("k9", "a", {"n": 2}, first.version)
+    client.delete("k9", "a", second.version)
+    batch = client.watch("k9", version, 0.2)
+    assert (batch.puts, batch.deletes) == ([], ["a"])
+    client.create("k9", "a", {"n": 3})
+    batch = client.watch("k9", version, 0.2)
+    assert [item.value for item in batch.puts] == [{"n": 3}]
+    assert batch.deletes == []
+
+
+def test_the_client_knows_whether_the_store_answers(server):
+    client = object_client.PlatformObjectStore(f"{HOST}:{server.port}")
+    server.store.fault = "busy"
+    with pytest.raises(platform_errors.StoreUnavailable):
+        client.list("k10")
+    assert client.is_unavailable
+    server.store.fault = ""
+    with pytest.raises(platform_errors.ObjectNotFound):
+        client.get("k10", "missing")
+    assert not client.is_unavailable
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -61,8 +61,9 @@
         Sends orders and probes to engines.
     read_fleet : callable
         Returns the records of the registry by endpoint id and whether the store is available.
-    read_live_nodes : callable
-        Returns the ids of the live nodes, including this one.
+    read_store_nodes : callable
+        Returns the ids of the live nodes that the store answers, among which the domains are
+        divided.
     has_traffic : callable
         Returns whether requests may have arrived at any node.
     read_stalled_heads : callable
@@ -83,7 +84,7 @@
         store,
         engine_client,
         read_fleet,
-        read_live_nodes,
+        read_store_nodes,
         has_traffic,
         read_stalled_heads,
         read_busy_groups,
@@ -94,7 +95,7 @@
         self._node_id = node_id
         self._store = store
         self._read_fleet = read_fleet
-        self._read_live_nodes = read_live_nodes
+        self._read_store_nodes = read_store_nodes
         self._has_traffic = has_traffic
         self._read_stalled_heads = read_stalled_heads
         self._read_busy_groups = read_busy_groups
@@ -171,16 +172,18 @@
         for record in records.values():
             if record.is_engine and record.service in self._engine_services:
                 by_domain.setdefault((record.service, record.fabric_domain), []).append(record)
-        live = self._read_live_nodes()
+        store_nodes = self._read_store_nodes()
         for key in list(self._domains):
-            if key not in by_domain or not self._is_responsible(key, live):
+            if key not in by_domain or not self._is_responsible(key, store_nodes):
                 del self._domains[key]
-                eliot.log_message(message_type=DOMAIN_LEFT, domain=key[1], live_nodes=len(live))
+                eliot.log_message(
+                    message_type=DOMAIN_LEFT, domain=key[1], store_nodes=len(store_nodes)
+                )
         self._remove_gone_engines(records)
         if not is_store_available:
             return
         for key, members in by_domain.items():
-            if self._is_responsible(key, live):
+            if self._is_responsible(key, store_nodes):
                 self._reconcile_domain(key, members, by_domain, now)
 
     def _remove_gone_engines(self, records):
@@ -193,8 +196,8 @@
                 del self._last_known_records[endpoint_id]
                 self._prober.remove(endpoint_id)
 
-    def _is_responsible(self, key, live):
-        return rendezvous.choose(_object_name(key), live, 1) == [self._node_id]
+    def _is_responsible(self, key, store_nodes):
+        return rendezvous.choose(_object_name(key), store_nodes, 1) == [self._node_id]
 
     def _reconcile_domain(self, key, members, by_domain, now):
         domain = self._domains.get(key)
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -4,6 +4,7 @@
 import time
 
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.membership import rendezvous
 from lynxlanding.replicas import (
     engine_report,
     group_controller,
@@ -104,7 +105,7 @@
     """Guards against conflicting plans of nodes that cannot reach each other."""
     cluster = Cluster(("n1", "n2"))
     for name, controller in cluster.controllers.items():
-        controller._read_live_nodes = lambda name=name: [name]
+        controller._read_store_nodes = lambda name=name: [name]
     cluster.run(20)
     assert cluster.open_groups() >= 3
     assert cluster.domain.violations == []
@@ -132,7 +133,7 @@
 def test_a_node_that_is_not_responsible_sends_no_orders():
     cluster = Cluster()
     cluster.live_nodes = ["n2"]
-    cluster.controllers["n1"]._read_live_nodes = lambda: ["n2"]
+    cluster.controllers["n1"]._read_store_nodes = lambda: ["n2"]
     cluster.run(3)
     assert all(engine.group is None for engine in cluster.domain.engines.values())
 
@@ -200,3 +201,22 @@
     cluster.client.send_order = lambda record, order: sent.append(order) or order_outcome.BEGUN
     cluster.run(5)
     assert sent == []
+
+
+def test_another_node_plans_for_one_that_the_store_refuses():
+    """Pattern: the store turns away the node that is responsible for a domain.
+
+    Its groups were neither opened nor repaired until the store answered it again.
+    """
+    cluster = Cluster(("n1", "n2"))
+    store_nodes = ["n1", "n2"]
+    for controller in cluster.controllers.values():
+        controller._read_store_nodes = lambda: store_nodes
+    responsible = rendezvous.choose("model.d0", store_nodes, 1)[0]
+    cluster.run(2)
+    assert cluster.controllers[responsible]._domains
+    store_nodes.remove(responsible)
+    cluster.run(20)
+    assert cluster.open_groups() >= 3
+    assert not cluster.controllers[responsible]._domains
+    assert cluster.domain.violations == []
