Form the larger group first among models that are covered well enough

The needs of the small model had just risen to a coverage of 0.98, that of the large one was 1.08, so the three remaining members of the large group formed a small one, and the spare of the large model stayed alone.

Change: coverages above 0.9 tie, and on a tie the larger group is formed.

Ruled out: ranking by a concave value of coverage for each engine (more figures to choose, the same result in this case).

--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -113,11 +113,15 @@
 
 def _choose_next_group(engine_spec, free, planned, fleet_state, spares, soon_free):
     """Return the model of the next group and its members, or None and an empty list."""
-    # The model with the lowest coverage comes first. On a tie the larger group does: a small group
-    # fits into the remaining engines, but a large one would not.
+    # The model with the lowest coverage comes first. On a tie, as between models that are covered
+    # well enough, the larger group does: a small group fits into the remaining engines, but a large
+    # one would not.
     ranked = sorted(
         engine_spec.models.values(),
-        key=lambda model: (coverage(model.name, planned, fleet_state), -model.engines_per_group),
+        key=lambda model: (
+            min(SUFFICIENT_COVERAGE, coverage(model.name, planned, fleet_state)),
+            -model.engines_per_group,
+        ),
     )
     # Before traffic, a group that was retired to provide spares must not form again from them.
     spare_use_coverage = (
--- a/src/lynxlanding/replicas/tests/test_placement.py
+++ b/src/lynxlanding/replicas/tests/test_placement.py
@@ -332,3 +332,19 @@
     ]
     models = collections.Counter(first_models(free, fleet_state).values())
     assert models == {"large": 2, "small": 2}
+
+
+def test_a_broken_large_group_is_completed_before_a_covered_model_gets_more():
+    """Pattern: a member of a large group is lost while the needs of a small model rise.
+
+    The remaining members formed a small group, which left the spare of the large one unused.
+    """
+    free = [dual_model_engine(i, "large", "small") for i in range(3)]
+    free.append(simulated_domain.engine_record("e3", None, ("large",)))
+    fleet_state = simulated_domain.make_fleet_state(
+        large=4.6, small=6.1, groups_elsewhere={"large": 5, "small": 5}, domain_share=1 / 6
+    )
+    chosen = placement.choose_groups(
+        simulated_domain.make_engine_spec(), free, {"small": 1}, fleet_state
+    )
+    assert chosen[0][0] == "large"
