Keep idle connections to endpoints for up to 8 s

A node has a request for one of 12 heads every second or two, and its idle connections were closed after 2 s, although endpoints announce longer times.

Change: idle connections are kept for the announced time less half a second, at most 8 s. One that was closed by its endpoint is readable and is not used, as before.

--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -13,7 +13,7 @@
 # endpoint responds sooner than that.
 CONNECT_TIMEOUT_S = 0.4
 # Endpoints close idle connections, some of them earlier than they announce.
-MAX_IDLE_S = 2.0
+MAX_IDLE_S = 8.0
 IDLE_MARGIN_S = 0.5
 MAX_IDLE_PER_ENDPOINT = 8
 
