--- /dev/null
+++ b/src/lynxlanding/dispatch/tests/test_connection_pool.py
@@ -0,0 +1,61 @@
+"""Reuse of connections by a node that calls each of many endpoints only now and then."""
+
+import socket
+import time
+
+import pytest
+import time_machine
+import urllib3
+
+from lynxlanding.dispatch import connection_pool
+from lynxlanding.dispatch.tests import dispatch_factories
+
+
+@pytest.fixture
+def record():
+    return dispatch_factories.make_head(0)
+
+
+@pytest.fixture
+def idle():
+    """A connection whose other end is kept open."""
+    near, far = socket.socketpair()
+    connection = urllib3.connection.HTTPConnection("127.0.0.1", 1)
+    connection.sock = near
+    yield connection, far
+    connection.close()
+    far.close()
+
+
+def acquire_after(record, connection, idle_s, announced_s):
+    """Release a connection and return what is acquired after an idle time, or None."""
+    with time_machine.travel(1_700_000_000.0, tick=False) as clock:
+        pool = connection_pool.ConnectionPool([])
+        pool.release(record, connection, announced_s)
+        clock.shift(idle_s)
+        pool.close_expired(time.monotonic())
+        return pool._acquire_idle(record.endpoint_id)
+
+
+@pytest.mark.parametrize(
+    ("idle_s", "announced_s", "is_reused"),
+    [
+        (5.0, 10.0, True),
+        (9.0, 30.0, False),
+        (2.0, 2.0, False),
+        (5.0, None, True),
+    ],
+)
+def test_idle_connections_are_reused_as_long_as_the_endpoint_announces(
+    record, idle, idle_s, announced_s, is_reused
+):
+    """Pattern: many heads, each called every few seconds; new connections cost the engines time."""
+    connection, _ = idle
+    acquired = acquire_after(record, connection, idle_s, announced_s)
+    assert (acquired is connection) == is_reused
+
+
+def test_a_connection_that_its_endpoint_has_closed_is_not_reused(record, idle):
+    connection, far = idle
+    far.close()
+    assert acquire_after(record, connection, 1.0, 10.0) is None
