Rank models by coverage in one place, and share a round of the planner schedules

The same sort stood in placement, regrouping and staging, and the same loop over planners in two tests.

--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -10,7 +10,8 @@
 MAX_COVERAGE = 2.0
 # Spares are used for a model whose coverage is below this.
 SPARE_USE_COVERAGE = 1.2
-# Engines that will complete a group of a model below this coverage are not used otherwise.
+# A model below this coverage is scarce: engines that will complete a group of it are not used
+# otherwise, and other models give up groups for it.
 SCARCE_COVERAGE = 0.9
 # Before traffic, a group is retired to provide spares if its model keeps this coverage.
 SUFFICIENT_COVERAGE = 0.9
@@ -116,12 +117,8 @@
     # The model with the lowest coverage comes first. On a tie, as between models that are covered
     # well enough, the larger group does: a small group fits into the remaining engines, but a large
     # one would not.
-    ranked = sorted(
-        engine_spec.models.values(),
-        key=lambda model: (
-            min(SUFFICIENT_COVERAGE, coverage(model.name, planned, fleet_state)),
-            -model.engines_per_group,
-        ),
+    ranked = rank_by_coverage(
+        engine_spec.models.values(), planned, fleet_state, tied_above=SUFFICIENT_COVERAGE
     )
     # Before traffic, a group that was retired to provide spares must not form again from them.
     spare_use_coverage = (
@@ -156,6 +153,19 @@
     return None, []
 
 
+def rank_by_coverage(models, planned, fleet_state, *, tied_above=math.inf):
+    """Return the models with the lowest coverage first; on a tie, the larger groups first.
+
+    Coverages above ``tied_above`` count as equal.
+    """
+
+    def rank(model):
+        ranked_coverage = min(tied_above, coverage(model.name, planned, fleet_state))
+        return ranked_coverage, -model.engines_per_group
+
+    return sorted(models, key=rank)
+
+
 def coverage(name, planned, fleet_state):
     """Return the ratio of existing to needed groups of a model."""
     needed = max(1e-6, fleet_state.needed.get(name, 1.0))
--- a/src/lynxlanding/replicas/regrouping.py
+++ b/src/lynxlanding/replicas/regrouping.py
@@ -4,9 +4,8 @@
 
 from lynxlanding.replicas import placement
 
-# A model below this coverage may take the engines of other models' groups, as long as the coverage
-# of those models stays at or above MIN_DONOR_COVERAGE and that of the scarce model.
-SCARCE_COVERAGE = 0.9
+# A scarce model may take the engines of other models' groups, as long as the coverage of those
+# models stays at or above this and that of the scarce model.
 MIN_DONOR_COVERAGE = 0.65
 
 
@@ -47,15 +46,8 @@
     groups : list of tuple
         Serving groups as (index, model, member records).
     """
-    ranked = sorted(
-        engine_spec.models.values(),
-        key=lambda model: (
-            placement.coverage(model.name, planned, fleet_state),
-            -model.engines_per_group,
-        ),
-    )
-    for scarce in ranked:
-        if placement.coverage(scarce.name, planned, fleet_state) >= SCARCE_COVERAGE:
+    for scarce in placement.rank_by_coverage(engine_spec.models.values(), planned, fleet_state):
+        if placement.coverage(scarce.name, planned, fleet_state) >= placement.SCARCE_COVERAGE:
             break
         best = None
         for donors in _donor_sets(scarce, groups):
--- a/src/lynxlanding/replicas/staging.py
+++ b/src/lynxlanding/replicas/staging.py
@@ -98,14 +98,7 @@
 
     The model is None if the waiting engines complete no group.
     """
-    ranked = sorted(
-        engine_spec.models.values(),
-        key=lambda model: (
-            placement.coverage(model.name, planned, fleet_state),
-            -model.engines_per_group,
-        ),
-    )
-    for model in ranked:
+    for model in placement.rank_by_coverage(engine_spec.models.values(), planned, fleet_state):
         engines_to_complete = (
             -engines_by_model[model.name] % model.engines_per_group or model.engines_per_group
         )
@@ -139,10 +132,4 @@
         return None
     # Prefer the model with the lowest coverage; on a tie the larger one, since it needs more
     # engines at once.
-    candidates.sort(
-        key=lambda model: (
-            placement.coverage(model.name, planned, fleet_state),
-            -model.engines_per_group,
-        )
-    )
-    return candidates[0].name
+    return placement.rank_by_coverage(candidates, planned, fleet_state)[0].name
--- a/src/lynxlanding/replicas/tests/simulated_domain.py
+++ b/src/lynxlanding/replicas/tests/simulated_domain.py
@@ -304,6 +304,22 @@
         self.observe()
 
 
+def run_round(domain, planners, fleet_state, mutate=None):
+    """Let each planner act once; responses are lost and orders delayed at random."""
+    random_state = domain.random_state
+    for planner in planners:
+        # A planner that does not observe the domain acts on its previous view.
+        if random_state.random() < 0.7:
+            planner.observe()
+        lose_answer = random_state.random() < 0.1
+        for order in planner.act(fleet_state, lose_answer):
+            if domain.engines[order.endpoint_id].is_partitioned:
+                continue
+            delay_s = random_state.uniform(0.5, 6.0) if random_state.random() < 0.1 else 0.0
+            domain.deliver_order(mutate(order) if mutate else order, delay_s)
+    domain.advance(random_state.uniform(0.05, 0.6))
+
+
 def join_without_leaving(group, engines, retiring):
     """Return join orders for all members, without leave orders; a fault that tests must detect."""
     del engines, retiring
@@ -333,6 +349,7 @@
     "join_without_leaving",
     "make_engine_spec",
     "make_fleet_state",
+    "run_round",
     "staging",
     "usable_records_with_members",
 ]
--- a/src/lynxlanding/replicas/tests/test_plan_recovery.py
+++ b/src/lynxlanding/replicas/tests/test_plan_recovery.py
@@ -104,14 +104,7 @@
         elif event < 0.16:
             # A node without any memory starts.
             planners[random_state.randrange(2)] = simulated_domain.SimulatedPlanner(domain)
-        for planner in planners:
-            if random_state.random() < 0.7:
-                planner.observe()
-            lose_answer = random_state.random() < 0.1
-            for order in planner.act(fleet_state, lose_answer):
-                delay_s = random_state.uniform(0.5, 6.0) if random_state.random() < 0.1 else 0.0
-                domain.deliver_order(order, delay_s)
-        domain.advance(random_state.uniform(0.05, 0.6))
+        simulated_domain.run_round(domain, planners, fleet_state)
     return domain
 
 
--- a/src/lynxlanding/replicas/tests/test_plan_schedules.py
+++ b/src/lynxlanding/replicas/tests/test_plan_schedules.py
@@ -30,18 +30,7 @@
         elif event < 0.15:
             # Isolated from the store and the nodes, but not from the other members.
             engine.is_partitioned = not engine.is_partitioned
-        for planner in planners:
-            # A planner that does not observe the domain acts on its previous view.
-            if random_state.random() < 0.7:
-                planner.observe()
-            lose_answer = random_state.random() < 0.1
-            for order in planner.act(fleet_state, lose_answer):
-                target = domain.engines[order.endpoint_id]
-                if target.is_partitioned:
-                    continue
-                delay_s = random_state.uniform(0.5, 6.0) if random_state.random() < 0.1 else 0.0
-                domain.deliver_order(mutate(order) if mutate else order, delay_s)
-        domain.advance(random_state.uniform(0.05, 0.6))
+        simulated_domain.run_round(domain, planners, fleet_state, mutate)
     return domain
 
 
