Let relays send only what the store has just answered

The connection of their relay to the store had gone silent; its heartbeats came from a thread of its own and went on for the 3.3 s until its watch was given up.

Change: no heartbeats. What a relay publishes after each watch is the sign of life; its watches last 0.4 s while others rely on them, and a subscriber reads the store after 1.2 s without a message. An old version is kept for 1.2 s at most.

Ruled out: shorter watches with the heartbeats kept (two watches that fail in a row would still pass for life).

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -12,6 +12,9 @@
 # An unresponsive store is noticed only when a watch ends, and nodes must receive changes again
 # within about three seconds of the store's recovery.
 WATCH_TIMEOUT_S = 2.5
+# Used while other nodes rely on this one: what it publishes after each watch tells them that it
+# still reaches the store.
+RELAY_WATCH_TIMEOUT_S = 0.4
 # Used while the store is unavailable, so that its recovery is noticed quickly.
 RECOVERY_WATCH_TIMEOUT_S = 0.2
 # The platform charges for every call, including rejected ones; five calls per second detect the
@@ -103,9 +106,7 @@
             message = self._feed.watch(self._kind, version, WATCH_TIMEOUT_S)
             if message is not None:
                 return self._apply_message(message)
-        # The feed may have ended because the store does not respond.
-        is_doubtful = self._unavailable_since is not None or self._is_fed
-        timeout_s = RECOVERY_WATCH_TIMEOUT_S if is_doubtful else WATCH_TIMEOUT_S
+        timeout_s = self._watch_timeout_s()
         self._set_fed(False, version)
         batch = self._store.watch(self._kind, version, timeout_s)
         was_outage = self._mark_available()
@@ -116,11 +117,18 @@
     def _apply_message(self, message):
         """Apply what another node has read; return the version to continue from."""
         self._set_fed(True, message.version)
-        self._feed.withdraw(self._kind)
         was_outage = self._mark_available() or message.was_outage
         self._handler.on_changes(message.puts, message.deletes, time.monotonic(), was_outage)
         return message.version
 
+    def _watch_timeout_s(self):
+        if self._unavailable_since is not None or self._is_fed:
+            # The feed may have ended because the store does not respond.
+            return RECOVERY_WATCH_TIMEOUT_S
+        if self._feed is not None and self._feed.has_subscribers:
+            return RELAY_WATCH_TIMEOUT_S
+        return WATCH_TIMEOUT_S
+
     def _set_fed(self, is_fed, version):
         if is_fed != self._is_fed:
             self._is_fed = is_fed
@@ -138,8 +146,6 @@
         if self._unavailable_since is not None:
             return
         self._unavailable_since = time.monotonic()
-        if self._feed is not None:
-            self._feed.withdraw(self._kind)
         eliot.log_message(
             message_type=STORE_LOST, kind=self._kind, error=error.type_name, detail=str(error)[:200]
         )
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -125,7 +125,7 @@
     def __init__(self, *messages):
         self._messages = list(messages)
         self.published = []
-        self.withdrawn = 0
+        self.has_subscribers = False
 
     def watch(self, kind, after, timeout_s):
         return self._messages.pop(0) if self._messages else None
@@ -133,9 +133,6 @@
     def publish(self, kind, after, batch, *, was_outage):
         self.published.append((after, batch.version))
 
-    def withdraw(self, kind):
-        self.withdrawn += 1
-
 
 def test_the_store_is_not_read_while_another_node_passes_changes_on(monkeypatch):
     """Pattern: many nodes, each of which would call the store for every change."""
@@ -155,4 +152,20 @@
     # After the feed has ended, the first watch is short, since the store may not respond.
     assert store.calls[1] == ("watch", 9, store_watcher.RECOVERY_WATCH_TIMEOUT_S)
     assert feed.published == [(None, 7), (9, 12)]
-    assert feed.withdrawn >= 2
+
+
+def test_watches_of_a_relay_are_short(monkeypatch):
+    """Pattern: the connection of a relay to the store goes silent.
+
+    Its subscribers must notice it in time to follow a configuration within 2 s.
+    """
+    feed = ScriptedFeed()
+    feed.has_subscribers = True
+    empty = watch_batch.WatchBatch([], [], 7)
+    store = ScriptedStore(([make_stored("a")], 7), empty, empty)
+    watcher = store_watcher.StoreWatcher(store, "servers", RecordingHandler(), feed=feed)
+    store.watcher = watcher
+    watcher.start()
+    assert store.done.wait(5.0)
+    assert store.calls[1:3] == [("watch", 7, store_watcher.RELAY_WATCH_TIMEOUT_S)] * 2
+    assert feed.published == [(None, 7), (7, 7), (7, 7)]
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -9,11 +9,10 @@
 from lynxlanding.observability import restarting_thread
 from lynxlanding.peers import feed_codec, feed_message, feed_roles
 
-# A relay sends a heartbeat this often, and a node renews its subscription.
-HEARTBEAT_INTERVAL_S = 0.4
-# A node that has received nothing for this long reads from the store itself. Two lost heartbeats do
-# not suffice for that.
-FEED_TIMEOUT_S = 1.0
+SUBSCRIPTION_INTERVAL_S = 0.4
+# A node that has received nothing for this long reads from the store itself. A relay publishes
+# twice a second at least, so that one lost datagram does not suffice for that.
+FEED_TIMEOUT_S = 1.2
 SUBSCRIPTION_LIFETIME_S = 2.0
 # Messages that wait for their watcher; the oldest are dropped, which shows as a gap.
 MAX_WAITING_MESSAGES = 64
@@ -25,7 +24,9 @@
     """Relays changes to subscribers and receives those of another relay.
 
     The platform charges each call to the store, and every change would cost a call of every node.
-    A node that receives no feed, or one with a gap, reads from the store itself.
+    A node that receives no feed, or one with a gap, reads from the store itself. A relay sends only
+    what the store has just answered: if it sent anything else, its subscribers would not notice
+    that its connection to the store has gone silent.
 
     Parameters
     ----------
@@ -46,7 +47,6 @@
         self._send = send
         self._stop = threading.Event()
         self._subscribers = {}
-        self._versions = {}
         self._waiting = {}
         self._received_at = {}
         self._arrived = threading.Condition()
@@ -57,7 +57,7 @@
         return bool(self._subscribers)
 
     def start(self):
-        """Start the thread that sends heartbeats and subscriptions."""
+        """Start the thread that subscribes to a relay."""
         restarting_thread.start(self._run, "change feed")
 
     def stop(self):
@@ -96,7 +96,6 @@
         was_outage : bool
             Whether these are the first changes after an outage of the store.
         """
-        self._versions[kind] = batch.version
         self._send_to_subscribers(
             feed_message.FeedMessage(
                 kind,
@@ -109,10 +108,6 @@
             )
         )
 
-    def withdraw(self, kind):
-        """Stop the heartbeats of a kind, which this node does not read from the store now."""
-        self._versions.pop(kind, None)
-
     def watch(self, kind, after, timeout_s):
         """Wait for the changes since a version and return the next ``FeedMessage``.
 
@@ -140,12 +135,10 @@
                 self._arrived.wait(min(end - now, FEED_TIMEOUT_S))
 
     def _run(self):
-        while not self._stop.wait(HEARTBEAT_INTERVAL_S):
+        while not self._stop.wait(SUBSCRIPTION_INTERVAL_S):
             relay = feed_roles.choose_relay(self._identity.node_id, self._read_store_nodes())
             if relay != self._identity.node_id:
                 self._subscribe(relay)
-            for kind, version in list(self._versions.items()):
-                self._send_to_subscribers(feed_message.FeedMessage(kind, version, version))
 
     def _subscribe(self, relay):
         peer = self._table.peers.get(relay)
--- a/src/lynxlanding/peers/feed_message.py
+++ b/src/lynxlanding/peers/feed_message.py
@@ -16,7 +16,7 @@
     after : StoreVersion
         Version that the changes follow.
     version : StoreVersion
-        Version that the changes lead to; equal to ``after`` in a heartbeat.
+        Version that the changes lead to.
     puts : tuple of StoredObject
         Created and updated objects, oldest first.
     deletes : tuple of str
--- a/src/lynxlanding/peers/tests/test_change_feed.py
+++ b/src/lynxlanding/peers/tests/test_change_feed.py
@@ -85,13 +85,12 @@
     assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
 
 
-def test_a_lost_last_message_shows_in_the_next_heartbeat(network):
+def test_a_lost_last_message_shows_in_the_next_one_without_changes(network):
     publish(network, 4, 5)
     network.is_losing = True
     publish(network, 5, 7, [stored("a", 6)])
     network.is_losing = False
-    relay = network.feeds["relay"]
-    relay._send_to_subscribers(feed_message.FeedMessage(KIND, version(7), version(7)))
+    publish(network, 7, 7)
     node = network.feeds["node"]
     assert node.watch(KIND, version(4), 0.0).version == version(5)
     assert node.watch(KIND, version(5), 0.0) is None
@@ -119,12 +118,14 @@
     assert time.monotonic() - started_at < 1.0
 
 
-def test_a_node_that_does_not_read_the_store_sends_no_heartbeats(network, monkeypatch):
-    """Guards against two nodes that keep each other from reading the store."""
-    monkeypatch.setattr(change_feed, "HEARTBEAT_INTERVAL_S", 0.01)
+def test_a_relay_sends_nothing_that_the_store_has_not_just_answered(network, monkeypatch):
+    """Pattern: the connection of a relay to the store goes silent.
+
+    Its subscribers kept the configuration of 2.3 s before, because its heartbeats went on.
+    """
+    monkeypatch.setattr(change_feed, "SUBSCRIPTION_INTERVAL_S", 0.01)
     relay = network.feeds["relay"]
     publish(network, 5, 7)
-    relay.withdraw(KIND)
     network.sent.clear()
     relay.start()
     time.sleep(0.1)
