Split orders, group state and observation of engines from planner and controller

Orders from a stored plan, the state that members report and the views with their probes are modules of their own now. Only moves: the tests of planner, schedules, state machine and controller pass unchanged but for the names that the planted faults replace.

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -5,7 +5,14 @@
 import xxhash
 
 from lynxlanding.fleet import group_membership
-from lynxlanding.replicas import engine_order, group_plan, placement, regrouping, staging
+from lynxlanding.replicas import (
+    group_orders,
+    group_plan,
+    group_state,
+    placement,
+    regrouping,
+    staging,
+)
 
 # A forming group is retired if its members are not ready within the load time of its model times
 # this factor, plus the slack.
@@ -112,7 +119,7 @@
         new_plan = dataclasses.replace(plan, next_epoch=next_epoch, groups=tuple(groups))
         if new_plan != plan:
             return PlanningStep(new_plan, [], [], reasons)
-        orders = _orders(plan, engines, assigned_ids)
+        orders = group_orders.make_orders(plan, engines, assigned_ids)
         orders.extend(staging.first_model_orders(engine_spec, free, planned, fleet_state))
         # Free engines come first, because new groups are formed from them.
         staging_candidates = [record for record in free if not staging.has_no_model(record)]
@@ -127,7 +134,7 @@
     def _update_group(self, group, engine_spec, engines, reasons, now):
         """Return the group after its next transition as a list, empty once it is dissolved."""
         if group.phase == group_plan.RETIRING:
-            if _is_dissolved(group, engines):
+            if group_state.is_dissolved(group, engines):
                 reasons.append(f"{group.name}: dissolved")
                 return []
             return [group]
@@ -136,7 +143,7 @@
             self._forming_since.pop(group.name, None)
             reasons.append(f"{group.name}: {problem}")
             return [group.with_phase(group_plan.RETIRING)]
-        if group.phase == group_plan.FORMING and _is_ready(group, engines):
+        if group.phase == group_plan.FORMING and group_state.is_ready(group, engines):
             self._forming_since.pop(group.name, None)
             reasons.append(f"{group.name}: all members are ready")
             return [group.with_phase(group_plan.SERVING)]
@@ -241,121 +248,11 @@
             view = engines.get(member)
             if member in assigned_ids or view is None:
                 continue
-            if view.is_usable and _is_member(group, view):
+            if view.is_usable and group_state.is_member(group, view):
                 soon_free.append(view.record)
     return soon_free
 
 
-def _is_member(group, view):
-    """Return whether an engine reports that it belongs to the group."""
-    if view is None or view.record is None:
-        return False
-    membership = view.record.membership
-    return membership is not None and membership.belongs_to(group.name, group.epoch)
-
-
-def _is_ready(group, engines):
-    for member in group.members:
-        view = engines[member]
-        if not _is_member(group, view):
-            return False
-        if view.record.membership.state not in (group_membership.READY, group_membership.OPEN):
-            return False
-    return True
-
-
-def _is_dissolved(group, engines):
-    """Return whether every reachable member has left the group."""
-    for member in group.members:
-        view = engines.get(member)
-        if view is not None and view.is_present and not view.is_silent and _is_member(group, view):
-            return False
-    return True
-
-
-def _is_complete(group, engines):
-    for member in group.members:
-        view = engines.get(member)
-        if view is None or not view.is_present or view.is_silent or not _is_member(group, view):
-            return False
-    return True
-
-
-def _orders(plan, engines, assigned_ids):
-    retiring = set()
-    for group in plan.groups:
-        if group.phase == group_plan.RETIRING:
-            retiring.update(group.members)
-    orders = []
-    for group in plan.groups:
-        if group.phase == group_plan.RETIRING:
-            orders.extend(_retire_orders(group, engines))
-        elif group.phase == group_plan.FORMING:
-            orders.extend(_join_orders(group, engines, retiring))
-        elif engines[group.head].record.membership.state == group_membership.READY:
-            orders.append(_make_order(engine_order.OPEN, group.head, group))
-    for endpoint_id, view in sorted(engines.items()):
-        if endpoint_id in assigned_ids or endpoint_id in retiring or not view.is_usable:
-            continue
-        membership = view.record.membership
-        if membership is not None:
-            # A delayed order or a healed partition has brought back a group that is no longer
-            # planned.
-            orders.append(
-                engine_order.EngineOrder(
-                    engine_order.LEAVE, endpoint_id, membership.name, membership.epoch
-                )
-            )
-    return orders
-
-
-def _make_order(kind, endpoint_id, group, **fields):
-    return engine_order.EngineOrder(kind, endpoint_id, group.name, group.epoch, **fields)
-
-
-def _join_orders(group, engines, retiring):
-    """Return the orders for members that have not joined yet.
-
-    A member joins only after the plan no longer has the retiring group that it comes from.
-    """
-    orders = []
-    for member in group.members:
-        view = engines[member]
-        if member in retiring or _is_member(group, view):
-            continue
-        membership = view.record.membership
-        if membership is not None:
-            orders.append(
-                engine_order.EngineOrder(
-                    engine_order.LEAVE, member, membership.name, membership.epoch
-                )
-            )
-            continue
-        orders.append(
-            _make_order(engine_order.JOIN, member, group, model=group.model, members=group.members)
-        )
-    return orders
-
-
-def _retire_orders(group, engines):
-    head = engines.get(group.head)
-    if _is_complete(group, engines):
-        state = head.record.membership.state
-        if state == group_membership.OPEN:
-            return [_make_order(engine_order.CLOSE, group.head, group)]
-        if state == group_membership.CLOSING:
-            return []
-    # An incomplete group makes no progress, so there is no point in waiting for its requests.
-    orders = []
-    for member in group.members:
-        view = engines.get(member)
-        if view is None or not view.is_present or view.is_silent:
-            continue
-        if _is_member(group, view):
-            orders.append(_make_order(engine_order.LEAVE, member, group))
-    return orders
-
-
 def _serving_members(groups, engines):
     """Return the member records of serving groups.
 
--- /dev/null
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -0,0 +1,94 @@
+"""Observes the engines of fabric domains through registrations and probes."""
+
+from lynxlanding.replicas import engine_view, group_plan, member_prober
+
+
+class EngineObserver:
+    """Builds the views that domains are planned from, and probes engines that are suspected.
+
+    Parameters
+    ----------
+    engine_client : EngineClient
+        Fetches the reports.
+    random_state : random.Random
+        Source of randomness for choosing engines for control probes.
+    """
+
+    def __init__(self, engine_client, random_state):
+        self._prober = member_prober.MemberProber(engine_client)
+        self._random_state = random_state
+        self._last_known_records = {}
+
+    def observe(self, plan, members, all_records, stalled_heads, now):
+        """Return the ``EngineView`` of each engine of a domain by id, and start probes.
+
+        Parameters
+        ----------
+        plan : DomainPlan
+            Plan of the domain.
+        members : list of EndpointRecord
+            Registered engines of the domain.
+        all_records : list of EndpointRecord
+            Registered engines of all domains.
+        stalled_heads : frozenset of str
+            Ids of heads whose requests any node sees stalled.
+        now : float
+            Monotonic seconds.
+        """
+        self._probe_suspects(plan, members, all_records, stalled_heads, now)
+        return self._build_views(plan, members, now)
+
+    def remove_gone(self, records, planned):
+        """Forget engines that are neither registered nor planned."""
+        for endpoint_id in list(self._last_known_records):
+            if endpoint_id not in records and endpoint_id not in planned:
+                del self._last_known_records[endpoint_id]
+                self._prober.remove(endpoint_id)
+
+    def _probe_control(self, probed, all_records, now):
+        """Probe an engine that is not suspected.
+
+        Its answer distinguishes failed engines from a node that is disconnected itself.
+        """
+        others = [record for record in all_records if record.endpoint_id not in probed]
+        if others:
+            self._prober.probe(self._random_state.choice(others), now)
+
+    def _probe_suspects(self, plan, members, all_records, stalled_heads, now):
+        """Probe all members of stalled groups, and members without a registration."""
+        for record in members:
+            self._last_known_records[record.endpoint_id] = record
+        registered = {record.endpoint_id for record in members}
+        probed = set()
+        for group in plan.groups:
+            if group.phase == group_plan.RETIRING:
+                continue
+            missing = [member for member in group.members if member not in registered]
+            suspects = group.members if group.head in stalled_heads else missing
+            for endpoint_id in suspects:
+                record = self._last_known_records.get(endpoint_id)
+                if record is not None:
+                    self._prober.probe(record, now)
+                    probed.add(endpoint_id)
+        if probed:
+            self._probe_control(probed, all_records, now)
+
+    def _build_views(self, plan, members, now):
+        views = {}
+        for record in members:
+            is_silent = self._prober.is_silent(record.endpoint_id, now)
+            views[record.endpoint_id] = engine_view.EngineView(record, True, is_silent)
+        for group in plan.groups:
+            for endpoint_id in group.members:
+                if endpoint_id in views:
+                    continue
+                record = self._last_known_records.get(endpoint_id)
+                # A head without a registration receives no requests, so its group is useless. Other
+                # members keep serving as long as they answer probes.
+                is_present = (
+                    record is not None
+                    and endpoint_id != group.head
+                    and self._prober.has_answered(record, now)
+                )
+                views[endpoint_id] = engine_view.EngineView(record, is_present, False)
+        return views
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -14,9 +14,8 @@
 from lynxlanding.replicas import (
     demand,
     domain_planner,
-    engine_view,
+    engine_observer,
     group_plan,
-    member_prober,
     order_sender,
     placement,
     plan_recovery,
@@ -99,14 +98,14 @@
         self._has_traffic = has_traffic
         self._read_stalled_heads = read_stalled_heads
         self._read_busy_groups = read_busy_groups
-        self._prober = member_prober.MemberProber(engine_client)
-        self._random_state = random_state or random.Random()
+        self._observer = engine_observer.EngineObserver(
+            engine_client, random_state or random.Random()
+        )
         self._engine_services = {}
         self._domains = {}
         self._era = None
         # Highest epoch that this node has seen in use, by domain.
         self._used_epochs = {}
-        self._last_known_records = {}
         self._wake = threading.Event()
         self._order_sender = order_sender.OrderSender(
             engine_client, settings.load_window_s, read_loading_elsewhere, self._wake.set
@@ -191,10 +190,7 @@
         for domain in self._domains.values():
             for group in domain.plan.groups:
                 planned.update(group.members)
-        for endpoint_id in list(self._last_known_records):
-            if endpoint_id not in records and endpoint_id not in planned:
-                del self._last_known_records[endpoint_id]
-                self._prober.remove(endpoint_id)
+        self._observer.remove_gone(records, planned)
 
     def _is_responsible(self, key, store_nodes):
         return rendezvous.choose(_object_name(key), store_nodes, 1) == [self._node_id]
@@ -206,8 +202,9 @@
             self._domains[key] = domain
         engine_spec = self._engine_services[key[0]]
         all_records = [record for records in by_domain.values() for record in records]
-        self._probe_suspects(domain.plan, members, all_records, now)
-        views = self._build_views(domain.plan, members, now)
+        views = self._observer.observe(
+            domain.plan, members, all_records, self._read_stalled_heads(), now
+        )
         fleet_state = self._build_fleet_state(key, engine_spec, members, by_domain)
         if domain.recover_at is not None:
             if now >= domain.recover_at:
@@ -325,55 +322,6 @@
         )
         return True
 
-    def _probe_control(self, probed, all_records, now):
-        """Probe an engine that is not suspected.
-
-        Its answer distinguishes failed engines from a node that is disconnected itself.
-        """
-        others = [record for record in all_records if record.endpoint_id not in probed]
-        if others:
-            self._prober.probe(self._random_state.choice(others), now)
-
-    def _probe_suspects(self, plan, members, all_records, now):
-        """Probe all members of stalled groups, and members without a registration."""
-        stalled_heads = self._read_stalled_heads()
-        for record in members:
-            self._last_known_records[record.endpoint_id] = record
-        registered = {record.endpoint_id for record in members}
-        probed = set()
-        for group in plan.groups:
-            if group.phase == group_plan.RETIRING:
-                continue
-            missing = [member for member in group.members if member not in registered]
-            suspects = group.members if group.head in stalled_heads else missing
-            for endpoint_id in suspects:
-                record = self._last_known_records.get(endpoint_id)
-                if record is not None:
-                    self._prober.probe(record, now)
-                    probed.add(endpoint_id)
-        if probed:
-            self._probe_control(probed, all_records, now)
-
-    def _build_views(self, plan, members, now):
-        views = {}
-        for record in members:
-            is_silent = self._prober.is_silent(record.endpoint_id, now)
-            views[record.endpoint_id] = engine_view.EngineView(record, True, is_silent)
-        for group in plan.groups:
-            for endpoint_id in group.members:
-                if endpoint_id in views:
-                    continue
-                record = self._last_known_records.get(endpoint_id)
-                # A head without a registration receives no requests, so its group is useless. Other
-                # members keep serving as long as they answer probes.
-                is_present = (
-                    record is not None
-                    and endpoint_id != group.head
-                    and self._prober.has_answered(record, now)
-                )
-                views[endpoint_id] = engine_view.EngineView(record, is_present, False)
-        return views
-
     def _build_fleet_state(self, key, engine_spec, members, by_domain):
         engines = 0
         groups_elsewhere = {}
--- a/src/lynxlanding/replicas/tests/test_plan_machine.py
+++ b/src/lynxlanding/replicas/tests/test_plan_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from lynxlanding.replicas import domain_planner, group_plan
+from lynxlanding.replicas import domain_planner, group_orders, group_plan, group_state
 from lynxlanding.replicas.tests import simulated_domain
 
 ENGINES = 8
@@ -114,8 +114,8 @@
         TestPlanMachine.settings, max_examples=300, report_multiple_bugs=False, database=None
     )
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(domain_planner, "_is_dissolved", lambda group, engines: True)
-        patch.setattr(domain_planner, "_join_orders", simulated_domain.join_without_leaving)
+        patch.setattr(group_state, "is_dissolved", lambda group, engines: True)
+        patch.setattr(group_orders, "_join_orders", simulated_domain.join_without_leaving)
         patch.setattr(domain_planner, "_free_records", simulated_domain.usable_records_with_members)
         with pytest.raises(AssertionError):
             stateful.run_state_machine_as_test(PlanMachine, settings=settings)
--- a/src/lynxlanding/replicas/tests/test_plan_schedules.py
+++ b/src/lynxlanding/replicas/tests/test_plan_schedules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lynxlanding.replicas import domain_planner
+from lynxlanding.replicas import domain_planner, group_orders, group_state
 from lynxlanding.replicas.tests import simulated_domain
 
 SCHEDULES = 1000
@@ -48,9 +48,9 @@
     """Guards against schedules that cannot detect engines that join without having left."""
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(domain_planner, "_is_dissolved", lambda group, engines: True)
+        patch.setattr(group_state, "is_dissolved", lambda group, engines: True)
         patch.setattr(domain_planner, "_free_records", simulated_domain.usable_records_with_members)
-        patch.setattr(domain_planner, "_join_orders", simulated_domain.join_without_leaving)
+        patch.setattr(group_orders, "_join_orders", simulated_domain.join_without_leaving)
         found = sum(bool(run_schedule(seed).violations) for seed in range(100))
     assert found > 0
 
@@ -70,7 +70,7 @@
         return None
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(domain_planner, "_is_ready", is_head_ready)
+        patch.setattr(group_state, "is_ready", is_head_ready)
         patch.setattr(domain_planner.DomainPlanner, "_find_problem", has_no_problem)
         found = 0
         for seed in range(100):
