Remove an unused function and two repetitions from the change

plan_recovery.reports_groups had no caller. The order to leave a reported group was built twice in group_orders, and the directory asked for the live nodes twice in one refresh. Behaviour and tests are unchanged.

Checked: formatter and linter on everything, the tests of replicas and peers.

--- a/src/lynxlanding/peers/node_directory.py
+++ b/src/lynxlanding/peers/node_directory.py
@@ -93,14 +93,13 @@
             )
             if isinstance(address, str):
                 self._table.record_registration(registration.name, address, now)
-        live_ids = self._table.live_node_ids(now)
+        live_ids = set(self._table.live_node_ids(now))
         # Live nodes count even if the store has lost their registrations.
         node_ids = {registration.name for registration in registrations}
         self._on_node_count(len(node_ids.union(live_ids)))
-        self._delete_stale(registrations, now)
+        self._delete_stale(registrations, live_ids, now)
 
-    def _delete_stale(self, registrations, now):
-        live_ids = set(self._table.live_node_ids(now))
+    def _delete_stale(self, registrations, live_ids, now):
         for registration in registrations:
             if registration.name in live_ids:
                 self._missing_since.pop(registration.name, None)
--- a/src/lynxlanding/replicas/group_orders.py
+++ b/src/lynxlanding/replicas/group_orders.py
@@ -35,11 +35,7 @@
         if membership is not None:
             # A delayed order or a healed partition has brought back a group that is no longer
             # planned.
-            orders.append(
-                engine_order.EngineOrder(
-                    engine_order.LEAVE, endpoint_id, membership.name, membership.epoch
-                )
-            )
+            orders.append(_make_leave_order(endpoint_id, membership))
     return orders
 
 
@@ -47,6 +43,13 @@
     return engine_order.EngineOrder(kind, endpoint_id, group.name, group.epoch, **fields)
 
 
+def _make_leave_order(endpoint_id, membership):
+    """Return the order to leave the group that the engine reports, planned or not."""
+    return engine_order.EngineOrder(
+        engine_order.LEAVE, endpoint_id, membership.name, membership.epoch
+    )
+
+
 def _join_orders(group, engines, retiring):
     """Return the orders for members that have not joined yet.
 
@@ -59,11 +62,7 @@
             continue
         membership = view.record.membership
         if membership is not None:
-            orders.append(
-                engine_order.EngineOrder(
-                    engine_order.LEAVE, member, membership.name, membership.epoch
-                )
-            )
+            orders.append(_make_leave_order(member, membership))
             continue
         orders.append(
             _make_order(engine_order.JOIN, member, group, model=group.model, members=group.members)
--- a/src/lynxlanding/replicas/plan_recovery.py
+++ b/src/lynxlanding/replicas/plan_recovery.py
@@ -72,11 +72,6 @@
     )
 
 
-def reports_groups(engines):
-    """Return whether any present engine reports that it belongs to a group."""
-    return bool(_collect_reported(engines))
-
-
 def _collect_reported(engines):
     """Return the ids of the present members by (group name, epoch) and rank."""
     reported = {}
