Read the number in a registration as that of the heartbeat

The codec took `seq_no` of a registration for the number of accepted orders, which it is in an engine's report. The value is used as before, to drop late writes of an incarnation; only its name and description change.

--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -38,7 +38,7 @@
         slots=9,
         is_leaving=False,
         started_ms=1,
-        orders_accepted=0,
+        heartbeat_number=0,
         fabric_domain="d0",
         models=(model,),
         membership=group_membership.GroupMembership(f"g{number}", 1, 0, "open"),
--- a/src/lynxlanding/fleet/endpoint_record.py
+++ b/src/lynxlanding/fleet/endpoint_record.py
@@ -26,8 +26,9 @@
     started_ms : int
         Start time of the incarnation, in Unix milliseconds by the endpoint's clock. Comparable
         only with other values of the same endpoint.
-    orders_accepted : int
-        Number of orders that the incarnation has accepted.
+    heartbeat_number : int
+        Number of the heartbeat that wrote the registration. The incarnation counts its heartbeats;
+        one that changes nothing else does not change the entry in the store.
     fabric_domain : str or None
         Fabric domain of a model engine; None for a plain service.
     models : tuple of str
@@ -48,7 +49,7 @@
     slots: int
     is_leaving: bool
     started_ms: int
-    orders_accepted: int
+    heartbeat_number: int
     fabric_domain: str | None = None
     models: tuple[str, ...] = ()
     staged_models: tuple[str, ...] = ()
@@ -68,5 +69,5 @@
 
     def is_older_than(self, other):
         """Return whether ``other`` is a more recent record of the same endpoint."""
-        revision = (self.started_ms, self.orders_accepted)
-        return revision < (other.started_ms, other.orders_accepted)
+        revision = (self.started_ms, self.heartbeat_number)
+        return revision < (other.started_ms, other.heartbeat_number)
--- a/src/lynxlanding/fleet/tests/test_registry.py
+++ b/src/lynxlanding/fleet/tests/test_registry.py
@@ -1,7 +1,7 @@
 from lynxlanding.fleet import endpoint_change, endpoint_record, registry
 
 
-def make_record(endpoint_id="i-1", started_ms=10, orders_accepted=0, is_leaving=False, models=()):
+def make_record(endpoint_id="i-1", started_ms=10, heartbeat_number=0, is_leaving=False, models=()):
     return endpoint_record.EndpointRecord(
         endpoint_id,
         "s",
@@ -10,7 +10,7 @@
         6,
         is_leaving,
         started_ms,
-        orders_accepted,
+        heartbeat_number,
         None,
         models,
     )
@@ -24,14 +24,14 @@
     """Guards against listing a restarted engine in the group of its previous incarnation."""
     endpoints = registry.EndpointRegistry()
     endpoints.apply_list([make_record(started_ms=20)], 0.0)
-    assert endpoints.apply_changes([make_record(started_ms=10, orders_accepted=9)], [], 1.0) == []
+    assert endpoints.apply_changes([make_record(started_ms=10, heartbeat_number=9)], [], 1.0) == []
     assert endpoints.get("i-1").started_ms == 20
 
 
-def test_record_with_fewer_accepted_orders_is_ignored():
+def test_record_of_an_earlier_heartbeat_is_ignored():
     endpoints = registry.EndpointRegistry()
-    endpoints.apply_list([make_record(orders_accepted=5)], 0.0)
-    assert endpoints.apply_changes([make_record(orders_accepted=4)], [], 1.0) == []
+    endpoints.apply_list([make_record(heartbeat_number=5)], 0.0)
+    assert endpoints.apply_changes([make_record(heartbeat_number=4)], [], 1.0) == []
 
 
 def test_leaving_endpoint_stays_leaving_until_it_restarts():
@@ -41,7 +41,7 @@
     assert change_kinds(endpoints.apply_changes([make_record(is_leaving=True)], [], 1.0)) == [
         endpoint_change.LEAVING
     ]
-    endpoints.apply_changes([make_record(is_leaving=False, orders_accepted=1)], [], 2.0)
+    endpoints.apply_changes([make_record(is_leaving=False, heartbeat_number=1)], [], 2.0)
     assert not endpoints.is_usable("i-1")
     endpoints.apply_changes([make_record(started_ms=30)], [], 3.0)
     assert endpoints.is_usable("i-1")
@@ -66,7 +66,7 @@
         endpoint_change.LAPSED,
     ]
     assert endpoints.is_usable("i-1")
-    endpoints.apply_changes([make_record("i-1", orders_accepted=1)], [], 11.0)
+    endpoints.apply_changes([make_record("i-1", heartbeat_number=1)], [], 11.0)
     assert change_kinds(endpoints.expire(12.1)) == [endpoint_change.REMOVED]
     assert endpoints.is_usable("i-1")
     assert endpoints.get("i-2") is None
@@ -81,7 +81,7 @@
 def test_last_model_is_kept_within_an_incarnation():
     endpoints = registry.EndpointRegistry()
     endpoints.apply_list([make_record(models=("m",))], 0.0)
-    endpoints.apply_changes([make_record(orders_accepted=1)], [], 1.0)
+    endpoints.apply_changes([make_record(heartbeat_number=1)], [], 1.0)
     assert endpoints.get("i-1").last_model == "m"
     endpoints.apply_changes([make_record(started_ms=11)], [], 2.0)
     assert endpoints.get("i-1").last_model is None
--- a/src/lynxlanding/platform/endpoint_codec.py
+++ b/src/lynxlanding/platform/endpoint_codec.py
@@ -32,8 +32,8 @@
         slots=fields.require(spec, "slots", int),
         is_leaving=state == "draining",
         started_ms=fields.require(spec, "born", int),
-        # Counts the orders that this incarnation has accepted; heartbeats do not increment it.
-        orders_accepted=fields.require(spec, "seq_no", int),
+        # In reports of engines the same name counts accepted orders; here it counts heartbeats.
+        heartbeat_number=fields.require(spec, "seq_no", int),
         fabric_domain=fields.get(spec, "domain", str, None),
         models=_decode_loaded_models(spec),
         staged_models=decode_staged_models(spec),
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -29,7 +29,7 @@
 def test_decodes_an_engine_registration():
     record = endpoint_codec.decode("i-1", endpoint_entry())
     assert record.is_serving_head
-    assert record.orders_accepted == 4
+    assert record.heartbeat_number == 4
     assert record.data_centre == "z"
     assert record.models == ("m",)
     assert not record.is_leaving
--- a/src/lynxlanding/replicas/tests/simulated_domain.py
+++ b/src/lynxlanding/replicas/tests/simulated_domain.py
@@ -55,7 +55,7 @@
         slots=9,
         is_leaving=is_leaving,
         started_ms=started_ms,
-        orders_accepted=0,
+        heartbeat_number=0,
         fabric_domain="d0",
         models=(last_model,) if membership is not None and last_model else (),
         staged_models=tuple(staged),
