Log what distinguishes the hypotheses of the drain incident

The logs could not say whether a node had dropped the registration, had taken the endpoint back, had learnt of the leaving too late or had sent late: ignored records left no line, changes had no version of the store, and the moment of sending was nowhere.

- endpoint:ignored: a record that does not replace the known one, with incarnation, heartbeat and version of both
- request:chosen: version and incarnation of the registration; request:sent_late: more than 0.1 s to a connection
- gauges for ignored records and the age of the registry; lynxctl explain shows the new lines and the feed's

No decision changes. Three checks of test_registry.py expected no change for an ignored record; they now expect exactly the change 'ignored' and check the known record as before, which is stricter.

--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -69,7 +69,7 @@
         self._codec = codec
         self._stall_tracker = stall_tracker
 
-    def send(self, record, method, target, headers, body, attempt, *, fresh):
+    def send(self, record, method, target, headers, body, attempt, *, fresh, before_sending):
         """Send a request and return its ``EndpointResponse`` and ``ResponseMetadata``.
 
         Parameters
@@ -88,6 +88,8 @@
             Whether to open a new connection. On a reused one, a late response to an earlier
             request can arrive, and the endpoint can close the idle connection while the request
             is being sent.
+        before_sending : callable
+            Called without arguments once a connection is established.
 
         Raises
         ------
@@ -95,6 +97,7 @@
             If no response arrives.
         """
         connection, _ = self._pool.acquire(record, fresh=fresh)
+        before_sending()
         attempt.set_socket(connection.sock)
         attempt.record_data(time.monotonic())
         self._monitor.add(attempt)
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -7,6 +7,10 @@
 from lynxlanding.errors import request as request_errors
 from lynxlanding.requests import attempt_monitor
 
+# A request that is sent later than this after the selection of its endpoint is logged; connecting
+# usually takes a few milliseconds.
+LATE_SEND_S = 0.1
+
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -118,6 +122,7 @@
                 # On a reused connection, a late response to an earlier request could be taken for
                 # the response to this one.
                 fresh=not request.route.is_idempotent,
+                before_sending=lambda: self._check_delay(record, started_at),
             )
             if metadata.load is not None:
                 load = metadata.load.running + metadata.load.waiting
@@ -136,6 +141,11 @@
             self._serving.end_attempt(record.endpoint_id)
             raise
 
+    def _check_delay(self, record, chosen_at):
+        delay_s = time.monotonic() - chosen_at
+        if delay_s > LATE_SEND_S:
+            self._request_logger.log_sent_late(self._request, record, delay_s)
+
     def _check_response(self, response, metadata):
         request = self._request
         if metadata.was_not_run or response.status == 421:
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -6,6 +6,7 @@
 REFUSED = "lynxlanding:request:refused"
 ATTEMPT_FAILED = "lynxlanding:request:attempt_failed"
 FINISHED = "lynxlanding:request:finished"
+SENT_LATE = "lynxlanding:request:sent_late"
 
 
 class RequestLogger:
@@ -29,6 +30,8 @@
             request_id=request.metadata.request_id,
             attempt=attempts + 1,
             endpoint=record.endpoint_id,
+            endpoint_version=None if record.version is None else str(record.version),
+            born_ms=record.started_ms,
             group=membership.name if membership else None,
             epoch=membership.epoch if membership else None,
             model=request.metadata.model,
@@ -52,6 +55,16 @@
             registry_age_s=self._node_status.registry_age_s,
         )
 
+    def log_sent_late(self, request, record, delay_s):
+        """Log that a connection was established long after the endpoint was selected."""
+        eliot.log_message(
+            message_type=SENT_LATE,
+            request_id=request.metadata.request_id,
+            endpoint=record.endpoint_id,
+            delay_s=round(delay_s, 3),
+            registry_age_s=self._node_status.registry_age_s,
+        )
+
     def log_attempt_failed(self, request, record, error, will_retry, history):
         """Log a failed attempt and whether another one follows."""
         eliot.log_message(
--- a/src/lynxlanding/dispatch/tests/test_endpoint_client.py
+++ b/src/lynxlanding/dispatch/tests/test_endpoint_client.py
@@ -87,7 +87,14 @@
         time.monotonic() + timeout_s, stall_timeout_s, lambda: False, may_abort
     )
     response, metadata = client.send(
-        record, "POST", "/p/a%2Fb/../c?x=%2f", [("A", "1"), ("A", "2")], b"in", attempt, fresh=fresh
+        record,
+        "POST",
+        "/p/a%2Fb/../c?x=%2f",
+        [("A", "1"), ("A", "2")],
+        b"in",
+        attempt,
+        fresh=fresh,
+        before_sending=lambda: None,
     )
     return response.status, b"".join(response.chunks), metadata
 
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -78,8 +78,9 @@
         self.runs = []
         self.refused = 0
 
-    def send(self, record, method, target, headers, body, attempt, *, fresh):
+    def send(self, record, method, target, headers, body, attempt, *, fresh, before_sending):
         del method, target, body, attempt, fresh
+        before_sending()
         draw = self.random_state.random()
         if draw < 0.1:
             raise endpoint_errors.ConnectionRefused("refused")
@@ -141,6 +142,9 @@
     def log_refused(self, request, decision, attempts):
         assert isinstance(decision, dispatch_decision.Refuse)
 
+    def log_sent_late(self, request, record, delay_s):
+        assert delay_s > request_forwarder.LATE_SEND_S
+
     def log_attempt_failed(self, request, record, error, will_retry, history):
         assert history.attempts > 0
 
--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -14,6 +14,8 @@
 STAGED = "staged"
 # The registration is missing after an outage of the store; the endpoint is kept for a grace period.
 LAPSED = "lapsed"
+# A record that does not replace the known one; the registry has not changed.
+IGNORED = "ignored"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -25,8 +27,12 @@
     kind : str
         One of the constants of this module.
     record : EndpointRecord
-        Record after the change; the last known record if the endpoint was removed.
+        Record after the change; the last known record if the endpoint was removed; the received one
+        if it was ignored.
+    known : EndpointRecord or None
+        Record before the change, if there was one.
     """
 
     kind: str
     record: endpoint_record.EndpointRecord
+    known: endpoint_record.EndpointRecord | None = None
--- a/src/lynxlanding/fleet/endpoint_record.py
+++ b/src/lynxlanding/fleet/endpoint_record.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lynxlanding.fleet import group_membership
+from lynxlanding.store import store_version
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,6 +41,8 @@
     last_model : str or None
         Model of the last group that this node has seen the incarnation in. The engine can join
         another group of that model without loading weights.
+    version : StoreVersion or None
+        Version of the store at which the registration was written.
     """
 
     endpoint_id: str
@@ -55,6 +58,7 @@
     staged_models: tuple[str, ...] = ()
     membership: group_membership.GroupMembership | None = None
     last_model: str | None = None
+    version: store_version.StoreVersion | None = None
 
     @property
     def is_engine(self):
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -93,6 +93,9 @@
             listed_ids.add(record.endpoint_id)
             known = self._records.get(record.endpoint_id)
             if is_older_list and known is not None and not known.is_older_than(record):
+                changes.append(
+                    endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)
+                )
                 continue
             changes.extend(self._put(record))
         for endpoint_id in list(self._records):
@@ -126,7 +129,7 @@
         if leaving_start_ms is not None and record.started_ms <= leaving_start_ms:
             record = dataclasses.replace(record, is_leaving=True)
         if known is not None and record.is_older_than(known):
-            return []
+            return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
         record = _with_last_model(record, known)
         self._records[record.endpoint_id] = record
         if record.is_leaving:
@@ -137,13 +140,13 @@
             return [endpoint_change.EndpointChange(endpoint_change.ADDED, record)]
         changes = []
         if known.started_ms != record.started_ms:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.RESTARTED, record))
+            changes.append(endpoint_change.EndpointChange(endpoint_change.RESTARTED, record, known))
         if record.is_leaving and not known.is_leaving:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.LEAVING, record))
+            changes.append(endpoint_change.EndpointChange(endpoint_change.LEAVING, record, known))
         if known.membership != record.membership:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.REGROUPED, record))
+            changes.append(endpoint_change.EndpointChange(endpoint_change.REGROUPED, record, known))
         elif known.staged_models != record.staged_models:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.STAGED, record))
+            changes.append(endpoint_change.EndpointChange(endpoint_change.STAGED, record, known))
         return changes
 
     def _remove(self, endpoint_id, now):
--- a/src/lynxlanding/fleet/tests/test_registry.py
+++ b/src/lynxlanding/fleet/tests/test_registry.py
@@ -24,14 +24,17 @@
     """Guards against listing a restarted engine in the group of its previous incarnation."""
     endpoints = registry.EndpointRegistry()
     endpoints.apply_list([make_record(started_ms=20)], 0.0)
-    assert endpoints.apply_changes([make_record(started_ms=10, heartbeat_number=9)], [], 1.0) == []
+    changes = endpoints.apply_changes([make_record(started_ms=10, heartbeat_number=9)], [], 1.0)
+    assert change_kinds(changes) == [endpoint_change.IGNORED]
     assert endpoints.get("i-1").started_ms == 20
 
 
 def test_record_of_an_earlier_heartbeat_is_ignored():
     endpoints = registry.EndpointRegistry()
     endpoints.apply_list([make_record(heartbeat_number=5)], 0.0)
-    assert endpoints.apply_changes([make_record(heartbeat_number=4)], [], 1.0) == []
+    changes = endpoints.apply_changes([make_record(heartbeat_number=4)], [], 1.0)
+    assert change_kinds(changes) == [endpoint_change.IGNORED]
+    assert endpoints.get("i-1").heartbeat_number == 5
 
 
 def test_leaving_endpoint_stays_leaving_until_it_restarts():
@@ -95,7 +98,7 @@
     endpoints.on_store_rolled_back()
     older = [make_record("i-2"), make_record("i-3")]
     changes = endpoints.apply_list(older, 2.0)
-    assert change_kinds(changes) == ["lapsed"]
+    assert change_kinds(changes) == ["ignored", "ignored", "lapsed"]
     assert endpoints.is_usable("i-1")
     assert endpoints.get("i-2").models == ("m",)
     assert not endpoints.is_usable("i-3")
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+import math
 import os
 import random
 import signal
@@ -346,6 +347,16 @@
             "Log lines dropped to bound their volume.",
             lambda: self._log.dropped_total,
         )
+        self._metrics.add_gauge(
+            "lynxlanding_endpoint_records_ignored",
+            "Registrations of endpoints that did not replace the known ones.",
+            lambda: self._endpoint_handler.ignored_total,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_registry_age_seconds",
+            "Time since the store last confirmed the endpoints.",
+            self._get_registry_age_s,
+        )
         self._metrics.add_gauge(
             "lynxlanding_configuration_version",
             "Version of the configuration in force.",
@@ -357,6 +368,10 @@
             lambda: self._store.era or 0,
         )
 
+    def _get_registry_age_s(self):
+        age_s = self._node_status.registry_age_s
+        return math.nan if age_s is None else age_s
+
     def _on_stop_signal(self, signal_number, frame):
         del signal_number, frame
         self._stop_requested.set()
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -11,6 +11,7 @@
 _CONTEXT_EVENTS = frozenset(
     {
         "endpoint:changed",
+        "endpoint:ignored",
         "engine:silent",
         "engine:answers_again",
         "domain:plan_stored",
@@ -18,6 +19,9 @@
         "order:sent",
         "store:lost",
         "store:regained",
+        "store:history_expired",
+        "feed:followed",
+        "feed:lost",
         "configuration:in_force",
         "node:started",
         "node:stopping",
@@ -125,9 +129,9 @@
 
 
 def _is_related(line, nodes, resource_names, models):
-    if line.event.startswith(("store:", "node:", "configuration:")):
+    if line.event.startswith(("store:", "feed:", "node:", "configuration:")):
         return line.node in nodes
-    if line.event == "endpoint:changed":
+    if line.event.startswith("endpoint:"):
         return line.node in nodes and line.fields.get("endpoint") in resource_names
     if line.event.startswith("engine:") or line.event == "order:sent":
         return (
--- a/src/lynxlanding/operators/tests/test_explain.py
+++ b/src/lynxlanding/operators/tests/test_explain.py
@@ -27,6 +27,11 @@
         assert endpoint_id
 
 
+class StubServingProxy:
+    def own_load(self):
+        return test_request_forwarder.CompletedFuture({"e0": 1})
+
+
 @pytest.fixture
 def log_messages():
     messages = []
@@ -61,7 +66,7 @@
 
 def log_endpoint_removal(number):
     handler = endpoint_handler.EndpointHandler(
-        None, node_status.NodeStatus(), StubConnectionPool(), lambda: None
+        StubServingProxy(), node_status.NodeStatus(), StubConnectionPool(), lambda: None
     )
     change = endpoint_change.EndpointChange(
         endpoint_change.REMOVED, dispatch_factories.make_head(number)
@@ -154,3 +159,25 @@
     timeline = request_timeline.build_timeline(request_timeline.parse(shuffled_lines), "q")
     assert [line.event for line in timeline] == ["request:chosen", "domain:plan_stored"]
     assert stall_tracker.STALL_LIFETIME_S < request_timeline.CONTEXT_WINDOW_S
+
+
+def test_timeline_shows_what_the_node_believed_of_the_endpoint():
+    """An ignored registration and a lost feed explain a request to an endpoint that had left."""
+    messages = [
+        {"message_type": "lynxlanding:feed:lost", "kind": "servers"},
+        {"message_type": "lynxlanding:endpoint:ignored", "endpoint": "e1", "is_leaving": True},
+        {"message_type": "lynxlanding:endpoint:ignored", "endpoint": "e2", "is_leaving": True},
+        {"message_type": "lynxlanding:request:chosen", "request_id": "q", "endpoint": "e1"},
+        {"message_type": "lynxlanding:request:sent_late", "request_id": "q", "endpoint": "e1"},
+    ]
+    lines = []
+    for number, message in enumerate(messages):
+        message.update(timestamp=100.0 + number, node="n0")
+        lines.append(json.dumps(message))
+    timeline = request_timeline.build_timeline(request_timeline.parse(lines), "q")
+    assert [line.event for line in timeline] == [
+        "feed:lost",
+        "endpoint:ignored",
+        "request:chosen",
+        "request:sent_late",
+    ]
--- a/src/lynxlanding/platform/endpoint_codec.py
+++ b/src/lynxlanding/platform/endpoint_codec.py
@@ -9,9 +9,18 @@
 _ENDPOINT_STATES = frozenset({"ready", "draining"})
 
 
-def decode(endpoint_id, spec):
+def decode(endpoint_id, spec, version=None):
     """Return the ``EndpointRecord`` decoded from a registration.
 
+    Parameters
+    ----------
+    endpoint_id : str
+        Name of the entry.
+    spec : Any
+        Value of the entry.
+    version : StoreVersion, optional
+        Version of the store at which it was written.
+
     Raises
     ------
     errors.platform.MalformedEntry
@@ -38,6 +47,7 @@
         models=_decode_loaded_models(spec),
         staged_models=decode_staged_models(spec),
         membership=decode_membership(spec),
+        version=version,
     )
 
 
