Reproduce requests at endpoints that have left

Two nodes as processes and the stand-in site: an endpoint leaves, goes on answering, and its heartbeats arrive late or from an incarnation whose clock was set back. The cases that pass guard what already holds.

The stand-in counted accepted orders in the registration's number and now counts heartbeats, as the platform does; it gained restarts, heartbeats held back, leaving without an announcement and health checks.

--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,14 @@
 	touch $(STAMP)
 
 format: setup
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests conftest.py
+	$(BIN)/ruff check --fix src tests conftest.py
 
 format-check: setup
-	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff format --check src tests conftest.py
 
 lint: setup
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff check src tests conftest.py
 
 pytest: setup
 	$(BIN)/python -m pytest
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -206,3 +206,14 @@
     with pytest.raises(platform_errors.ObjectNotFound):
         client.get("k10", "missing")
     assert not client.is_unavailable
+
+
+def test_a_watch_returns_every_write_since_the_last_deletion(store):
+    """Guards against an announcement that a later write of the same object hides."""
+    created = store.create("k10", "a", {"n": 1})
+    after = created.version
+    updated = store.update("k10", "a", {"n": 2}, created.version)
+    store.update("k10", "a", {"n": 3}, updated.version)
+    batch = store.watch("k10", after, 1.0)
+    assert [item.value["n"] for item in batch.puts] == [2, 3]
+    assert batch.deletes == []
--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -111,10 +111,11 @@
 @click.option("--port", type=int, required=True, help="Port of the store.")
 @click.option("--engines", type=int, default=20, help="Engines, on the ports that follow.")
 @click.option("--plain", type=int, default=2, help="Endpoints of the plain service.")
-def run_site(port, engines, plain):
+@click.option("--heartbeat-s", type=float, default=0.3, help="Between heartbeats of an endpoint.")
+def run_site(port, engines, plain, heartbeat_s):
     """Serve the users' platform: its store, engines that form groups, and a plain service."""
     ports = list(range(port, port + 1 + engines + plain))
-    _serve(application.Site(ports, engines), ports)
+    _serve(application.Site(ports, engines, heartbeat_s), ports)
 
 
 def _serve(app, ports):
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -7,7 +7,7 @@
 from lynxlanding_standins import asgi
 from lynxlanding_standins.site import engine, store
 
-HEARTBEAT_S = 0.3
+# Heartbeats without one from an endpoint after which its entry is removed.
 SILENT_BEATS = 3
 ZONES = ("a", "b")
 KEY = "secret-key"
@@ -27,13 +27,18 @@
         Ports.
     engines : int
         Number of engines; each fabric domain has half of them.
+    heartbeat_s : float
+        Seconds between heartbeats of an endpoint.
     """
 
-    def __init__(self, ports, engines):
+    def __init__(self, ports, engines, heartbeat_s):
         self._store_port = ports[0]
+        self._heartbeat_s = heartbeat_s
         self._store = store.SiteStore()
         self._history = []
         self._silent = {}
+        # Heartbeats that were sent and that the store has not carried out yet.
+        self._held = {}
         endpoints = {}
         for index, port in enumerate(ports[1:]):
             is_engine = index < engines
@@ -72,11 +77,7 @@
         """Change faults and return the history."""
         order = json.loads(await asgi.read_body(receive) or b"{}")
         for endpoint in self._endpoints.values():
-            if endpoint.endpoint_id in order.get("dark", ()):
-                endpoint.is_dark = True
-            if endpoint.endpoint_id in order.get("leaving", ()):
-                endpoint.is_leaving = True
-                self._publish(endpoint)
+            self._control_endpoint(endpoint, order)
         if order.get("save_store"):
             self._store.save_copy()
         if order.get("roll_back_store"):
@@ -93,26 +94,61 @@
                 groups.append(
                     {"id": endpoint.endpoint_id, "dark": endpoint.is_dark, **endpoint.group}
                 )
-        document = {"history": self._history, "groups": groups, "calls": self._store.calls}
+        document = {
+            "history": self._history,
+            "groups": groups,
+            "calls": self._store.calls,
+            "time": time.monotonic(),
+        }
         await asgi.send_json(send, 200, document)
 
+    def _control_endpoint(self, endpoint, order):
+        """Carry out the parts of an order that name the endpoint, in the order of this method."""
+        name = endpoint.endpoint_id
+        if name in order.get("dark", ()):
+            endpoint.is_dark = True
+        if name in order.get("hold_heartbeat", ()):
+            endpoint.heartbeats += 1
+            self._held[name] = endpoint.entry()
+        if name in order.get("restart", {}):
+            endpoint.born = order["restart"][name]
+            endpoint.heartbeats = 0
+            endpoint.is_leaving = False
+            self._publish(endpoint)
+        if name in order.get("leaving", ()):
+            endpoint.is_leaving = True
+            self._publish(endpoint)
+        if name in order.get("leaving_unannounced", ()):
+            endpoint.is_leaving = True
+            endpoint.is_silent = True
+            self._store.remove("servers", name)
+        if name in order.get("release_heartbeat", ()):
+            self._silent[name] = 0
+            self._put_entry(name, self._held.pop(name))
+
     def _publish(self, endpoint):
-        if not endpoint.is_dark:
-            self._store.put("servers", endpoint.endpoint_id, endpoint.entry())
+        if endpoint.is_dark or endpoint.is_silent:
+            return
+        endpoint.heartbeats += 1
+        self._put_entry(endpoint.endpoint_id, endpoint.entry())
+
+    def _put_entry(self, name, entry):
+        # A heartbeat that changes nothing else does not change the entry.
+        self._store.put("servers", name, entry, ignored_field="seq_no")
 
     async def _beat(self):
         while True:
             # What the operator and the endpoints have written is written again after a roll-back.
             self._store.put("config", "main", configuration(self._configuration_version))
             for endpoint in self._endpoints.values():
-                if not endpoint.is_dark:
+                if not endpoint.is_dark and not endpoint.is_silent:
                     self._publish(endpoint)
                     continue
                 beats = self._silent.get(endpoint.endpoint_id, 0) + 1
                 self._silent[endpoint.endpoint_id] = beats
                 if beats == SILENT_BEATS:
                     self._store.remove("servers", endpoint.endpoint_id)
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self._heartbeat_s)
 
 
 def configuration(version):
@@ -171,8 +207,13 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "model", "max_conns": 278, "engine": engine_spec},
-            {"name": "app", "max_conns": 110},
+            {
+                "name": "model",
+                "max_conns": 278,
+                "health_path": engine.HEALTH_PATH,
+                "engine": engine_spec,
+            },
+            {"name": "app", "max_conns": 110, "health_path": engine.HEALTH_PATH},
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
         "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -12,6 +12,7 @@
 EVENTS = 12
 EVENT_S = 0.03
 SEAL = (b"x-response-seal", b"seal")
+HEALTH_PATH = "/healthz"
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +23,10 @@
     ----------
     is_dark : bool
         Whether the endpoint answers nothing and sends no heartbeats.
+    is_silent : bool
+        Whether the endpoint sends no heartbeats but answers.
+    heartbeats : int
+        Number of heartbeats of the incarnation.
     group : dict or None
         ``name``, ``epoch``, ``members`` and ``state``.
     """
@@ -34,10 +39,11 @@
     born: int
     is_dark: bool = False
     is_leaving: bool = False
+    is_silent: bool = False
+    heartbeats: int = 0
     group: dict | None = None
     model: str | None = None
     staged: list = dataclasses.field(default_factory=list)
-    orders: int = 0
     running: int = 0
     seen_epoch: int = 0
 
@@ -51,7 +57,7 @@
             "slots": 9,
             "state": "draining" if self.is_leaving else "ready",
             "cold_remaining_ms": 0,
-            "seq_no": self.orders,
+            "seq_no": self.heartbeats,
             "born": self.born,
         }
         if self.domain is not None:
@@ -88,7 +94,7 @@
     publish : callable
         Called with an endpoint whose registration has changed.
     history : list
-        Receives ``(event, request id, endpoint id)`` for each run.
+        Receives ``(event, request id, endpoint id, monotonic time)`` for each run.
     """
 
     def __init__(self, endpoints, publish, history):
@@ -107,7 +113,11 @@
         if expected is not None and expected != endpoint.endpoint_id:
             await asgi.send_json(send, 421, {})
             return
-        if scope["path"] == "/v1/order":
+        if scope["path"] == HEALTH_PATH:
+            status = 503 if endpoint.is_leaving else 200
+            instance = [(b"x-instance-id", endpoint.endpoint_id.encode())]
+            await asgi.send_json(send, status, {}, instance)
+        elif scope["path"] == "/v1/order":
             status = await self._order(endpoint, json.loads(body))
             await asgi.send_json(send, status, {})
         elif scope["path"] == "/v1/report":
@@ -122,7 +132,6 @@
         kind = order["operation"]
         if kind == "stage":
             endpoint.staged = [order["model"]]
-            endpoint.orders += 1
             self._publish(endpoint)
             return 202
         if kind == "join":
@@ -139,7 +148,6 @@
             group["state"] = "ready"
         elif kind == "open" and group["state"] != "open":
             return 409
-        endpoint.orders += 1
         self._publish(endpoint)
         return 200
 
@@ -156,7 +164,6 @@
         if endpoint.group is not None and endpoint.group["name"] == group["name"]:
             return 200
         endpoint.group = group
-        endpoint.orders += 1
         self._publish(endpoint)
         asyncio.get_running_loop().call_later(
             JOIN_S, self._finish_join, endpoint, group, order["model"]
@@ -184,7 +191,7 @@
 
     async def _answer(self, endpoint, scope, body, send):
         request_id = asgi.header(scope, b"x-request-id") or ""
-        self._history.append(("run", request_id, endpoint.endpoint_id))
+        self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
         await asyncio.sleep(EVENT_S)
         document = {
             "target": scope["raw_path"].decode() + "?" + scope["query_string"].decode(),
@@ -209,7 +216,7 @@
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         endpoint.running += 1
-        self._history.append(("run", request_id, endpoint.endpoint_id))
+        self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
         try:
             for number in range(first, EVENTS + 1):
                 stalled_at = time.monotonic()
--- a/src/lynxlanding_standins/site/store.py
+++ b/src/lynxlanding_standins/site/store.py
@@ -33,11 +33,18 @@
         self.lost_answers = 0
         self.calls = 0
 
-    def put(self, kind, name, spec):
-        """Write an object as another writer than the system does."""
+    def put(self, kind, name, spec, ignored_field=None):
+        """Write an object as another writer than the system does.
+
+        A write that changes nothing, or nothing but ``ignored_field``, has no effect.
+        """
         known = self._objects.get((kind, name))
-        if known is not None and known["spec"] == spec:
-            return
+        if known is not None:
+            unchanged = spec
+            if ignored_field in spec:
+                unchanged = {**spec, ignored_field: known["spec"].get(ignored_field)}
+            if known["spec"] == unchanged:
+                return
         self._write(kind, name, spec, known)
 
     def remove(self, kind, name):
