Confirm endpoints whose entry came back before they get requests

Cause: some endpoints leave without an announcement; their entry is removed. A heartbeat sent before that and carried out after it puts the entry back, until the store drops it after three heartbeat intervals. The registry ordered nothing against a removal, so every node used the endpoint again while it was ending its work. Class of fault: presence of an entry was taken for life of the endpoint.

Evidence: tests/test_leaving_endpoints.py on the code before, two nodes as processes: 44 requests 2.0 to 3.6 s after the acknowledgement.

Why this works: neither the store's versions nor the numbers of heartbeats tell a late write from the return of an endpoint that was cut off, since only the last change of an entry is seen. The endpoint itself knows: its health check fails once it is leaving. Until it has answered, or the store has kept the entry for four heartbeat intervals, the endpoint is unconfirmed and gets no requests. A later incarnation is used at once, as before.

Ruled out: ignoring all returns (endpoints cut off from the store would stay unused); waiting alone (4.8 s without each returned head of a group).

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -120,7 +120,7 @@
         self._plain = {}
         self._heads = {}
         for record in self._registry.records.values():
-            if record.is_leaving:
+            if not record.accepts_requests:
                 continue
             if not record.is_engine:
                 self._plain.setdefault(record.service, []).append(record)
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -59,6 +59,14 @@
         self._dispatcher.load_tracker.expire_peers(now)
         return self._update_candidates(self._registry.expire(now))
 
+    def returned_records(self):
+        """Return the records of endpoints that get requests once they are confirmed."""
+        return self._registry.returned_records()
+
+    def confirm(self, endpoint_id, started_ms):
+        """Record that an incarnation serves; return the changes of the registry."""
+        return self._update_candidates(self._registry.confirm(endpoint_id, started_ms))
+
     def records(self):
         """Return a copy of the records by endpoint id, and whether the store is available."""
         return dict(self._registry.records), self._registry.is_store_available
--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -8,6 +8,8 @@
 RESTARTED = "restarted"
 LEAVING = "leaving"
 REMOVED = "removed"
+# The endpoint, whose registration had come back after its removal, is alive and not leaving.
+CONFIRMED = "confirmed"
 # The endpoint's group membership has changed.
 REGROUPED = "regrouped"
 # The models staged on the endpoint's host have changed.
--- a/src/lynxlanding/fleet/endpoint_record.py
+++ b/src/lynxlanding/fleet/endpoint_record.py
@@ -43,6 +43,9 @@
         another group of that model without loading weights.
     version : StoreVersion or None
         Version of the store at which the registration was written.
+    is_unconfirmed : bool
+        Whether the registration came back after its removal and may be a late write of an endpoint
+        that is gone. The registry sets it.
     """
 
     endpoint_id: str
@@ -59,6 +62,7 @@
     membership: group_membership.GroupMembership | None = None
     last_model: str | None = None
     version: store_version.StoreVersion | None = None
+    is_unconfirmed: bool = False
 
     @property
     def is_engine(self):
@@ -71,6 +75,11 @@
         member = self.membership
         return member is not None and member.is_head and member.state == group_membership.OPEN
 
+    @property
+    def accepts_requests(self):
+        """Whether new requests may be sent to the endpoint."""
+        return not self.is_leaving and not self.is_unconfirmed
+
     def is_older_than(self, other):
         """Return whether ``other`` is a more recent record of the same endpoint."""
         revision = (self.started_ms, self.heartbeat_number)
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -25,3 +25,60 @@
     endpoints.apply_changes([], ["i-1"], 1.0)
     endpoints.apply_changes([test_registry.make_record(heartbeat_number=5)], [], 1.5)
     assert not endpoints.is_usable("i-1")
+
+
+def return_after_removal(endpoints, **changes):
+    """Add an endpoint, remove its entry at 1.0 and bring it back at 1.5."""
+    endpoints.apply_list([test_registry.make_record()], 0.0)
+    endpoints.apply_changes([], ["i-1"], 1.0)
+    return endpoints.apply_changes([test_registry.make_record(**changes)], [], 1.5)
+
+
+def test_returned_endpoint_is_usable_once_it_is_confirmed():
+    """Guards against an endpoint that was cut from the store and stays unused."""
+    endpoints = registry.EndpointRegistry()
+    return_after_removal(endpoints, heartbeat_number=5)
+    assert [record.endpoint_id for record in endpoints.returned_records()] == ["i-1"]
+    assert test_registry.change_kinds(endpoints.confirm("i-1", 10)) == ["confirmed"]
+    assert endpoints.is_usable("i-1")
+    assert endpoints.returned_records() == []
+    assert endpoints.confirm("i-1", 10) == []
+
+
+def test_another_incarnation_is_not_confirmed():
+    endpoints = registry.EndpointRegistry()
+    return_after_removal(endpoints, heartbeat_number=5)
+    assert endpoints.confirm("i-1", 9) == []
+    assert not endpoints.is_usable("i-1")
+
+
+def test_entry_that_the_store_keeps_receives_heartbeats():
+    """A late write lapses after three heartbeat intervals; only a read of the store shows that."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    return_after_removal(endpoints, heartbeat_number=5)
+    assert endpoints.expire(9.0) == []
+    endpoints.apply_changes([], [], 5.4)
+    assert endpoints.expire(9.0) == []
+    endpoints.apply_changes([], [], 5.5)
+    assert test_registry.change_kinds(endpoints.expire(9.0)) == ["confirmed"]
+    assert endpoints.is_usable("i-1")
+
+
+def test_later_incarnation_is_usable_without_confirmation():
+    endpoints = registry.EndpointRegistry()
+    return_after_removal(endpoints, started_ms=11)
+    assert endpoints.is_usable("i-1")
+
+
+def test_updates_of_a_returned_endpoint_do_not_confirm_it():
+    """Several late writes can arrive one after the other."""
+    endpoints = registry.EndpointRegistry()
+    return_after_removal(endpoints, heartbeat_number=5)
+    endpoints.apply_changes([test_registry.make_record(heartbeat_number=6)], [], 1.7)
+    assert not endpoints.is_usable("i-1")
+
+
+def test_leaving_endpoint_is_not_checked_when_it_returns():
+    endpoints = registry.EndpointRegistry()
+    return_after_removal(endpoints, is_leaving=True)
+    assert endpoints.returned_records() == []
--- a/src/lynxlanding/node/endpoint_handler.py
+++ b/src/lynxlanding/node/endpoint_handler.py
@@ -122,6 +122,7 @@
         "born_ms": record.started_ms,
         "heartbeat": record.heartbeat_number,
         "is_leaving": record.is_leaving,
+        "is_unconfirmed": record.is_unconfirmed,
     }
 
 
--- /dev/null
+++ b/src/lynxlanding/node/return_checker.py
@@ -0,0 +1,79 @@
+"""Checks endpoints whose registration came back after its removal."""
+
+import threading
+import time
+
+import eliot
+
+from lynxlanding.errors import endpoint as endpoint_errors
+
+# Interval between checks of the same endpoint.
+CHECK_INTERVAL_S = 0.5
+# All nodes learn of a returned endpoint at the same time; random delays up to this spread their
+# checks, because endpoints accept a limited number of connections.
+CHECK_SPREAD_S = 0.1
+
+ENDPOINT_CHECKED = "lynxlanding:endpoint:checked"
+
+
+class ReturnChecker:
+    """Asks returned endpoints whether they serve, before requests are sent to them.
+
+    Parameters
+    ----------
+    serving : ServingActor proxy
+        Owner of the registry.
+    client : HealthClient
+        Sends the checks.
+    get_health_path : callable
+        Returns the path of a service's health check, or None if it has none.
+    on_confirmed : callable
+        Called with the changes of the registry after a successful check.
+    random_state : random.Random
+        Source of the delays.
+    """
+
+    def __init__(self, serving, client, get_health_path, on_confirmed, random_state):
+        self._serving = serving
+        self._client = client
+        self._get_health_path = get_health_path
+        self._on_confirmed = on_confirmed
+        self._random_state = random_state
+        # Times of the last check by endpoint id.
+        self._checked_at = {}
+
+    def check_all(self):
+        """Start a check of each returned endpoint that was not checked recently."""
+        records = self._serving.returned_records().get()
+        now = time.monotonic()
+        returned_ids = {record.endpoint_id for record in records}
+        for endpoint_id in list(self._checked_at):
+            if endpoint_id not in returned_ids:
+                del self._checked_at[endpoint_id]
+        for record in records:
+            path = self._get_health_path(record.service)
+            if path is None:
+                continue
+            if now - self._checked_at.get(record.endpoint_id, -CHECK_INTERVAL_S) < CHECK_INTERVAL_S:
+                continue
+            self._checked_at[record.endpoint_id] = now
+            threading.Thread(target=self._check, args=(record, path), daemon=True).start()
+
+    def _check(self, record, path):
+        time.sleep(self._random_state.uniform(0.0, CHECK_SPREAD_S))
+        is_serving = False
+        error = None
+        try:
+            is_serving = self._client.is_serving(record, path)
+        except endpoint_errors.AttemptError as e:
+            error = str(e)[:200]
+        eliot.log_message(
+            message_type=ENDPOINT_CHECKED,
+            endpoint=record.endpoint_id,
+            born_ms=record.started_ms,
+            is_serving=is_serving,
+            error=error,
+        )
+        if is_serving:
+            changes = self._serving.confirm(record.endpoint_id, record.started_ms).get()
+            self._on_confirmed(changes)
--- /dev/null
+++ b/src/lynxlanding/node/tests/test_return_checker.py
@@ -0,0 +1,115 @@
+import random
+import threading
+import time
+
+import eliot
+import pytest
+
+from lynxlanding.dispatch.tests import dispatch_factories
+from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.node import return_checker
+
+
+class CompletedFuture:
+    def __init__(self, value):
+        self._value = value
+
+    def get(self):
+        return self._value
+
+
+class StubServingProxy:
+    def __init__(self, records):
+        self.records = records
+        self.confirmed = []
+
+    def returned_records(self):
+        return CompletedFuture(self.records)
+
+    def confirm(self, endpoint_id, started_ms):
+        self.confirmed.append((endpoint_id, started_ms))
+        return CompletedFuture(["change"])
+
+
+class ScriptedClient:
+    """Returns or raises one item of a script for each check."""
+
+    def __init__(self, *script):
+        self._script = list(script)
+        self.calls = []
+        self.answered = threading.Event()
+
+    def is_serving(self, record, path):
+        self.calls.append((record.endpoint_id, path))
+        result = self._script.pop(0)
+        if not self._script:
+            self.answered.set()
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+@pytest.fixture
+def log_messages():
+    messages = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def make_checker(monkeypatch, client, health_path="/healthz"):
+    monkeypatch.setattr(return_checker, "CHECK_SPREAD_S", 0.0)
+    serving = StubServingProxy([dispatch_factories.make_plain_endpoint(1)])
+    received = []
+    checker = return_checker.ReturnChecker(
+        serving, client, lambda service: health_path, received.append, random.Random(1)
+    )
+    return checker, serving, received
+
+
+def wait_for(condition):
+    end = time.monotonic() + 5.0
+    while not condition() and time.monotonic() < end:
+        time.sleep(0.005)
+    assert condition()
+
+
+def test_an_endpoint_that_says_that_it_serves_is_confirmed(monkeypatch, log_messages):
+    checker, serving, received = make_checker(monkeypatch, ScriptedClient(True))
+    checker.check_all()
+    wait_for(lambda: received == [["change"]])
+    assert serving.confirmed == [("p1", 1)]
+    assert log_messages[-1]["is_serving"]
+
+
+def test_an_endpoint_that_is_leaving_or_gone_is_not_confirmed(monkeypatch, log_messages):
+    """Guards against requests to an endpoint that a late heartbeat has brought back."""
+    monkeypatch.setattr(return_checker, "CHECK_INTERVAL_S", 0.0)
+    client = ScriptedClient(False, endpoint_errors.ConnectionRefused("refused"))
+    checker, serving, received = make_checker(monkeypatch, client)
+    checker.check_all()
+    wait_for(lambda: len(log_messages) == 1)
+    checker.check_all()
+    wait_for(lambda: len(log_messages) == 2)
+    assert [line["is_serving"] for line in log_messages] == [False, False]
+    assert log_messages[1]["error"] == "refused"
+    assert serving.confirmed == received == []
+
+
+def test_checks_of_an_endpoint_are_an_interval_apart(monkeypatch):
+    """Health checks take a slot of the endpoint and are priced."""
+    client = ScriptedClient(False)
+    checker, serving, _ = make_checker(monkeypatch, client)
+    for _ in range(5):
+        checker.check_all()
+    assert client.answered.wait(5.0)
+    time.sleep(0.05)
+    assert client.calls == [("p1", "/healthz")]
+
+
+def test_services_without_a_health_check_are_not_asked(monkeypatch):
+    client = ScriptedClient(True)
+    checker, _, _ = make_checker(monkeypatch, client, health_path=None)
+    checker.check_all()
+    time.sleep(0.05)
+    assert client.calls == []
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -31,6 +31,7 @@
     node_status,
     proxy_app,
     request_reader,
+    return_checker,
     stop_plan,
     store_watcher,
 )
@@ -48,6 +49,7 @@
     configuration_codec,
     endpoint_codec,
     engine_client,
+    health_client,
     object_client,
     paths,
     request_headers,
@@ -126,6 +128,13 @@
         self._endpoint_handler = endpoint_handler.EndpointHandler(
             self._serving, self._node_status, self._pool, self._on_endpoints_changed
         )
+        self._return_checker = return_checker.ReturnChecker(
+            self._serving,
+            health_client.PlatformHealthClient(),
+            self._get_health_path,
+            self._on_endpoint_confirmed,
+            self._random_state,
+        )
         self._change_feed = change_feed.ChangeFeed(
             self._identity,
             self._peer_table,
@@ -184,7 +193,7 @@
             settings.requests.repeat_slack,
             settings.requests.repeat_window_s,
         )
-        registry = fleet_registry.EndpointRegistry()
+        registry = fleet_registry.EndpointRegistry(settings.endpoints.heartbeat_interval_ms / 1000)
         request_dispatcher = dispatcher.Dispatcher(
             settings.data_centre, registry, retry_limits, self._stall_tracker, self._random_state
         )
@@ -257,6 +266,15 @@
 
     def _on_endpoints_changed(self):
         self._group_controller.wake()
+        self._return_checker.check_all()
+
+    def _on_endpoint_confirmed(self, changes):
+        self._endpoint_handler.process_changes(changes, None)
+
+    def _get_health_path(self, service):
+        configuration = self._node_status.configuration
+        spec = None if configuration is None else configuration.services.get(service)
+        return None if spec is None else spec.health_path
 
     def _on_node_count(self, nodes):
         self._serving.use_node_count(nodes)
@@ -302,6 +320,7 @@
         while not self._stop_requested.wait(MAINTENANCE_INTERVAL_S):
             now = time.monotonic()
             self._endpoint_handler.process_changes(self._serving.expire(now).get(), None)
+            self._return_checker.check_all()
             self._pool.close_expired(now)
             records, _ = self._serving.records().get()
             self._peer_view.set_endpoint_ids(records)
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -12,6 +12,7 @@
     {
         "endpoint:changed",
         "endpoint:ignored",
+        "endpoint:checked",
         "engine:silent",
         "engine:answers_again",
         "domain:plan_stored",
--- a/src/lynxlanding/platform/configuration_codec.py
+++ b/src/lynxlanding/platform/configuration_codec.py
@@ -93,6 +93,7 @@
         name=fields.require(document, "name", str),
         max_connections=fields.get(document, "max_conns", int, 0),
         engine=None if engine is None else _decode_engine(engine),
+        health_path=fields.get(document, "health_path", str, None),
     )
 
 
--- a/src/lynxlanding/platform/engine_client.py
+++ b/src/lynxlanding/platform/engine_client.py
@@ -6,7 +6,7 @@
 
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import endpoint_codec, fields, request_headers, sockets
+from lynxlanding.platform import endpoint_call, endpoint_codec, fields, request_headers, sockets
 from lynxlanding.replicas import engine_order, engine_report, order_outcome
 
 # Engines respond within a few milliseconds or not at all, and callers send unanswered orders again.
@@ -74,14 +74,7 @@
             If the engine does not respond, refuses the call or sends a malformed report, or if
             another engine has its address.
         """
-        headers = {request_headers.EXPECT_INSTANCE: record.endpoint_id}
-        url = f"http://{record.address}/v1/report"
-        try:
-            response = self._pool.request("GET", url, headers=headers, timeout=REPORT_TIMEOUT_S)
-        except urllib3.exceptions.NewConnectionError as e:
-            raise endpoint_errors.ConnectionRefused(f"{record.address}: {e}") from e
-        except urllib3.exceptions.HTTPError as e:
-            raise endpoint_errors.AttemptTimedOut(f"{record.address}: {e}") from e
+        response = endpoint_call.get(self._pool, record, "/v1/report", REPORT_TIMEOUT_S)
         if response.status != 200:
             raise endpoint_errors.EndpointRefused(response.status)
         try:
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -108,6 +108,7 @@
 def test_decodes_a_configuration():
     configuration = configuration_codec.decode(configuration_document())
     assert configuration.version == 7
+    assert configuration.services["t"].health_path == "/h"
     matched_route = configuration.find_route("a.example", "/a/x/y")
     assert (matched_route.name, matched_route.timeout_s, matched_route.is_idempotent) == (
         "r1",
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -99,6 +99,18 @@
     load_window_s: section.Seconds = 5.0
 
 
+class EndpointSettings(VmSection):
+    """Endpoints.
+
+    Attributes
+    ----------
+    heartbeat_interval_ms : float
+        Interval at which endpoints write their registrations.
+    """
+
+    heartbeat_interval_ms: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1200.0
+
+
 class StopSettings(VmSection):
     """Graceful shutdown of the node.
 
@@ -131,4 +143,5 @@
     listen: VmListenSettings
     requests: VmRequestSettings = VmRequestSettings()
     groups: GroupSettings = GroupSettings()
+    endpoints: EndpointSettings = EndpointSettings()
     stop: StopSettings = StopSettings()
--- a/src/lynxlanding/traffic/service_spec.py
+++ b/src/lynxlanding/traffic/service_spec.py
@@ -93,8 +93,11 @@
         Maximum number of connections.
     engine : EngineSpec or None
         Specification of the model engines; None for a plain service.
+    health_path : str or None
+        Path of the health check of the service's endpoints.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    health_path: str | None = None
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -107,6 +107,12 @@
         name = endpoint.endpoint_id
         if name in order.get("dark", ()):
             endpoint.is_dark = True
+        if name in order.get("silent", ()):
+            endpoint.is_silent = True
+        if name in order.get("heard", ()):
+            endpoint.is_silent = False
+            self._silent.pop(name, None)
+            self._publish(endpoint)
         if name in order.get("hold_heartbeat", ()):
             endpoint.heartbeats += 1
             self._held[name] = endpoint.entry()
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -195,3 +195,16 @@
     time.sleep(0.6)
     site.control(release_heartbeat=["i-003"])
     check_no_late_run(site, "i-003", acknowledged_at)
+
+
+def test_endpoint_that_could_not_reach_the_store_gets_requests_again(site):
+    """Guards against an endpoint that stays unused after its entry came back."""
+    site.control(silent=["i-004"])
+    time.sleep(4.5 * HEARTBEAT_S)
+    away_from = site.control()["time"]
+    time.sleep(1.0)
+    assert not any(at > away_from for at in site.runs_at("i-004"))
+    heard_at = site.control(heard=["i-004"])["time"]
+    time.sleep(2.0)
+    assert any(at > heard_at for at in site.runs_at("i-004"))
+    assert site.failures == []
