Do not order incarnations of an endpoint by its clock

Cause: an endpoint can start again under its id, and its start time is that of its own clock. After the clock was set back, the new incarnation looked older, and all its registrations were dropped without a trace, also the announcement. The other way round, the announcement of an incarnation with a later clock stuck to the next one for good. Class of fault: events of one writer ordered by its wall clock.

Why this works: within an incarnation the number of the heartbeat orders the writes, without a clock. Between incarnations a later start that was not replaced yet counts at once. Any other incarnation may be live or a late write: the endpoint gets no requests until the entry has stayed for two heartbeat intervals, in which a live incarnation would have written again, and its health check then decides. An announcement is remembered for exactly the incarnation that made it. A node's decision is never final, so that one late write cannot hide an incarnation for good.

--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -8,7 +8,10 @@
 RESTARTED = "restarted"
 LEAVING = "leaving"
 REMOVED = "removed"
-# The endpoint, whose registration had come back after its removal, is alive and not leaving.
+# An incarnation that started earlier than the known one, by its clock, has written the entry. The
+# known record stays, without requests, until it is clear which of them lives.
+SUSPECTED = "restart_suspected"
+# An unconfirmed endpoint gets requests again.
 CONFIRMED = "confirmed"
 # The endpoint's group membership has changed.
 REGROUPED = "regrouped"
@@ -30,7 +33,7 @@
         One of the constants of this module.
     record : EndpointRecord
         Record after the change; the last known record if the endpoint was removed; the received one
-        if it was ignored.
+        if it was ignored or if it makes a restart likely.
     known : EndpointRecord or None
         Record before the change, if there was one.
     """
--- a/src/lynxlanding/fleet/endpoint_record.py
+++ b/src/lynxlanding/fleet/endpoint_record.py
@@ -44,8 +44,8 @@
     version : StoreVersion or None
         Version of the store at which the registration was written.
     is_unconfirmed : bool
-        Whether the registration came back after its removal and may be a late write of an endpoint
-        that is gone. The registry sets it.
+        Whether the registration may be a late write of an incarnation that is gone. The registry
+        sets it.
     """
 
     endpoint_id: str
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -2,28 +2,43 @@
 
 import dataclasses
 
-from lynxlanding.fleet import endpoint_change
+from lynxlanding.fleet import endpoint_change, endpoint_record, incarnation_memory
 
 # Live endpoints register again within about two seconds after an outage of the store.
 LAPSE_GRACE_S = 2.0
-# Incarnations remembered as leaving or removed; enough for several days of replacements.
-MAX_REMEMBERED_INCARNATIONS = 5000
 DEFAULT_HEARTBEAT_INTERVAL_S = 1.2
 # The store removes an entry after three heartbeat intervals without a heartbeat. One that is still
 # there after four receives heartbeats.
 CONFIRMATION_INTERVALS = 4.0
+# A live incarnation overwrites a late write of another one with its next heartbeat; the second
+# interval allows for a lost heartbeat.
+REPLACEMENT_INTERVALS = 2.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _PossibleRestart:
+    """Latest record of an incarnation that may have replaced the known one."""
+
+    record: endpoint_record.EndpointRecord
+    seen_at: float
 
 
 class EndpointRegistry:
     """Endpoints that requests and orders may be sent to.
 
-    A record of an older incarnation never replaces that of a newer one. An endpoint that has
-    announced its shutdown stays leaving until it restarts.
+    Records of one incarnation are ordered by the number of the heartbeat, which late writes do not
+    change. An endpoint that has announced its shutdown stays leaving until it restarts.
 
-    An entry that comes back after its removal is either that of an endpoint that could not reach
-    the store for a while, or a late write of one that is gone. Nothing in the store tells these
-    apart, so the endpoint stays unconfirmed until it answers a health check or the store has kept
-    the entry for longer than it keeps one without heartbeats.
+    Two kinds of entries may be late writes of an incarnation that is gone, and nothing in the store
+    tells that. Such an endpoint is unconfirmed and gets no requests:
+
+    - An entry that comes back after its removal, perhaps because the endpoint could not reach the
+      store for a while. It is confirmed when the endpoint answers a health check, or when the store
+      has kept the entry for longer than it keeps one without heartbeats.
+    - An entry of an incarnation that started earlier than the known one or was replaced by it.
+      Start times are those of the endpoint's clock, which may have been set back before a restart.
+      If the known incarnation does not write again, the other one replaces it. The one that stays
+      is confirmed like an endpoint that came back.
 
     Parameters
     ----------
@@ -33,19 +48,18 @@
 
     def __init__(self, heartbeat_interval_s=DEFAULT_HEARTBEAT_INTERVAL_S):
         self._confirmation_s = CONFIRMATION_INTERVALS * heartbeat_interval_s
+        self._replacement_s = REPLACEMENT_INTERVALS * heartbeat_interval_s
         self._records = {}
         # Times at which endpoints that lapsed during an outage of the store are removed.
         self._lapsed = {}
-        # Start times of the leaving incarnations by endpoint id.
-        self._leaving = {}
-        # Start times of the removed incarnations by endpoint id.
-        self._removed = {}
         # Times at which unconfirmed endpoints came back, by endpoint id.
         self._returned_at = {}
-        self._read_at = None
+        self._possible_restarts = {}
+        self._memory = incarnation_memory.IncarnationMemory()
         self._grace_period_end = None
         self._is_store_available = False
         self._is_next_list_older = False
+        self._read_at = None
 
     @property
     def records(self):
@@ -71,7 +85,9 @@
         returned = []
         for endpoint_id in self._returned_at:
             record = self._records[endpoint_id]
-            if record.is_leaving or (record.is_engine and not record.is_serving_head):
+            if endpoint_id in self._possible_restarts or record.is_leaving:
+                continue
+            if record.is_engine and not record.is_serving_head:
                 continue
             returned.append(record)
         return returned
@@ -145,27 +161,31 @@
         return changes
 
     def confirm(self, endpoint_id, started_ms):
-        """Record that an unconfirmed incarnation serves and is not leaving; return the changes."""
-        record = self._records.get(endpoint_id)
-        if endpoint_id not in self._returned_at or record.started_ms != started_ms:
+        """Record that a returned incarnation serves and is not leaving; return the changes."""
+        if endpoint_id not in self._returned_at or endpoint_id in self._possible_restarts:
+            return []
+        record = self._records[endpoint_id]
+        if record.started_ms != started_ms:
             return []
         del self._returned_at[endpoint_id]
-        confirmed = dataclasses.replace(record, is_unconfirmed=False)
-        self._records[endpoint_id] = confirmed
-        return [endpoint_change.EndpointChange(endpoint_change.CONFIRMED, confirmed, record)]
+        return self._set(record, record)
 
     def expire(self, now):
         """Apply what follows from the time; return the changes.
 
-        Lapsed endpoints that have not registered again in time are removed. Returned ones whose
-        entry receives heartbeats are confirmed.
+        Lapsed endpoints that have not registered again in time are removed. Unconfirmed ones are
+        confirmed or replaced once the store would show if that were wrong.
         """
         changes = []
+        for endpoint_id, restart in list(self._possible_restarts.items()):
+            if self._read_at - restart.seen_at < self._replacement_s:
+                continue
+            self._returned_at[endpoint_id] = restart.seen_at
+            changes.extend(self._replace(restart.record, self._records[endpoint_id]))
         for endpoint_id, returned_at in list(self._returned_at.items()):
-            # The removal of the entry shows only in what was read from the store.
-            if self._read_at - returned_at >= self._confirmation_s:
-                record = self._records[endpoint_id]
-                changes.extend(self.confirm(endpoint_id, record.started_ms))
+            if self._read_at - returned_at < self._confirmation_s:
+                continue
+            changes.extend(self.confirm(endpoint_id, self._records[endpoint_id].started_ms))
         for endpoint_id, remove_at in list(self._lapsed.items()):
             if now < remove_at:
                 continue
@@ -173,14 +193,51 @@
         return changes
 
     def _put(self, record, now):
-        self._lapsed.pop(record.endpoint_id, None)
-        known = self._records.get(record.endpoint_id)
-        leaving_start_ms = self._leaving.get(record.endpoint_id)
-        if leaving_start_ms is not None and record.started_ms <= leaving_start_ms:
+        endpoint_id = record.endpoint_id
+        known = self._records.get(endpoint_id)
+        self._lapsed.pop(endpoint_id, None)
+        if self._memory.is_leaving(record):
             record = dataclasses.replace(record, is_leaving=True)
-        if known is not None and record.is_older_than(known):
+        if known is None:
+            if self._memory.may_have_ended(record):
+                self._returned_at[endpoint_id] = now
+            return self._set(record, None)
+        if record.started_ms != known.started_ms:
+            is_later = record.started_ms > known.started_ms
+            if not is_later or self._memory.may_have_ended(record):
+                return self._suspect_restart(record, known, now)
+            self._returned_at.pop(endpoint_id, None)
+            return self._replace(record, known)
+        if record.is_older_than(known):
             return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
-        self._check_return(record, known, now)
+        self._drop_possible_restart(endpoint_id, now)
+        return self._set(record, known)
+
+    def _suspect_restart(self, record, known, now):
+        """Keep the known record, without requests, until it is known which incarnation lives."""
+        suspected = self._possible_restarts.get(record.endpoint_id)
+        seen_at = now
+        if suspected is not None and suspected.record.started_ms == record.started_ms:
+            if record.is_older_than(suspected.record):
+                return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
+            seen_at = suspected.seen_at
+        self._possible_restarts[record.endpoint_id] = _PossibleRestart(record, seen_at)
+        self._records[record.endpoint_id] = dataclasses.replace(known, is_unconfirmed=True)
+        return [endpoint_change.EndpointChange(endpoint_change.SUSPECTED, record, known)]
+
+    def _drop_possible_restart(self, endpoint_id, now):
+        """Keep the known incarnation, whose own write may still be a late one, unconfirmed."""
+        if self._possible_restarts.pop(endpoint_id, None) is not None:
+            self._returned_at[endpoint_id] = now
+
+    def _replace(self, record, known):
+        """Replace an incarnation by another one."""
+        self._memory.record_replaced(known)
+        self._possible_restarts.pop(record.endpoint_id, None)
+        return self._set(record, known)
+
+    def _set(self, record, known):
+        """Store a record in place of the known one, if any; return the changes."""
         record = dataclasses.replace(
             record,
             last_model=_last_model(record, known),
@@ -188,12 +245,14 @@
         )
         self._records[record.endpoint_id] = record
         if record.is_leaving:
-            _remember(self._leaving, record)
+            self._memory.record_leaving(record)
         if known is None:
             return [endpoint_change.EndpointChange(endpoint_change.ADDED, record)]
         changes = []
         if known.started_ms != record.started_ms:
             changes.append(endpoint_change.EndpointChange(endpoint_change.RESTARTED, record, known))
+        elif known.is_unconfirmed and not record.is_unconfirmed:
+            changes.append(endpoint_change.EndpointChange(endpoint_change.CONFIRMED, record, known))
         if record.is_leaving and not known.is_leaving:
             changes.append(endpoint_change.EndpointChange(endpoint_change.LEAVING, record, known))
         if known.membership != record.membership:
@@ -202,19 +261,11 @@
             changes.append(endpoint_change.EndpointChange(endpoint_change.STAGED, record, known))
         return changes
 
-    def _check_return(self, record, known, now):
-        """Record whether the entry has come back after its removal."""
-        if known is None:
-            removed_start_ms = self._removed.get(record.endpoint_id)
-            if removed_start_ms is not None and record.started_ms <= removed_start_ms:
-                self._returned_at[record.endpoint_id] = now
-        elif record.started_ms != known.started_ms:
-            self._returned_at.pop(record.endpoint_id, None)
-
     def _remove(self, endpoint_id, now):
         record = self._records.get(endpoint_id)
         if record is None or endpoint_id in self._lapsed:
             return []
+        self._drop_possible_restart(endpoint_id, now)
         in_grace_period = self._grace_period_end is not None and now < self._grace_period_end
         if in_grace_period and not record.is_leaving:
             self._lapsed[endpoint_id] = self._grace_period_end
@@ -227,20 +278,10 @@
         record = self._records.pop(endpoint_id, None)
         if record is None:
             return []
-        _remember(self._removed, record)
-        # The entry in ``_leaving`` stays, so that a late write of the same incarnation does not
-        # make the endpoint usable again; only a later incarnation does.
+        self._memory.record_removed(record)
         return [endpoint_change.EndpointChange(endpoint_change.REMOVED, record)]
 
 
-def _remember(incarnations, record):
-    """Store the start time of an incarnation; drop the oldest if there are too many."""
-    incarnations.pop(record.endpoint_id, None)
-    incarnations[record.endpoint_id] = record.started_ms
-    while len(incarnations) > MAX_REMEMBERED_INCARNATIONS:
-        del incarnations[next(iter(incarnations))]
-
-
 def _last_model(record, known):
     """Return the model of the last group, carried over within an incarnation."""
     if record.models:
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -82,3 +82,70 @@
     endpoints = registry.EndpointRegistry()
     return_after_removal(endpoints, is_leaving=True)
     assert endpoints.returned_records() == []
+
+
+def restart_with_clock_set_back(endpoints, **changes):
+    """Restart a known endpoint with an earlier start time at 1.0; return the changes."""
+    endpoints.apply_list([test_registry.make_record(started_ms=STARTED_MS)], 0.0)
+    record = test_registry.make_record(started_ms=EARLIER_START_MS, **changes)
+    return endpoints.apply_changes([record], [], 1.0)
+
+
+def test_endpoint_restarted_with_its_clock_set_back_is_used_again():
+    """Guards against an endpoint that stays unused, or used under its previous incarnation."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    changes = restart_with_clock_set_back(endpoints)
+    assert test_registry.change_kinds(changes) == ["restart_suspected"]
+    assert not endpoints.is_usable("i-1")
+    assert endpoints.returned_records() == []
+    endpoints.apply_changes([], [], 2.9)
+    assert endpoints.expire(2.9) == []
+    endpoints.apply_changes([], [], 3.0)
+    assert test_registry.change_kinds(endpoints.expire(3.0)) == ["restarted"]
+    assert endpoints.get("i-1").started_ms == EARLIER_START_MS
+    assert [record.started_ms for record in endpoints.returned_records()] == [EARLIER_START_MS]
+    endpoints.confirm("i-1", EARLIER_START_MS)
+    assert endpoints.is_usable("i-1")
+
+
+def test_late_write_of_the_replaced_incarnation_does_not_make_the_endpoint_usable():
+    """Guards against the previous incarnation, whose clock was ahead, hiding that of today."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    restart_with_clock_set_back(endpoints)
+    endpoints.apply_changes([], [], 3.0)
+    endpoints.expire(3.0)
+    leaving = test_registry.make_record(started_ms=EARLIER_START_MS, is_leaving=True)
+    endpoints.apply_changes([leaving], [], 4.0)
+    late = test_registry.make_record(started_ms=STARTED_MS, heartbeat_number=30)
+    endpoints.apply_changes([late], [], 4.5)
+    assert not endpoints.is_usable("i-1")
+    endpoints.apply_changes([leaving], [], 5.0)
+    assert endpoints.confirm("i-1", EARLIER_START_MS) != []
+    assert not endpoints.is_usable("i-1")
+
+
+def test_two_incarnations_that_write_in_turn_are_not_used_until_one_stays():
+    """Guards against a lasting decision for the wrong one by a single late write."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    restart_with_clock_set_back(endpoints, heartbeat_number=1)
+    late = test_registry.make_record(started_ms=STARTED_MS, heartbeat_number=30)
+    endpoints.apply_changes([late], [], 1.4)
+    assert not endpoints.is_usable("i-1")
+    again = test_registry.make_record(started_ms=EARLIER_START_MS, heartbeat_number=2)
+    endpoints.apply_changes([again], [], 2.0)
+    assert not endpoints.is_usable("i-1")
+    assert endpoints.confirm("i-1", STARTED_MS) == []
+    endpoints.apply_changes([], [], 4.0)
+    endpoints.expire(4.0)
+    assert endpoints.get("i-1").started_ms == EARLIER_START_MS
+
+
+def test_leaving_of_an_earlier_incarnation_does_not_stick_to_the_next_one():
+    """Guards against a restarted endpoint that stays leaving for good."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    endpoints.apply_list([test_registry.make_record(started_ms=STARTED_MS, is_leaving=True)], 0.0)
+    endpoints.apply_changes([], ["i-1"], 1.0)
+    endpoints.apply_changes([test_registry.make_record(started_ms=EARLIER_START_MS)], [], 2.0)
+    assert not endpoints.get("i-1").is_leaving
+    endpoints.confirm("i-1", EARLIER_START_MS)
+    assert endpoints.is_usable("i-1")
--- a/src/lynxlanding/node/endpoint_handler.py
+++ b/src/lynxlanding/node/endpoint_handler.py
@@ -104,6 +104,7 @@
             service=record.service,
             address=record.address,
             **_describe(record),
+            known_born_ms=None if change.known is None else change.known.started_ms,
             unread_s=unread_s,
             in_flight=in_flight,
             models=record.models,
@@ -127,7 +128,9 @@
 
 
 def _log_ignored(change):
-    known = {f"known_{name}": value for name, value in _describe(change.known).items()}
+    known = {}
+    if change.known is not None:
+        known = {f"known_{name}": value for name, value in _describe(change.known).items()}
     eliot.log_message(
         message_type=RECORD_IGNORED,
         endpoint=change.record.endpoint_id,
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -208,3 +208,12 @@
     time.sleep(2.0)
     assert any(at > heard_at for at in site.runs_at("i-004"))
     assert site.failures == []
+
+
+def test_endpoint_restarted_with_its_clock_set_back_is_used_again(site):
+    """Guards against an endpoint that its restart takes out of use for good."""
+    restarted_at = site.control(restart={"i-005": 1000})["time"]
+    time.sleep(4 * HEARTBEAT_S)
+    runs = [at - restarted_at for at in site.runs_at("i-005")]
+    assert any(at > 3 * HEARTBEAT_S for at in runs)
+    assert site.failures == []
