Pass on every write that a watch returns, in the order of the store

Cause: of all events of an object in one answer of a watch, only the last counted, for the node that read it and, through a relay, for its subscribers. A late heartbeat that says 'ready' right after the one that says 'draining' hid the announcement; a write after a removal hid the removal. Class of fault: reducing a history to its last state although what it says (an announcement, a removal) must be remembered.

Over two real nodes the next heartbeat corrects the belief within the bound, so this alone does not explain requests after it.

Why this works: the registry remembers announcements and removals by incarnation, so it needs to see them, not to see them last. One builder now makes the batches of all three stores: deletions first, then every write since the last one.

test_only_the_last_change_of_an_object_counts expected that a deletion is left out if the object exists again, which is the fault. Its guard (a write before a deletion does not count) stays under a new name, and the deletion is now expected.

--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -149,3 +149,13 @@
     assert not endpoints.get("i-1").is_leaving
     endpoints.confirm("i-1", EARLIER_START_MS)
     assert endpoints.is_usable("i-1")
+
+
+def test_announcement_is_seen_although_a_late_heartbeat_follows_it():
+    """Guards against an announcement that a late heartbeat of the same batch hides."""
+    endpoints = registry.EndpointRegistry()
+    endpoints.apply_list([test_registry.make_record(heartbeat_number=1)], 0.0)
+    announcement = test_registry.make_record(heartbeat_number=8, is_leaving=True)
+    late = test_registry.make_record(heartbeat_number=7)
+    endpoints.apply_changes([announcement, late], [], 1.0)
+    assert not endpoints.is_usable("i-1")
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -11,7 +11,7 @@
     http_call,
     store_version,
     stored_object,
-    watch_batch,
+    watch_batch_builder,
 )
 
 # Connecting takes a few milliseconds; after a second the store is considered unavailable.
@@ -124,18 +124,15 @@
         response = self._call_in_era(
             after.era, "GET", path, read_timeout_s=timeout_s + WATCH_MARGIN_S
         )
-        puts = {}
-        deletes = {}
+        builder = watch_batch_builder.WatchBatchBuilder()
         for event in fields.require(response, "events", list):
             item = _decode_object(kind, fields.require(event, "object", dict), after.era)
-            # Only the last event of an object counts.
-            is_deleted = fields.get(event, "tombstone", bool, False)
-            puts.pop(item.name, None)
-            deletes.pop(item.name, None)
-            (deletes if is_deleted else puts)[item.name] = item
+            if fields.get(event, "tombstone", bool, False):
+                builder.delete(item.name)
+                continue
+            builder.put(item)
         revision = fields.require(response, "current_rev", int)
-        version = store_version.StoreVersion(after.era, revision)
-        return watch_batch.WatchBatch(list(puts.values()), list(deletes), version)
+        return builder.build(store_version.StoreVersion(after.era, revision))
 
     def _call_in_era(self, era, method, path, document=None, **options):
         """Send a call that refers to a revision of an era and return the decoded response.
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -181,7 +181,7 @@
     assert eras.current == 3
 
 
-def test_only_the_last_change_of_an_object_counts(server):
+def test_writes_before_a_deletion_do_not_count(server):
     """Guards against an endpoint that leaves and is removed within one batch, yet stays."""
     client = object_client.PlatformObjectStore(f"{HOST}:{server.port}")
     first = client.create("k9", "a", {"n": 1})
@@ -193,7 +193,7 @@
     client.create("k9", "a", {"n": 3})
     batch = client.watch("k9", version, 0.2)
     assert [item.value for item in batch.puts] == [{"n": 3}]
-    assert batch.deletes == []
+    assert batch.deletes == ["a"]
 
 
 def test_the_client_knows_whether_the_store_answers(server):
@@ -217,3 +217,18 @@
     batch = store.watch("k10", after, 1.0)
     assert [item.value["n"] for item in batch.puts] == [2, 3]
     assert batch.deletes == []
+
+
+def test_a_watch_puts_the_deletion_of_an_object_before_its_next_creation(store):
+    """Guards against a deletion that goes unseen because the object exists again."""
+    created = store.create("k11", "a", {"n": 1})
+    after = created.version
+    updated = store.update("k11", "a", {"n": 2}, created.version)
+    store.delete("k11", "a", updated.version)
+    again = store.create("k11", "a", {"n": 3})
+    batch = store.watch("k11", after, 1.0)
+    assert batch.deletes == ["a"]
+    assert [item.value["n"] for item in batch.puts] == [3]
+    store.delete("k11", "a", again.version)
+    batch = store.watch("k11", after, 1.0)
+    assert (batch.puts, batch.deletes) == ([], ["a"])
--- a/src/lynxlanding/store/__init__.py
+++ b/src/lynxlanding/store/__init__.py
@@ -10,6 +10,7 @@
     vm,
     vm_list,
     watch_batch,
+    watch_batch_builder,
     weight_store,
 )
 
@@ -23,5 +24,6 @@
     "vm",
     "vm_list",
     "watch_batch",
+    "watch_batch_builder",
     "weight_store",
 ]
--- a/src/lynxlanding/store/http_store.py
+++ b/src/lynxlanding/store/http_store.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.store import http_call, object_store, stored_object, watch_batch
+from lynxlanding.store import http_call, object_store, stored_object, watch_batch_builder
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 5.0
@@ -76,14 +76,13 @@
         response = self._call(
             "GET", path, is_write=False, read_timeout_s=timeout_s + WATCH_MARGIN_S
         )
-        puts = []
-        deletes = []
+        builder = watch_batch_builder.WatchBatchBuilder()
         for event in response["events"]:
             if event["type"] == "delete":
-                deletes.append(event["name"])
+                builder.delete(event["name"])
                 continue
-            puts.append(_decode_object(event))
-        return watch_batch.WatchBatch(puts, deletes, response["version"])
+            builder.put(_decode_object(event))
+        return builder.build(response["version"])
 
     def _call(
         self,
--- a/src/lynxlanding/store/memory_store.py
+++ b/src/lynxlanding/store/memory_store.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.store import store_version, stored_object, watch_batch
+from lynxlanding.store import store_version, stored_object, watch_batch_builder
 
 
 class MemoryObjectStore:
@@ -97,16 +97,15 @@
         """Return the changes after version ``after`` without waiting."""
         self._record_call("watch")
         self._check_era(after)
-        puts = []
-        deletes = []
+        builder = watch_batch_builder.WatchBatchBuilder()
         for version, item_kind, name, item in self._change_log:
             if version <= after or item_kind != kind:
                 continue
             if item is None:
-                deletes.append(name)
+                builder.delete(name)
                 continue
-            puts.append(copy.deepcopy(item))
-        return watch_batch.WatchBatch(puts, deletes, self._version)
+            builder.put(copy.deepcopy(item))
+        return builder.build(self._version)
 
     def _record_call(self, method):
         self.call_counts[method] = self.call_counts.get(method, 0) + 1
--- a/src/lynxlanding/store/watch_batch.py
+++ b/src/lynxlanding/store/watch_batch.py
@@ -9,12 +9,15 @@
 class WatchBatch:
     """Changes to the objects of one kind since a version.
 
+    Deletions come before writes: an object that is in both was deleted and then created again.
+
     Parameters
     ----------
     puts : list of StoredObject
-        Created and updated objects, oldest first.
+        Every creation and update since the last deletion of the object, oldest first. An object may
+        occur several times, because a later write may hide what an earlier one has announced.
     deletes : list of str
-        Names of deleted objects.
+        Names of objects that were deleted.
     version : int
         Version from which to continue watching.
     """
