Check the endpoint again after a slow connection

A request could so reach an endpoint later than the node knew of its leaving, or another incarnation than the one selected.

Cause: a decision was carried out without checking that it still holds. Class of fault: time of check and time of use. First attempts, retries and resumed streams all go through the same send, and none of them checked.

Why this works: an attempt whose connection took more than 0.1 s asks the owner of the registry whether the selected incarnation still accepts requests. If not, nothing is sent, the attempt certainly has not run, and another endpoint is selected without using the retry budget. Quicker attempts are as young as the decision itself.

Evidence: the new test of the forwarder fails on the code before.

--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -89,7 +89,8 @@
             request can arrive, and the endpoint can close the idle connection while the request
             is being sent.
         before_sending : callable
-            Called without arguments once a connection is established.
+            Called without arguments once a connection is established. If it raises, nothing is
+            sent.
 
         Raises
         ------
@@ -97,11 +98,11 @@
             If no response arrives.
         """
         connection, _ = self._pool.acquire(record, fresh=fresh)
-        before_sending()
         attempt.set_socket(connection.sock)
         attempt.record_data(time.monotonic())
         self._monitor.add(attempt)
         try:
+            before_sending()
             is_body_sent = _send(connection, method, target, headers, body)
             response = connection.getresponse()
         except _TRANSPORT_ERRORS as e:
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -7,13 +7,15 @@
 from lynxlanding.errors import request as request_errors
 from lynxlanding.requests import attempt_monitor
 
-# A request that is sent later than this after the selection of its endpoint is logged; connecting
-# usually takes a few milliseconds.
+# Connecting usually takes a few milliseconds. If it has taken longer than this, the endpoint may
+# have left in the meantime.
 LATE_SEND_S = 0.1
 
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+_UNSENT_ERRORS = (endpoint_errors.ConnectionRefused, endpoint_errors.EndpointWithdrawn)
+
 
 class RequestForwarder:
     """Forwards one request of a caller, with retries.
@@ -122,7 +124,7 @@
                 # On a reused connection, a late response to an earlier request could be taken for
                 # the response to this one.
                 fresh=not request.route.is_idempotent,
-                before_sending=lambda: self._check_delay(record, started_at),
+                before_sending=lambda: self._check_sendable(record, started_at),
             )
             if metadata.load is not None:
                 load = metadata.load.running + metadata.load.waiting
@@ -141,10 +143,16 @@
             self._serving.end_attempt(record.endpoint_id)
             raise
 
-    def _check_delay(self, record, chosen_at):
+    def _check_sendable(self, record, chosen_at):
+        """Raise ``EndpointWithdrawn`` if the endpoint has left since it was selected."""
         delay_s = time.monotonic() - chosen_at
-        if delay_s > LATE_SEND_S:
-            self._request_logger.log_sent_late(self._request, record, delay_s)
+        if delay_s <= LATE_SEND_S:
+            return
+        if not self._serving.may_send(record).get():
+            raise endpoint_errors.EndpointWithdrawn(
+                f"{record.address}: no longer usable {delay_s:.3f} s after the selection"
+            )
+        self._request_logger.log_sent_late(self._request, record, delay_s)
 
     def _check_response(self, response, metadata):
         request = self._request
@@ -251,9 +259,8 @@
         was_not_run = error.certainly_not_run
         history = self._history(last_was_not_run=was_not_run)
         may_retry = retry_rules.may_retry(request.route, history)
-        # An attempt that established no connection did not reach the service, so its retry is not
-        # counted.
-        uses_budget = not isinstance(error, endpoint_errors.ConnectionRefused)
+        # An attempt that sent nothing did not reach the service, so its retry is not counted.
+        uses_budget = not isinstance(error, _UNSENT_ERRORS)
         if may_retry and uses_budget and not self._has_acquired_retry:
             may_retry = self._serving.try_acquire_retry(request.service, now).get()
         self._has_acquired_retry = False
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -110,6 +110,13 @@
         """Return ``Send`` or ``Refuse`` for a request."""
         return self._dispatcher.choose(query, now)
 
+    def may_send(self, record):
+        """Return whether the incarnation in ``record`` still accepts requests."""
+        known = self._registry.get(record.endpoint_id)
+        if known is None or known.started_ms != record.started_ms:
+            return False
+        return known.accepts_requests
+
     def record_reported_load(self, endpoint_id, load, now):
         """Record the running and waiting requests that an endpoint reports."""
         self._dispatcher.load_tracker.record_reported_load(endpoint_id, load, now)
--- a/src/lynxlanding/dispatch/tests/test_endpoint_client.py
+++ b/src/lynxlanding/dispatch/tests/test_endpoint_client.py
@@ -80,7 +80,14 @@
 
 
 def call(
-    client, server, *, fresh=False, timeout_s=2.0, may_abort=lambda: False, stall_timeout_s=9.0
+    client,
+    server,
+    *,
+    fresh=False,
+    timeout_s=2.0,
+    may_abort=lambda: False,
+    stall_timeout_s=9.0,
+    before_sending=lambda: None,
 ):
     record = dispatch_factories.make_plain_endpoint(server.port - 9500)
     attempt = attempt_monitor.MonitoredAttempt(
@@ -94,7 +101,7 @@
         b"in",
         attempt,
         fresh=fresh,
-        before_sending=lambda: None,
+        before_sending=before_sending,
     )
     return response.status, b"".join(response.chunks), metadata
 
@@ -215,3 +222,16 @@
     with pytest.raises(endpoint_errors.ConnectionRefused) as caught:
         call(client, server)
     assert caught.value.certainly_not_run
+
+
+def test_nothing_is_sent_if_the_endpoint_was_withdrawn_meanwhile(client):
+    server = ScriptedServer([RESPONSE])
+
+    def withdraw():
+        raise endpoint_errors.EndpointWithdrawn("left")
+
+    with pytest.raises(endpoint_errors.EndpointWithdrawn):
+        call(client, server, fresh=True, before_sending=withdraw)
+    time.sleep(0.05)
+    assert b"".join(server.received) == b""
+    server.close()
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -46,6 +46,9 @@
     def try_acquire_retry(self, service, now):
         return CompletedFuture(self._dispatcher.try_acquire_retry(service, now))
 
+    def may_send(self, record):
+        return CompletedFuture(record.accepts_requests)
+
     def end_attempt(self, endpoint_id):
         self._dispatcher.load_tracker.end(endpoint_id)
 
@@ -269,3 +272,25 @@
     next(iter(reply.stream))
     reply.stream.close()
     assert dispatcher.load_tracker.own_counts == {}
+
+
+def test_request_is_not_sent_to_an_endpoint_that_left_while_it_connected(monkeypatch):
+    """Guards against a decision that is older than the announcement of the endpoint."""
+    monkeypatch.setattr(request_forwarder, "LATE_SEND_S", -1.0)
+    route = dispatch_factories.make_route(traffic_route.UNSAFE, 1)
+    forwarder, endpoints, dispatcher = make_forwarder(1, route)
+    endpoints.random_state = random.Random(2)
+    monkeypatch.setattr(endpoints.random_state, "random", lambda: 0.9)
+    withdrawn = []
+
+    def may_send(record):
+        if not withdrawn:
+            withdrawn.append(record.endpoint_id)
+        return CompletedFuture(record.endpoint_id not in withdrawn)
+
+    forwarder._serving.may_send = may_send
+    reply = forwarder.forward()
+    assert (reply.status, reply.body) == (200, b"whole")
+    assert len(endpoints.runs) == 1
+    assert endpoints.runs[0] != withdrawn[0]
+    assert dispatcher.load_tracker.own_counts == {}
--- a/src/lynxlanding/errors/endpoint.py
+++ b/src/lynxlanding/errors/endpoint.py
@@ -23,6 +23,13 @@
     certainly_not_run = True
 
 
+class EndpointWithdrawn(AttemptError):
+    """The endpoint left or restarted while the connection was established; nothing was sent."""
+
+    type_name = "endpoint_withdrawn"
+    certainly_not_run = True
+
+
 class EndpointRefused(AttemptError):
     """The endpoint refused the request and confirmed with ``X-Executed: no`` that it did not run.
 
