Ask lapsed endpoints whether they serve

Cause: for 2 s after an outage of the store, a removed entry counts as lapsed and the endpoint stays usable to the end of that time. The outage may be one of this node's or its relay's connection alone, while the store serves everybody else; an endpoint that leaves unannounced right after it then gets requests up to 2.2 s after the removal, which is over the bound of 2 s. Class of fault: as with entries that came back, the store's silence was taken for an answer.

Why this works: a lapsed endpoint is asked at once, like one whose entry came back. If it says that it serves, it is used for the whole grace period.

Ruled out: a shorter grace period (endpoints register again within about two seconds); asking before any use (all endpoints would be unused for a moment after each outage).

Evidence: test_endpoint_that_leaves_right_after_an_outage_is_not_used_through_the_grace_period fails on the code before.

--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -59,9 +59,9 @@
         self._dispatcher.load_tracker.expire_peers(now)
         return self._update_candidates(self._registry.expire(now))
 
-    def returned_records(self):
-        """Return the records of endpoints that get requests once they are confirmed."""
-        return self._registry.returned_records()
+    def records_to_check(self):
+        """Return the records of endpoints whose requests depend on a health check."""
+        return self._registry.records_to_check()
 
     def confirm(self, endpoint_id, started_ms):
         """Record that an incarnation serves; return the changes of the registry."""
--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -11,6 +11,8 @@
 # An incarnation that started earlier than the known one, by its clock, has written the entry. The
 # known record stays, without requests, until it is clear which of them lives.
 SUSPECTED = "restart_suspected"
+# The endpoint gets no requests until it is confirmed.
+UNCONFIRMED = "unconfirmed"
 # An unconfirmed endpoint gets requests again.
 CONFIRMED = "confirmed"
 # The endpoint's group membership has changed.
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -6,6 +6,9 @@
 
 # Live endpoints register again within about two seconds after an outage of the store.
 LAPSE_GRACE_S = 2.0
+# A lapsed endpoint gets requests for this long without an answer to a health check. It may have
+# left unannounced right after the outage, which may have been one of this node's connection alone.
+LAPSED_USE_S = 1.0
 DEFAULT_HEARTBEAT_INTERVAL_S = 1.2
 # The store removes an entry after three heartbeat intervals without a heartbeat. One that is still
 # there after four receives heartbeats.
@@ -15,6 +18,15 @@
 REPLACEMENT_INTERVALS = 2.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Lapse:
+    """Registration that is missing after an outage of the store."""
+
+    seen_at: float
+    remove_at: float
+    is_confirmed: bool = False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _PossibleRestart:
     """Latest record of an incarnation that may have replaced the known one."""
@@ -50,7 +62,6 @@
         self._confirmation_s = CONFIRMATION_INTERVALS * heartbeat_interval_s
         self._replacement_s = REPLACEMENT_INTERVALS * heartbeat_interval_s
         self._records = {}
-        # Times at which endpoints that lapsed during an outage of the store are removed.
         self._lapsed = {}
         # Times at which unconfirmed endpoints came back, by endpoint id.
         self._returned_at = {}
@@ -80,17 +91,21 @@
         record = self._records.get(endpoint_id)
         return record is not None and record.accepts_requests
 
-    def returned_records(self):
-        """Return the records of endpoints that would get requests if they were confirmed."""
-        returned = []
-        for endpoint_id in self._returned_at:
+    def records_to_check(self):
+        """Return the records of endpoints whose requests depend on a health check."""
+        endpoint_ids = list(self._returned_at)
+        for endpoint_id, lapse in self._lapsed.items():
+            if not lapse.is_confirmed:
+                endpoint_ids.append(endpoint_id)
+        records = []
+        for endpoint_id in endpoint_ids:
             record = self._records[endpoint_id]
             if endpoint_id in self._possible_restarts or record.is_leaving:
                 continue
             if record.is_engine and not record.is_serving_head:
                 continue
-            returned.append(record)
-        return returned
+            records.append(record)
+        return records
 
     def on_store_unavailable(self):
         """Mark the store as unavailable; the registry keeps its records."""
@@ -161,20 +176,24 @@
         return changes
 
     def confirm(self, endpoint_id, started_ms):
-        """Record that a returned incarnation serves and is not leaving; return the changes."""
-        if endpoint_id not in self._returned_at or endpoint_id in self._possible_restarts:
+        """Record that an incarnation serves and is not leaving; return the changes."""
+        record = self._records.get(endpoint_id)
+        if record is None or record.started_ms != started_ms:
             return []
-        record = self._records[endpoint_id]
-        if record.started_ms != started_ms:
+        if endpoint_id in self._possible_restarts:
             return []
-        del self._returned_at[endpoint_id]
+        lapse = self._lapsed.get(endpoint_id)
+        if lapse is not None:
+            lapse.is_confirmed = True
+        self._returned_at.pop(endpoint_id, None)
         return self._set(record, record)
 
     def expire(self, now):
         """Apply what follows from the time; return the changes.
 
-        Lapsed endpoints that have not registered again in time are removed. Unconfirmed ones are
-        confirmed or replaced once the store would show if that were wrong.
+        Lapsed endpoints that have not registered again in time are removed, and get no requests
+        before that unless they are confirmed. Unconfirmed ones are confirmed or replaced once the
+        store would show if that were wrong.
         """
         changes = []
         for endpoint_id, restart in list(self._possible_restarts.items()):
@@ -186,10 +205,11 @@
             if self._read_at - returned_at < self._confirmation_s:
                 continue
             changes.extend(self.confirm(endpoint_id, self._records[endpoint_id].started_ms))
-        for endpoint_id, remove_at in list(self._lapsed.items()):
-            if now < remove_at:
-                continue
-            changes.extend(self._delete(endpoint_id))
+        for endpoint_id, lapse in list(self._lapsed.items()):
+            if now >= lapse.remove_at:
+                changes.extend(self._delete(endpoint_id))
+            elif not lapse.is_confirmed and now - lapse.seen_at >= LAPSED_USE_S:
+                changes.extend(self._suspend(endpoint_id))
         return changes
 
     def _put(self, record, now):
@@ -222,8 +242,17 @@
                 return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
             seen_at = suspected.seen_at
         self._possible_restarts[record.endpoint_id] = _PossibleRestart(record, seen_at)
-        self._records[record.endpoint_id] = dataclasses.replace(known, is_unconfirmed=True)
-        return [endpoint_change.EndpointChange(endpoint_change.SUSPECTED, record, known)]
+        change = endpoint_change.EndpointChange(endpoint_change.SUSPECTED, record, known)
+        return [change, *self._suspend(record.endpoint_id)]
+
+    def _suspend(self, endpoint_id):
+        """Make an endpoint unconfirmed, if it is not; return the changes."""
+        known = self._records[endpoint_id]
+        if known.is_unconfirmed:
+            return []
+        record = dataclasses.replace(known, is_unconfirmed=True)
+        self._records[endpoint_id] = record
+        return [endpoint_change.EndpointChange(endpoint_change.UNCONFIRMED, record, known)]
 
     def _drop_possible_restart(self, endpoint_id, now):
         """Keep the known incarnation, whose own write may still be a late one, unconfirmed."""
@@ -268,7 +297,7 @@
         self._drop_possible_restart(endpoint_id, now)
         in_grace_period = self._grace_period_end is not None and now < self._grace_period_end
         if in_grace_period and not record.is_leaving:
-            self._lapsed[endpoint_id] = self._grace_period_end
+            self._lapsed[endpoint_id] = _Lapse(now, self._grace_period_end)
             return [endpoint_change.EndpointChange(endpoint_change.LAPSED, record)]
         return self._delete(endpoint_id)
 
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -38,10 +38,10 @@
     """Guards against an endpoint that was cut from the store and stays unused."""
     endpoints = registry.EndpointRegistry()
     return_after_removal(endpoints, heartbeat_number=5)
-    assert [record.endpoint_id for record in endpoints.returned_records()] == ["i-1"]
+    assert [record.endpoint_id for record in endpoints.records_to_check()] == ["i-1"]
     assert test_registry.change_kinds(endpoints.confirm("i-1", 10)) == ["confirmed"]
     assert endpoints.is_usable("i-1")
-    assert endpoints.returned_records() == []
+    assert endpoints.records_to_check() == []
     assert endpoints.confirm("i-1", 10) == []
 
 
@@ -81,7 +81,7 @@
 def test_leaving_endpoint_is_not_checked_when_it_returns():
     endpoints = registry.EndpointRegistry()
     return_after_removal(endpoints, is_leaving=True)
-    assert endpoints.returned_records() == []
+    assert endpoints.records_to_check() == []
 
 
 def restart_with_clock_set_back(endpoints, **changes):
@@ -95,15 +95,15 @@
     """Guards against an endpoint that stays unused, or used under its previous incarnation."""
     endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     changes = restart_with_clock_set_back(endpoints)
-    assert test_registry.change_kinds(changes) == ["restart_suspected"]
+    assert test_registry.change_kinds(changes) == ["restart_suspected", "unconfirmed"]
     assert not endpoints.is_usable("i-1")
-    assert endpoints.returned_records() == []
+    assert endpoints.records_to_check() == []
     endpoints.apply_changes([], [], 2.9)
     assert endpoints.expire(2.9) == []
     endpoints.apply_changes([], [], 3.0)
     assert test_registry.change_kinds(endpoints.expire(3.0)) == ["restarted"]
     assert endpoints.get("i-1").started_ms == EARLIER_START_MS
-    assert [record.started_ms for record in endpoints.returned_records()] == [EARLIER_START_MS]
+    assert [record.started_ms for record in endpoints.records_to_check()] == [EARLIER_START_MS]
     endpoints.confirm("i-1", EARLIER_START_MS)
     assert endpoints.is_usable("i-1")
 
@@ -159,3 +159,45 @@
     late = test_registry.make_record(heartbeat_number=7)
     endpoints.apply_changes([announcement, late], [], 1.0)
     assert not endpoints.is_usable("i-1")
+
+
+def lapse_after_outage(endpoints):
+    """End an outage at 10.0 and remove the entry at 10.1."""
+    endpoints.apply_list([test_registry.make_record()], 0.0)
+    endpoints.on_store_unavailable()
+    endpoints.on_store_available(10.0, was_outage=True)
+    endpoints.apply_changes([], [], 10.0)
+    endpoints.apply_changes([], ["i-1"], 10.1)
+
+
+def test_endpoint_that_leaves_right_after_an_outage_is_not_used_through_the_grace_period():
+    """Guards against an unannounced leaving that is taken for an entry lapsed in an outage."""
+    endpoints = registry.EndpointRegistry()
+    lapse_after_outage(endpoints)
+    assert endpoints.is_usable("i-1")
+    assert [record.endpoint_id for record in endpoints.records_to_check()] == ["i-1"]
+    assert test_registry.change_kinds(endpoints.expire(11.1)) == ["unconfirmed"]
+    assert not endpoints.is_usable("i-1")
+    assert test_registry.change_kinds(endpoints.expire(12.0)) == ["removed"]
+
+
+def test_lapsed_endpoint_that_answers_is_used_until_it_registers_again():
+    """Guards against leaving out all endpoints after an outage of the store."""
+    endpoints = registry.EndpointRegistry()
+    lapse_after_outage(endpoints)
+    endpoints.confirm("i-1", 10)
+    assert endpoints.records_to_check() == []
+    assert endpoints.expire(11.9) == []
+    assert endpoints.is_usable("i-1")
+    endpoints.apply_changes([test_registry.make_record(heartbeat_number=9)], [], 11.9)
+    assert endpoints.expire(20.0) == []
+    assert endpoints.is_usable("i-1")
+
+
+def test_lapsed_endpoint_that_registers_again_is_usable_without_a_check():
+    endpoints = registry.EndpointRegistry()
+    lapse_after_outage(endpoints)
+    endpoints.expire(11.1)
+    changes = endpoints.apply_changes([test_registry.make_record(heartbeat_number=9)], [], 11.5)
+    assert test_registry.change_kinds(changes) == ["confirmed"]
+    assert endpoints.is_usable("i-1")
--- a/src/lynxlanding/fleet/tests/test_registry_schedules.py
+++ b/src/lynxlanding/fleet/tests/test_registry_schedules.py
@@ -174,7 +174,7 @@
         for started_ms in checks:
             if endpoint.is_serving:
                 endpoints.confirm("i-1", started_ms)
-        checks = [record.started_ms for record in endpoints.returned_records()]
+        checks = [record.started_ms for record in endpoints.records_to_check()]
         left_at = endpoint.left_at
         if left_at is not None and endpoint.is_alive and step > left_at + DRAIN_BOUND_STEPS:
             assert not endpoints.is_usable("i-1"), f"seed {seed}, step {step}, left at {left_at}"
--- a/src/lynxlanding/node/return_checker.py
+++ b/src/lynxlanding/node/confirmation_checker.py
@@ -1,4 +1,4 @@
-"""Checks endpoints whose registration came back after its removal."""
+"""Checks endpoints of which the store does not tell whether they live."""
 
 import threading
 import time
@@ -9,15 +9,15 @@
 
 # Interval between checks of the same endpoint.
 CHECK_INTERVAL_S = 0.5
-# All nodes learn of a returned endpoint at the same time; random delays up to this spread their
+# All nodes learn of such an endpoint at the same time. Random delays up to this spread their
 # checks, because endpoints accept a limited number of connections.
 CHECK_SPREAD_S = 0.1
 
 ENDPOINT_CHECKED = "lynxlanding:endpoint:checked"
 
 
-class ReturnChecker:
-    """Asks returned endpoints whether they serve, before requests are sent to them.
+class ConfirmationChecker:
+    """Asks endpoints whether they serve where the registry cannot tell.
 
     Parameters
     ----------
@@ -43,12 +43,12 @@
         self._checked_at = {}
 
     def check_all(self):
-        """Start a check of each returned endpoint that was not checked recently."""
-        records = self._serving.returned_records().get()
+        """Start a check of each endpoint in question that was not checked recently."""
+        records = self._serving.records_to_check().get()
         now = time.monotonic()
-        returned_ids = {record.endpoint_id for record in records}
+        endpoint_ids = {record.endpoint_id for record in records}
         for endpoint_id in list(self._checked_at):
-            if endpoint_id not in returned_ids:
+            if endpoint_id not in endpoint_ids:
                 del self._checked_at[endpoint_id]
         for record in records:
             path = self._get_health_path(record.service)
--- a/src/lynxlanding/node/tests/test_return_checker.py
+++ b/src/lynxlanding/node/tests/test_confirmation_checker.py
@@ -7,7 +7,7 @@
 
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.node import return_checker
+from lynxlanding.node import confirmation_checker
 
 
 class CompletedFuture:
@@ -23,7 +23,7 @@
         self.records = records
         self.confirmed = []
 
-    def returned_records(self):
+    def records_to_check(self):
         return CompletedFuture(self.records)
 
     def confirm(self, endpoint_id, started_ms):
@@ -58,10 +58,10 @@
 
 
 def make_checker(monkeypatch, client, health_path="/healthz"):
-    monkeypatch.setattr(return_checker, "CHECK_SPREAD_S", 0.0)
+    monkeypatch.setattr(confirmation_checker, "CHECK_SPREAD_S", 0.0)
     serving = StubServingProxy([dispatch_factories.make_plain_endpoint(1)])
     received = []
-    checker = return_checker.ReturnChecker(
+    checker = confirmation_checker.ConfirmationChecker(
         serving, client, lambda service: health_path, received.append, random.Random(1)
     )
     return checker, serving, received
@@ -84,7 +84,7 @@
 
 def test_an_endpoint_that_is_leaving_or_gone_is_not_confirmed(monkeypatch, log_messages):
     """Guards against requests to an endpoint that a late heartbeat has brought back."""
-    monkeypatch.setattr(return_checker, "CHECK_INTERVAL_S", 0.0)
+    monkeypatch.setattr(confirmation_checker, "CHECK_INTERVAL_S", 0.0)
     client = ScriptedClient(False, endpoint_errors.ConnectionRefused("refused"))
     checker, serving, received = make_checker(monkeypatch, client)
     checker.check_all()
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -26,12 +26,12 @@
 from lynxlanding.gateway import http_server
 from lynxlanding.node import (
     configuration_handler,
+    confirmation_checker,
     endpoint_handler,
     monitoring_apps,
     node_status,
     proxy_app,
     request_reader,
-    return_checker,
     stop_plan,
     store_watcher,
 )
@@ -128,7 +128,7 @@
         self._endpoint_handler = endpoint_handler.EndpointHandler(
             self._serving, self._node_status, self._pool, self._on_endpoints_changed
         )
-        self._return_checker = return_checker.ReturnChecker(
+        self._confirmation_checker = confirmation_checker.ConfirmationChecker(
             self._serving,
             health_client.PlatformHealthClient(),
             self._get_health_path,
@@ -266,7 +266,7 @@
 
     def _on_endpoints_changed(self):
         self._group_controller.wake()
-        self._return_checker.check_all()
+        self._confirmation_checker.check_all()
 
     def _on_endpoint_confirmed(self, changes):
         self._endpoint_handler.process_changes(changes, None)
@@ -320,7 +320,7 @@
         while not self._stop_requested.wait(MAINTENANCE_INTERVAL_S):
             now = time.monotonic()
             self._endpoint_handler.process_changes(self._serving.expire(now).get(), None)
-            self._return_checker.check_all()
+            self._confirmation_checker.check_all()
             self._pool.close_expired(now)
             records, _ = self._serving.records().get()
             self._peer_view.set_endpoint_ids(records)
