Share the stand-in installation of the tests, and test a paused relay

test_site.py and test_leaving_endpoints.py started the same site and nodes; tests/site_installation.py does it for both.

--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -12,6 +12,16 @@
 RETRY_LIMITS = (0.2, 109.0, 10.0)
 
 
+class CompletedFuture:
+    """Stands in for a pykka future."""
+
+    def __init__(self, value):
+        self._value = value
+
+    def get(self):
+        return self._value
+
+
 def make_route(kind=traffic_route.STREAMING, max_attempts=2, is_resumable=True, service="model"):
     return traffic_route.Route(
         name="r",
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -21,16 +21,6 @@
 EVENT_COUNT = 6
 
 
-class CompletedFuture:
-    """Stands in for a pykka future."""
-
-    def __init__(self, value):
-        self._value = value
-
-    def get(self):
-        return self._value
-
-
 class FakeServingProxy:
     """Stands in for the proxy of a ``ServingActor``; uses a real dispatcher."""
 
@@ -38,16 +28,16 @@
         self._dispatcher = dispatcher
 
     def choose(self, query, now):
-        return CompletedFuture(self._dispatcher.choose(query, now))
+        return dispatch_factories.CompletedFuture(self._dispatcher.choose(query, now))
 
     def try_acquire_failover(self, query, now):
-        return CompletedFuture(self._dispatcher.try_acquire_failover(query, now))
+        return dispatch_factories.CompletedFuture(self._dispatcher.try_acquire_failover(query, now))
 
     def try_acquire_retry(self, service, now):
-        return CompletedFuture(self._dispatcher.try_acquire_retry(service, now))
+        return dispatch_factories.CompletedFuture(self._dispatcher.try_acquire_retry(service, now))
 
     def may_send(self, record):
-        return CompletedFuture(record.accepts_requests)
+        return dispatch_factories.CompletedFuture(record.accepts_requests)
 
     def end_attempt(self, endpoint_id):
         self._dispatcher.load_tracker.end(endpoint_id)
@@ -286,7 +276,7 @@
     def may_send(record):
         if not withdrawn:
             withdrawn.append(record.endpoint_id)
-        return CompletedFuture(record.endpoint_id not in withdrawn)
+        return dispatch_factories.CompletedFuture(record.endpoint_id not in withdrawn)
 
     forwarder._serving.may_send = may_send
     reply = forwarder.forward()
--- a/src/lynxlanding/node/tests/test_confirmation_checker.py
+++ b/src/lynxlanding/node/tests/test_confirmation_checker.py
@@ -2,33 +2,22 @@
 import threading
 import time
 
-import eliot
-import pytest
-
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.node import confirmation_checker
 
 
-class CompletedFuture:
-    def __init__(self, value):
-        self._value = value
-
-    def get(self):
-        return self._value
-
-
 class StubServingProxy:
     def __init__(self, records):
         self.records = records
         self.confirmed = []
 
     def records_to_check(self):
-        return CompletedFuture(self.records)
+        return dispatch_factories.CompletedFuture(self.records)
 
     def confirm(self, endpoint_id, started_ms):
         self.confirmed.append((endpoint_id, started_ms))
-        return CompletedFuture(["change"])
+        return dispatch_factories.CompletedFuture(["change"])
 
 
 class ScriptedClient:
@@ -49,14 +38,6 @@
         return result
 
 
-@pytest.fixture
-def log_messages():
-    messages = []
-    eliot.add_destinations(messages.append)
-    yield messages
-    eliot.remove_destination(messages.append)
-
-
 def make_checker(monkeypatch, client, health_path="/healthz"):
     monkeypatch.setattr(confirmation_checker, "CHECK_SPREAD_S", 0.0)
     serving = StubServingProxy([dispatch_factories.make_plain_endpoint(1)])
--- a/src/lynxlanding/node/tests/test_endpoint_handler.py
+++ b/src/lynxlanding/node/tests/test_endpoint_handler.py
@@ -1,21 +1,10 @@
 """Log lines of the endpoint handler, from which incidents are traced."""
 
-import eliot
-import pytest
-
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.node import endpoint_handler, node_status
 from lynxlanding.store import store_version, stored_object
 
 
-class CompletedFuture:
-    def __init__(self, value):
-        self._value = value
-
-    def get(self):
-        return self._value
-
-
 class StubServingProxy:
     """Applies records to a real registry; two requests are in flight at each endpoint."""
 
@@ -23,13 +12,15 @@
         _, self.registry = dispatch_factories.make_dispatcher([])
 
     def apply_list(self, records, now, was_outage):
-        return CompletedFuture(self.registry.apply_list(records, now))
+        return dispatch_factories.CompletedFuture(self.registry.apply_list(records, now))
 
     def apply_changes(self, records, removed_ids, now, was_outage):
-        return CompletedFuture(self.registry.apply_changes(records, removed_ids, now))
+        return dispatch_factories.CompletedFuture(
+            self.registry.apply_changes(records, removed_ids, now)
+        )
 
     def own_load(self):
-        return CompletedFuture(dict.fromkeys(self.registry.records, 2))
+        return dispatch_factories.CompletedFuture(dict.fromkeys(self.registry.records, 2))
 
 
 class StubConnectionPool:
@@ -37,14 +28,6 @@
         assert endpoint_id
 
 
-@pytest.fixture
-def log_messages():
-    messages = []
-    eliot.add_destinations(messages.append)
-    yield messages
-    eliot.remove_destination(messages.append)
-
-
 def make_entry(revision, born=1000, state="ready", heartbeat=1):
     spec = {
         "service": "app",
--- a/src/lynxlanding/operators/tests/test_explain.py
+++ b/src/lynxlanding/operators/tests/test_explain.py
@@ -29,7 +29,7 @@
 
 class StubServingProxy:
     def own_load(self):
-        return test_request_forwarder.CompletedFuture({"e0": 1})
+        return dispatch_factories.CompletedFuture({"e0": 1})
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/site_installation.py
@@ -0,0 +1,104 @@
+"""The stand-in of the users' platform and two nodes, as processes."""
+
+import http.client
+import json
+import time
+
+import pytest
+
+from lynxlanding_bench import processes
+
+NODES = ("n0", "n1")
+DATA_CENTRES = ("a", "b")
+PORTS_PER_NODE = 4
+START_LIMIT_S = 25.0
+
+
+class SiteInstallation:
+    """A site and its nodes.
+
+    Parameters
+    ----------
+    running : Processes
+        Owner of the processes.
+    engines, plain : int
+        Number of model engines, and of endpoints of the plain service.
+    heartbeat_s : float
+        Seconds between heartbeats of an endpoint.
+    """
+
+    def __init__(self, running, engines, plain, heartbeat_s):
+        self.running = running
+        endpoints = engines + plain
+        ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(NODES))
+        self.store_port = ports[0]
+        options = ("--engines", engines, "--plain", plain, "--heartbeat-s", heartbeat_s)
+        running.start_standin("site", "site", "--port", self.store_port, *options)
+        wait_for(self._is_site_up, "the site listens")
+        self.nodes = {}
+        ports = ports[1 + endpoints :]
+        for name, data_centre in zip(NODES, DATA_CENTRES, strict=True):
+            self._start_node(name, data_centre, ports[:PORTS_PER_NODE])
+            ports = ports[PORTS_PER_NODE:]
+
+    def wait_ready(self):
+        """Wait until all nodes are ready."""
+        for name in self.nodes:
+            wait_for(lambda name=name: self.is_ready(name), f"{name} is ready")
+
+    def control(self, **order):
+        """Send an order to the site and return its state."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
+        connection.request("POST", "/control", json.dumps(order))
+        answer = json.loads(connection.getresponse().read())
+        connection.close()
+        return answer
+
+    def is_ready(self, name):
+        """Return whether a node says that it is ready."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name][1], timeout=2)
+        try:
+            connection.request("GET", "/v1/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def _is_site_up(self):
+        try:
+            return self.control() is not None
+        except OSError:
+            return False
+
+    def _start_node(self, name, data_centre, ports):
+        front, ready, peers, metrics = ports
+        self.nodes[name] = (front, ready, metrics)
+        path = self.running.directory / f"{name}.yaml"
+        path.write_text(
+            f"""
+node_id: {name}
+data_centre: {data_centre}
+store_address: "127.0.0.1:{self.store_port}"
+is_first_start: true
+listen:
+  callers: "127.0.0.1:{front}"
+  readiness: "127.0.0.1:{ready}"
+  peers: "127.0.0.1:{peers}"
+  metrics: "127.0.0.1:{metrics}"
+requests:
+  concurrency: 60
+  repeat_slack: 400
+"""
+        )
+        self.running.start(name, "lynxlanding_vm", "--config", path)
+
+
+def wait_for(condition, what, limit_s=START_LIMIT_S):
+    """Wait until a condition holds; fail the test if it does not in time."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.1)
+    pytest.fail(f"not in time: {what}")
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -5,16 +5,17 @@
 """
 
 import http.client
-import json
+import signal
 import threading
 import time
 
 import pytest
 
+from lynxlanding.peers import feed_roles
 from lynxlanding_bench import processes
+from tests import site_installation
 
-ENDPOINTS = 6
-NODES = 2
+ENDPOINTS = 7
 CALLERS_PER_NODE = 2
 # As on the platform.
 HEARTBEAT_S = 1.2
@@ -22,7 +23,6 @@
 DRAIN_BOUND_S = 2.0
 # Long enough for an entry that was put back to lapse.
 OBSERVED_S = 5.0
-START_LIMIT_S = 25.0
 HEADERS = {
     "Host": "site.example",
     "X-Deadline-Ms": "4000",
@@ -30,34 +30,17 @@
 }
 
 
-class Installation:
+class Installation(site_installation.SiteInstallation):
     """The site, two nodes, and callers that send one request after the other."""
 
     def __init__(self, running):
-        ports = processes.free_ports(1 + ENDPOINTS + 4 * NODES)
-        self._store_port = ports[0]
-        self._node_ports = ports[1 + ENDPOINTS :]
-        self._stop = threading.Event()
+        super().__init__(running, engines=0, plain=ENDPOINTS, heartbeat_s=HEARTBEAT_S)
         self.failures = []
-        running.start_standin(
-            "site",
-            "site",
-            "--port",
-            self._store_port,
-            "--engines",
-            0,
-            "--plain",
-            ENDPOINTS,
-            "--heartbeat-s",
-            HEARTBEAT_S,
-        )
-        _wait_for(self._is_site_up, "the site listens")
-        for number in range(NODES):
-            self._start_node(running, number)
-        for number in range(NODES):
-            _wait_for(lambda number=number: self._is_ready(number), f"node {number} is ready")
+        self._stop = threading.Event()
         self._callers = []
-        for number in range(NODES * CALLERS_PER_NODE):
+
+    def start_callers(self):
+        for number in range(len(self.nodes) * CALLERS_PER_NODE):
             caller = threading.Thread(target=self._call_in_a_loop, args=(number,))
             caller.start()
             self._callers.append(caller)
@@ -67,58 +50,24 @@
         for caller in self._callers:
             caller.join()
 
-    def control(self, **order):
-        connection = http.client.HTTPConnection("127.0.0.1", self._store_port, timeout=5)
-        connection.request("POST", "/control", json.dumps(order))
-        answer = json.loads(connection.getresponse().read())
-        connection.close()
-        return answer
-
     def runs_at(self, endpoint_id):
         """Return the times at which the endpoint ran requests, by the site's clock."""
-        return [item[3] for item in self.control()["history"] if item[2] == endpoint_id]
-
-    def _is_site_up(self):
-        try:
-            return self.control() is not None
-        except OSError:
-            return False
-
-    def _is_ready(self, number):
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self._node_ports[4 * number + 1], timeout=2
-        )
-        try:
-            connection.request("GET", "/v1/ready")
-            return connection.getresponse().status == 200
-        except OSError:
-            return False
-        finally:
-            connection.close()
-
-    def _start_node(self, running, number):
-        front, ready, peers, metrics = self._node_ports[4 * number : 4 * number + 4]
-        path = running.directory / f"n{number}.yaml"
-        path.write_text(
-            f"""
-node_id: n{number}
-data_centre: {"ab"[number]}
-store_address: "127.0.0.1:{self._store_port}"
-is_first_start: true
-listen:
-  callers: "127.0.0.1:{front}"
-  readiness: "127.0.0.1:{ready}"
-  peers: "127.0.0.1:{peers}"
-  metrics: "127.0.0.1:{metrics}"
-requests:
-  concurrency: 60
-  repeat_slack: 400
-"""
-        )
-        running.start(f"n{number}", "lynxlanding_vm", "--config", path)
+        return [at for at, _ in self.runs_with_callers_at(endpoint_id)]
+
+    def runs_with_callers_at(self, endpoint_id):
+        """Return the same times, each with the number of the caller."""
+        runs = []
+        for _, request_id, run_at, at in self.control()["history"]:
+            if run_at == endpoint_id:
+                runs.append((at, int(request_id[1:].partition("-")[0])))
+        return runs
+
+    def node_of(self, caller):
+        """Return the name of the node that a caller sends to."""
+        return site_installation.NODES[caller % len(self.nodes)]
 
     def _call_in_a_loop(self, caller):
-        port = self._node_ports[4 * (caller % NODES)]
+        port = self.nodes[self.node_of(caller)][0]
         count = 0
         while not self._stop.is_set():
             count += 1
@@ -138,19 +87,12 @@
             time.sleep(0.005)
 
 
-def _wait_for(condition, what):
-    end = time.monotonic() + START_LIMIT_S
-    while time.monotonic() < end:
-        if condition():
-            return
-        time.sleep(0.1)
-    pytest.fail(f"not in time: {what}")
-
-
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
     with processes.Processes(tmp_path_factory.mktemp("leaving")) as running:
         installation = Installation(running)
+        installation.wait_ready()
+        installation.start_callers()
         time.sleep(1.0)
         yield installation
         installation.stop()
@@ -217,3 +159,22 @@
     runs = [at - restarted_at for at in site.runs_at("i-005")]
     assert any(at > 3 * HEARTBEAT_S for at in runs)
     assert site.failures == []
+
+
+def test_announcement_is_heard_while_the_relay_is_paused(site):
+    """Guards against subscribers that wait too long for a relay before they read the store."""
+    nodes = list(site_installation.NODES)
+    relay = feed_roles.choose_relay(nodes[0], nodes)
+    site.running.signal(relay, signal.SIGSTOP)
+    try:
+        acknowledged_at = site.control(leaving=["i-006"])["time"]
+        time.sleep(DRAIN_BOUND_S + 1.0)
+        runs = site.runs_with_callers_at("i-006")
+    finally:
+        site.running.signal(relay, signal.SIGCONT)
+    delays = []
+    for at, caller in runs:
+        if site.node_of(caller) != relay:
+            delays.append(at - acknowledged_at)
+    assert min(delays) < 0.0, "the endpoint was never used by the other node"
+    assert max(delays) <= DRAIN_BOUND_S
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -11,69 +11,21 @@
 import pytest
 
 from lynxlanding_bench import processes
+from tests import site_installation
 
 ENGINES = 20
-START_LIMIT_S = 25.0
+HEARTBEAT_S = 0.3
 DRILLS = 10
 KEY = "secret-key"
 HOST = "site.example"
 EXPECTED = [b"id: %d" % number for number in range(1, 13)]
 
 
-class Installation:
-    """A site and two nodes."""
+class Installation(site_installation.SiteInstallation):
+    """A site with model engines and two nodes."""
 
     def __init__(self, running):
-        self._running = running
-        ports = processes.free_ports(1 + ENGINES + 2 + 8)
-        self.store_port = ports[0]
-        running.start_standin(
-            "site", "site", "--port", self.store_port, "--engines", ENGINES, "--plain", 2
-        )
-        _wait_listening(self.store_port)
-        self.nodes = {}
-        rest = ports[1 + ENGINES + 2 :]
-        for number in range(2):
-            self._start_node(f"n{number}", "ab"[number], rest[4 * number : 4 * number + 4])
-
-    def _start_node(self, name, data_centre, ports):
-        front, ready, peers, metrics = ports
-        self.nodes[name] = (front, ready, metrics)
-        path = self._running.directory / f"{name}.yaml"
-        path.write_text(
-            f"""
-node_id: {name}
-data_centre: {data_centre}
-store_address: "127.0.0.1:{self.store_port}"
-is_first_start: true
-listen:
-  callers: "127.0.0.1:{front}"
-  readiness: "127.0.0.1:{ready}"
-  peers: "127.0.0.1:{peers}"
-  metrics: "127.0.0.1:{metrics}"
-requests:
-  concurrency: 60
-  repeat_slack: 400
-"""
-        )
-        self._running.start(name, "lynxlanding_vm", "--config", path)
-
-    def control(self, **order):
-        connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
-        connection.request("POST", "/control", json.dumps(order))
-        answer = json.loads(connection.getresponse().read())
-        connection.close()
-        return answer
-
-    def is_ready(self, name):
-        connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name][1], timeout=2)
-        try:
-            connection.request("GET", "/v1/ready")
-            return connection.getresponse().status == 200
-        except OSError:
-            return False
-        finally:
-            connection.close()
+        super().__init__(running, ENGINES, plain=2, heartbeat_s=HEARTBEAT_S)
 
     def call(self, name, method, path, request_id, body=None, headers=(), key=KEY):
         """Return status, headers and body; the body is None if the connection was cut."""
@@ -103,33 +55,14 @@
         return [item for item in self.control()["history"] if item[1] == request_id]
 
 
-def _wait_listening(port):
-    end = time.monotonic() + START_LIMIT_S
-    while time.monotonic() < end:
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)) == 0:
-                return
-        time.sleep(0.05)
-    pytest.fail(f"nothing listens on {port}")
-
-
-def _wait_for(condition, what, limit_s=START_LIMIT_S):
-    end = time.monotonic() + limit_s
-    while time.monotonic() < end:
-        if condition():
-            return
-        time.sleep(0.1)
-    pytest.fail(f"not in time: {what}")
-
-
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
     with processes.Processes(tmp_path_factory.mktemp("site")) as running:
         installation = Installation(running)
-        installation.running = running
-        for name in installation.nodes:
-            _wait_for(lambda name=name: installation.is_ready(name), f"{name} is ready")
-        _wait_for(lambda: len(_open_heads(installation)) >= 6, "groups of both models are open")
+        installation.wait_ready()
+        site_installation.wait_for(
+            lambda: len(_open_heads(installation)) >= 6, "groups of both models are open"
+        )
         # Surplus groups have retired and the hosts hold a second model.
         time.sleep(3.0)
         yield installation
@@ -227,7 +160,7 @@
         lost = head["members"][1]
         return not any(lost in item["members"] and not item["dark"] for item in groups)
 
-    _wait_for(has_moved, "the other member has left the broken group", 8.0)
+    site_installation.wait_for(has_moved, "the other member has left the broken group", 8.0)
 
 
 def test_the_store_may_be_away(site):
@@ -346,4 +279,6 @@
     assert _is_whole(answers[0]), answers
     assert site.running.wait("n1", 8.0) == 0
     assert _is_whole(site.stream("n0", "t2"))
-    _wait_for(lambda: len(_open_heads(site)) >= 5, "the other node plans all domains")
+    site_installation.wait_for(
+        lambda: len(_open_heads(site)) >= 5, "the other node plans all domains"
+    )
