Do not confirm an endpoint by time while its entry is missing

An endpoint whose entry came back is confirmed once the store has kept the entry for four heartbeat intervals. If the entry lapsed within the grace period after an outage, the time went on, and the endpoint became usable although the store had just dropped its entry, until the end of that period.

The time counts only while the entry is there. The new test fails on the code before (the registry confirms at 5.9 s).

--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -202,6 +202,8 @@
             self._returned_at[endpoint_id] = restart.seen_at
             changes.extend(self._replace(restart.record, self._records[endpoint_id]))
         for endpoint_id, returned_at in list(self._returned_at.items()):
+            if endpoint_id in self._lapsed:
+                continue
             if self._read_at - returned_at < self._confirmation_s:
                 continue
             changes.extend(self.confirm(endpoint_id, self._records[endpoint_id].started_ms))
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -201,3 +201,15 @@
     changes = endpoints.apply_changes([test_registry.make_record(heartbeat_number=9)], [], 11.5)
     assert test_registry.change_kinds(changes) == ["confirmed"]
     assert endpoints.is_usable("i-1")
+
+
+def test_time_does_not_confirm_an_endpoint_whose_entry_has_lapsed():
+    """Guards against a late write that lapses within the grace period of an outage."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    return_after_removal(endpoints, heartbeat_number=5)
+    endpoints.on_store_available(5.0, was_outage=True)
+    endpoints.apply_changes([], ["i-1"], 5.1)
+    endpoints.apply_changes([], [], 5.9)
+    assert endpoints.expire(5.9) == []
+    assert not endpoints.is_usable("i-1")
+    assert test_registry.change_kinds(endpoints.expire(7.0)) == ["removed"]
