State the interval of heartbeats in one place, and the interface of health checks

The registry had a default of its own beside that of the settings; it now has none. No behaviour changes.

--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -113,9 +113,8 @@
     def may_send(self, record):
         """Return whether the incarnation in ``record`` still accepts requests."""
         known = self._registry.get(record.endpoint_id)
-        if known is None or known.started_ms != record.started_ms:
-            return False
-        return known.accepts_requests
+        is_same = known is not None and known.started_ms == record.started_ms
+        return is_same and known.accepts_requests
 
     def record_reported_load(self, endpoint_id, load, now):
         """Record the running and waiting requests that an endpoint reports."""
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -72,7 +72,7 @@
 
 
 def make_dispatcher(records, tracker=None, seed=1):
-    endpoint_registry = registry.EndpointRegistry()
+    endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
         endpoint_registry,
--- a/src/lynxlanding/fleet/__init__.py
+++ b/src/lynxlanding/fleet/__init__.py
@@ -1,5 +1,19 @@
 """Registry of the endpoints in the platform's store."""
 
-from lynxlanding.fleet import endpoint_change, endpoint_record, group_membership, registry
+from lynxlanding.fleet import (
+    endpoint_change,
+    endpoint_record,
+    group_membership,
+    health_client,
+    incarnation_memory,
+    registry,
+)
 
-__all__ = ["endpoint_change", "endpoint_record", "group_membership", "registry"]
+__all__ = [
+    "endpoint_change",
+    "endpoint_record",
+    "group_membership",
+    "health_client",
+    "incarnation_memory",
+    "registry",
+]
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -9,7 +9,6 @@
 # A lapsed endpoint gets requests for this long without an answer to a health check. It may have
 # left unannounced right after the outage, which may have been one of this node's connection alone.
 LAPSED_USE_S = 1.0
-DEFAULT_HEARTBEAT_INTERVAL_S = 1.2
 # The store removes an entry after three heartbeat intervals without a heartbeat. One that is still
 # there after four receives heartbeats.
 CONFIRMATION_INTERVALS = 4.0
@@ -58,7 +57,7 @@
         Interval at which endpoints write their registrations, in seconds.
     """
 
-    def __init__(self, heartbeat_interval_s=DEFAULT_HEARTBEAT_INTERVAL_S):
+    def __init__(self, heartbeat_interval_s):
         self._confirmation_s = CONFIRMATION_INTERVALS * heartbeat_interval_s
         self._replacement_s = REPLACEMENT_INTERVALS * heartbeat_interval_s
         self._records = {}
--- a/src/lynxlanding/fleet/tests/test_registry.py
+++ b/src/lynxlanding/fleet/tests/test_registry.py
@@ -22,7 +22,7 @@
 
 def test_late_write_of_older_incarnation_does_not_replace_the_known_one():
     """Guards against listing a restarted engine in the group of its previous incarnation."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record(started_ms=20)], 0.0)
     late = make_record(started_ms=10, heartbeat_number=9, models=("m",))
     changes = endpoints.apply_changes([late], [], 1.0)
@@ -38,7 +38,7 @@
 
 
 def test_record_of_an_earlier_heartbeat_is_ignored():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record(heartbeat_number=5)], 0.0)
     changes = endpoints.apply_changes([make_record(heartbeat_number=4)], [], 1.0)
     assert change_kinds(changes) == [endpoint_change.IGNORED]
@@ -47,7 +47,7 @@
 
 def test_leaving_endpoint_stays_leaving_until_it_restarts():
     """Guards against sending new requests to an endpoint that has announced its shutdown."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record()], 0.0)
     assert change_kinds(endpoints.apply_changes([make_record(is_leaving=True)], [], 1.0)) == [
         endpoint_change.LEAVING
@@ -59,7 +59,7 @@
 
 
 def test_leaving_is_remembered_after_the_entry_is_removed():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record(is_leaving=True)], 0.0)
     endpoints.apply_changes([], ["i-1"], 1.0)
     endpoints.apply_changes([make_record()], [], 2.0)
@@ -68,7 +68,7 @@
 
 def test_lapsed_endpoints_have_a_grace_period_after_an_outage():
     """Guards against removing every endpoint when the store is empty after an outage."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record("i-1"), make_record("i-2")], 0.0)
     endpoints.on_store_unavailable()
     endpoints.on_store_available(10.0, was_outage=True)
@@ -84,13 +84,13 @@
 
 
 def test_entry_removed_without_an_outage_is_removed_immediately():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record()], 0.0)
     assert change_kinds(endpoints.apply_changes([], ["i-1"], 1.0)) == [endpoint_change.REMOVED]
 
 
 def test_last_model_is_kept_within_an_incarnation():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record(models=("m",))], 0.0)
     endpoints.apply_changes([make_record(heartbeat_number=1)], [], 1.0)
     assert endpoints.get("i-1").last_model == "m"
@@ -100,7 +100,7 @@
 
 def test_a_list_from_an_older_copy_takes_nothing_back():
     """Guards against endpoints that vanish or return to an earlier state with the store."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record("i-1"), make_record("i-2", models=("m",))], 0.0)
     endpoints.apply_changes([make_record("i-3", is_leaving=True)], [], 1.0)
     endpoints.on_store_rolled_back()
@@ -115,7 +115,7 @@
 
 
 def test_an_endpoint_that_does_not_return_after_a_roll_back_is_removed():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([make_record("i-1"), make_record("i-2")], 0.0)
     endpoints.on_store_rolled_back()
     endpoints.apply_list([make_record("i-2")], 1.0)
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -9,7 +9,7 @@
 
 def test_leaving_of_an_endpoint_restarted_with_its_clock_set_back_is_seen():
     """Guards against records of a new incarnation that are dropped as older."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([test_registry.make_record(started_ms=STARTED_MS)], 0.0)
     endpoints.apply_changes([test_registry.make_record(started_ms=EARLIER_START_MS)], [], 1.0)
     endpoints.apply_changes(
@@ -20,7 +20,7 @@
 
 def test_late_record_of_a_removed_incarnation_is_not_usable():
     """Guards against an endpoint that left unannounced and that a late heartbeat brings back."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([test_registry.make_record(heartbeat_number=1)], 0.0)
     endpoints.apply_changes([], ["i-1"], 1.0)
     endpoints.apply_changes([test_registry.make_record(heartbeat_number=5)], [], 1.5)
@@ -36,7 +36,7 @@
 
 def test_returned_endpoint_is_usable_once_it_is_confirmed():
     """Guards against an endpoint that was cut from the store and stays unused."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     return_after_removal(endpoints, heartbeat_number=5)
     assert [record.endpoint_id for record in endpoints.records_to_check()] == ["i-1"]
     assert test_registry.change_kinds(endpoints.confirm("i-1", 10)) == ["confirmed"]
@@ -46,7 +46,7 @@
 
 
 def test_another_incarnation_is_not_confirmed():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     return_after_removal(endpoints, heartbeat_number=5)
     assert endpoints.confirm("i-1", 9) == []
     assert not endpoints.is_usable("i-1")
@@ -65,21 +65,21 @@
 
 
 def test_later_incarnation_is_usable_without_confirmation():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     return_after_removal(endpoints, started_ms=11)
     assert endpoints.is_usable("i-1")
 
 
 def test_updates_of_a_returned_endpoint_do_not_confirm_it():
     """Several late writes can arrive one after the other."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     return_after_removal(endpoints, heartbeat_number=5)
     endpoints.apply_changes([test_registry.make_record(heartbeat_number=6)], [], 1.7)
     assert not endpoints.is_usable("i-1")
 
 
 def test_leaving_endpoint_is_not_checked_when_it_returns():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     return_after_removal(endpoints, is_leaving=True)
     assert endpoints.records_to_check() == []
 
@@ -153,7 +153,7 @@
 
 def test_announcement_is_seen_although_a_late_heartbeat_follows_it():
     """Guards against an announcement that a late heartbeat of the same batch hides."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     endpoints.apply_list([test_registry.make_record(heartbeat_number=1)], 0.0)
     announcement = test_registry.make_record(heartbeat_number=8, is_leaving=True)
     late = test_registry.make_record(heartbeat_number=7)
@@ -172,7 +172,7 @@
 
 def test_endpoint_that_leaves_right_after_an_outage_is_not_used_through_the_grace_period():
     """Guards against an unannounced leaving that is taken for an entry lapsed in an outage."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     lapse_after_outage(endpoints)
     assert endpoints.is_usable("i-1")
     assert [record.endpoint_id for record in endpoints.records_to_check()] == ["i-1"]
@@ -183,7 +183,7 @@
 
 def test_lapsed_endpoint_that_answers_is_used_until_it_registers_again():
     """Guards against leaving out all endpoints after an outage of the store."""
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     lapse_after_outage(endpoints)
     endpoints.confirm("i-1", 10)
     assert endpoints.records_to_check() == []
@@ -195,7 +195,7 @@
 
 
 def test_lapsed_endpoint_that_registers_again_is_usable_without_a_check():
-    endpoints = registry.EndpointRegistry()
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
     lapse_after_outage(endpoints)
     endpoints.expire(11.1)
     changes = endpoints.apply_changes([test_registry.make_record(heartbeat_number=9)], [], 11.5)
--- a/src/lynxlanding_bench/dispatch_cost.py
+++ b/src/lynxlanding_bench/dispatch_cost.py
@@ -16,6 +16,7 @@
 DOMAIN_SIZES = (10, 18, 40)
 GROUP_SIZE = 4
 STEPS = 2000
+HEARTBEAT_INTERVAL_S = 1.2
 
 
 @click.command("dispatch-cost")
@@ -33,7 +34,7 @@
 
 def _measure_dispatch(engines, decisions, seed):
     random_state = random.Random(seed)
-    known = registry.EndpointRegistry()
+    known = registry.EndpointRegistry(HEARTBEAT_INTERVAL_S)
     made = dispatcher.Dispatcher(
         "a", known, dispatch_factories.RETRY_LIMITS, stall_tracker.StallTracker(), random_state
     )
