Classify an attempt at a withdrawn endpoint

Nothing is sent before this error, and the endpoint is not at fault, as with a refusal before any work. The nodes on the users' platform decide by the error's own certainly_not_run and do not use this table.

--- a/src/lynxlanding/retry/classification.py
+++ b/src/lynxlanding/retry/classification.py
@@ -32,6 +32,7 @@
 _CLASS_BY_ERROR = {
     endpoint_errors.ConnectionRefused: _NOT_CONNECTED,
     endpoint_errors.EndpointRefused: _REFUSED,
+    endpoint_errors.EndpointWithdrawn: _REFUSED,
     endpoint_errors.ConnectionBroken: _FAILED_AFTER_SEND,
     endpoint_errors.AttemptTimedOut: _FAILED_AFTER_SEND,
     endpoint_errors.ResponseMismatch: _FAILED_AFTER_SEND,
