--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -10,7 +10,7 @@
 REMOVED = "removed"
 # An incarnation that started earlier than the known one, by its clock, has written the entry. The
 # known record stays, without requests, until it is clear which of them lives.
-SUSPECTED = "restart_suspected"
+RESTART_SUSPECTED = "restart_suspected"
 # The endpoint gets no requests until it is confirmed.
 UNCONFIRMED = "unconfirmed"
 # An unconfirmed endpoint gets requests again.
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -19,7 +19,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lapse:
-    """Registration that is missing after an outage of the store."""
+    """Registration that is missing after an outage of the store.
+
+    ``is_confirmed`` tells whether the endpoint has answered a health check since.
+    """
 
     seen_at: float
     remove_at: float
@@ -28,7 +31,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _PossibleRestart:
-    """Latest record of an incarnation that may have replaced the known one."""
+    """Latest record of an incarnation that may have replaced the known one.
+
+    ``seen_at`` is the time of its first record.
+    """
 
     record: endpoint_record.EndpointRecord
     seen_at: float
@@ -243,7 +249,7 @@
                 return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
             seen_at = suspected.seen_at
         self._possible_restarts[record.endpoint_id] = _PossibleRestart(record, seen_at)
-        change = endpoint_change.EndpointChange(endpoint_change.SUSPECTED, record, known)
+        change = endpoint_change.EndpointChange(endpoint_change.RESTART_SUSPECTED, record, known)
         return [change, *self._suspend(record.endpoint_id)]
 
     def _suspend(self, endpoint_id):
@@ -256,7 +262,7 @@
         return [endpoint_change.EndpointChange(endpoint_change.UNCONFIRMED, record, known)]
 
     def _drop_possible_restart(self, endpoint_id, now):
-        """Keep the known incarnation, whose own write may still be a late one, unconfirmed."""
+        """Keep the known incarnation after all, unconfirmed: its own write may be a late one."""
         if self._possible_restarts.pop(endpoint_id, None) is not None:
             self._returned_at[endpoint_id] = now
 
--- a/src/lynxlanding/fleet/tests/test_registry.py
+++ b/src/lynxlanding/fleet/tests/test_registry.py
@@ -26,7 +26,7 @@
     endpoints.apply_list([make_record(started_ms=20)], 0.0)
     late = make_record(started_ms=10, heartbeat_number=9, models=("m",))
     changes = endpoints.apply_changes([late], [], 1.0)
-    assert change_kinds(changes) == [endpoint_change.SUSPECTED, endpoint_change.UNCONFIRMED]
+    assert change_kinds(changes) == [endpoint_change.RESTART_SUSPECTED, endpoint_change.UNCONFIRMED]
     assert endpoints.get("i-1").started_ms == 20
     assert endpoints.get("i-1").models == ()
     assert not endpoints.is_usable("i-1")
