Remember a removal for the incarnation that wrote the entry

An endpoint whose restart was suspected left unannounced; the removal of its entry was remembered for the known incarnation only, so that a late heartbeat of the other one looked like a start, and the endpoint got requests 3.6 s after it had left. A second way to the same: the next removal of the id, of an incarnation with an earlier clock, overwrote the memory of the first.

The memory now keeps the latest start time that has ended, and a removal counts for both incarnations. The seed is kept as a regression case; both new tests of test_registry_order.py and the seed fail on the code before.

--- a/src/lynxlanding/fleet/incarnation_memory.py
+++ b/src/lynxlanding/fleet/incarnation_memory.py
@@ -10,39 +10,30 @@
     def __init__(self):
         # Keyed by endpoint id and start time.
         self._leaving = {}
-        self._replaced = {}
-        # Start times by endpoint id.
-        self._removed = {}
+        # Latest start time of an incarnation that has ended, by endpoint id.
+        self._latest_ended_ms = {}
 
     def record_leaving(self, record):
         """Record that an incarnation has announced its shutdown."""
-        _remember(self._leaving, _key(record), True)
+        _remember(self._leaving, (record.endpoint_id, record.started_ms), True)
 
-    def record_replaced(self, record):
-        """Record that another incarnation has taken the place of this one."""
-        _remember(self._replaced, _key(record), True)
-
-    def record_removed(self, record):
-        """Record that the entry of an incarnation was removed."""
-        _remember(self._removed, record.endpoint_id, record.started_ms)
+    def record_ended(self, record):
+        """Record that an incarnation was replaced or that its entry was removed."""
+        known_ms = self._latest_ended_ms.get(record.endpoint_id, record.started_ms)
+        latest_ms = max(known_ms, record.started_ms)
+        _remember(self._latest_ended_ms, record.endpoint_id, latest_ms)
 
     def is_leaving(self, record):
         """Return whether the incarnation has announced its shutdown."""
-        return _key(record) in self._leaving
+        return (record.endpoint_id, record.started_ms) in self._leaving
 
     def may_have_ended(self, record):
-        """Return whether the incarnation was replaced, or started before one that was removed.
+        """Return whether the incarnation started no later than one that has ended.
 
-        Start times are those of the endpoint's clock, so an earlier one proves nothing.
+        Start times are those of the endpoint's clock, so that this proves nothing.
         """
-        if _key(record) in self._replaced:
-            return True
-        removed_start_ms = self._removed.get(record.endpoint_id)
-        return removed_start_ms is not None and record.started_ms <= removed_start_ms
-
-
-def _key(record):
-    return record.endpoint_id, record.started_ms
+        latest_ms = self._latest_ended_ms.get(record.endpoint_id)
+        return latest_ms is not None and record.started_ms <= latest_ms
 
 
 def _remember(memory, key, value):
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -268,7 +268,7 @@
 
     def _replace(self, record, known):
         """Replace an incarnation by another one."""
-        self._memory.record_replaced(known)
+        self._memory.record_ended(known)
         self._possible_restarts.pop(record.endpoint_id, None)
         return self._set(record, known)
 
@@ -301,7 +301,11 @@
         record = self._records.get(endpoint_id)
         if record is None or endpoint_id in self._lapsed:
             return []
-        self._drop_possible_restart(endpoint_id, now)
+        restart = self._possible_restarts.get(endpoint_id)
+        if restart is not None:
+            # The entry that was removed is that of the other incarnation.
+            self._memory.record_ended(restart.record)
+            self._drop_possible_restart(endpoint_id, now)
         in_grace_period = self._grace_period_end is not None and now < self._grace_period_end
         if in_grace_period and not record.is_leaving:
             self._lapsed[endpoint_id] = _Lapse(now, self._grace_period_end)
@@ -314,7 +318,7 @@
         record = self._records.pop(endpoint_id, None)
         if record is None:
             return []
-        self._memory.record_removed(record)
+        self._memory.record_ended(record)
         return [endpoint_change.EndpointChange(endpoint_change.REMOVED, record)]
 
 
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -213,3 +213,27 @@
     assert endpoints.expire(5.9) == []
     assert not endpoints.is_usable("i-1")
     assert test_registry.change_kinds(endpoints.expire(7.0)) == ["removed"]
+
+
+def test_removal_ends_the_incarnation_that_wrote_the_entry():
+    """Guards against a late write of a suspected restart whose entry was removed meanwhile."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    endpoints.apply_list([test_registry.make_record(started_ms=STARTED_MS + 5000)], 0.0)
+    endpoints.apply_changes([], ["i-1"], 1.0)
+    endpoints.apply_changes([test_registry.make_record(started_ms=STARTED_MS)], [], 2.0)
+    restarted = test_registry.make_record(started_ms=STARTED_MS + 1)
+    endpoints.apply_changes([restarted], [], 3.0)
+    endpoints.apply_changes([], ["i-1"], 4.0)
+    late = test_registry.make_record(started_ms=STARTED_MS + 1, heartbeat_number=4)
+    endpoints.apply_changes([late], [], 5.0)
+    assert not endpoints.is_usable("i-1")
+
+
+def test_earlier_removal_is_not_forgotten_at_the_next_one():
+    """Guards against a late write of an incarnation whose clock was ahead of the next one's."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    for started_ms in (STARTED_MS, EARLIER_START_MS):
+        endpoints.apply_changes([test_registry.make_record(started_ms=started_ms)], [], 1.0)
+        endpoints.apply_changes([], ["i-1"], 2.0)
+    endpoints.apply_changes([test_registry.make_record(started_ms=STARTED_MS)], [], 3.0)
+    assert not endpoints.is_usable("i-1")
--- a/src/lynxlanding/fleet/tests/test_registry_schedules.py
+++ b/src/lynxlanding/fleet/tests/test_registry_schedules.py
@@ -11,6 +11,9 @@
 from lynxlanding.fleet.tests import test_registry
 
 SCHEDULES = 1000
+# Seeds that have failed: 2350, a removal was remembered for the known incarnation only, not for the
+# one that had written the entry.
+FAILED_SEEDS = (2350,)
 STEP_S = 0.1
 HEARTBEAT_STEPS = 12
 # Heartbeats without which the store removes the entry.
@@ -188,6 +191,6 @@
 def test_no_endpoint_is_usable_after_it_left_and_live_ones_are_used_again():
     """Guards against decisions on which incarnation lives that a clock or a late write decides."""
     ends_in_use = 0
-    for seed in range(SCHEDULES):
+    for seed in (*FAILED_SEEDS, *range(SCHEDULES)):
         ends_in_use += run_schedule(seed)
     assert ends_in_use > SCHEDULES / 2
