--- a/src/lynxlanding/fleet/__init__.py
+++ b/src/lynxlanding/fleet/__init__.py
@@ -6,6 +6,8 @@
     group_membership,
     health_client,
     incarnation_memory,
+    lapse,
+    possible_restart,
     registry,
 )
 
@@ -15,5 +17,7 @@
     "group_membership",
     "health_client",
     "incarnation_memory",
+    "lapse",
+    "possible_restart",
     "registry",
 ]
--- a/src/lynxlanding/fleet/endpoint_change.py
+++ b/src/lynxlanding/fleet/endpoint_change.py
@@ -43,3 +43,21 @@
     kind: str
     record: endpoint_record.EndpointRecord
     known: endpoint_record.EndpointRecord | None = None
+
+
+def find_changes(known, record):
+    """Return the changes by which a record follows the known one, which is None for a new one."""
+    if known is None:
+        return [EndpointChange(ADDED, record)]
+    kinds = []
+    if known.started_ms != record.started_ms:
+        kinds.append(RESTARTED)
+    elif known.is_unconfirmed and not record.is_unconfirmed:
+        kinds.append(CONFIRMED)
+    if record.is_leaving and not known.is_leaving:
+        kinds.append(LEAVING)
+    if known.membership != record.membership:
+        kinds.append(REGROUPED)
+    elif known.staged_models != record.staged_models:
+        kinds.append(STAGED)
+    return [EndpointChange(kind, record, known) for kind in kinds]
--- /dev/null
+++ b/src/lynxlanding/fleet/lapse.py
@@ -0,0 +1,21 @@
+"""Registration that is missing after an outage of the store."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Lapse:
+    """State of an endpoint whose registration has lapsed.
+
+    Parameters
+    ----------
+    seen_at, remove_at : float
+        Times at which the registration was found missing and at which the endpoint is removed, in
+        monotonic seconds.
+    is_confirmed : bool
+        Whether the endpoint has answered a health check since.
+    """
+
+    seen_at: float
+    remove_at: float
+    is_confirmed: bool = False
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lynxlanding.fleet import endpoint_change, endpoint_record, incarnation_memory
+from lynxlanding.fleet import endpoint_change, incarnation_memory, lapse, possible_restart
 
 # Live endpoints register again within about two seconds after an outage of the store.
 LAPSE_GRACE_S = 2.0
@@ -17,29 +17,6 @@
 REPLACEMENT_INTERVALS = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Lapse:
-    """Registration that is missing after an outage of the store.
-
-    ``is_confirmed`` tells whether the endpoint has answered a health check since.
-    """
-
-    seen_at: float
-    remove_at: float
-    is_confirmed: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _PossibleRestart:
-    """Latest record of an incarnation that may have replaced the known one.
-
-    ``seen_at`` is the time of its first record.
-    """
-
-    record: endpoint_record.EndpointRecord
-    seen_at: float
-
-
 class EndpointRegistry:
     """Endpoints that requests and orders may be sent to.
 
@@ -99,8 +76,8 @@
     def records_to_check(self):
         """Return the records of endpoints whose requests depend on a health check."""
         endpoint_ids = list(self._returned_at)
-        for endpoint_id, lapse in self._lapsed.items():
-            if not lapse.is_confirmed:
+        for endpoint_id, lapsed in self._lapsed.items():
+            if not lapsed.is_confirmed:
                 endpoint_ids.append(endpoint_id)
         records = []
         for endpoint_id in endpoint_ids:
@@ -187,9 +164,9 @@
             return []
         if endpoint_id in self._possible_restarts:
             return []
-        lapse = self._lapsed.get(endpoint_id)
-        if lapse is not None:
-            lapse.is_confirmed = True
+        lapsed = self._lapsed.get(endpoint_id)
+        if lapsed is not None:
+            lapsed.is_confirmed = True
         self._returned_at.pop(endpoint_id, None)
         return self._set(record, record)
 
@@ -212,10 +189,10 @@
             if self._read_at - returned_at < self._confirmation_s:
                 continue
             changes.extend(self.confirm(endpoint_id, self._records[endpoint_id].started_ms))
-        for endpoint_id, lapse in list(self._lapsed.items()):
-            if now >= lapse.remove_at:
+        for endpoint_id, lapsed in list(self._lapsed.items()):
+            if now >= lapsed.remove_at:
                 changes.extend(self._delete(endpoint_id))
-            elif not lapse.is_confirmed and now - lapse.seen_at >= LAPSED_USE_S:
+            elif not lapsed.is_confirmed and now - lapsed.seen_at >= LAPSED_USE_S:
                 changes.extend(self._suspend(endpoint_id))
         return changes
 
@@ -247,7 +224,9 @@
             if record.is_older_than(suspected.record):
                 return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
             seen_at = suspected.seen_at
-        self._possible_restarts[record.endpoint_id] = _PossibleRestart(record, seen_at)
+        self._possible_restarts[record.endpoint_id] = possible_restart.PossibleRestart(
+            record, seen_at
+        )
         change = endpoint_change.EndpointChange(endpoint_change.RESTART_SUSPECTED, record, known)
         return [change, *self._suspend(record.endpoint_id)]
 
@@ -281,33 +260,16 @@
         self._records[record.endpoint_id] = record
         if record.is_leaving:
             self._memory.record_leaving(record)
-        if known is None:
-            return [endpoint_change.EndpointChange(endpoint_change.ADDED, record)]
-        changes = []
-        if known.started_ms != record.started_ms:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.RESTARTED, record, known))
-        elif known.is_unconfirmed and not record.is_unconfirmed:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.CONFIRMED, record, known))
-        if record.is_leaving and not known.is_leaving:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.LEAVING, record, known))
-        if known.membership != record.membership:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.REGROUPED, record, known))
-        elif known.staged_models != record.staged_models:
-            changes.append(endpoint_change.EndpointChange(endpoint_change.STAGED, record, known))
-        return changes
+        return endpoint_change.find_changes(known, record)
 
     def _remove(self, endpoint_id, now):
         record = self._records.get(endpoint_id)
         if record is None or endpoint_id in self._lapsed:
             return []
-        restart = self._possible_restarts.get(endpoint_id)
-        if restart is not None:
-            # The entry that was removed is that of the other incarnation.
-            self._memory.record_ended(restart.record)
-            self._drop_possible_restart(endpoint_id, now)
+        self._drop_possible_restart(endpoint_id, now)
         in_grace_period = self._grace_period_end is not None and now < self._grace_period_end
         if in_grace_period and not record.is_leaving:
-            self._lapsed[endpoint_id] = _Lapse(now, self._grace_period_end)
+            self._lapsed[endpoint_id] = lapse.Lapse(now, self._grace_period_end)
             return [endpoint_change.EndpointChange(endpoint_change.LAPSED, record)]
         return self._delete(endpoint_id)
 
