Log the limits on requests that endpoints state

The header is decoded once in the adapter; a table without I/O keeps what the endpoints have stated; changes of it, malformed limits, and the limit known at each selection are logged; a gauge counts the limited endpoints. No decision reads the table yet.

A limit is learnt only from the endpoint's own responses (seal, or a statement that the request has not run, and no other request's id), and ends only with a sealed response below 500 to a request that was sent after the limit had arrived.

--- a/src/lynxlanding/dispatch/dispatch_decision.py
+++ b/src/lynxlanding/dispatch/dispatch_decision.py
@@ -56,6 +56,8 @@
         Time without a first event or response after which the endpoint counts as stalled.
     stall_timeout_s : float
         Time between two events after which the endpoint counts as stalled.
+    limit_per_s : float or None
+        Requests a second that the endpoint takes from all nodes together, if it has a limit.
     """
 
     record: endpoint_record.EndpointRecord
@@ -64,6 +66,7 @@
     predicted_s: float
     first_event_timeout_s: float
     stall_timeout_s: float
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -59,15 +59,20 @@
         Ratio, slack and window in seconds of the retry limit.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
+    limit_table : LimitTable
+        Limits that endpoints state.
     random_state : random.Random
         Source of cost jitter, samples of heads and Retry-After jitter.
     """
 
-    def __init__(self, data_centre, registry, retry_limits, stall_tracker, random_state):
+    def __init__(
+        self, data_centre, registry, retry_limits, stall_tracker, limit_table, random_state
+    ):
         self._data_centre = data_centre
         self._registry = registry
         self._retry_limits = retry_limits
         self._stall_tracker = stall_tracker
+        self._limit_table = limit_table
         self._random_state = random_state
         self._configuration = None
         self._nodes = 1
@@ -117,6 +122,7 @@
                 self._health.forget(change.record.endpoint_id)
                 self._stall_tracker.forget(change.record.endpoint_id)
                 self._load_tracker.forget(change.record.endpoint_id)
+                self._limit_table.forget(change.record.endpoint_id)
         self._plain = {}
         self._heads = {}
         for record in self._registry.records.values():
@@ -213,7 +219,13 @@
                 continue
             first_event_timeout_s = cost_model.first_event_timeout(engine, model, predicted_s)
             decision = dispatch_decision.Send(
-                record, load, expected_s, predicted_s, first_event_timeout_s, stall_timeout_s
+                record,
+                load,
+                expected_s,
+                predicted_s,
+                first_event_timeout_s,
+                stall_timeout_s,
+                self._limit_table.limit_per_s(record.endpoint_id),
             )
             if is_best:
                 best = decision
@@ -280,7 +292,13 @@
             if best is None or cost < best_cost:
                 stall_timeout_s = query.route.target_latency_s * PLAIN_STALL_FRACTION
                 best = dispatch_decision.Send(
-                    record, load, 0.0, 0.0, stall_timeout_s, stall_timeout_s
+                    record,
+                    load,
+                    0.0,
+                    0.0,
+                    stall_timeout_s,
+                    stall_timeout_s,
+                    self._limit_table.limit_per_s(record.endpoint_id),
                 )
                 best_cost = cost
         if best is None:
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -32,16 +32,19 @@
         Provides ``encode_forwarded_headers`` and ``filter_response_headers``.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
+    limit_table : LimitTable
+        Receives the limits that endpoints state.
     request_logger : RequestLogger
         Logs the decisions.
     """
 
-    def __init__(self, request, serving, client, codec, stall_tracker, request_logger):
+    def __init__(self, request, serving, client, codec, stall_tracker, limit_table, request_logger):
         self._request = request
         self._serving = serving
         self._client = client
         self._codec = codec
         self._stall_tracker = stall_tracker
+        self._limit_table = limit_table
         self._request_logger = request_logger
         self._attempts = 0
         self._may_have_run = 0
@@ -126,6 +129,7 @@
                 fresh=not request.route.is_idempotent,
                 before_sending=lambda: self._check_sendable(record, started_at),
             )
+            self._record_limit(record, response.status, metadata, started_at)
             if metadata.load is not None:
                 load = metadata.load.running + metadata.load.waiting
                 self._serving.record_reported_load(record.endpoint_id, load, time.monotonic())
@@ -154,6 +158,24 @@
             )
         self._request_logger.log_sent_late(self._request, record, delay_s)
 
+    def _record_limit(self, record, status, metadata, sent_at):
+        """Record the limit that a response states, if the endpoint itself has sent it."""
+        request_id = self._request.metadata.request_id
+        is_foreign = metadata.request_id not in (None, request_id) or status == 421
+        if is_foreign or not (metadata.is_sealed or metadata.was_not_run):
+            return
+        if metadata.has_malformed_limit:
+            self._request_logger.log_malformed_limit(self._request, record)
+            return
+        if metadata.limit_per_s is None and (metadata.was_not_run or status >= 500):
+            # A failure may lack the headers of other responses, so it does not end a limit.
+            return
+        change = self._limit_table.record_response(
+            record, metadata.limit_per_s, sent_at, time.monotonic()
+        )
+        if change is not None:
+            self._request_logger.log_limit_changed(change, request_id)
+
     def _check_response(self, response, metadata):
         request = self._request
         if metadata.was_not_run or response.status == 421:
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -7,6 +7,8 @@
 ATTEMPT_FAILED = "lynxlanding:request:attempt_failed"
 FINISHED = "lynxlanding:request:finished"
 SENT_LATE = "lynxlanding:request:sent_late"
+LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
+LIMIT_MALFORMED = "lynxlanding:endpoint:limit_malformed"
 
 
 class RequestLogger:
@@ -36,6 +38,7 @@
             epoch=membership.epoch if membership else None,
             model=request.metadata.model,
             load=decision.load,
+            limit_per_s=decision.limit_per_s,
             predicted_s=round(decision.predicted_s, 4),
             registry_age_s=self._node_status.registry_age_s,
             configuration_version=self._node_status.configuration_version,
@@ -65,6 +68,26 @@
             registry_age_s=self._node_status.registry_age_s,
         )
 
+    def log_limit_changed(self, change, request_id=None):
+        """Log a ``LimitChange``, with the request whose response has stated the limit."""
+        eliot.log_message(
+            message_type=LIMIT_CHANGED,
+            endpoint=change.endpoint_id,
+            limit_per_s=change.limit_per_s,
+            known_limit_per_s=change.known_limit_per_s,
+            source=change.source,
+            age_s=round(change.age_s, 3),
+            request_id=request_id,
+        )
+
+    def log_malformed_limit(self, request, record):
+        """Log that a response states a limit that cannot be read; the known one stays."""
+        eliot.log_message(
+            message_type=LIMIT_MALFORMED,
+            request_id=request.metadata.request_id,
+            endpoint=record.endpoint_id,
+        )
+
     def log_attempt_failed(self, request, record, error, will_retry, history):
         """Log a failed attempt and whether another one follows."""
         eliot.log_message(
--- a/src/lynxlanding/dispatch/response_metadata.py
+++ b/src/lynxlanding/dispatch/response_metadata.py
@@ -32,6 +32,10 @@
         Whether the endpoint closes the connection after the response.
     idle_timeout_s : float or None
         Time for which the endpoint keeps an idle connection open, in seconds.
+    limit_per_s : float or None
+        Requests a second that the endpoint takes from all nodes together.
+    has_malformed_limit : bool
+        Whether the response states a limit that cannot be read.
     """
 
     request_id: str | None
@@ -41,3 +45,5 @@
     is_encoded: bool
     closes_connection: bool
     idle_timeout_s: float | None
+    limit_per_s: float | None = None
+    has_malformed_limit: bool = False
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -2,11 +2,18 @@
 
 import random
 
-from lynxlanding.dispatch import cost_model, dispatch_decision, dispatcher, stall_tracker
+from lynxlanding.dispatch import (
+    cost_model,
+    dispatch_decision,
+    dispatcher,
+    limit_table,
+    stall_tracker,
+)
 from lynxlanding.fleet import endpoint_record, group_membership, registry
 from lynxlanding.replicas.tests import simulated_domain
-from lynxlanding.traffic import limits, service_spec, traffic_configuration
+from lynxlanding.traffic import limits as traffic_limits
 from lynxlanding.traffic import route as traffic_route
+from lynxlanding.traffic import service_spec, traffic_configuration
 
 # Ratio, slack and window in seconds.
 RETRY_LIMITS = (0.2, 109.0, 10.0)
@@ -67,17 +74,23 @@
         "app": service_spec.ServiceSpec("app", 110, None),
     }
     return traffic_configuration.TrafficConfiguration(
-        1, [make_route()], services, limits.CallerLimits(16384, 1 << 20, 3.0, 15.0), {}, False
+        1,
+        [make_route()],
+        services,
+        traffic_limits.CallerLimits(16384, 1 << 20, 3.0, 15.0),
+        {},
+        False,
     )
 
 
-def make_dispatcher(records, tracker=None, seed=1):
+def make_dispatcher(records, tracker=None, seed=1, limits=None):
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
         endpoint_registry,
         RETRY_LIMITS,
         tracker or stall_tracker.StallTracker(),
+        limits or limit_table.LimitTable("n0"),
         random.Random(seed),
     )
     new_dispatcher.use_configuration(make_configuration())
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -1,11 +1,16 @@
 """Forwards requests to endpoints that fail at random, in seeded schedules."""
 
+import contextlib
+import dataclasses
 import random
 import time
 
+import pytest
+
 from lynxlanding.dispatch import (
     dispatch_decision,
     forward_request,
+    limit_table,
     request_forwarder,
     request_metadata,
     response_metadata,
@@ -186,6 +191,7 @@
         endpoints,
         PassThroughCodec,
         stall_tracker.StallTracker(),
+        limit_table.LimitTable("n0"),
         CheckingLogger(),
     )
     return forwarder, endpoints, dispatcher
@@ -284,3 +290,65 @@
     assert len(endpoints.runs) == 1
     assert endpoints.runs[0] != withdrawn[0]
     assert dispatcher.load_tracker.own_counts == {}
+
+
+class OneResponse:
+    """Answers every attempt with one response."""
+
+    def __init__(self, status, metadata):
+        self.status = status
+        self.metadata = metadata
+
+    def send(self, record, method, target, headers, body, attempt, *, fresh, before_sending):
+        del record, method, target, headers, body, attempt, fresh
+        before_sending()
+        return FakeResponse(self.status, iter_body()), self.metadata
+
+
+def iter_body():
+    yield b"whole"
+
+
+class LimitLogger(CheckingLogger):
+    """Keeps the changes of limits."""
+
+    def __init__(self):
+        self.changes = []
+        self.malformed = 0
+
+    def log_limit_changed(self, change, request_id=None):
+        assert request_id == "q"
+        self.changes.append(change)
+
+    def log_malformed_limit(self, request, record):
+        del request, record
+        self.malformed += 1
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "is_learnt"),
+    [
+        (200, {}, True),
+        (500, {}, True),
+        (503, {"is_sealed": False, "was_not_run": True}, True),
+        (200, {"request_id": "another"}, False),
+        (200, {"is_sealed": False}, False),
+        (421, {"is_sealed": False, "was_not_run": True}, False),
+        (200, {"limit_per_s": None, "has_malformed_limit": True}, False),
+    ],
+)
+def test_limit_is_learnt_from_the_endpoints_own_responses(status, fields, is_learnt):
+    """Guards against limits of another endpoint, and against refusals that are not heard."""
+    route = dispatch_factories.make_route(traffic_route.UNSAFE, 1, service="app")
+    forwarder, _, _ = make_forwarder(1, route)
+    logger = LimitLogger()
+    table = limit_table.LimitTable("n0")
+    metadata = dataclasses.replace(make_response_metadata(), limit_per_s=1.5)
+    forwarder._client = OneResponse(status, dataclasses.replace(metadata, **fields))
+    forwarder._limit_table = table
+    forwarder._request_logger = logger
+    with contextlib.suppress(request_errors.RequestError):
+        forwarder.forward()
+    assert bool(logger.changes) == is_learnt
+    assert (table.limited_count > 0) == is_learnt
+    assert logger.malformed == int(fields.get("has_malformed_limit", False))
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -30,6 +30,8 @@
         Decodes and encodes headers.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
+    limit_table : LimitTable
+        Receives the limits that endpoints state.
     logger : RequestLogger
         Logs decisions about requests.
     metrics : NodeMetrics
@@ -37,7 +39,16 @@
     """
 
     def __init__(
-        self, reader, node_status, serving, endpoint_client, codec, stall_tracker, logger, metrics
+        self,
+        reader,
+        node_status,
+        serving,
+        endpoint_client,
+        codec,
+        stall_tracker,
+        limit_table,
+        logger,
+        metrics,
     ):
         self._reader = reader
         self._node_status = node_status
@@ -45,6 +56,7 @@
         self._endpoint_client = endpoint_client
         self._codec = codec
         self._stall_tracker = stall_tracker
+        self._limit_table = limit_table
         self._request_logger = logger
         self._metrics = metrics
 
@@ -69,6 +81,7 @@
                 self._endpoint_client,
                 self._codec,
                 self._stall_tracker,
+                self._limit_table,
                 self._request_logger,
             )
             reply = forwarder.forward()
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -17,6 +17,7 @@
     connection_pool,
     dispatcher,
     endpoint_client,
+    limit_table,
     request_logger,
     serving_actor,
     stall_tracker,
@@ -106,6 +107,7 @@
         self._pool = connection_pool.ConnectionPool(sockets.OPTIONS)
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
+        self._limit_table = limit_table.LimitTable(settings.node_id)
         self._peer_view = peer_view.PeerView(self._stall_tracker)
         self._identity = peer_identity.PeerIdentity(
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
@@ -195,7 +197,12 @@
         )
         registry = fleet_registry.EndpointRegistry(settings.endpoints.heartbeat_interval_ms / 1000)
         request_dispatcher = dispatcher.Dispatcher(
-            settings.data_centre, registry, retry_limits, self._stall_tracker, self._random_state
+            settings.data_centre,
+            registry,
+            retry_limits,
+            self._stall_tracker,
+            self._limit_table,
+            self._random_state,
         )
         return serving_actor.ServingActor.start(registry, request_dispatcher)
 
@@ -230,6 +237,7 @@
             ),
             request_headers,
             self._stall_tracker,
+            self._limit_table,
             request_logger.RequestLogger(self._node_status),
             self._metrics,
         )
@@ -371,6 +379,11 @@
             "Registrations of endpoints that did not replace the known ones.",
             lambda: self._endpoint_handler.ignored_total,
         )
+        self._metrics.add_gauge(
+            "lynxlanding_limited_endpoints",
+            "Endpoints that state how many requests a second they take.",
+            lambda: self._limit_table.limited_count,
+        )
         self._metrics.add_gauge(
             "lynxlanding_registry_age_seconds",
             "Time since the store last confirmed the endpoints.",
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -13,6 +13,8 @@
         "endpoint:changed",
         "endpoint:ignored",
         "endpoint:checked",
+        "endpoint:limit_changed",
+        "endpoint:limit_malformed",
         "engine:silent",
         "engine:answers_again",
         "domain:plan_stored",
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -9,6 +9,7 @@
 _WORKSPACE = "X-Tenant"
 _URGENCY = "X-Request-Urgency"
 _LAST_EVENT_ID = "Last-Event-Id"
+_LIMIT = "Server-Limit"
 _BEARER_SCHEME = "bearer"
 
 # Hop-by-hop headers, and headers that the node sets itself or must not disclose to endpoints. The
@@ -128,6 +129,7 @@
     values = _index_last_values(headers)
     connection = values.get("connection", "").lower()
     encoding = values.get("content-encoding", "").strip().lower()
+    limit_per_s, has_malformed_limit = _decode_limit(headers)
     return response_metadata.ResponseMetadata(
         request_id=values.get(REQUEST_ID.lower()),
         is_sealed="x-response-seal" in values,
@@ -136,6 +138,8 @@
         is_encoded=encoding not in ("", "identity"),
         closes_connection="close" in connection,
         idle_timeout_s=_decode_idle_timeout(values.get("keep-alive")),
+        limit_per_s=limit_per_s,
+        has_malformed_limit=has_malformed_limit,
     )
 
 
@@ -163,6 +167,20 @@
     return response_metadata.EndpointLoad(*counts)
 
 
+def _decode_limit(headers):
+    """Return the lowest limit, or None, and whether all that are stated are malformed."""
+    lowest = None
+    is_stated = False
+    for name, value in headers:
+        if name.lower() != _LIMIT.lower():
+            continue
+        is_stated = True
+        limit_per_s = _parse_float(value)
+        if limit_per_s is not None and (lowest is None or limit_per_s < lowest):
+            lowest = limit_per_s
+    return lowest, is_stated and lowest is None
+
+
 def _decode_idle_timeout(text):
     """Return the ``timeout`` parameter of a ``Keep-Alive`` header, in seconds, or None."""
     for parameter in (text or "").split(","):
@@ -187,7 +205,8 @@
 
 def _parse_float(text):
     """Return a number in [0, 1e12), or None if the text is absent or anything else."""
-    if text is None:
+    if text is None or "_" in text:
+        # ``float`` accepts underscores between digits, which numbers on the wire do not have.
         return None
     try:
         number = float(text)
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -1,3 +1,5 @@
+import pytest
+
 from lynxlanding.platform import request_headers
 
 REQUEST_HEADERS = [
@@ -80,3 +82,28 @@
     assert refused_metadata.was_not_run
     assert refused_metadata.closes_connection
     assert refused_metadata.load is None
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s", "is_malformed"),
+    [
+        ([], None, False),
+        (["0"], 0.0, False),
+        (["0.2"], 0.2, False),
+        (["1.4"], 1.4, False),
+        (["1e9"], 1e9, False),
+        (["-1"], None, True),
+        (["nan"], None, True),
+        (["inf"], None, True),
+        ([""], None, True),
+        (["1_0"], None, True),
+        (["9" * 5000], None, True),
+        (["4", "2"], 2.0, False),
+        (["x", "2"], 2.0, False),
+    ],
+)
+def test_decodes_the_limit_on_requests(values, limit_per_s, is_malformed):
+    """Guards against a malformed limit that counts as none, or as one of any value."""
+    metadata = request_headers.decode_response([("Server-Limit", value) for value in values])
+    assert metadata.limit_per_s == limit_per_s
+    assert metadata.has_malformed_limit == is_malformed
--- a/src/lynxlanding_bench/dispatch_cost.py
+++ b/src/lynxlanding_bench/dispatch_cost.py
@@ -6,7 +6,7 @@
 import click
 import numpy
 
-from lynxlanding.dispatch import dispatch_decision, dispatcher, stall_tracker
+from lynxlanding.dispatch import dispatch_decision, dispatcher, limit_table, stall_tracker
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.fleet import registry
 from lynxlanding.replicas.tests import simulated_domain
@@ -36,7 +36,12 @@
     random_state = random.Random(seed)
     known = registry.EndpointRegistry(HEARTBEAT_INTERVAL_S)
     made = dispatcher.Dispatcher(
-        "a", known, dispatch_factories.RETRY_LIMITS, stall_tracker.StallTracker(), random_state
+        "a",
+        known,
+        dispatch_factories.RETRY_LIMITS,
+        stall_tracker.StallTracker(),
+        limit_table.LimitTable("n0"),
+        random_state,
     )
     made.use_configuration(dispatch_factories.make_configuration())
     heads = [dispatch_factories.make_head(number) for number in range(engines // GROUP_SIZE)]
