Reproduce requests beyond the limits that endpoints state

Nine nodes as processes against the stand-in site, whose endpoints now state limits; the checker counts by the words of the users' rule (6 L + 5 in any 4 s, from nodes that have passed on such a response). On the current code 48 requests arrive in 4 s at an endpoint that takes 0.4 a second.

--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -113,6 +113,8 @@
             endpoint.is_silent = False
             self._silent.pop(name, None)
             self._publish(endpoint)
+        if name in order.get("limits", {}):
+            endpoint.limit_per_s = order["limits"][name]
         if name in order.get("hold_heartbeat", ()):
             endpoint.heartbeats += 1
             self._held[name] = endpoint.entry()
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -25,6 +25,8 @@
         Whether the endpoint answers nothing and sends no heartbeats.
     is_silent : bool
         Whether the endpoint sends no heartbeats but answers.
+    limit_per_s : float or None
+        Requests a second that the endpoint says it takes from all nodes together.
     heartbeats : int
         Number of heartbeats of the incarnation.
     group : dict or None
@@ -40,6 +42,7 @@
     is_dark: bool = False
     is_leaving: bool = False
     is_silent: bool = False
+    limit_per_s: float | None = None
     heartbeats: int = 0
     group: dict | None = None
     model: str | None = None
@@ -64,6 +67,12 @@
             spec.update(self.state())
         return spec
 
+    def limit_headers(self):
+        """Return the header that states the limit, if there is one."""
+        if self.limit_per_s is None:
+            return []
+        return [(b"server-limit", str(self.limit_per_s).encode())]
+
     def state(self):
         """Return the engine's state as registrations and reports have it."""
         group = None
@@ -199,7 +208,7 @@
             "workspace": asgi.header(scope, b"x-tenant"),
             "key": asgi.header(scope, b"authorization"),
         }
-        headers = [SEAL, (b"x-request-id", request_id.encode())]
+        headers = [SEAL, (b"x-request-id", request_id.encode()), *endpoint.limit_headers()]
         await asgi.send_json(send, 200, document, headers)
 
     async def _stream(self, endpoint, scope, send):
@@ -213,6 +222,7 @@
             (b"content-type", b"text/event-stream"),
             (b"x-request-id", request_id.encode()),
             SEAL,
+            *endpoint.limit_headers(),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         endpoint.running += 1
--- a/tests/site_installation.py
+++ b/tests/site_installation.py
@@ -1,6 +1,7 @@
-"""The stand-in of the users' platform and two nodes, as processes."""
+"""The stand-in of the users' platform and some nodes, as processes."""
 
 import http.client
+import itertools
 import json
 import time
 
@@ -25,19 +26,21 @@
         Number of model engines, and of endpoints of the plain service.
     heartbeat_s : float
         Seconds between heartbeats of an endpoint.
+    node_names : sequence of str, optional
+        Names of the nodes, which are in the data centres in turn.
     """
 
-    def __init__(self, running, engines, plain, heartbeat_s):
+    def __init__(self, running, engines, plain, heartbeat_s, node_names=NODES):
         self.running = running
         endpoints = engines + plain
-        ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(NODES))
+        ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
         self.store_port = ports[0]
         options = ("--engines", engines, "--plain", plain, "--heartbeat-s", heartbeat_s)
         running.start_standin("site", "site", "--port", self.store_port, *options)
         wait_for(self._is_site_up, "the site listens")
         self.nodes = {}
         ports = ports[1 + endpoints :]
-        for name, data_centre in zip(NODES, DATA_CENTRES, strict=True):
+        for name, data_centre in zip(node_names, itertools.cycle(DATA_CENTRES), strict=False):
             self._start_node(name, data_centre, ports[:PORTS_PER_NODE])
             ports = ports[PORTS_PER_NODE:]
 
--- /dev/null
+++ b/tests/test_stated_limits.py
@@ -0,0 +1,139 @@
+"""Endpoints get no more requests than they say they take: nodes as processes, under requests."""
+
+import http.client
+import threading
+import time
+
+import pytest
+
+from lynxlanding_bench import processes
+from tests import limit_checker, site_installation
+
+NODES = tuple(f"n{number}" for number in range(9))
+ENDPOINTS = 4
+HEARTBEAT_S = 1.2
+REQUESTS_PER_S = 40.0
+OBSERVED_S = 9.0
+HEADERS = {
+    "Host": "site.example",
+    "X-Deadline-Ms": "4000",
+    "Authorization": "Bearer secret-key",
+}
+
+
+class Installation(site_installation.SiteInstallation):
+    """The site, its nodes, and one caller for each node."""
+
+    def __init__(self, running, node_names=NODES, endpoints=ENDPOINTS, per_s=REQUESTS_PER_S):
+        super().__init__(running, 0, endpoints, HEARTBEAT_S, node_names)
+        self._interval_s = len(node_names) / per_s
+        self._stop = threading.Event()
+        self._callers = []
+        # (time, node, request id, status, stated limit, Retry-After) of each response.
+        self.responses = []
+        self.failures = []
+
+    def start_callers(self):
+        for name in self.nodes:
+            caller = threading.Thread(target=self._call_in_a_loop, args=(name,))
+            caller.start()
+            self._callers.append(caller)
+
+    def stop(self):
+        self._stop.set()
+        for caller in self._callers:
+            caller.join()
+
+    def arrivals(self):
+        """Return the requests that have reached endpoints."""
+        found = []
+        for _, request_id, endpoint_id, at in self.control()["history"]:
+            found.append(limit_checker.Arrival(at, request_id.partition("-")[0], endpoint_id))
+        return found
+
+    def told_at(self, endpoint_id, since):
+        """Return when each node first passed on a limit of an endpoint."""
+        endpoints = {item[1]: item[2] for item in self.control()["history"]}
+        told = {}
+        for at, node, request_id, _, limit, _ in self.responses:
+            if at >= since and limit is not None and endpoints.get(request_id) == endpoint_id:
+                told[node] = min(at, told.get(node, at))
+        return told
+
+    def check_limits(self, limits, stated_at):
+        """Fail if an endpoint has got more requests than it allows; return the worst windows."""
+        until = time.monotonic()
+        arrivals = self.arrivals()
+        worst = {}
+        for endpoint_id in limits:
+            told = self.told_at(endpoint_id, stated_at)
+            worst[endpoint_id] = limit_checker.worst_window(
+                arrivals, endpoint_id, told, stated_at, until
+            )
+        excess = {}
+        for endpoint_id, count in worst.items():
+            allowed = limit_checker.allowed_requests(limits[endpoint_id])
+            if count > allowed:
+                excess[endpoint_id] = f"{count} in a window, allowed {allowed}"
+        assert excess == {}
+        return worst
+
+    def _call_in_a_loop(self, name):
+        count = 0
+        while not self._stop.is_set():
+            count += 1
+            started_at = time.monotonic()
+            self._call(name, f"{name}-{count}")
+            time.sleep(max(0.0, self._interval_s - (time.monotonic() - started_at)))
+
+    def _call(self, name, request_id):
+        connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name][0], timeout=6)
+        try:
+            connection.request("GET", "/look/x", headers={**HEADERS, "X-Request-Id": request_id})
+            response = connection.getresponse()
+            response.read()
+            self.responses.append(
+                (
+                    time.monotonic(),
+                    name,
+                    request_id,
+                    response.status,
+                    response.headers["Server-Limit"],
+                    response.headers["Retry-After"],
+                )
+            )
+        except OSError as e:
+            self.failures.append((time.monotonic(), name, repr(e)))
+        finally:
+            connection.close()
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    with processes.Processes(tmp_path_factory.mktemp("limits")) as running:
+        installation = Installation(running)
+        installation.wait_ready()
+        installation.start_callers()
+        time.sleep(2.0)
+        yield installation
+        installation.stop()
+
+
+@pytest.mark.parametrize("limits", [{"i-000": 1.0, "i-001": 1.4}, {"i-002": 0.4, "i-003": 5.0}])
+def test_limited_endpoints_get_no_more_requests_than_they_state(site, limits):
+    """Guards against nodes whose requests together exceed the limit of an endpoint."""
+    stated_at = site.control(limits=limits)["time"]
+    time.sleep(OBSERVED_S)
+    site.check_limits(limits, stated_at)
+    refused = [item for item in site.responses if item[0] > stated_at and item[3] != 200]
+    assert refused == [], "the other endpoints have room"
+    assert site.failures == []
+    ended_at = site.control(limits=dict.fromkeys(limits))["time"]
+    time.sleep(4.0 + limit_checker.WINDOW_S)
+    for endpoint_id in limits:
+        late = [
+            arrival.at
+            for arrival in site.arrivals()
+            if arrival.endpoint_id == endpoint_id and arrival.at > ended_at + 4.0
+        ]
+        assert len(late) > REQUESTS_PER_S / ENDPOINTS, "the limit outlasts its end"
