Keep all nodes together to the limits that endpoints state

Nodes do not see each other's requests in time, so the limit is divided: 3 + L nodes, chosen by rendezvous hashing over the live nodes, get an equal, constant part of the rate. The sum over any 4 s is then at most 3 + L + 4 L requests whatever the number of nodes, against 6 L + 5 allowed. A node uses a larger part only 2 s after its view has changed, when the nodes that shared the limit before have noticed as well, so that a node and its successor do not both use it. Nodes tell each other what endpoints have stated to themselves; nothing circulates. A limit has no expiry, since it keeps away the responses that would confirm it; an endpoint that takes (almost) nothing is still asked every 4 s by one node.

Every way to send is counted: first attempts, retries, failovers, resumed streams, requests that waited for a connection when the limit came, and health checks. Sound endpoints take the rest. If all are limited, requests are refused at once, less urgent ones first, with a Retry-After from the limits as a whole. A limited endpoint is no target of a failover, so the retry budget is not used for it.

--- a/src/lynxlanding/dispatch/dispatch_decision.py
+++ b/src/lynxlanding/dispatch/dispatch_decision.py
@@ -27,6 +27,8 @@
         Time until the deadline of the request.
     excluded : frozenset of str
         Ids of the endpoints that have already been tried.
+    priority : int
+        Rank of the request; 0 is the most urgent.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     work: cost_model.Work
     time_left_s: float
     excluded: frozenset
+    priority: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -57,7 +60,10 @@
     stall_timeout_s : float
         Time between two events after which the endpoint counts as stalled.
     limit_per_s : float or None
-        Requests a second that the endpoint takes from all nodes together, if it has a limit.
+        Requests a second that the endpoint takes from all nodes together, if it has a limit. The
+        request is then counted in this node's allowance.
+    allowed_per_s : float or None
+        This node's part of the limit.
     """
 
     record: endpoint_record.EndpointRecord
@@ -67,6 +73,7 @@
     first_event_timeout_s: float
     stall_timeout_s: float
     limit_per_s: float | None = None
+    allowed_per_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/dispatch/forward_request.py
+++ b/src/lynxlanding/dispatch/forward_request.py
@@ -27,6 +27,8 @@
         Service selected from the route's weighted split.
     workspace : str or None
         Name of the caller's workspace.
+    priority : int
+        Rank of the workspace or route; 0 is the most urgent.
     urgency : int or None
         Rank in an endpoint's queue; 0 is the most urgent.
     work : Work
@@ -45,6 +47,7 @@
     route: traffic_route.Route
     service: str
     workspace: str | None
+    priority: int
     urgency: int | None
     work: cost_model.Work
     received_at: float
--- a/src/lynxlanding/dispatch/limit_statement.py
+++ b/src/lynxlanding/dispatch/limit_statement.py
@@ -25,6 +25,14 @@
     stated_at: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointStatement:
+    """A statement together with the endpoint that made it."""
+
+    endpoint_id: str
+    statement: LimitStatement
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LimitChange:
     """Change of the limit that a node believes to be in force.
--- /dev/null
+++ b/src/lynxlanding/dispatch/request_allowance.py
@@ -0,0 +1,208 @@
+"""Part of one node in the rate of requests that limited endpoints take."""
+
+import dataclasses
+import math
+
+from lynxlanding.membership import rendezvous
+
+# Number of nodes that share the limit of an endpoint, beyond one for each request a second. Each
+# node may send its first request at once, so more nodes would exceed a low limit together.
+MIN_SHARING_NODES = 3
+# An endpoint with a lower limit gets this many requests a second from all nodes together, because
+# only a response tells that the limit has ended.
+MIN_RATE_PER_S = 0.25
+# Requests that a node has not used may follow at once, up to those of this time (at least one).
+BURST_S = 0.5
+# A node uses a larger part of a limit only after this time. By then the nodes that shared it
+# before have noticed the change as well: a node counts as live for 1.3 s after its last report.
+INCREASE_DELAY_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Share:
+    limit_per_s: float
+    generation: int
+    rate_per_s: float
+    updated_at: float
+    tokens: float = 0.0
+    next_rate_per_s: float | None = None
+    next_rate_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AllowanceChange:
+    """Change of this node's part of a limit.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Endpoint with the limit.
+    limit_per_s : float
+        Requests a second that the endpoint takes from all nodes together.
+    rate_per_s : float
+        Requests a second that this node may send; 0 if the limit is left to other nodes.
+    live_nodes : int
+        Number of live nodes as this node knows them.
+    starts_in_s : float
+        Time until this part is in force, in seconds.
+    """
+
+    endpoint_id: str
+    limit_per_s: float
+    rate_per_s: float
+    live_nodes: int
+    starts_in_s: float
+
+
+class RequestAllowance:
+    """Divides the limits of endpoints among the live nodes; performs no I/O.
+
+    Nodes do not see each other's requests in time. So a few nodes, chosen by rendezvous hashing,
+    get an equal and constant part of the rate of each endpoint, and the sum keeps to the limit
+    without any message about single requests.
+
+    Parameters
+    ----------
+    node_id : str
+        Id of this node.
+    limit_table : LimitTable
+        Limits in force.
+    now : float
+        Monotonic seconds. The other nodes become known within seconds of the start.
+    """
+
+    def __init__(self, node_id, limit_table, now):
+        self._node_id = node_id
+        self._limit_table = limit_table
+        self._settled_at = now + INCREASE_DELAY_S
+        self._live_nodes = (node_id,)
+        self._generation = 0
+        self._shares = {}
+        self._changes = []
+
+    def use_live_nodes(self, node_ids, now):
+        """Set the live nodes, which share the limits; return the list of ``AllowanceChange``."""
+        live_nodes = tuple(sorted(node_ids))
+        if live_nodes != self._live_nodes:
+            self._live_nodes = live_nodes
+            self._generation += 1
+        for endpoint_id in list(self._shares):
+            self._share(endpoint_id, now)
+        changes = self._changes
+        self._changes = []
+        return changes
+
+    def wait_s(self, endpoint_id, now):
+        """Return the time until this node may send a request to the endpoint, in seconds.
+
+        It is 0 if the node may send one now, and infinite if it has no part of the limit.
+        """
+        share = self._share(endpoint_id, now)
+        if share is None or share.tokens >= 1.0:
+            return 0.0
+        if share.rate_per_s > 0:
+            return (1.0 - share.tokens) / share.rate_per_s
+        if share.next_rate_per_s is not None:
+            return share.next_rate_at - now + 1.0 / share.next_rate_per_s
+        return math.inf
+
+    def rate_per_s(self, endpoint_id, now):
+        """Return this node's part of the limit; None if the endpoint states none."""
+        share = self._share(endpoint_id, now)
+        return None if share is None else share.rate_per_s
+
+    def consume(self, endpoint_id, now):
+        """Count a request to the endpoint."""
+        share = self._share(endpoint_id, now)
+        if share is not None:
+            share.tokens -= 1.0
+
+    def try_consume(self, endpoint_id, now):
+        """Count a request to the endpoint if one may be sent now; return whether it may."""
+        if self.wait_s(endpoint_id, now) > 0:
+            return False
+        self.consume(endpoint_id, now)
+        return True
+
+    def _share(self, endpoint_id, now):
+        """Return the up-to-date share; None if the endpoint states no limit."""
+        limit_per_s = self._limit_table.limit_per_s(endpoint_id)
+        if limit_per_s is None:
+            self._shares.pop(endpoint_id, None)
+            return None
+        share = self._shares.get(endpoint_id)
+        if share is None:
+            share = _Share(limit_per_s, self._generation, 0.0, now)
+            self._shares[endpoint_id] = share
+            self._plan_rate(endpoint_id, share, max(now, self._settled_at), now)
+            if now >= self._settled_at:
+                share.tokens = self._initial_tokens(endpoint_id, limit_per_s)
+        elif (share.limit_per_s, share.generation) != (limit_per_s, self._generation):
+            share.limit_per_s = limit_per_s
+            share.generation = self._generation
+            self._plan_rate(endpoint_id, share, now + INCREASE_DELAY_S, now)
+        _accrue(share, now)
+        return share
+
+    def _plan_rate(self, endpoint_id, share, increase_at, now):
+        """Decrease the rate at once, or plan its increase."""
+        rate_per_s = self._divide(endpoint_id, share.limit_per_s)
+        if rate_per_s == share.next_rate_per_s:
+            return
+        _accrue(share, now)
+        if rate_per_s <= share.rate_per_s:
+            if rate_per_s == share.rate_per_s and share.next_rate_per_s is None:
+                return
+            increase_at = now
+            share.rate_per_s = rate_per_s
+            share.next_rate_per_s = None
+        else:
+            share.next_rate_per_s = rate_per_s
+            share.next_rate_at = increase_at
+        self._changes.append(
+            AllowanceChange(
+                endpoint_id,
+                share.limit_per_s,
+                rate_per_s,
+                len(self._live_nodes),
+                increase_at - now,
+            )
+        )
+
+    def _divide(self, endpoint_id, limit_per_s):
+        """Return this node's part of a limit."""
+        nodes = self._sharing_nodes(endpoint_id, limit_per_s)
+        if self._node_id not in nodes:
+            return 0.0
+        return max(limit_per_s, MIN_RATE_PER_S) / len(nodes)
+
+    def _initial_tokens(self, endpoint_id, limit_per_s):
+        """Return a fraction of a request, so that the nodes send their first ones in turn."""
+        nodes = self._sharing_nodes(endpoint_id, limit_per_s)
+        if self._node_id not in nodes:
+            return 0.0
+        return nodes.index(self._node_id) / len(nodes)
+
+    def _sharing_nodes(self, endpoint_id, limit_per_s):
+        nodes = self._live_nodes
+        count = MIN_SHARING_NODES + int(min(limit_per_s, len(nodes)))
+        if count >= len(nodes):
+            return nodes
+        return rendezvous.choose(f"limit-{endpoint_id}", nodes, count)
+
+
+def _accrue(share, now):
+    if share.next_rate_per_s is not None and share.next_rate_at <= now:
+        _add_tokens(share, share.next_rate_at)
+        share.rate_per_s = share.next_rate_per_s
+        share.next_rate_per_s = None
+    _add_tokens(share, now)
+
+
+def _add_tokens(share, now):
+    if now <= share.updated_at:
+        return
+    capacity = max(1.0, share.rate_per_s * BURST_S)
+    earned = share.rate_per_s * (now - share.updated_at)
+    share.tokens = min(capacity, share.tokens + earned)
+    share.updated_at = now
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -76,6 +76,7 @@
             work=request.work,
             time_left_s=request.deadline - now,
             excluded=frozenset(self._excluded),
+            priority=request.priority,
         )
 
     def _choose(self):
@@ -127,7 +128,7 @@
                 # On a reused connection, a late response to an earlier request could be taken for
                 # the response to this one.
                 fresh=not request.route.is_idempotent,
-                before_sending=lambda: self._check_sendable(record, started_at),
+                before_sending=lambda: self._check_sendable(record, decision, started_at),
             )
             self._record_limit(record, response.status, metadata, started_at)
             if metadata.load is not None:
@@ -147,12 +148,16 @@
             self._serving.end_attempt(record.endpoint_id)
             raise
 
-    def _check_sendable(self, record, chosen_at):
-        """Raise ``EndpointWithdrawn`` if the endpoint has left since it was selected."""
+    def _check_sendable(self, record, decision, chosen_at):
+        """Raise ``EndpointWithdrawn`` if the endpoint takes no request that was selected earlier.
+
+        It may have left, or stated a limit that the selection did not know.
+        """
         delay_s = time.monotonic() - chosen_at
         if delay_s <= LATE_SEND_S:
             return
-        if not self._serving.may_send(record).get():
+        is_counted = decision.limit_per_s is not None
+        if not self._serving.may_send(record, time.monotonic(), is_counted=is_counted).get():
             raise endpoint_errors.EndpointWithdrawn(
                 f"{record.address}: no longer usable {delay_s:.3f} s after the selection"
             )
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -8,6 +8,7 @@
 FINISHED = "lynxlanding:request:finished"
 SENT_LATE = "lynxlanding:request:sent_late"
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
+ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
 LIMIT_MALFORMED = "lynxlanding:endpoint:limit_malformed"
 
 
@@ -39,6 +40,7 @@
             model=request.metadata.model,
             load=decision.load,
             limit_per_s=decision.limit_per_s,
+            allowed_per_s=decision.allowed_per_s,
             predicted_s=round(decision.predicted_s, 4),
             registry_age_s=self._node_status.registry_age_s,
             configuration_version=self._node_status.configuration_version,
@@ -68,17 +70,9 @@
             registry_age_s=self._node_status.registry_age_s,
         )
 
-    def log_limit_changed(self, change, request_id=None):
-        """Log a ``LimitChange``, with the request whose response has stated the limit."""
-        eliot.log_message(
-            message_type=LIMIT_CHANGED,
-            endpoint=change.endpoint_id,
-            limit_per_s=change.limit_per_s,
-            known_limit_per_s=change.known_limit_per_s,
-            source=change.source,
-            age_s=round(change.age_s, 3),
-            request_id=request_id,
-        )
+    def log_limit_changed(self, change, request_id):
+        """Log a ``LimitChange`` that follows from the response to a request."""
+        log_limit_changed(change, request_id)
 
     def log_malformed_limit(self, request, record):
         """Log that a response states a limit that cannot be read; the known one stays."""
@@ -103,6 +97,31 @@
         )
 
 
+def log_limit_changed(change, request_id=None):
+    """Log a ``LimitChange``, with the request whose response has stated the limit."""
+    eliot.log_message(
+        message_type=LIMIT_CHANGED,
+        endpoint=change.endpoint_id,
+        limit_per_s=change.limit_per_s,
+        known_limit_per_s=change.known_limit_per_s,
+        source=change.source,
+        age_s=round(change.age_s, 3),
+        request_id=request_id,
+    )
+
+
+def log_allowance_changed(change):
+    """Log an ``AllowanceChange``."""
+    eliot.log_message(
+        message_type=ALLOWANCE_CHANGED,
+        endpoint=change.endpoint_id,
+        limit_per_s=change.limit_per_s,
+        allowed_per_s=round(change.rate_per_s, 4),
+        live_nodes=change.live_nodes,
+        starts_in_s=round(change.starts_in_s, 3),
+    )
+
+
 def log_finished(request_id, summary):
     """Log the end of a request.
 
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -23,14 +23,17 @@
         Known endpoints.
     dispatcher : Dispatcher
         Selects endpoints and counts requests.
+    limit_table : LimitTable
+        Limits that endpoints state.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, registry, dispatcher):
+    def __init__(self, registry, dispatcher, limit_table):
         super().__init__()
         self._registry = registry
         self._dispatcher = dispatcher
+        self._limit_table = limit_table
 
     def use_configuration(self, configuration):
         """Switch to a newer configuration."""
@@ -110,11 +113,50 @@
         """Return ``Send`` or ``Refuse`` for a request."""
         return self._dispatcher.choose(query, now)
 
-    def may_send(self, record):
-        """Return whether the incarnation in ``record`` still accepts requests."""
+    def may_send(self, record, now, *, is_counted):
+        """Return whether the incarnation in ``record`` still accepts a request.
+
+        ``is_counted`` says whether the request is already counted in this node's allowance.
+        """
         known = self._registry.get(record.endpoint_id)
         is_same = known is not None and known.started_ms == record.started_ms
-        return is_same and known.accepts_requests
+        if not is_same or not known.accepts_requests:
+            return False
+        return is_counted or self._dispatcher.allowance.try_consume(record.endpoint_id, now)
+
+    def may_check(self, endpoint_id, now):
+        """Count a health check, which reaches the endpoint like a request; return if allowed."""
+        return self._dispatcher.allowance.try_consume(endpoint_id, now)
+
+    def use_live_nodes(self, node_ids, now):
+        """Set the nodes that share the limits of endpoints; return the ``AllowanceChange``s."""
+        return self._dispatcher.allowance.use_live_nodes(node_ids, now)
+
+    def apply_peer_statements(self, peer_id, statements, now):
+        """Record what endpoints have stated to a peer; return the ``LimitChange``s.
+
+        Parameters
+        ----------
+        peer_id : str
+            The peer.
+        statements : list of EndpointStatement
+            Statements with their time by this node's clock.
+        now : float
+            Monotonic seconds.
+        """
+        changes = []
+        for item in statements:
+            record = self._registry.get(item.endpoint_id)
+            if record is None:
+                continue
+            change = self._limit_table.record_peer(record, item.statement, peer_id, now)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def expire_limits(self, now):
+        """Drop limits that have expired; return the ``LimitChange``s."""
+        return self._limit_table.expire(self._registry.records, now)
 
     def record_reported_load(self, endpoint_id, load, now):
         """Record the running and waiting requests that an endpoint reports."""
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -7,6 +7,7 @@
     dispatch_decision,
     dispatcher,
     limit_table,
+    request_allowance,
     stall_tracker,
 )
 from lynxlanding.fleet import endpoint_record, group_membership, registry
@@ -84,13 +85,15 @@
 
 
 def make_dispatcher(records, tracker=None, seed=1, limits=None):
+    limits = limits or limit_table.LimitTable("n0")
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
         endpoint_registry,
         RETRY_LIMITS,
         tracker or stall_tracker.StallTracker(),
-        limits or limit_table.LimitTable("n0"),
+        limits,
+        request_allowance.RequestAllowance("n0", limits, now=0.0),
         random.Random(seed),
     )
     new_dispatcher.use_configuration(make_configuration())
--- a/src/lynxlanding/dispatch/tests/test_dispatcher.py
+++ b/src/lynxlanding/dispatch/tests/test_dispatcher.py
@@ -1,8 +1,9 @@
 import collections
+import dataclasses
 
 import pytest
 
-from lynxlanding.dispatch import dispatch_decision, stall_tracker
+from lynxlanding.dispatch import dispatch_decision, limit_table, stall_tracker
 from lynxlanding.dispatch.tests import dispatch_factories
 
 
@@ -206,3 +207,88 @@
     assert decision.retry_after_s > sent[-1].predicted_s
     assert sent[9].predicted_s <= sent[-1].predicted_s <= 2.5 * target_latency_s
     assert len(sent) >= 12
+
+
+def make_limited_dispatcher(limits_per_s, heads=3):
+    """Return a dispatcher that has known the other nodes for long, and its limits."""
+    limits = limit_table.LimitTable("n0")
+    records = [dispatch_factories.make_head(number) for number in range(heads)]
+    dispatcher, _ = dispatch_factories.make_dispatcher(records, limits=limits)
+    for number, limit_per_s in limits_per_s.items():
+        limits.record_response(records[number], limit_per_s, 99.0, 100.0)
+    return dispatcher, limits, records
+
+
+def test_sound_groups_take_over_what_a_limited_one_may_not():
+    dispatcher, _, _ = make_limited_dispatcher({0: 1.0})
+    counts = collections.Counter()
+    for number in range(40):
+        now = 100.0 + number * 0.25
+        decision = dispatcher.choose(dispatch_factories.make_query(), now)
+        counts[decision.record.endpoint_id] += 1
+        assert (decision.limit_per_s == 1.0) == (decision.record.endpoint_id == "e0")
+        dispatcher.load_tracker.end(decision.record.endpoint_id)
+    assert 6 <= counts["e0"] <= 10
+
+
+def test_limit_ends_at_once_with_a_response_that_states_none():
+    dispatcher, limits, records = make_limited_dispatcher({0: 0.0}, heads=1)
+    assert isinstance(
+        dispatcher.choose(dispatch_factories.make_query(), 100.1), dispatch_decision.Refuse
+    )
+    limits.record_response(records[0], None, 100.2, 100.3)
+    assert isinstance(
+        dispatcher.choose(dispatch_factories.make_query(), 100.4), dispatch_decision.Send
+    )
+
+
+def test_retry_after_follows_from_the_limits_of_all_groups():
+    """Three groups at 0.1 a second are asked 0.25 times a second each."""
+    dispatcher, _, _ = make_limited_dispatcher({0: 0.1, 1: 0.1, 2: 0.1})
+    query = dispatch_factories.make_query()
+    refused = [dispatcher.choose(query, 100.0) for _ in range(20)]
+    waits = [item.retry_after_s for item in refused if isinstance(item, dispatch_decision.Refuse)]
+    assert len(waits) == 20
+    assert min(waits) >= min(1.0, query.time_left_s * 0.3)
+
+
+def test_most_urgent_requests_get_what_limited_groups_take():
+    """Pattern: all groups limited, seven times the requests; urgent ones alone exceed it."""
+    dispatcher, _, _ = make_limited_dispatcher({0: 1.0, 1: 1.0, 2: 1.0})
+    served = collections.Counter()
+    for number in range(1200):
+        now = 100.0 + number * 0.05
+        priority = 0 if number % 4 == 0 else 3
+        query = dataclasses.replace(dispatch_factories.make_query(), priority=priority)
+        decision = dispatcher.choose(query, now)
+        if isinstance(decision, dispatch_decision.Send):
+            served[priority] += 1
+            dispatcher.load_tracker.end(decision.record.endpoint_id)
+    assert served[0] >= 0.75 * 3.0 * 60.0
+    assert served[3] <= 0.05 * served[0]
+
+
+def test_less_urgent_requests_get_what_urgent_ones_leave():
+    """Guards against limited groups that are idle while less urgent requests are refused."""
+    dispatcher, _, _ = make_limited_dispatcher({0: 1.0, 1: 1.0, 2: 1.0})
+    served = collections.Counter()
+    for number in range(1200):
+        now = 100.0 + number * 0.05
+        priority = 0 if number % 20 == 0 else 3
+        query = dataclasses.replace(dispatch_factories.make_query(), priority=priority)
+        decision = dispatcher.choose(query, now)
+        if isinstance(decision, dispatch_decision.Send):
+            served[priority] += 1
+            dispatcher.load_tracker.end(decision.record.endpoint_id)
+    assert served[0] >= 0.85 * 60
+    assert sum(served.values()) >= 0.75 * 3.0 * 60.0
+
+
+def test_failover_to_a_limited_group_does_not_use_the_retry_budget():
+    dispatcher, _, _ = make_limited_dispatcher({1: 0.0}, heads=2)
+    dispatcher.record_request("model", "small", dispatch_factories.make_query().work, 100.0)
+    before = dispatcher._retry_budget("model").available(100.1, 1)
+    assert not dispatcher.try_acquire_failover(
+        dispatch_factories.make_query(excluded=["e0"]), 100.1
+    )
+    assert dispatcher._retry_budget("model").available(100.1, 1) == before
--- a/src/lynxlanding/dispatch/tests/test_limit_table.py
+++ b/src/lynxlanding/dispatch/tests/test_limit_table.py
@@ -1,6 +1,6 @@
 import dataclasses
 
-from lynxlanding.dispatch import limit_table
+from lynxlanding.dispatch import limit_statement, limit_table
 from lynxlanding.dispatch.tests import dispatch_factories
 
 RECORD = dispatch_factories.make_head(0)
@@ -13,11 +13,11 @@
     assert (change.limit_per_s, change.known_limit_per_s, change.source) == (1.4, None, "n0")
     assert table.record_response(RECORD, 1.4, 1.0, 2.0) is None
     assert table.limit_per_s("e0") == 1.4
-    assert table.limited_count == 1
+    assert table.limited_ids == {"e0"}
     change = table.record_response(RECORD, None, 2.5, 3.0)
     assert (change.limit_per_s, change.known_limit_per_s) == (None, 1.4)
     assert table.limit_per_s("e0") is None
-    assert table.limited_count == 0
+    assert table.limited_ids == frozenset()
 
 
 def test_limit_does_not_expire_without_responses():
@@ -53,5 +53,87 @@
     table.record_response(RESTARTED_RECORD, None, 0.5, 1.5)
     assert table.limit_per_s("e0") is None
     table.record_response(RESTARTED_RECORD, 2.0, 1.5, 2.0)
-    table.forget("e0")
+    table.keep_incarnation(RECORD)
     assert table.limit_per_s("e0") is None
+
+
+def make_statement(limit_per_s, stated_at, started_ms=1):
+    return limit_statement.LimitStatement(started_ms, limit_per_s, stated_at)
+
+
+def exchange(sender, receiver, now):
+    """Let one node report to another one."""
+    for item in sender.statements_to_report(now):
+        receiver.record_peer(RECORD, item.statement, "peer", now)
+
+
+def test_peer_tells_of_a_limit_and_of_its_end():
+    first = limit_table.LimitTable("n0")
+    second = limit_table.LimitTable("n1")
+    first.record_response(RECORD, 1.0, 0.0, 1.0)
+    exchange(first, second, 1.1)
+    assert second.limit_per_s("e0") == 1.0
+    assert second.statements_to_report(1.1) == [], "what peers report does not circulate"
+    first.record_response(RECORD, None, 1.5, 1.6)
+    exchange(first, second, 1.7)
+    assert second.limit_per_s("e0") is None
+
+
+def test_node_that_missed_the_end_of_a_limit_is_told_again():
+    """Guards against a limit that lasts for ever at a node that gets no responses."""
+    first = limit_table.LimitTable("n0")
+    second = limit_table.LimitTable("n1")
+    second.record_response(RECORD, 1.0, 0.0, 1.0)
+    first.record_response(RECORD, 1.0, 0.0, 1.1)
+    first.record_response(RECORD, None, 2.0, 2.1)
+    assert first.statements_to_report(100.0) == []
+    exchange(second, first, 100.0)
+    assert first.limit_per_s("e0") is None
+    exchange(first, second, 100.1)
+    assert second.limit_per_s("e0") is None
+    assert second.statements_to_report(100.2) == []
+
+
+def test_limit_that_only_a_silent_peer_has_heard_expires():
+    table = limit_table.LimitTable("n1")
+    table.record_peer(RECORD, make_statement(1.0, 0.0), "n0", 0.1)
+    assert table.expire({"e0"}, 29.0) == []
+    (change,) = table.expire({"e0"}, 31.0)
+    assert (change.limit_per_s, change.known_limit_per_s, change.source) == (None, 1.0, "n0")
+    table.record_response(RECORD, 2.0, 32.0, 33.0)
+    assert table.expire({"e0"}, 1000.0) == []
+    assert table.limit_per_s("e0") == 2.0
+
+
+def test_limit_outlasts_a_registration_that_lapses_for_a_while():
+    """Guards against a limit that is forgotten in an outage of the store."""
+    table = limit_table.LimitTable("n0")
+    table.record_response(RECORD, 2.0, 0.0, 1.0)
+    table.expire((), 2.0)
+    table.expire((), 61.0)
+    assert table.limit_per_s("e0") == 2.0
+    table.expire({"e0"}, 61.5)
+    table.expire((), 62.0)
+    table.expire((), 100.0)
+    assert table.limit_per_s("e0") == 2.0
+    table.expire((), 123.0)
+    assert table.limit_per_s("e0") is None
+
+
+def test_peer_statement_about_another_incarnation_is_ignored():
+    table = limit_table.LimitTable("n0")
+    assert table.record_peer(RECORD, make_statement(1.0, 0.0, started_ms=7), "n1", 0.1) is None
+    assert table.limit_per_s("e0") is None
+
+
+def test_report_is_bounded_and_old_statements_take_turns():
+    table = limit_table.LimitTable("n0")
+    for number in range(40):
+        table.record_response(dispatch_factories.make_head(number), 1.0, 0.0, 1.0)
+    assert len(table.statements_to_report(1.5)) == limit_table.MAX_REPORTED
+    reported = set()
+    for _ in range(10):
+        items = table.statements_to_report(10.0)
+        assert len(items) == limit_table.MAX_REPORTED_OLD
+        reported.update(item.endpoint_id for item in items)
+    assert len(reported) == 40
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -41,7 +41,8 @@
     def try_acquire_retry(self, service, now):
         return dispatch_factories.CompletedFuture(self._dispatcher.try_acquire_retry(service, now))
 
-    def may_send(self, record):
+    def may_send(self, record, now, *, is_counted):
+        del now, is_counted
         return dispatch_factories.CompletedFuture(record.accepts_requests)
 
     def end_attempt(self, endpoint_id):
@@ -179,6 +180,7 @@
         route=route,
         service=service,
         workspace=None,
+        priority=1,
         urgency=1,
         work=dispatch_factories.make_query().work,
         received_at=now,
@@ -279,7 +281,8 @@
     monkeypatch.setattr(endpoints.random_state, "random", lambda: 0.9)
     withdrawn = []
 
-    def may_send(record):
+    def may_send(record, now, *, is_counted):
+        del now, is_counted
         if not withdrawn:
             withdrawn.append(record.endpoint_id)
         return dispatch_factories.CompletedFuture(record.endpoint_id not in withdrawn)
@@ -350,5 +353,5 @@
     with contextlib.suppress(request_errors.RequestError):
         forwarder.forward()
     assert bool(logger.changes) == is_learnt
-    assert (table.limited_count > 0) == is_learnt
+    assert bool(table.limited_ids) == is_learnt
     assert logger.malformed == int(fields.get("has_malformed_limit", False))
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -4,29 +4,29 @@
 
 import pytest
 
-from lynxlanding.dispatch import serving_actor
+from lynxlanding.dispatch import limit_table, serving_actor
 from lynxlanding.dispatch.tests import dispatch_factories
 
 
 @pytest.fixture
 def serving():
     dispatcher, registry = dispatch_factories.make_dispatcher([])
-    reference = serving_actor.ServingActor.start(registry, dispatcher)
+    reference = serving_actor.ServingActor.start(registry, dispatcher, limit_table.LimitTable("n0"))
     yield reference.proxy()
     reference.stop()
 
 
 def test_only_the_selected_incarnation_may_be_sent_to(serving):
     record = dispatch_factories.make_plain_endpoint(1)
-    assert not serving.may_send(record).get()
+    assert not serving.may_send(record, 0.0, is_counted=True).get()
     serving.apply_list([record], 0.0, False).get()
-    assert serving.may_send(record).get()
+    assert serving.may_send(record, 0.0, is_counted=True).get()
     restarted = dataclasses.replace(record, started_ms=record.started_ms + 1)
     serving.apply_changes([restarted], [], 1.0, False).get()
-    assert not serving.may_send(record).get()
+    assert not serving.may_send(record, 0.0, is_counted=True).get()
     serving.confirm(restarted.endpoint_id, restarted.started_ms).get()
-    assert not serving.may_send(record).get()
-    assert serving.may_send(restarted).get()
+    assert not serving.may_send(record, 0.0, is_counted=True).get()
+    assert serving.may_send(restarted, 0.0, is_counted=True).get()
 
 
 def test_a_leaving_or_unconfirmed_endpoint_may_not_be_sent_to(serving):
@@ -35,9 +35,24 @@
     serving.apply_list([record], 0.0, False).get()
     serving.apply_changes([], [record.endpoint_id], 1.0, False).get()
     serving.apply_changes([record], [], 1.5, False).get()
-    assert not serving.may_send(record).get()
+    assert not serving.may_send(record, 0.0, is_counted=True).get()
     serving.confirm(record.endpoint_id, record.started_ms).get()
-    assert serving.may_send(record).get()
+    assert serving.may_send(record, 0.0, is_counted=True).get()
     leaving = dataclasses.replace(record, is_leaving=True)
     serving.apply_changes([leaving], [], 2.0, False).get()
-    assert not serving.may_send(record).get()
+    assert not serving.may_send(record, 0.0, is_counted=True).get()
+
+
+def test_request_that_waited_for_a_connection_needs_an_allowance_for_a_new_limit():
+    """Guards against requests that were selected before the limit came."""
+    limits = limit_table.LimitTable("n0")
+    record = dispatch_factories.make_plain_endpoint(0)
+    dispatcher, registry = dispatch_factories.make_dispatcher([record], limits=limits)
+    actor = serving_actor.ServingActor(registry, dispatcher, limits)
+    assert actor.may_send(record, 100.0, is_counted=False)
+    limits.record_response(record, 0.5, 99.0, 100.1)
+    assert not actor.may_send(record, 100.2, is_counted=False)
+    assert actor.may_send(record, 100.2, is_counted=True)
+    assert not actor.may_check("p0", 100.2)
+    assert actor.may_check("p0", 102.2)
+    assert not actor.may_send(record, 102.3, is_counted=False)
--- a/src/lynxlanding/node/confirmation_checker.py
+++ b/src/lynxlanding/node/confirmation_checker.py
@@ -56,6 +56,9 @@
                 continue
             if now - self._checked_at.get(record.endpoint_id, -CHECK_INTERVAL_S) < CHECK_INTERVAL_S:
                 continue
+            if not self._serving.may_check(record.endpoint_id, now).get():
+                # The endpoint takes few requests, and a check is one of them.
+                continue
             self._checked_at[record.endpoint_id] = now
             threading.Thread(target=self._check, args=(record, path), daemon=True).start()
 
--- a/src/lynxlanding/node/request_reader.py
+++ b/src/lynxlanding/node/request_reader.py
@@ -85,6 +85,7 @@
             route=route,
             service=service,
             workspace=None if workspace is None else workspace.name,
+            priority=priority,
             urgency=max(MIN_URGENCY, min(MAX_URGENCY, priority)) if route.is_stream else None,
             work=_estimate_work(decoded_headers, configuration.services.get(service)),
             received_at=received_at,
--- a/src/lynxlanding/node/tests/test_confirmation_checker.py
+++ b/src/lynxlanding/node/tests/test_confirmation_checker.py
@@ -11,10 +11,15 @@
     def __init__(self, records):
         self.records = records
         self.confirmed = []
+        self.may_check_now = True
 
     def records_to_check(self):
         return dispatch_factories.CompletedFuture(self.records)
 
+    def may_check(self, endpoint_id, now):
+        del endpoint_id, now
+        return dispatch_factories.CompletedFuture(self.may_check_now)
+
     def confirm(self, endpoint_id, started_ms):
         self.confirmed.append((endpoint_id, started_ms))
         return dispatch_factories.CompletedFuture(["change"])
@@ -94,3 +99,14 @@
     checker.check_all()
     time.sleep(0.05)
     assert client.calls == []
+
+
+def test_endpoint_that_takes_few_requests_is_not_checked_beyond_its_limit(monkeypatch):
+    client = ScriptedClient(True)
+    checker, serving, _ = make_checker(monkeypatch, client)
+    serving.may_check_now = False
+    checker.check_all()
+    assert client.calls == []
+    serving.may_check_now = True
+    checker.check_all()
+    assert client.answered.wait(5.0)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -18,6 +18,7 @@
     dispatcher,
     endpoint_client,
     limit_table,
+    request_allowance,
     request_logger,
     serving_actor,
     stall_tracker,
@@ -202,9 +203,12 @@
             retry_limits,
             self._stall_tracker,
             self._limit_table,
+            request_allowance.RequestAllowance(
+                settings.node_id, self._limit_table, time.monotonic()
+            ),
             self._random_state,
         )
-        return serving_actor.ServingActor.start(registry, request_dispatcher)
+        return serving_actor.ServingActor.start(registry, request_dispatcher, self._limit_table)
 
     def _create_watchers(self):
         handler = configuration_handler.ConfigurationHandler(
@@ -313,14 +317,30 @@
             self._serving.busy_groups(now).get(),
             self._group_controller.loading_engines,
             self._store.is_unavailable,
+            self._limit_table.statements_to_report(now),
         )
 
     def _on_peer_report(self, report, now):
         requests_by_endpoint = self._peer_view.apply(report, now)
         if report.stalled:
             self._group_controller.wake()
+        statements = self._peer_view.resolve_limits(report, now)
+        if statements:
+            self._log_limit_changes(
+                self._serving.apply_peer_statements(report.node_id, statements, now).get()
+            )
         self._serving.apply_peer_load(report.node_id, requests_by_endpoint, now)
 
+    def _update_allowances(self, now):
+        self._log_limit_changes(self._serving.expire_limits(now).get())
+        live_nodes = self._peer_table.live_node_ids(now)
+        for change in self._serving.use_live_nodes(live_nodes, now).get():
+            request_logger.log_allowance_changed(change)
+
+    def _log_limit_changes(self, changes):
+        for change in changes:
+            request_logger.log_limit_changed(change)
+
     def _send_datagram(self, data, address):
         self._report_transport.send_datagram(data, address)
 
@@ -328,6 +348,7 @@
         while not self._stop_requested.wait(MAINTENANCE_INTERVAL_S):
             now = time.monotonic()
             self._endpoint_handler.process_changes(self._serving.expire(now).get(), None)
+            self._update_allowances(now)
             self._confirmation_checker.check_all()
             self._pool.close_expired(now)
             records, _ = self._serving.records().get()
@@ -382,7 +403,7 @@
         self._metrics.add_gauge(
             "lynxlanding_limited_endpoints",
             "Endpoints that state how many requests a second they take.",
-            lambda: self._limit_table.limited_count,
+            lambda: len(self._limit_table.limited_ids),
         )
         self._metrics.add_gauge(
             "lynxlanding_registry_age_seconds",
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lynxlanding.dispatch import limit_statement
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LocalState:
@@ -23,6 +25,8 @@
         Engines that are loading weights on this node's orders.
     is_store_unavailable : bool
         Whether the store refuses or does not answer this node.
+    limits : list of EndpointStatement
+        What endpoints have stated to this node about the rate of requests that they take.
     """
 
     loads: dict[str, int]
@@ -32,3 +36,4 @@
     busy_groups: dict[str, float]
     loading: frozenset[str]
     is_store_unavailable: bool
+    limits: list[limit_statement.EndpointStatement] = dataclasses.field(default_factory=list)
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -13,6 +13,19 @@
   groups @1 :Float32;
 }
 
+struct StatedLimit {
+  # xxHash64 of the endpoint id.
+  key @0 :UInt64;
+  # Start of the endpoint's incarnation, in Unix milliseconds.
+  startedMs @1 :Int64;
+  # Requests a second that the endpoint takes from all nodes together; meaningless if hasEnded.
+  limitPerS @2 :Float64;
+  # Whether the endpoint no longer states a limit.
+  hasEnded @3 :Bool;
+  # Time since the statement, in milliseconds.
+  ageMs @4 :UInt64;
+}
+
 struct PeerReport {
   nodeId @0 :Text;
   incarnation @1 :UInt64;
@@ -28,4 +41,6 @@
   loading @9 :List(UInt64);
   # Whether the store refuses or does not answer the sender.
   isStoreUnavailable @10 :Bool;
+  # What endpoints have stated to the sender about the rate of requests that they take.
+  limits @11 :List(StatedLimit);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -3,6 +3,28 @@
 import dataclasses
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportedLimit:
+    """What an endpoint has stated to the sender about the rate of requests that it takes.
+
+    Parameters
+    ----------
+    endpoint_hash : int
+        Hash of the endpoint id.
+    started_ms : int
+        Start of the endpoint's incarnation, in Unix milliseconds.
+    limit_per_s : float or None
+        Requests a second from all nodes together; None if the limit has ended.
+    age_ms : int
+        Time since the statement, in milliseconds.
+    """
+
+    endpoint_hash: int
+    started_ms: int
+    limit_per_s: float | None
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReport:
     """Load report of one node.
@@ -32,6 +54,8 @@
         Hashes of the engines that are loading weights on the sender's orders.
     is_store_unavailable : bool
         Whether the store refuses or does not answer the sender.
+    limits : tuple of ReportedLimit
+        Limits that endpoints have stated to the sender.
     """
 
     node_id: str
@@ -45,3 +69,4 @@
     busy_groups: dict[str, float] = dataclasses.field(default_factory=dict)
     loading: frozenset[int] = frozenset()
     is_store_unavailable: bool = False
+    limits: tuple[ReportedLimit, ...] = ()
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -1,5 +1,6 @@
 """Combined view of the reports of the other nodes."""
 
+from lynxlanding.dispatch import limit_statement
 from lynxlanding.peers import report_codec
 
 
@@ -54,6 +55,22 @@
                 loads[endpoint_id] = requests
         return loads
 
+    def resolve_limits(self, report, now):
+        """Return the ``EndpointStatement``s of a report, with times by this node's clock.
+
+        Hashes of unknown endpoints are ignored.
+        """
+        statements = []
+        for limit in report.limits:
+            endpoint_id = self._endpoint_ids_by_hash.get(limit.endpoint_hash)
+            if endpoint_id is None:
+                continue
+            statement = limit_statement.LimitStatement(
+                limit.started_ms, limit.limit_per_s, now - limit.age_ms / 1000
+            )
+            statements.append(limit_statement.EndpointStatement(endpoint_id, statement))
+        return statements
+
     def loading_engines(self, live_nodes):
         """Return the ids of the engines that are loading weights on the orders of other nodes.
 
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -1,6 +1,7 @@
 """Encoding of load reports with Cap'n Proto."""
 
 import importlib.resources
+import math
 
 import capnp
 import xxhash
@@ -43,6 +44,13 @@
         for index, (model, groups) in enumerate(report.busy_groups.items()):
             work[index].model = model
             work[index].groups = groups
+        limits = message.init("limits", len(report.limits))
+        for index, limit in enumerate(report.limits):
+            limits[index].key = limit.endpoint_hash
+            limits[index].startedMs = limit.started_ms
+            limits[index].hasEnded = limit.limit_per_s is None
+            limits[index].limitPerS = limit.limit_per_s or 0.0
+            limits[index].ageMs = limit.age_ms
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -76,6 +84,14 @@
                 {item.model: item.groups for item in message.work},
                 frozenset(message.loading),
                 message.isStoreUnavailable,
+                tuple(_decode_limit(item) for item in message.limits),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
+
+
+def _decode_limit(item):
+    if not (item.limitPerS >= 0 and math.isfinite(item.limitPerS)):
+        raise ValueError(f"limit {item.limitPerS} is not a rate")
+    limit_per_s = None if item.hasEnded else item.limitPerS
+    return peer_report.ReportedLimit(item.key, item.startedMs, limit_per_s, item.ageMs)
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -90,6 +90,17 @@
         loading = frozenset(
             report_codec.hash_endpoint_id(endpoint_id) for endpoint_id in state.loading
         )
+        limits = []
+        for item in state.limits:
+            statement = item.statement
+            limits.append(
+                peer_report.ReportedLimit(
+                    report_codec.hash_endpoint_id(item.endpoint_id),
+                    statement.started_ms,
+                    statement.limit_per_s,
+                    int((now - statement.stated_at) * 1000),
+                )
+            )
         self._sequence += 1
         data = self._codec.encode(
             peer_report.PeerReport(
@@ -104,6 +115,7 @@
                 state.busy_groups,
                 loading,
                 state.is_store_unavailable,
+                tuple(limits),
             )
         )
         for address in self._next_targets(now):
@@ -158,4 +170,5 @@
 
 
 def _reported_at_once(state):
-    return state.loads, state.stalled, state.loading, state.is_store_unavailable
+    limits = {item.endpoint_id: item.statement.limit_per_s for item in state.limits}
+    return state.loads, state.stalled, state.loading, state.is_store_unavailable, limits
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -1,6 +1,6 @@
 import pytest
 
-from lynxlanding.dispatch import stall_tracker
+from lynxlanding.dispatch import limit_statement, stall_tracker
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.peers import peer_report, peer_table, peer_view, report_codec
 
@@ -19,6 +19,10 @@
         busy_groups={"m": 1.5},
         loading=frozenset({7}),
         is_store_unavailable=True,
+        limits=(
+            peer_report.ReportedLimit(8, 1792208088175, 1.4, 250),
+            peer_report.ReportedLimit(9, 1, None, 0),
+        ),
     )
     assert codec.decode(codec.encode(sent)) == sent
 
@@ -107,3 +111,21 @@
     assert table.store_node_ids(0.1, is_own_store_unavailable=True) == ["n3"]
     table.record_report(make_report("n3", sequence=2, is_store_unavailable=True), 0.2)
     assert table.store_node_ids(0.3, is_own_store_unavailable=True) == ["n1", "n2", "n3"]
+
+
+def test_limits_of_known_endpoints_are_resolved_with_their_age():
+    view = peer_view.PeerView(stall_tracker.StallTracker())
+    view.set_endpoint_ids(["e0"])
+    known = peer_report.ReportedLimit(report_codec.hash_endpoint_id("e0"), 7, 1.4, 250)
+    unknown = peer_report.ReportedLimit(1, 7, 1.4, 250)
+    (item,) = view.resolve_limits(make_report(limits=(known, unknown)), 10.0)
+    assert item.endpoint_id == "e0"
+    assert item.statement == limit_statement.LimitStatement(7, 1.4, 9.75)
+
+
+def test_report_with_a_limit_that_is_no_rate_is_malformed():
+    codec = report_codec.ReportCodec()
+    for limit_per_s in (-1.0, float("nan"), float("inf")):
+        report = make_report(limits=(peer_report.ReportedLimit(8, 1, limit_per_s, 0),))
+        with pytest.raises(membership_errors.MalformedMessage):
+            codec.decode(codec.encode(report))
--- a/src/lynxlanding_bench/dispatch_cost.py
+++ b/src/lynxlanding_bench/dispatch_cost.py
@@ -6,7 +6,13 @@
 import click
 import numpy
 
-from lynxlanding.dispatch import dispatch_decision, dispatcher, limit_table, stall_tracker
+from lynxlanding.dispatch import (
+    dispatch_decision,
+    dispatcher,
+    limit_table,
+    request_allowance,
+    stall_tracker,
+)
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.fleet import registry
 from lynxlanding.replicas.tests import simulated_domain
@@ -35,12 +41,14 @@
 def _measure_dispatch(engines, decisions, seed):
     random_state = random.Random(seed)
     known = registry.EndpointRegistry(HEARTBEAT_INTERVAL_S)
+    limits = limit_table.LimitTable("n0")
     made = dispatcher.Dispatcher(
         "a",
         known,
         dispatch_factories.RETRY_LIMITS,
         stall_tracker.StallTracker(),
-        limit_table.LimitTable("n0"),
+        limits,
+        request_allowance.RequestAllowance("n0", limits, now=0.0),
         random_state,
     )
     made.use_configuration(dispatch_factories.make_configuration())
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -1,11 +1,14 @@
 """Endpoints get no more requests than they say they take: nodes as processes, under requests."""
 
+import dataclasses
 import http.client
+import signal
 import threading
 import time
 
 import pytest
 
+from lynxlanding.membership import rendezvous
 from lynxlanding_bench import processes
 from tests import limit_checker, site_installation
 
@@ -21,6 +24,19 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Response:
+    """What a caller got; times in monotonic seconds."""
+
+    sent_at: float
+    at: float
+    node: str
+    request_id: str
+    status: int
+    limit: str | None
+    retry_after: str | None
+
+
 class Installation(site_installation.SiteInstallation):
     """The site, its nodes, and one caller for each node."""
 
@@ -29,7 +45,6 @@
         self._interval_s = len(node_names) / per_s
         self._stop = threading.Event()
         self._callers = []
-        # (time, node, request id, status, stated limit, Retry-After) of each response.
         self.responses = []
         self.failures = []
 
@@ -55,18 +70,21 @@
         """Return when each node first passed on a limit of an endpoint."""
         endpoints = {item[1]: item[2] for item in self.control()["history"]}
         told = {}
-        for at, node, request_id, _, limit, _ in self.responses:
-            if at >= since and limit is not None and endpoints.get(request_id) == endpoint_id:
-                told[node] = min(at, told.get(node, at))
+        for response in self.responses:
+            is_from_endpoint = endpoints.get(response.request_id) == endpoint_id
+            if response.at >= since and response.limit is not None and is_from_endpoint:
+                told[response.node] = min(response.at, told.get(response.node, response.at))
         return told
 
-    def check_limits(self, limits, stated_at):
+    def check_limits(self, limits, stated_at, excused_nodes=()):
         """Fail if an endpoint has got more requests than it allows; return the worst windows."""
         until = time.monotonic()
         arrivals = self.arrivals()
         worst = {}
         for endpoint_id in limits:
             told = self.told_at(endpoint_id, stated_at)
+            for node in excused_nodes:
+                told.pop(node, None)
             worst[endpoint_id] = limit_checker.worst_window(
                 arrivals, endpoint_id, told, stated_at, until
             )
@@ -87,13 +105,15 @@
             time.sleep(max(0.0, self._interval_s - (time.monotonic() - started_at)))
 
     def _call(self, name, request_id):
+        sent_at = time.monotonic()
         connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name][0], timeout=6)
         try:
             connection.request("GET", "/look/x", headers={**HEADERS, "X-Request-Id": request_id})
             response = connection.getresponse()
             response.read()
             self.responses.append(
-                (
+                Response(
+                    sent_at,
                     time.monotonic(),
                     name,
                     request_id,
@@ -125,7 +145,7 @@
     stated_at = site.control(limits=limits)["time"]
     time.sleep(OBSERVED_S)
     site.check_limits(limits, stated_at)
-    refused = [item for item in site.responses if item[0] > stated_at and item[3] != 200]
+    refused = [item for item in site.responses if item.at > stated_at and item.status != 200]
     assert refused == [], "the other endpoints have room"
     assert site.failures == []
     ended_at = site.control(limits=dict.fromkeys(limits))["time"]
@@ -137,3 +157,37 @@
             if arrival.endpoint_id == endpoint_id and arrival.at > ended_at + 4.0
         ]
         assert len(late) > REQUESTS_PER_S / ENDPOINTS, "the limit outlasts its end"
+
+
+def test_requests_beyond_the_limits_of_all_endpoints_are_refused_at_once(site):
+    """Guards against requests that wait for, or exceed, limits that leave no room for them."""
+    limits = {f"i-{number:03d}": 1.0 for number in range(ENDPOINTS)}
+    stated_at = site.control(limits=limits)["time"]
+    time.sleep(OBSERVED_S)
+    site.check_limits(limits, stated_at)
+    steady = [item for item in site.responses if item.sent_at > stated_at + 1.0]
+    served = [item for item in steady if item.status == 200]
+    refused = [item for item in steady if item.status != 200]
+    assert len(served) >= 0.5 * sum(limits.values()) * (OBSERVED_S - 1.0)
+    assert {item.status for item in refused} == {503}
+    assert max(item.at - item.sent_at for item in refused) < 0.5
+    assert min(float(item.retry_after) for item in refused) > 0.2
+    site.control(limits=dict.fromkeys(limits))
+    time.sleep(4.0)
+
+
+def test_limit_holds_while_nodes_are_paused_and_replaced(site):
+    """Guards against a node that stops and its successor using the same part of a limit."""
+    limits = {"i-000": 1.0}
+    stated_at = site.control(limits=limits)["time"]
+    time.sleep(4.0)
+    paused, killed, _, _ = rendezvous.choose("limit-i-000", NODES, 4)
+    site.running.signal(paused, signal.SIGSTOP)
+    site.running.kill(killed)
+    time.sleep(5.0)
+    site.running.signal(paused, signal.SIGCONT)
+    site.running.restart(killed)
+    time.sleep(6.0)
+    site.check_limits(limits, stated_at, excused_nodes=(paused, killed))
+    others = {item.node for item in site.responses if item.at > stated_at and item.status != 200}
+    assert others <= {paused, killed}
