--- a/src/lynxlanding/dispatch/urgency_gate.py
+++ b/src/lynxlanding/dispatch/urgency_gate.py
@@ -5,20 +5,27 @@
 
 # Demand is averaged over about this time.
 DEMAND_TIME_S = 4.0
+# Requests of a shorter time do not tell the rate.
+MIN_OBSERVED_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Demand:
-    rate_per_s: float = 0.0
-    updated_at: float = 0.0
-
-    def decayed(self, now):
-        return self.rate_per_s * math.exp(-(now - self.updated_at) / DEMAND_TIME_S)
+    started_at: float
+    updated_at: float
+    decayed_count: float = 0.0
 
     def add(self, now):
-        self.rate_per_s = self.decayed(now) + 1.0 / DEMAND_TIME_S
+        self.decayed_count = self._count(now) + 1.0
         self.updated_at = now
 
+    def rate_per_s(self, now):
+        observed_s = max(MIN_OBSERVED_S, now - self.started_at)
+        return self._count(now) / (DEMAND_TIME_S * (1.0 - math.exp(-observed_s / DEMAND_TIME_S)))
+
+    def _count(self, now):
+        return self.decayed_count * math.exp(-(now - self.updated_at) / DEMAND_TIME_S)
+
 
 @dataclasses.dataclass(slots=True)
 class _Remainder:
@@ -52,11 +59,11 @@
             Monotonic seconds.
         """
         demands = self._demands.setdefault(key, {})
-        demands.setdefault(priority, _Demand()).add(now)
+        demands.setdefault(priority, _Demand(now, now)).add(now)
         more_urgent_per_s = 0.0
         for other, demand in demands.items():
             if other < priority:
-                more_urgent_per_s += demand.decayed(now)
+                more_urgent_per_s += demand.rate_per_s(now)
         if more_urgent_per_s <= 0.0:
             return True
         remainder = self._remainders.setdefault((key, priority), _Remainder(updated_at=now))
