Bound the responses to health checks, reports, orders and calls of the store

An endpoint in trouble may send bytes without end, in a head or a body, until the node closes.

The limits now hold for each single read from the socket, below the buffered reader: a number of bytes for the head, one for the body, and one deadline for the head; calls of the store have 3 s more for the body, since pages have up to a megabyte. A check above that reader cannot do it, because the libraries read until a line or a chunk is complete.

--- a/src/lynxlanding/errors/endpoint.py
+++ b/src/lynxlanding/errors/endpoint.py
@@ -86,6 +86,15 @@
     type_name = "malformed_response"
 
 
+class ResponseTooLarge(MalformedResponse, OSError):
+    """More bytes arrived than a response may have.
+
+    Libraries handle it like any other failure of the connection.
+    """
+
+    type_name = "response_too_large"
+
+
 class UnconfirmedRefusal(AttemptError):
     """The status implies that the request has not run, but the endpoint did not confirm it."""
 
--- a/src/lynxlanding/platform/endpoint_call.py
+++ b/src/lynxlanding/platform/endpoint_call.py
@@ -5,6 +5,9 @@
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.platform import request_headers
 
+# Reports have some hundred bytes, and the other responses fewer.
+MAX_BODY_BYTES = 256 * 1024
+
 
 def get(pool, record, path, timeout_s):
     """Send a GET to an endpoint and return the response.
@@ -20,7 +23,7 @@
     path : str
         Path of the request.
     timeout_s : float
-        Connect and read timeout, in seconds.
+        Time to connect, and time for the whole response, in seconds.
 
     Raises
     ------
--- a/src/lynxlanding/platform/engine_client.py
+++ b/src/lynxlanding/platform/engine_client.py
@@ -8,6 +8,7 @@
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import endpoint_call, endpoint_codec, fields, request_headers, sockets
 from lynxlanding.replicas import engine_order, engine_report, order_outcome
+from lynxlanding.transport import guarded_connection
 
 # Engines respond within a few milliseconds or not at all, and callers send unanswered orders again.
 ORDER_TIMEOUT_S = 0.8
@@ -29,8 +30,12 @@
     """Sends orders and probes to engines, without retries."""
 
     def __init__(self):
-        self._pool = urllib3.PoolManager(
-            num_pools=64, maxsize=1, socket_options=sockets.OPTIONS, retries=False
+        self._pool = guarded_connection.make_pool_manager(
+            endpoint_call.MAX_BODY_BYTES,
+            num_pools=64,
+            maxsize=1,
+            socket_options=sockets.OPTIONS,
+            retries=False,
         )
 
     def send_order(self, record, order):
--- a/src/lynxlanding/platform/health_client.py
+++ b/src/lynxlanding/platform/health_client.py
@@ -1,8 +1,7 @@
 """HTTP client for the health checks of endpoints."""
 
-import urllib3
-
 from lynxlanding.platform import endpoint_call, sockets
+from lynxlanding.transport import guarded_connection
 
 # A healthy endpoint with a free slot responds within a few milliseconds.
 HEALTH_TIMEOUT_S = 0.4
@@ -14,8 +13,12 @@
     """Checks endpoints, without retries."""
 
     def __init__(self):
-        self._pool = urllib3.PoolManager(
-            num_pools=16, maxsize=1, socket_options=sockets.OPTIONS, retries=False
+        self._pool = guarded_connection.make_pool_manager(
+            endpoint_call.MAX_BODY_BYTES,
+            num_pools=16,
+            maxsize=1,
+            socket_options=sockets.OPTIONS,
+            retries=False,
         )
 
     def is_serving(self, record, path):
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -13,6 +13,7 @@
     stored_object,
     watch_batch_builder,
 )
+from lynxlanding.transport import guarded_connection
 
 # Connecting takes a few milliseconds; after a second the store is considered unavailable.
 CONNECT_TIMEOUT_S = 1.0
@@ -20,6 +21,10 @@
 READ_TIMEOUT_S = 1.5
 # Added to the duration of a long poll to obtain its read timeout.
 WATCH_MARGIN_S = 0.8
+# Pages have about 1 MB. What has changed between two watches can be several values of that size.
+MAX_BODY_BYTES = 32 << 20
+# A large page takes longer than a response without one.
+BODY_TIMEOUT_S = 3.0
 
 _ERA_HEADER = "Store-Era"
 
@@ -43,8 +48,13 @@
 
     def __init__(self, address):
         self._base_url = f"http://{address}/v1/objects"
-        self._pool = urllib3.PoolManager(
-            maxsize=8, block=False, socket_options=sockets.OPTIONS, retries=False
+        self._pool = guarded_connection.make_pool_manager(
+            MAX_BODY_BYTES,
+            BODY_TIMEOUT_S,
+            maxsize=8,
+            block=False,
+            socket_options=sockets.OPTIONS,
+            retries=False,
         )
         self._eras = era_tracker.EraTracker()
         self._is_unavailable = False
--- /dev/null
+++ b/src/lynxlanding/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections whose responses are bounded in size and time."""
--- /dev/null
+++ b/src/lynxlanding/transport/guarded_connection.py
@@ -0,0 +1,62 @@
+"""urllib3 connections whose responses are bounded in size and time."""
+
+import time
+
+import urllib3
+
+from lynxlanding.transport import guarded_response
+
+
+class GuardedConnection(urllib3.connection.HTTPConnection):
+    """Connection with a ``ReadGuard`` for each response.
+
+    The read timeout of the connection bounds the whole head of a response instead of each read.
+    Without a read timeout there is no limit in time.
+    """
+
+    max_body_bytes = 1 << 20
+    # Time for the body, beyond the read timeout.
+    body_timeout_s = 0.0
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.response_class = self._make_response
+        self._guard = None
+
+    @property
+    def guard(self):
+        """``ReadGuard`` of the last response."""
+        return self._guard
+
+    def _make_response(self, connection_socket, method=None):
+        deadline = None if self.timeout is None else time.monotonic() + self.timeout
+        self._guard = guarded_response.ReadGuard(guarded_response.MAX_HEAD_BYTES, deadline)
+        return guarded_response.GuardedResponse(
+            connection_socket, self._guard, self.max_body_bytes, self.body_timeout_s, method
+        )
+
+
+def make_pool_manager(max_body_bytes, body_timeout_s=0.0, **options):
+    """Return a ``urllib3.PoolManager`` of guarded connections.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Size of a response's body.
+    body_timeout_s : float
+        Time for the body beyond the read timeout, in seconds.
+    **options
+        Options of ``urllib3.PoolManager``.
+    """
+
+    class Connection(GuardedConnection):
+        pass
+
+    class Pool(urllib3.HTTPConnectionPool):
+        ConnectionCls = Connection
+
+    Connection.max_body_bytes = max_body_bytes
+    Connection.body_timeout_s = body_timeout_s
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": Pool}
+    return manager
