Count only events, and not single bytes, as progress of a response

A stalled endpoint that sent a byte now and then was never found to be stalled: each chunk restarted the time that it may be silent, so that its callers waited until their deadlines.

A stream makes progress with each complete event that is no comment, which its reader records, and a complete response with each 512 bytes. Slow but sound ones are not cut: tests with an event each 0.3 s at a limit of 0.6 s, and with 1 KB each 0.15 s.

--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -5,9 +5,13 @@
 
 import urllib3
 
+from lynxlanding.dispatch import connection_pool
 from lynxlanding.errors import endpoint as endpoint_errors
 
 READ_SIZE = 65536
+# A complete response makes progress with each of these many bytes. Single bytes may come from an
+# endpoint that has stalled.
+MIN_PROGRESS_BYTES = 512
 
 _TRANSPORT_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
@@ -23,14 +27,17 @@
         Headers as received.
     chunks : iterator of bytes
         The body. Raises ``errors.endpoint.AttemptError`` if it is truncated.
+    record_progress : callable
+        Called without arguments after each event of a stream.
     """
 
-    __slots__ = ("_chunks", "_headers", "_status")
+    __slots__ = ("_chunks", "_headers", "_record_progress", "_status")
 
-    def __init__(self, status, headers, chunks):
+    def __init__(self, status, headers, chunks, record_progress):
         self._status = status
         self._headers = headers
         self._chunks = chunks
+        self._record_progress = record_progress
 
     @property
     def status(self):
@@ -47,6 +54,10 @@
         """Body as it arrives; closing the iterator cancels the request at the endpoint."""
         return self._chunks
 
+    def record_progress(self):
+        """Record that a stream has made progress, which only its reader can tell."""
+        self._record_progress()
+
 
 class EndpointClient:
     """Sends attempts to endpoints and never retries.
@@ -60,7 +71,7 @@
     codec : module
         Provides ``decode_response(headers)``.
     stall_tracker : StallTracker
-        Notified of every chunk that an endpoint sends.
+        Notified whenever a response makes progress.
     """
 
     def __init__(self, pool, monitor, codec, stall_tracker):
@@ -69,7 +80,19 @@
         self._codec = codec
         self._stall_tracker = stall_tracker
 
-    def send(self, record, method, target, headers, body, attempt, *, fresh, before_sending):
+    def send(
+        self,
+        record,
+        method,
+        target,
+        headers,
+        body,
+        attempt,
+        *,
+        fresh,
+        before_sending,
+        is_stream=False,
+    ):
         """Send a request and return its ``EndpointResponse`` and ``ResponseMetadata``.
 
         Parameters
@@ -91,6 +114,8 @@
         before_sending : callable
             Called without arguments once a connection is established. If it raises, nothing is
             sent.
+        is_stream : bool, optional
+            Whether the response is a stream of events, whose reader records the progress.
 
         Raises
         ------
@@ -115,16 +140,28 @@
         received = list(response.headers.iteritems())
         metadata = self._codec.decode_response(received)
         is_reusable = is_body_sent and not metadata.closes_connection
-        chunks = self._read(record, connection, response, attempt, metadata, is_reusable)
-        return EndpointResponse(response.status, received, chunks), metadata
+        chunks = self._read(record, connection, response, attempt, metadata, is_reusable, is_stream)
+
+        def record_progress():
+            self._record_progress(record, attempt)
+            connection.guard.allow(connection_pool.MAX_BODY_BYTES)
+
+        return EndpointResponse(response.status, received, chunks, record_progress), metadata
+
+    def _record_progress(self, record, attempt):
+        now = time.monotonic()
+        attempt.record_data(now)
+        self._stall_tracker.record_event(record.endpoint_id, now)
 
-    def _read(self, record, connection, response, attempt, metadata, is_reusable):
+    def _read(self, record, connection, response, attempt, metadata, is_reusable, is_stream):
         is_complete = False
+        unrecorded_bytes = 0
         try:
             for chunk in _iterate_body(response):
-                now = time.monotonic()
-                attempt.record_data(now)
-                self._stall_tracker.record_event(record.endpoint_id, now)
+                unrecorded_bytes += len(chunk)
+                if not is_stream and unrecorded_bytes >= MIN_PROGRESS_BYTES:
+                    unrecorded_bytes = 0
+                    self._record_progress(record, attempt)
                 yield chunk
             if attempt.reason is not None:
                 raise endpoint_errors.AttemptTimedOut(f"{record.address}: {attempt.reason}")
--- a/src/lynxlanding/dispatch/event_buffer.py
+++ b/src/lynxlanding/dispatch/event_buffer.py
@@ -5,6 +5,7 @@
 MAX_EVENT_BYTES = 1 << 20
 _EVENT_END = b"\n\n"
 _ID_PREFIX = b"id:"
+_COMMENT_PREFIX = b":"
 
 
 class EventBuffer:
@@ -16,11 +17,17 @@
         Id of the event before the first one.
     """
 
-    __slots__ = ("_last_id", "_pending")
+    __slots__ = ("_event_count", "_last_id", "_pending")
 
     def __init__(self, last_id=None):
         self._pending = b""
         self._last_id = last_id
+        self._event_count = 0
+
+    @property
+    def event_count(self):
+        """Number of complete events; comments do not count."""
+        return self._event_count
 
     @property
     def last_id(self):
@@ -52,6 +59,7 @@
         for event in complete.split(_EVENT_END):
             if event:
                 self._check_id(event)
+                self._event_count += not _is_comment(event)
         return complete
 
     def _set_pending(self, data):
@@ -71,3 +79,10 @@
                 raise endpoint_errors.EventGap(f"event {event_id} after {self._last_id}")
             self._last_id = event_id
             return
+
+
+def _is_comment(event):
+    """Return whether an event consists of comments only."""
+    return event.startswith(_COMMENT_PREFIX) and all(
+        line.startswith(_COMMENT_PREFIX) for line in event.split(b"\n")
+    )
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -129,6 +129,7 @@
                 # the response to this one.
                 fresh=not request.route.is_idempotent,
                 before_sending=lambda: self._check_sendable(record, decision, started_at),
+                is_stream=request.route.is_stream,
             )
             self._record_limit(record, response.status, metadata, started_at)
             if metadata.load is not None:
@@ -220,10 +221,8 @@
         return reply.Reply(response.status, headers, stream=relay)
 
     def _read_first_events(self, response, buffer):
-        for chunk in response.chunks:
-            events = buffer.feed(chunk)
-            if events:
-                return events
+        for events in stream_relay.read_events(response, buffer):
+            return events
         if not buffer.is_empty:
             raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
         return b""
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -5,6 +5,28 @@
 from lynxlanding.gateway import stream_aborted
 
 
+def read_events(response, buffer):
+    """Iterate over the complete events of a stream and record its progress.
+
+    Parts of an event and comments are no progress: an endpoint that has stalled may send them.
+
+    Parameters
+    ----------
+    response : EndpointResponse
+        Response to read.
+    buffer : EventBuffer
+        Splits the body into events.
+    """
+    event_count = buffer.event_count
+    for chunk in response.chunks:
+        events = buffer.feed(chunk)
+        if buffer.event_count > event_count:
+            event_count = buffer.event_count
+            response.record_progress()
+        if events:
+            yield events
+
+
 class StreamRelay:
     """Iterator over the events of a stream that fails over between endpoints.
 
@@ -48,10 +70,7 @@
             yield self._first_events
         while True:
             try:
-                for chunk in self._response.chunks:
-                    events = self._buffer.feed(chunk)
-                    if events:
-                        yield events
+                yield from read_events(self._response, self._buffer)
                 if not self._buffer.is_empty:
                     raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
                 self._release()
--- a/src/lynxlanding/dispatch/tests/test_endpoint_client.py
+++ b/src/lynxlanding/dispatch/tests/test_endpoint_client.py
@@ -8,7 +8,13 @@
 
 import pytest
 
-from lynxlanding.dispatch import connection_pool, endpoint_client, stall_tracker
+from lynxlanding.dispatch import (
+    connection_pool,
+    endpoint_client,
+    event_buffer,
+    stall_tracker,
+    stream_relay,
+)
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.platform import request_headers, sockets
@@ -90,6 +96,7 @@
     may_abort=lambda: False,
     stall_timeout_s=9.0,
     before_sending=lambda: None,
+    is_stream=False,
 ):
     record = dispatch_factories.make_plain_endpoint(server.port - 9500)
     attempt = attempt_monitor.MonitoredAttempt(
@@ -104,8 +111,12 @@
         attempt,
         fresh=fresh,
         before_sending=before_sending,
+        is_stream=is_stream,
     )
-    return response.status, b"".join(response.chunks), metadata
+    chunks = response.chunks
+    if is_stream:
+        chunks = stream_relay.read_events(response, event_buffer.EventBuffer())
+    return response.status, b"".join(chunks), metadata
 
 
 def test_target_duplicate_headers_and_body_are_sent_unchanged(client):
@@ -259,3 +270,87 @@
         assert time.monotonic() - started_at < 5.0
     growth_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kb
     assert growth_kb < 3 * connection_pool.MAX_BODY_BYTES // 1024
+
+
+def test_trickled_body_does_not_count_as_progress(client):
+    """Guards against a stalled response that sends a byte now and then."""
+    with endless_server.EndlessServer(endless_server.trickled_body) as server:
+        started_at = time.monotonic()
+        with pytest.raises(endpoint_errors.AttemptTimedOut):
+            call(client, server, timeout_s=20.0, may_abort=lambda: True, stall_timeout_s=0.5)
+        assert time.monotonic() - started_at < 2.0
+
+
+def test_slow_body_that_goes_on_is_not_stalled(client):
+    """Guards against a sound response that is cut because it is long."""
+
+    def respond(connection):
+        connection.sendall(HEADERS + b"Content-Length: 8192\r\n\r\n")
+        for _ in range(8):
+            time.sleep(0.15)
+            connection.sendall(b"x" * 1024)
+
+    with endless_server.EndlessServer(respond) as server:
+        status, body, _ = call(
+            client, server, timeout_s=20.0, may_abort=lambda: True, stall_timeout_s=0.5
+        )
+    assert (status, len(body)) == (200, 8192)
+
+
+EVENT = b"id: %d\ndata: x\n\n"
+
+
+def serve_stream(part, count, interval_s):
+    """Return a handler that sends an event, and then a part again and again."""
+
+    def respond(connection):
+        connection.sendall(HEADERS + b"\r\n" + EVENT % 1)
+        for number in range(2, 2 + count):
+            time.sleep(interval_s)
+            connection.sendall(part % number if b"%" in part else part)
+
+    return respond
+
+
+@pytest.mark.parametrize("part", [b"x", b": ping\n\n", b"\n"])
+def test_stream_that_sends_no_events_is_stalled(client, part):
+    """Guards against a stalled stream that sends a byte now and then and never ends."""
+    with endless_server.EndlessServer(serve_stream(part, 100, 0.1)) as server:
+        started_at = time.monotonic()
+        with pytest.raises(endpoint_errors.AttemptTimedOut):
+            call(
+                client,
+                server,
+                timeout_s=20.0,
+                may_abort=lambda: True,
+                stall_timeout_s=0.5,
+                is_stream=True,
+            )
+        assert time.monotonic() - started_at < 2.0
+
+
+def test_slow_stream_of_events_is_not_stalled(client):
+    """Guards against a slow but sound stream that is cut."""
+    with endless_server.EndlessServer(serve_stream(EVENT, 6, 0.3)) as server:
+        status, body, _ = call(
+            client,
+            server,
+            timeout_s=20.0,
+            may_abort=lambda: True,
+            stall_timeout_s=0.6,
+            is_stream=True,
+        )
+    assert (status, body) == (200, b"".join(EVENT % number for number in range(1, 8)))
+
+
+def test_event_without_end_is_given_up(client):
+    def respond(connection):
+        connection.sendall(HEADERS + b"\r\n" + EVENT % 1)
+        while True:
+            connection.sendall(endless_server.BLOCK)
+
+    with (
+        endless_server.EndlessServer(respond) as server,
+        pytest.raises(endpoint_errors.MalformedResponse),
+    ):
+        call(client, server, timeout_s=20.0, is_stream=True)
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -67,6 +67,9 @@
         self.headers = [("X-Response-Seal", "s")]
         self.chunks = chunks
 
+    def record_progress(self):
+        pass
+
 
 class FaultyEndpoints:
     """Stands in for the client; endpoints fail before, while or after they run a request."""
@@ -77,8 +80,20 @@
         self.runs = []
         self.refused = 0
 
-    def send(self, record, method, target, headers, body, attempt, *, fresh, before_sending):
-        del method, target, body, attempt, fresh
+    def send(
+        self,
+        record,
+        method,
+        target,
+        headers,
+        body,
+        attempt,
+        *,
+        fresh,
+        before_sending,
+        is_stream,
+    ):
+        del method, target, body, attempt, fresh, is_stream
         before_sending()
         draw = self.random_state.random()
         if draw < 0.1:
@@ -302,8 +317,20 @@
         self.status = status
         self.metadata = metadata
 
-    def send(self, record, method, target, headers, body, attempt, *, fresh, before_sending):
-        del record, method, target, headers, body, attempt, fresh
+    def send(
+        self,
+        record,
+        method,
+        target,
+        headers,
+        body,
+        attempt,
+        *,
+        fresh,
+        before_sending,
+        is_stream,
+    ):
+        del record, method, target, headers, body, attempt, fresh, is_stream
         before_sending()
         return FakeResponse(self.status, iter_body()), self.metadata
 
