Release the connection of a response that is not read

A response that the node does not use, for example a refusal of a full endpoint or one with another request's id, was given up by closing its body, a generator that had not started: Python runs no "finally" of such a generator. Its attempt stayed monitored and its connection open. Once it had been silent for as long as a stall lasts, each check of the monitor recorded a stall of the endpoint and took a retry from the budget: 14 times in 0.5 s in test_response_that_is_not_read_releases_its_connection, which failed before. After the deadline the attempt stayed in memory.

The generator now runs up to its first step before anyone can close it.

--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -141,6 +141,8 @@
         metadata = self._codec.decode_response(received)
         is_reusable = is_body_sent and not metadata.closes_connection
         chunks = self._read(record, connection, response, attempt, metadata, is_reusable, is_stream)
+        # Closing a generator that has not started would not release the connection.
+        next(chunks)
 
         def record_progress():
             self._record_progress(record, attempt)
@@ -157,6 +159,7 @@
         is_complete = False
         unrecorded_bytes = 0
         try:
+            yield b""
             for chunk in _iterate_body(response):
                 unrecorded_bytes += len(chunk)
                 if not is_stream and unrecorded_bytes >= MIN_PROGRESS_BYTES:
--- a/src/lynxlanding/dispatch/tests/test_endpoint_client.py
+++ b/src/lynxlanding/dispatch/tests/test_endpoint_client.py
@@ -354,3 +354,31 @@
         pytest.raises(endpoint_errors.MalformedResponse),
     ):
         call(client, server, timeout_s=20.0, is_stream=True)
+
+
+def test_response_that_is_not_read_releases_its_connection(client):
+    """Guards against a refused response whose idle connection later counts as a stall."""
+
+    def respond(connection):
+        connection.sendall(RESPONSE)
+        connection.recv(65536)
+
+    aborted = []
+    with endless_server.EndlessServer(respond) as server:
+        attempt = attempt_monitor.MonitoredAttempt(
+            time.monotonic() + 20.0, 0.2, lambda: False, lambda: aborted.append(1)
+        )
+        response, _ = client.send(
+            dispatch_factories.make_plain_endpoint(server.port - 9500),
+            "POST",
+            "/p/x",
+            [],
+            b"in",
+            attempt,
+            fresh=False,
+            before_sending=lambda: None,
+        )
+        response.chunks.close()
+        time.sleep(0.5)
+    assert aborted == []
+    assert attempt.socket.fileno() < 0
--- a/src/lynxlanding/requests/endpoint_client.py
+++ b/src/lynxlanding/requests/endpoint_client.py
@@ -95,6 +95,8 @@
             attempt.record_data(time.monotonic())
             attempt.socket.settimeout(None)
         chunks = _read_chunks(response, address, attempt, self._monitor)
+        # Closing a generator that has not started would not release the connection.
+        next(chunks)
         return endpoint_response.EndpointResponse(response.status, lower_headers, chunks)
 
     def _open(self, address, method, path, options, fresh_connection):
@@ -116,6 +118,7 @@
 def _read_chunks(response, address, attempt, monitor):
     complete = False
     try:
+        yield b""
         for chunk in response.stream(READ_SIZE_BYTES):
             attempt.record_data(time.monotonic())
             yield chunk
