Do not exit while requests are still accepted

On a planned stop a node exited from 2.5 s on once no request was in progress, but accepted requests until 2.7 s: one that was read between the last check and the exit was sent to an endpoint and cut off without an answer. A node now exits only after it has refused requests for 0.1 s, so a stop takes 0.3 s longer.

--- a/src/lynxlanding/node/stop_plan.py
+++ b/src/lynxlanding/node/stop_plan.py
@@ -1,11 +1,13 @@
 """Phases of a graceful shutdown."""
 
-# The load balancer removes a node after two failed readiness checks, one second apart.
-BALANCER_REMOVAL_S = 2.5
-# Later requests are refused, and their callers advised to retry on another node at once. A stream
-# takes longer than the rest of the grace period, and only requests that arrive within 3 s of the
-# signal may be cut off when the period ends.
+# Later requests are refused, and their callers advised to retry on another node at once. The load
+# balancer has removed the node by then, after two failed readiness checks, one second apart. A
+# stream takes longer than the rest of the grace period, and only requests that arrive within 3 s of
+# the signal may be cut off when the period ends.
 ACCEPT_WINDOW_S = 2.7
+# The process exits no sooner than this after it has begun to refuse requests. A request that was
+# accepted just before shows up as unfinished by then.
+REFUSAL_S = 0.1
 # The process exits this long before it would be killed.
 EXIT_MARGIN_S = 0.5
 
@@ -41,4 +43,4 @@
         """
         if now >= self._exit_at:
             return True
-        return not unfinished and now - self._started_at >= BALANCER_REMOVAL_S
+        return not unfinished and now - self._started_at >= ACCEPT_WINDOW_S + REFUSAL_S
--- a/src/lynxlanding/node/tests/test_stop_plan.py
+++ b/src/lynxlanding/node/tests/test_stop_plan.py
@@ -21,3 +21,14 @@
 def test_exits_before_it_is_killed():
     plan = stop_plan.StopPlan(100.0, GRACE_S)
     assert plan.should_exit(107.9, 5)
+
+
+def test_does_not_exit_while_it_accepts_requests():
+    """Guards against a request that is read right after the last one has ended, and is cut off."""
+    plan = stop_plan.StopPlan(100.0, GRACE_S)
+    for step in range(60):
+        now = 100.0 + step * 0.1
+        if plan.should_exit(now, 0):
+            assert not plan.accepts_requests(now - stop_plan.REFUSAL_S)
+            return
+    raise AssertionError("the plan does not end")
