Use no response that may belong to an earlier request

Operators of similar systems reported a second copy of an answer that came late on a connection in use again. Here a copy with another id was recognised, but not one without an id, and a refusal with another request's id counted as the refusal of this one ("not run", although it was sent). Endpoints repeat the request's id in all that they run, so a response without it is used only if the request had none, or if it is a refusal.

--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -164,10 +164,21 @@
             )
         self._request_logger.log_sent_late(self._request, record, delay_s)
 
+    def _is_of_another_request(self, status, metadata):
+        """Return whether a response may be a late second one to an earlier request.
+
+        Endpoints repeat the request's id in all that they run; refusals may lack it.
+        """
+        request_id = self._request.metadata.request_id
+        if metadata.request_id is None:
+            is_refusal = metadata.was_not_run or status == 421
+            return bool(request_id) and not is_refusal
+        return metadata.request_id != request_id
+
     def _record_limit(self, record, status, metadata, sent_at):
         """Record the limit that a response states, if the endpoint itself has sent it."""
         request_id = self._request.metadata.request_id
-        is_foreign = metadata.request_id not in (None, request_id) or status == 421
+        is_foreign = self._is_of_another_request(status, metadata) or status == 421
         if is_foreign or not (metadata.is_sealed or metadata.was_not_run):
             return
         if metadata.has_malformed_limit:
@@ -184,10 +195,10 @@
 
     def _check_response(self, response, metadata):
         request = self._request
+        if self._is_of_another_request(response.status, metadata):
+            raise endpoint_errors.ResponseMismatch("the response belongs to another request")
         if metadata.was_not_run or response.status == 421:
             raise endpoint_errors.EndpointRefused(response.status)
-        if metadata.request_id is not None and metadata.request_id != request.metadata.request_id:
-            raise endpoint_errors.ResponseMismatch("the response belongs to another request")
         if response.status in NOT_RUN_STATUSES and not request.route.is_idempotent:
             # The caller would conclude from the status that the request has not run, which the
             # endpoint has not confirmed.
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -382,3 +382,31 @@
     assert bool(logger.changes) == is_learnt
     assert bool(table.limited_ids) == is_learnt
     assert logger.malformed == int(fields.get("has_malformed_limit", False))
+
+
+@pytest.mark.parametrize(
+    ("status", "fields"),
+    [
+        (200, {"request_id": "another"}),
+        (200, {"request_id": None}),
+        (503, {"request_id": "another", "is_sealed": False, "was_not_run": True}),
+    ],
+)
+def test_response_that_may_belong_to_another_request_is_not_used(status, fields):
+    """Guards against the late second copy of an answer on a connection that is in use again."""
+    route = dispatch_factories.make_route(traffic_route.SAFE, 1, service="app")
+    forwarder, _, _ = make_forwarder(1, route)
+    metadata = dataclasses.replace(make_response_metadata(), **fields)
+    forwarder._client = OneResponse(status, metadata)
+    with pytest.raises(request_errors.EndpointFailed, match="another request"):
+        forwarder.forward()
+
+
+def test_response_without_an_id_answers_a_request_without_one():
+    route = dispatch_factories.make_route(traffic_route.SAFE, 1, service="app")
+    forwarder, _, _ = make_forwarder(1, route)
+    forwarder._request = dataclasses.replace(
+        forwarder._request, metadata=request_metadata.RequestMetadata("")
+    )
+    forwarder._client = OneResponse(200, make_response_metadata(request_id=None))
+    assert forwarder.forward().body == b"whole"
