Count limited groups for less where groups are planned

A group whose head takes few requests counted as whole, so no group was formed for what its limit takes away. The need of a model now grows by that share, from the published times of the engines.

--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -126,6 +126,7 @@
             self._get_stalled_endpoints,
             self._get_busy_groups,
             self._get_engines_loading_elsewhere,
+            self._limit_table.limit_per_s,
             settings.groups,
         )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
--- a/src/lynxlanding/replicas/demand.py
+++ b/src/lynxlanding/replicas/demand.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lynxlanding.dispatch import cost_model
+
 # Share of the engines that initial groups use; the others are spares.
 INITIAL_UTILISATION = 0.8
 # Ratio of planned groups to the groups that the measured work keeps busy.
@@ -49,7 +51,26 @@
     return Demand(groups)
 
 
-def measured(engine_spec, busy_groups, engine_count):
+def missing_group_share(engine_spec, model_name, limit_per_s):
+    """Return the fraction of a group's capacity that a limit on its requests takes away.
+
+    Parameters
+    ----------
+    engine_spec : EngineSpec
+        Published times.
+    model_name : str
+        Model of the group.
+    limit_per_s : float
+        Requests a second that the head of the group takes.
+    """
+    work = cost_model.Work(engine_spec.mean_prompt_tokens, engine_spec.mean_answer_tokens)
+    model = engine_spec.models[model_name]
+    slot_s = cost_model.service_time(engine_spec, model, work, engine_spec.slots)
+    full_rate_per_s = engine_spec.slots / slot_s
+    return max(0.0, 1.0 - limit_per_s / full_rate_per_s)
+
+
+def measured(engine_spec, busy_groups, engine_count, missing_groups):
     """Return the demand that follows from the measured work.
 
     Parameters
@@ -60,10 +81,13 @@
         Number of groups of each model that the work of all nodes keeps busy.
     engine_count : int
         Number of engines in the fleet.
+    missing_groups : dict of str to float
+        Number of groups of each model whose capacity limits on requests take away.
     """
     floor = initial(engine_spec, engine_count).groups_by_model
     groups = {}
     for name in engine_spec.models:
         needed = HEADROOM_FACTOR * busy_groups.get(name, 0.0) + SPARE_GROUPS
         groups[name] = max(MIN_GROUPS, MIN_INITIAL_SHARE * floor[name], needed)
+        groups[name] += missing_groups.get(name, 0.0)
     return Demand(groups)
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -71,6 +71,8 @@
         Returns the number of groups of each model that the work of all nodes keeps busy.
     read_loading_elsewhere : callable
         Returns the ids of the engines that load weights on the orders of other nodes.
+    read_limit : callable
+        Returns the requests a second that an endpoint takes, given its id; None without a limit.
     settings : GroupSettings
         Settings of replica groups.
     random_state : random.Random, optional
@@ -88,6 +90,7 @@
         read_stalled_heads,
         read_busy_groups,
         read_loading_elsewhere,
+        read_limit,
         settings,
         random_state=None,
     ):
@@ -98,6 +101,7 @@
         self._has_traffic = has_traffic
         self._read_stalled_heads = read_stalled_heads
         self._read_busy_groups = read_busy_groups
+        self._read_limit = read_limit
         self._observer = engine_observer.EngineObserver(
             engine_client, random_state or random.Random()
         )
@@ -340,7 +344,8 @@
                     groups_elsewhere[model] = groups_elsewhere.get(model, 0.0) + 1.0
         has_traffic = self._has_traffic()
         if has_traffic:
-            needed = demand.measured(engine_spec, self._read_busy_groups(), engines)
+            missing = self._missing_groups(key[0], engine_spec, by_domain)
+            needed = demand.measured(engine_spec, self._read_busy_groups(), engines, missing)
         else:
             needed = demand.initial(engine_spec, engines)
         return placement.FleetState(
@@ -351,6 +356,22 @@
             self._order_sender.fleet_loads(),
         )
 
+    def _missing_groups(self, service, engine_spec, by_domain):
+        """Return the capacity that limited heads do not give, in groups of each model."""
+        missing = {}
+        for (other_service, _), records in by_domain.items():
+            if other_service != service:
+                continue
+            for record in records:
+                limit_per_s = self._read_limit(record.endpoint_id)
+                if limit_per_s is None or not record.is_serving_head:
+                    continue
+                for model in record.models:
+                    if model in engine_spec.models:
+                        share = demand.missing_group_share(engine_spec, model, limit_per_s)
+                        missing[model] = missing.get(model, 0.0) + share
+        return missing
+
 
 def _round_values(numbers):
     return {name: round(number, 2) for name, number in numbers.items()}
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -46,6 +46,7 @@
         self.client = SimulatedEngineClient(self.domain)
         self.stalled_heads = frozenset()
         self.is_store_available = True
+        self.limits = {}
         self.live_nodes = list(nodes)
         self.controllers = {name: self._make_controller(name) for name in nodes}
 
@@ -60,6 +61,7 @@
             lambda: self.stalled_heads,
             dict,
             frozenset,
+            self.limits.get,
             vm_settings.GroupSettings(),
         )
         services = {
@@ -220,3 +222,20 @@
     assert cluster.open_groups() >= 3
     assert not cluster.controllers[responsible]._domains
     assert cluster.domain.violations == []
+
+
+def test_limited_groups_count_for_less():
+    """Guards against groups that are planned as whole while their head takes few requests."""
+    cluster = Cluster()
+    cluster.run(20)
+    heads = [record for record in cluster._read_fleet()[0].values() if record.is_serving_head]
+    controller = cluster.controllers["n1"]
+    spec = simulated_domain.make_engine_spec()
+    by_domain = {("model", "d0"): heads, ("other", "d0"): heads}
+    assert controller._missing_groups("model", spec, by_domain) == {}
+    head = heads[0]
+    cluster.limits[head.endpoint_id] = 0.0
+    (model,) = head.models
+    assert controller._missing_groups("model", spec, by_domain) == {model: 1.0}
+    cluster.limits[head.endpoint_id] = 1e9
+    assert controller._missing_groups("model", spec, by_domain) == {model: 0.0}
