Do not give up the work of a group whose engine only misses its registration

Operators of similar systems reported running work that was given up because a machine was silent for a while. Here the planner retired a group in the moment in which the registration of one of its engines lapsed, before the first probe could be answered, and the other members left at once, so that the requests in progress stalled and were started again at other heads. Probes that are answered were meant to prevent this for members, but the answer came after the decision; for heads they did not count. test_group_stays_while_a_member_without_a_registration_answers failed in both cases before, once the simulated answer takes 10 ms.

An engine without a registration is now undecided until two probes have timed out (1.2 s). One that answers counts as present; a head, which gets no new requests, only while it reports unfinished ones, for 4 s at most. An engine that does not answer, or whose process is gone, is still found silent after two probes.

--- a/src/lynxlanding/replicas/engine_observer.py
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -2,6 +2,13 @@
 
 from lynxlanding.replicas import engine_view, group_plan, member_prober
 
+# An engine whose registration is missing counts as present for this long without an answer to a
+# probe: two probes that time out take so long.
+UNDECIDED_S = 1.2
+# A head whose registration is missing gets no new requests. Its group stays for this long if it
+# still works on earlier ones, about the time of a long answer.
+HEAD_GRACE_S = 4.0
+
 
 class EngineObserver:
     """Builds the views that domains are planned from, and probes engines that are suspected.
@@ -18,6 +25,8 @@
         self._prober = member_prober.MemberProber(engine_client)
         self._random_state = random_state
         self._last_known_records = {}
+        # When the registration of an engine was first missing, by endpoint id.
+        self._missing_since = {}
 
     def observe(self, plan, members, all_records, stalled_heads, now):
         """Return the ``EngineView`` of each engine of a domain by id, and start probes.
@@ -43,6 +52,7 @@
         for endpoint_id in list(self._last_known_records):
             if endpoint_id not in records and endpoint_id not in planned:
                 del self._last_known_records[endpoint_id]
+                self._missing_since.pop(endpoint_id, None)
                 self._prober.remove(endpoint_id)
 
     def _probe_control(self, probed, all_records, now):
@@ -58,13 +68,13 @@
         """Probe all members of stalled groups, and members without a registration."""
         for record in members:
             self._last_known_records[record.endpoint_id] = record
+            self._missing_since.pop(record.endpoint_id, None)
         registered = {record.endpoint_id for record in members}
         probed = set()
         for group in plan.groups:
-            if group.phase == group_plan.RETIRING:
-                continue
-            missing = [member for member in group.members if member not in registered]
-            suspects = group.members if group.head in stalled_heads else missing
+            suspects = [member for member in group.members if member not in registered]
+            if group.head in stalled_heads and group.phase != group_plan.RETIRING:
+                suspects = group.members
             for endpoint_id in suspects:
                 record = self._last_known_records.get(endpoint_id)
                 if record is not None:
@@ -83,12 +93,18 @@
                 if endpoint_id in views:
                     continue
                 record = self._last_known_records.get(endpoint_id)
-                # A head without a registration receives no requests, so its group is useless. Other
-                # members keep serving as long as they answer probes.
-                is_present = (
-                    record is not None
-                    and endpoint_id != group.head
-                    and self._prober.has_answered(record, now)
-                )
+                is_head = endpoint_id == group.head
+                is_present = record is not None and self._is_present(record, is_head, now)
                 views[endpoint_id] = engine_view.EngineView(record, is_present, False)
         return views
+
+    def _is_present(self, record, is_head, now):
+        """Return whether an engine without a registration still works for its group."""
+        missing_s = now - self._missing_since.setdefault(record.endpoint_id, now)
+        if self._prober.is_silent(record.endpoint_id, now):
+            return False
+        if not self._prober.has_answered(record, now):
+            return missing_s <= UNDECIDED_S
+        if not is_head:
+            return True
+        return missing_s <= HEAD_GRACE_S and self._prober.has_work(record.endpoint_id)
--- a/src/lynxlanding/replicas/member_prober.py
+++ b/src/lynxlanding/replicas/member_prober.py
@@ -31,6 +31,7 @@
     probe_ended_at: float = 0.0
     answered_at: float | None = None
     answered_started_ms: int = 0
+    unfinished: int = 0
 
 
 class MemberProber:
@@ -85,6 +86,11 @@
             and now - state.answered_at <= MAX_ANSWER_AGE_S
         )
 
+    def has_work(self, endpoint_id):
+        """Return whether the engine has reported unfinished requests with its last answer."""
+        state = self._states.get(endpoint_id)
+        return state is not None and state.unfinished > 0
+
     def _run(self, record, state):
         started_at = time.monotonic()
         try:
@@ -104,6 +110,7 @@
             self._record_answer(record, state)
             state.answered_at = time.monotonic()
             state.answered_started_ms = report.started_ms
+            state.unfinished = report.running + report.waiting
         finally:
             state.probe_ended_at = time.monotonic()
             state.is_running = False
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -3,6 +3,8 @@
 import random
 import time
 
+import pytest
+
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.membership import rendezvous
 from lynxlanding.replicas import (
@@ -25,6 +27,7 @@
         self.silent = set()
         self.probed = []
         self.answering = set()
+        self.running = 0
 
     def send_order(self, record, order):
         if record.endpoint_id in self.silent:
@@ -34,8 +37,10 @@
 
     def fetch_report(self, record):
         self.probed.append(record.endpoint_id)
+        # The answer comes after the planning step that has sent the probe.
+        time.sleep(0.01)
         if record.endpoint_id in self.answering:
-            return engine_report.EngineReport(record.started_ms, None, (), 0, 0, 1.0)
+            return engine_report.EngineReport(record.started_ms, None, (), self.running, 0, 1.0)
         raise endpoint_errors.AttemptTimedOut("no response")
 
 
@@ -239,3 +244,52 @@
     assert controller._missing_groups("model", spec, by_domain) == {model: 1.0}
     cluster.limits[head.endpoint_id] = 1e9
     assert controller._missing_groups("model", spec, by_domain) == {model: 0.0}
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+def test_group_stays_while_a_member_without_a_registration_answers(rank):
+    """Guards against running work that is given up because an engine does not reach the store."""
+    cluster = Cluster()
+    cluster.run(20)
+    group = cluster.plan().groups[0]
+    cluster.client.answering = set(cluster.domain.engines)
+    cluster.client.running = 2
+    cluster.client.silent = {group.members[rank]}
+    for _ in range(8):
+        cluster.run(1)
+        time.sleep(0.05)
+    assert group in cluster.plan().groups
+    cluster.client.silent = set()
+    cluster.run(3)
+    assert group in cluster.plan().groups
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+def test_group_of_a_member_without_a_registration_retires_if_it_does_not_answer(rank):
+    """Guards against a group that waits for an engine that is gone."""
+    cluster = Cluster()
+    cluster.run(20)
+    group = cluster.plan().groups[0]
+    cluster.client.answering = set(cluster.domain.engines) - {group.members[rank]}
+    cluster.client.silent = {group.members[rank]}
+    for _ in range(12):
+        cluster.run(1)
+        time.sleep(0.05)
+    assert group not in cluster.plan().groups
+
+
+def test_group_of_a_head_without_a_registration_retires_once_its_work_is_done():
+    """Guards against engines that wait for a head which gets no requests."""
+    cluster = Cluster()
+    cluster.run(20)
+    group = cluster.plan().groups[0]
+    cluster.client.answering = set(cluster.domain.engines)
+    cluster.client.running = 1
+    cluster.client.silent = {group.head}
+    cluster.run(4)
+    assert group in cluster.plan().groups
+    cluster.client.running = 0
+    for _ in range(8):
+        cluster.run(1)
+        time.sleep(0.05)
+    assert group not in cluster.plan().groups
