Keep reports going whatever limits they carry

A statement that arrives between the start of a report and its encoding had a negative age, and an entry of a foreign writer could have a start time beyond 64 bits: Cap'n Proto rejects both, and a node whose reports fail counts as gone (test_limits_that_cannot_be_encoded_do_not_prevent_a_report). With more than four limits each report carried other ones, so that a report followed every 0.1 s instead of 0.4 s; only changes are reported at once now.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -235,7 +235,7 @@
     def _choose_head(self, query, engine, now):
         model = engine.models.get(query.model)
         all_heads = self._heads.get((query.service, query.model), ())
-        heads = self._take_requests(all_heads, now)
+        heads = self._select_sendable(all_heads, now)
         if all_heads and not heads:
             return self._refuse_limited(query, all_heads, now)
         offset_s = self._first_event_offset.get(query.service, query.model)
@@ -322,7 +322,7 @@
 
     def _choose_plain(self, query, now):
         all_candidates = self._plain.get(query.service, ())
-        candidates = self._take_requests(all_candidates, now)
+        candidates = self._select_sendable(all_candidates, now)
         if all_candidates and not candidates:
             return self._refuse_limited(query, all_candidates, now)
         best = None
@@ -356,7 +356,7 @@
             return self._refuse(query, "every endpoint of the service is full", PLAIN_RETRY_AFTER_S)
         return best
 
-    def _take_requests(self, records, now):
+    def _select_sendable(self, records, now):
         """Return the endpoints to which this node may send a request now."""
         limited_ids = self._limit_table.limited_ids
         if not limited_ids:
--- a/src/lynxlanding/dispatch/limit_table.py
+++ b/src/lynxlanding/dispatch/limit_table.py
@@ -66,6 +66,12 @@
         self._entries = {}
         self._limited = frozenset()
         self._next_old = 0
+        self._own_changes = 0
+
+    @property
+    def own_changes(self):
+        """Number of changes that peers should hear of at once."""
+        return self._own_changes
 
     @property
     def limited_ids(self):
@@ -114,6 +120,7 @@
             return None
         if entry.own is None or entry.own.limit_per_s != limit_per_s:
             entry.own_changed_at = now
+            self._own_changes += 1
         if limit_per_s is None:
             entry.report_end_until = now + END_REPORT_S
         stated_at = sent_at if limit_per_s is None else now
@@ -151,6 +158,7 @@
         if has_ended and statement.limit_per_s is not None and statement.stated_at <= own.stated_at:
             # The peer has not heard that the limit has ended.
             entry.report_end_until = max(entry.report_end_until, now + END_REPEAT_S)
+            self._own_changes += 1
         if statement.limit_per_s is not None:
             entry.peer_heard_at = now
         latest = entry.latest
--- a/src/lynxlanding/dispatch/tests/test_limit_table.py
+++ b/src/lynxlanding/dispatch/tests/test_limit_table.py
@@ -137,3 +137,16 @@
         assert len(items) == limit_table.MAX_REPORTED_OLD
         reported.update(item.endpoint_id for item in items)
     assert len(reported) == 40
+
+
+def test_only_changes_are_reported_at_once():
+    """Guards against reports at every turn while many endpoints have limits."""
+    table = limit_table.LimitTable("n0")
+    table.record_response(RECORD, 1.0, 0.0, 1.0)
+    assert table.own_changes == 1
+    table.record_response(RECORD, 1.0, 1.0, 2.0)
+    table.record_peer(RECORD, make_statement(1.0, 3.0), "n1", 3.0)
+    table.statements_to_report(3.0)
+    assert table.own_changes == 1
+    table.record_response(RECORD, None, 4.0, 4.1)
+    assert table.own_changes == 2
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -319,6 +319,7 @@
             self._group_controller.loading_engines,
             self._store.is_unavailable,
             self._limit_table.statements_to_report(now),
+            self._limit_table.own_changes,
         )
 
     def _on_peer_report(self, report, now):
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -27,6 +27,8 @@
         Whether the store refuses or does not answer this node.
     limits : list of EndpointStatement
         What endpoints have stated to this node about the rate of requests that they take.
+    limit_changes : int
+        Number of changes of these limits, of which peers should hear at once.
     """
 
     loads: dict[str, int]
@@ -36,4 +38,5 @@
     busy_groups: dict[str, float]
     loading: frozenset[str]
     is_store_unavailable: bool
-    limits: list[limit_statement.EndpointStatement] = dataclasses.field(default_factory=list)
+    limits: list[limit_statement.EndpointStatement]
+    limit_changes: int
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -11,6 +11,8 @@
 
 # Size of the receive buffer. A datagram that IP does not fragment carries about 100 endpoints.
 MAX_DATAGRAM_BYTES = 8192
+# Start times of endpoints must be below this value.
+MAX_STARTED_MS = 1 << 63
 # Limit on the data read while decoding one report, in 8-byte words.
 _TRAVERSAL_LIMIT_WORDS = 1 << 16
 
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -90,17 +90,6 @@
         loading = frozenset(
             report_codec.hash_endpoint_id(endpoint_id) for endpoint_id in state.loading
         )
-        limits = []
-        for item in state.limits:
-            statement = item.statement
-            limits.append(
-                peer_report.ReportedLimit(
-                    report_codec.hash_endpoint_id(item.endpoint_id),
-                    statement.started_ms,
-                    statement.limit_per_s,
-                    int((now - statement.stated_at) * 1000),
-                )
-            )
         self._sequence += 1
         data = self._codec.encode(
             peer_report.PeerReport(
@@ -115,7 +104,7 @@
                 state.busy_groups,
                 loading,
                 state.is_store_unavailable,
-                tuple(limits),
+                make_reported_limits(state.limits, now),
             )
         )
         for address in self._next_targets(now):
@@ -161,6 +150,28 @@
                 self._on_report(report, now)
 
 
+def make_reported_limits(statements, now):
+    """Return the ``ReportedLimit`` tuple of a report from a list of ``EndpointStatement``.
+
+    A start time that the encoding cannot hold is no time; such statements are left out.
+    """
+    limits = []
+    for item in statements:
+        statement = item.statement
+        if not 0 <= statement.started_ms < report_codec.MAX_STARTED_MS:
+            continue
+        limits.append(
+            peer_report.ReportedLimit(
+                report_codec.hash_endpoint_id(item.endpoint_id),
+                statement.started_ms,
+                statement.limit_per_s,
+                # A statement can arrive between ``now`` and the encoding.
+                max(0, int((now - statement.stated_at) * 1000)),
+            )
+        )
+    return tuple(limits)
+
+
 def _is_unchanged(state, previous):
     """Return whether nothing has changed that causes a report of its own.
 
@@ -170,5 +181,10 @@
 
 
 def _reported_at_once(state):
-    limits = {item.endpoint_id: item.statement.limit_per_s for item in state.limits}
-    return state.loads, state.stalled, state.loading, state.is_store_unavailable, limits
+    return (
+        state.loads,
+        state.stalled,
+        state.loading,
+        state.is_store_unavailable,
+        state.limit_changes,
+    )
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -2,7 +2,13 @@
 
 from lynxlanding.dispatch import limit_statement, stall_tracker
 from lynxlanding.errors import membership as membership_errors
-from lynxlanding.peers import peer_report, peer_table, peer_view, report_codec
+from lynxlanding.peers import (
+    peer_report,
+    peer_table,
+    peer_view,
+    report_codec,
+    report_transport,
+)
 
 
 def make_report(node_id="n2", incarnation=1, sequence=1, **fields):
@@ -129,3 +135,15 @@
         report = make_report(limits=(peer_report.ReportedLimit(8, 1, limit_per_s, 0),))
         with pytest.raises(membership_errors.MalformedMessage):
             codec.decode(codec.encode(report))
+
+
+def test_limits_that_cannot_be_encoded_do_not_prevent_a_report():
+    """Guards against a node without reports, which its peers take for gone."""
+    statements = []
+    for number, (started_ms, stated_at) in enumerate([(1, 10.5), (-1, 9.0), (1 << 70, 9.0)]):
+        statement = limit_statement.LimitStatement(started_ms, 1.0, stated_at)
+        statements.append(limit_statement.EndpointStatement(f"e{number}", statement))
+    limits = report_transport.make_reported_limits(statements, 10.0)
+    assert [(limit.started_ms, limit.age_ms) for limit in limits] == [(1, 0)]
+    codec = report_codec.ReportCodec()
+    assert codec.decode(codec.encode(make_report(limits=limits))).limits == limits
