Let the endless server of the tests read what it is sent before it closes

test_slow_stream_of_events_is_not_stalled failed once, beside other load (ResponseTruncated). Traced: the server read once and took only the head of the request if its body came later, and closing a connection with unread bytes resets it, which the client reports rightly; a script with the body sent 20 ms after the head shows the reset. The server now reads on until the client closes.

The response class of guarded connections is a method now, without a reference cycle through each connection.

--- a/src/lynxlanding/transport/guarded_connection.py
+++ b/src/lynxlanding/transport/guarded_connection.py
@@ -20,7 +20,6 @@
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.response_class = self._make_response
         self._guard = None
 
     @property
@@ -28,7 +27,8 @@
         """``ReadGuard`` of the last response."""
         return self._guard
 
-    def _make_response(self, connection_socket, method=None):
+    def response_class(self, connection_socket, method=None):
+        """Return the response that ``http.client`` reads, with a guard of its own."""
         deadline = None if self.timeout is None else time.monotonic() + self.timeout
         self._guard = guarded_response.ReadGuard(guarded_response.MAX_HEAD_BYTES, deadline)
         return guarded_response.GuardedResponse(
--- a/src/lynxlanding/transport/tests/endless_server.py
+++ b/src/lynxlanding/transport/tests/endless_server.py
@@ -100,3 +100,7 @@
         with connection, contextlib.suppress(OSError):
             connection.recv(65536)
             self._respond(connection)
+            # Closing a connection with unread bytes would reset it.
+            connection.shutdown(socket.SHUT_WR)
+            while connection.recv(65536):
+                continue
