Move the decisions about limits out of the dispatcher

LimitGate holds the table of limits, the allowance and the gate for urgent requests; the dispatcher asks it, and takes one argument instead of two.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -7,9 +7,7 @@
     endpoint_health,
     first_event_offset,
     load_tracker,
-    request_allowance,
     retry_budget,
-    urgency_gate,
 )
 from lynxlanding.fleet import endpoint_change
 
@@ -61,31 +59,20 @@
         Ratio, slack and window in seconds of the retry limit.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
-    limit_table : LimitTable
-        Limits that endpoints state.
-    allowance : RequestAllowance
-        This node's part of these limits.
+    limit_gate : LimitGate
+        Keeps requests to the limits that endpoints state.
     random_state : random.Random
         Source of cost jitter, samples of heads and Retry-After jitter.
     """
 
     def __init__(
-        self,
-        data_centre,
-        registry,
-        retry_limits,
-        stall_tracker,
-        limit_table,
-        allowance,
-        random_state,
+        self, data_centre, registry, retry_limits, stall_tracker, limit_gate, random_state
     ):
         self._data_centre = data_centre
         self._registry = registry
         self._retry_limits = retry_limits
         self._stall_tracker = stall_tracker
-        self._limit_table = limit_table
-        self._allowance = allowance
-        self._urgency_gate = urgency_gate.UrgencyGate()
+        self._limit_gate = limit_gate
         self._random_state = random_state
         self._configuration = None
         self._nodes = 1
@@ -107,11 +94,6 @@
         """``EndpointHealth`` of the known endpoints."""
         return self._health
 
-    @property
-    def allowance(self):
-        """``RequestAllowance`` of the endpoints that limit their requests."""
-        return self._allowance
-
     @property
     def configuration(self):
         """Configuration in force or None."""
@@ -141,7 +123,7 @@
                 self._stall_tracker.forget(change.record.endpoint_id)
                 self._load_tracker.forget(change.record.endpoint_id)
             if change.kind in (endpoint_change.ADDED, endpoint_change.RESTARTED):
-                self._limit_table.keep_incarnation(change.record)
+                self._limit_gate.table.keep_incarnation(change.record)
         self._plain = {}
         self._heads = {}
         for record in self._registry.records.values():
@@ -191,11 +173,13 @@
         A sent request counts towards the load of its endpoint immediately.
         """
         decision = self._decide(query, now)
-        if isinstance(decision, dispatch_decision.Send) and not self._admits(query, now):
-            decision = self._refuse_limited(query, self._candidates(query), now)
-        if isinstance(decision, dispatch_decision.Send):
+        candidates = self._candidates(query)
+        is_sent = isinstance(decision, dispatch_decision.Send)
+        if is_sent and not self._limit_gate.admits(query, candidates, now):
+            return self._refuse_limited(query, candidates)
+        if is_sent:
             self._load_tracker.begin(decision.record.endpoint_id)
-            self._allowance.consume(decision.record.endpoint_id, now)
+            self._limit_gate.allowance.consume(decision.record.endpoint_id, now)
         return decision
 
     def try_acquire_failover(self, query, now):
@@ -213,19 +197,6 @@
             return self._plain[query.service]
         return self._heads.get((query.service, query.model), ())
 
-    def _admits(self, query, now):
-        """Return whether more urgent requests leave room, if every endpoint has a limit."""
-        limited_ids = self._limit_table.limited_ids
-        if not limited_ids or query.excluded:
-            return True
-        supply_per_s = 0.0
-        for record in self._candidates(query):
-            if record.endpoint_id not in limited_ids:
-                return True
-            supply_per_s += self._allowance.rate_per_s(record.endpoint_id, now)
-        key = (query.service, query.model)
-        return self._urgency_gate.admits(key, query.priority, supply_per_s, now)
-
     def _decide(self, query, now):
         service = self._configuration.services.get(query.service)
         if service is not None and service.engine is not None:
@@ -235,9 +206,9 @@
     def _choose_head(self, query, engine, now):
         model = engine.models.get(query.model)
         all_heads = self._heads.get((query.service, query.model), ())
-        heads = self._select_sendable(all_heads, now)
+        heads = self._limit_gate.select_sendable(all_heads, now)
         if all_heads and not heads:
-            return self._refuse_limited(query, all_heads, now)
+            return self._refuse_limited(query, all_heads)
         offset_s = self._first_event_offset.get(query.service, query.model)
         stall_timeout_s = 0.0 if model is None else cost_model.stall_timeout(engine, model)
         best = None
@@ -269,8 +240,8 @@
                 predicted_s,
                 first_event_timeout_s,
                 stall_timeout_s,
-                self._limit_table.limit_per_s(record.endpoint_id),
-                self._allowance.rate_per_s(record.endpoint_id, now),
+                self._limit_gate.table.limit_per_s(record.endpoint_id),
+                self._limit_gate.allowance.rate_per_s(record.endpoint_id, now),
             )
             if is_best:
                 best = decision
@@ -322,9 +293,9 @@
 
     def _choose_plain(self, query, now):
         all_candidates = self._plain.get(query.service, ())
-        candidates = self._select_sendable(all_candidates, now)
+        candidates = self._limit_gate.select_sendable(all_candidates, now)
         if all_candidates and not candidates:
-            return self._refuse_limited(query, all_candidates, now)
+            return self._refuse_limited(query, all_candidates)
         best = None
         best_cost = 0.0
         for record in candidates:
@@ -346,8 +317,8 @@
                     0.0,
                     stall_timeout_s,
                     stall_timeout_s,
-                    self._limit_table.limit_per_s(record.endpoint_id),
-                    self._allowance.rate_per_s(record.endpoint_id, now),
+                    self._limit_gate.table.limit_per_s(record.endpoint_id),
+                    self._limit_gate.allowance.rate_per_s(record.endpoint_id, now),
                 )
                 best_cost = cost
         if best is None:
@@ -356,28 +327,9 @@
             return self._refuse(query, "every endpoint of the service is full", PLAIN_RETRY_AFTER_S)
         return best
 
-    def _select_sendable(self, records, now):
-        """Return the endpoints to which this node may send a request now."""
-        limited_ids = self._limit_table.limited_ids
-        if not limited_ids:
-            return records
-        found = []
-        for record in records:
-            is_limited = record.endpoint_id in limited_ids
-            if not is_limited or self._allowance.wait_s(record.endpoint_id, now) == 0:
-                found.append(record)
-        return found
-
-    def _refuse_limited(self, query, records, now):
-        """Refuse a request for which no endpoint takes another one from this node.
-
-        The caller's retry reaches any node, so Retry-After follows from the limits as a whole.
-        """
-        total_per_s = 0.0
-        for record in records:
-            limit_per_s = self._limit_table.limit_per_s(record.endpoint_id) or 0.0
-            total_per_s += max(limit_per_s, request_allowance.MIN_RATE_PER_S)
-        retry_after_s = max(BUSY_RETRY_AFTER_S, 1.0 / total_per_s)
+    def _refuse_limited(self, query, records):
+        """Refuse a request for which no endpoint takes another one from this node."""
+        retry_after_s = max(BUSY_RETRY_AFTER_S, self._limit_gate.retry_after_s(records))
         return self._refuse(query, "every endpoint has reached its limit", retry_after_s)
 
     def _refuse(self, query, reason, retry_after_s):
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -6,6 +6,7 @@
     cost_model,
     dispatch_decision,
     dispatcher,
+    limit_gate,
     limit_table,
     request_allowance,
     stall_tracker,
@@ -84,16 +85,20 @@
     )
 
 
-def make_dispatcher(records, tracker=None, seed=1, limits=None):
+def make_limit_gate(limits=None):
     limits = limits or limit_table.LimitTable("n0")
+    allowance = request_allowance.RequestAllowance("n0", limits, now=0.0)
+    return limit_gate.LimitGate(limits, allowance)
+
+
+def make_dispatcher(records, tracker=None, seed=1, limits=None):
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
         endpoint_registry,
         RETRY_LIMITS,
         tracker or stall_tracker.StallTracker(),
-        limits,
-        request_allowance.RequestAllowance("n0", limits, now=0.0),
+        make_limit_gate(limits),
         random.Random(seed),
     )
     new_dispatcher.use_configuration(make_configuration())
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -48,7 +48,9 @@
     limits = limit_table.LimitTable("n0")
     record = dispatch_factories.make_plain_endpoint(0)
     dispatcher, registry = dispatch_factories.make_dispatcher([record], limits=limits)
-    actor = serving_actor.ServingActor(registry, dispatcher, limits)
+    actor = serving_actor.ServingActor(
+        registry, dispatcher, dispatch_factories.make_limit_gate(limits)
+    )
     assert actor.may_send(record, 100.0, is_counted=False)
     limits.record_response(record, 0.5, 99.0, 100.1)
     assert not actor.may_send(record, 100.2, is_counted=False)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -17,6 +17,7 @@
     connection_pool,
     dispatcher,
     endpoint_client,
+    limit_gate,
     limit_table,
     request_allowance,
     request_logger,
@@ -198,18 +199,19 @@
             settings.requests.repeat_window_s,
         )
         registry = fleet_registry.EndpointRegistry(settings.endpoints.heartbeat_interval_ms / 1000)
+        allowance = request_allowance.RequestAllowance(
+            settings.node_id, self._limit_table, time.monotonic()
+        )
+        gate = limit_gate.LimitGate(self._limit_table, allowance)
         request_dispatcher = dispatcher.Dispatcher(
             settings.data_centre,
             registry,
             retry_limits,
             self._stall_tracker,
-            self._limit_table,
-            request_allowance.RequestAllowance(
-                settings.node_id, self._limit_table, time.monotonic()
-            ),
+            gate,
             self._random_state,
         )
-        return serving_actor.ServingActor.start(registry, request_dispatcher, self._limit_table)
+        return serving_actor.ServingActor.start(registry, request_dispatcher, gate)
 
     def _create_watchers(self):
         handler = configuration_handler.ConfigurationHandler(
--- a/src/lynxlanding_bench/dispatch_cost.py
+++ b/src/lynxlanding_bench/dispatch_cost.py
@@ -9,8 +9,6 @@
 from lynxlanding.dispatch import (
     dispatch_decision,
     dispatcher,
-    limit_table,
-    request_allowance,
     stall_tracker,
 )
 from lynxlanding.dispatch.tests import dispatch_factories
@@ -41,14 +39,12 @@
 def _measure_dispatch(engines, decisions, seed):
     random_state = random.Random(seed)
     known = registry.EndpointRegistry(HEARTBEAT_INTERVAL_S)
-    limits = limit_table.LimitTable("n0")
     made = dispatcher.Dispatcher(
         "a",
         known,
         dispatch_factories.RETRY_LIMITS,
         stall_tracker.StallTracker(),
-        limits,
-        request_allowance.RequestAllowance("n0", limits, now=0.0),
+        dispatch_factories.make_limit_gate(),
         random_state,
     )
     made.use_configuration(dispatch_factories.make_configuration())
