Log the parts of prompts and the ends of endpoints

The logs could not tell bad requests from sound ones that shared an engine's end, nor an end from a reset, a cut or a closed connection. Parts of prompts are decoded in the adapter (without the last one, which belongs to one request) and logged with failed attempts, with the time for which the stream had been written. After an attempt has broken off, the node checks once whether the endpoint's address refuses connections and logs endpoint:ended; attempts that find no process are not_listening. No request is decided differently, except that one that is sent on waits for the check, at most 0.1 s.

--- /dev/null
+++ b/src/lynxlanding/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints that have ended, and what their requests have in common."""
--- /dev/null
+++ b/src/lynxlanding/crashes/end_tracker.py
@@ -0,0 +1,75 @@
+"""Tells endpoints that have ended from connections that broke for another reason."""
+
+# Broken attempts wait this long for a refused connection, which shows that the endpoint has ended.
+CONFIRMATION_S = 3.0
+# An endpoint is checked once within this time, however many of its attempts break.
+CHECK_INTERVAL_S = 1.0
+# Endpoints remembered at the same time.
+MAX_ENDPOINTS = 256
+
+
+class EndTracker:
+    """Collects broken attempts until it is known whether their endpoint has ended.
+
+    A connection may break because it was reset or cut, because the endpoint has closed it, or
+    because the endpoint has ended. Only in the last case does the address refuse connections.
+    Performs no I/O.
+    """
+
+    def __init__(self):
+        self._broken = {}
+        self._checked_at = {}
+        self._ended_at = {}
+
+    def record_broken(self, attempt, now):
+        """Record a broken attempt; return it in a list if its endpoint is known to have ended."""
+        self._expire(now)
+        key = (attempt.endpoint_id, attempt.started_ms)
+        if key in self._ended_at:
+            return [attempt]
+        self._broken.setdefault(key, []).append(attempt)
+        return []
+
+    def should_check(self, endpoint_id, started_ms, now):
+        """Return whether to check now if an incarnation has ended, and count the check."""
+        key = (endpoint_id, started_ms)
+        if key in self._ended_at:
+            return False
+        if now - self._checked_at.get(key, -CHECK_INTERVAL_S) < CHECK_INTERVAL_S:
+            return False
+        self._checked_at[key] = now
+        return True
+
+    def record_refused(self, endpoint_id, started_ms, now):
+        """Record a refused connection; return the attempts that broke because of the end.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint whose address has refused a connection.
+        started_ms : int
+            Incarnation that was expected there.
+        now : float
+            Monotonic seconds.
+        """
+        self._expire(now)
+        key = (endpoint_id, started_ms)
+        attempts = self._broken.pop(key, [])
+        if attempts:
+            self._ended_at[key] = now
+        return attempts
+
+    def _expire(self, now):
+        for key, attempts in list(self._broken.items()):
+            recent = [item for item in attempts if now - item.ended_at <= CONFIRMATION_S]
+            if recent:
+                self._broken[key] = recent
+            else:
+                del self._broken[key]
+        for times, lifetime_s in (
+            (self._ended_at, CONFIRMATION_S),
+            (self._checked_at, CHECK_INTERVAL_S),
+        ):
+            for key, at in list(times.items()):
+                if now - at > lifetime_s or len(times) > MAX_ENDPOINTS:
+                    del times[key]
--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -13,6 +13,8 @@
 # Connecting takes milliseconds, but a lost packet is only retransmitted after a second. Another
 # endpoint responds sooner than that.
 CONNECT_TIMEOUT_S = 0.4
+# A request that may be sent to another endpoint waits for the check.
+CHECK_TIMEOUT_S = 0.1
 # Endpoints close idle connections, some of them earlier than they announce.
 MAX_IDLE_S = 8.0
 IDLE_MARGIN_S = 0.5
@@ -63,21 +65,42 @@
             idle = self._acquire_idle(record.endpoint_id)
             if idle is not None:
                 return idle, False
+        return self._connect(record, CONNECT_TIMEOUT_S), True
+
+    def is_listening(self, record):
+        """Return whether the address of an endpoint accepts connections.
+
+        It counts as listening unless it refuses: silence may be due to the network.
+        """
+        try:
+            self._connect(record, CHECK_TIMEOUT_S).close()
+        except endpoint_errors.NotListening:
+            return False
+        except endpoint_errors.ConnectionRefused:
+            return True
+        return True
+
+    def _connect(self, record, timeout_s):
         host, _, port = record.address.rpartition(":")
         connection = guarded_connection.GuardedConnection(
-            host, int(port), timeout=CONNECT_TIMEOUT_S, socket_options=self._socket_options
+            host, int(port), timeout=timeout_s, socket_options=self._socket_options
         )
         connection.max_body_bytes = MAX_BODY_BYTES
         try:
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as e:
             connection.close()
-            raise endpoint_errors.ConnectionRefused(f"{record.address}: {e}") from e
+            error_type = endpoint_errors.ConnectionRefused
+            if isinstance(e, ConnectionRefusedError) or isinstance(
+                e.__cause__, ConnectionRefusedError
+            ):
+                error_type = endpoint_errors.NotListening
+            raise error_type(f"{record.address}: {e}") from e
         # AttemptMonitor enforces timeouts from here on. The connection's own timeout is cleared as
         # well, because urllib3 sets it on the socket again with each request.
         connection.timeout = None
         connection.sock.settimeout(None)
-        return connection, True
+        return connection
 
     def release(self, record, connection, idle_timeout_s):
         """Return a connection to the pool after a complete response."""
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -34,19 +34,35 @@
         Endpoints that have stopped making progress.
     limit_table : LimitTable
         Receives the limits that endpoints state.
+    crash_monitor : CrashMonitor
+        Told of attempts that broke off.
     request_logger : RequestLogger
         Logs the decisions.
     """
 
-    def __init__(self, request, serving, client, codec, stall_tracker, limit_table, request_logger):
+    def __init__(
+        self,
+        request,
+        serving,
+        client,
+        codec,
+        stall_tracker,
+        limit_table,
+        crash_monitor,
+        request_logger,
+    ):
         self._request = request
         self._serving = serving
         self._client = client
         self._codec = codec
         self._stall_tracker = stall_tracker
         self._limit_table = limit_table
+        self._crash_monitor = crash_monitor
         self._request_logger = request_logger
         self._attempts = 0
+        # Of the current attempt, in monotonic seconds.
+        self._sent_at = 0.0
+        self._begun_at = None
         self._may_have_run = 0
         self._excluded = set()
         self._has_acquired_retry = False
@@ -109,6 +125,8 @@
         )
         self._attempts += 1
         self._may_have_run += 1
+        self._sent_at = started_at
+        self._begun_at = None
         response = None
         try:
             response, metadata = self._client.send(
@@ -223,6 +241,7 @@
         buffer = event_buffer.EventBuffer(last_id)
         first_events = self._read_first_events(response, buffer)
         now = time.monotonic()
+        self._begun_at = now
         self._serving.record_first_event(
             self._make_query(started_at), decision, now - started_at, now
         )
@@ -256,6 +275,7 @@
             If the stream cannot be resumed.
         """
         if last_id is None:
+            self._record_failure(record, error)
             raise request_errors.EndpointFailed("the stream broke without a position to resume at")
         self._handle_failure(record, error)
         while True:
@@ -289,10 +309,10 @@
         self._excluded.add(record.endpoint_id)
         request = self._request
         has_caller_left = request.has_caller_left()
-        if not has_caller_left:
-            self._serving.record_failure(record.endpoint_id, type(error), now)
         if has_caller_left:
             raise request_errors.CallerDisconnected("the caller has closed its connection")
+        self._serving.record_failure(record.endpoint_id, type(error), now)
+        self._record_failure(record, error)
         was_not_run = error.certainly_not_run
         history = self._history(last_was_not_run=was_not_run)
         may_retry = retry_rules.may_retry(request.route, history)
@@ -301,7 +321,9 @@
         if may_retry and uses_budget and not self._has_acquired_retry:
             may_retry = self._serving.try_acquire_retry(request.service, now).get()
         self._has_acquired_retry = False
-        self._request_logger.log_attempt_failed(request, record, error, may_retry, history)
+        self._request_logger.log_attempt_failed(
+            request, record, error, may_retry, history, self._writing_s(now)
+        )
         if may_retry:
             return
         if not self._may_have_run:
@@ -310,6 +332,14 @@
             raise request_errors.DeadlineExceeded("no response before the deadline") from error
         raise request_errors.EndpointFailed(str(error)) from error
 
+    def _record_failure(self, record, error):
+        parts = self._request.metadata.prompt_parts
+        self._crash_monitor.record_failure(record, parts, error, self._sent_at)
+
+    def _writing_s(self, now):
+        """Return how long the current attempt's stream has been written; None before that."""
+        return None if self._begun_at is None else now - self._begun_at
+
     def _history(self, *, last_was_not_run):
         return retry_rules.AttemptHistory(
             attempts=self._attempts,
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -11,6 +11,9 @@
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
 LIMIT_MALFORMED = "lynxlanding:endpoint:limit_malformed"
 
+# Keeps log lines short; prompts have a few parts.
+MAX_LOGGED_PARTS = 16
+
 
 class RequestLogger:
     """Logs each decision about a request together with the data that it was based on.
@@ -82,8 +85,11 @@
             endpoint=record.endpoint_id,
         )
 
-    def log_attempt_failed(self, request, record, error, will_retry, history):
-        """Log a failed attempt and whether another one follows."""
+    def log_attempt_failed(self, request, record, error, will_retry, history, writing_s):
+        """Log a failed attempt and whether another one follows.
+
+        ``writing_s`` is the time since the first event of its stream, or None.
+        """
         eliot.log_message(
             message_type=ATTEMPT_FAILED,
             request_id=request.metadata.request_id,
@@ -94,9 +100,16 @@
             will_repeat=will_retry,
             attempts=history.attempts,
             time_left_s=round(history.time_left_s, 3),
+            writing_s=None if writing_s is None else round(writing_s, 3),
+            prompt_parts=format_parts(request.metadata.prompt_parts),
         )
 
 
+def format_parts(prompt_parts):
+    """Return the keys of parts of a prompt as callers write them."""
+    return [f"{part:x}" for part in prompt_parts[:MAX_LOGGED_PARTS]]
+
+
 def log_limit_changed(change, request_id=None):
     """Log a ``LimitChange``, with the request whose response has stated the limit."""
     eliot.log_message(
--- a/src/lynxlanding/dispatch/request_metadata.py
+++ b/src/lynxlanding/dispatch/request_metadata.py
@@ -23,6 +23,9 @@
         The caller's estimate of the size of the answer.
     last_event_id : int or None
         Id of the last event that the caller received, if it resumes a stream.
+    prompt_parts : tuple of int
+        Keys of the parts of the prompt that other requests may share; the last part belongs to
+        the request itself and is left out.
     """
 
     request_id: str
@@ -33,3 +36,4 @@
     max_answer_tokens: int = 0
     expected_answer_tokens: int | None = None
     last_event_id: int | None = None
+    prompt_parts: tuple[int, ...] = ()
--- a/src/lynxlanding/dispatch/tests/test_connection_pool.py
+++ b/src/lynxlanding/dispatch/tests/test_connection_pool.py
@@ -1,5 +1,6 @@
 """Reuse of connections by a node that calls each of many endpoints only now and then."""
 
+import dataclasses
 import socket
 import time
 
@@ -9,6 +10,8 @@
 
 from lynxlanding.dispatch import connection_pool
 from lynxlanding.dispatch.tests import dispatch_factories
+from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.transport import guarded_connection
 
 
 @pytest.fixture
@@ -59,3 +62,26 @@
     connection, far = idle
     far.close()
     assert acquire_after(record, connection, 1.0, 10.0) is None
+
+
+def make_record_at(port):
+    return dataclasses.replace(dispatch_factories.make_head(0), address=f"127.0.0.1:{port}")
+
+
+def test_only_a_refused_connection_shows_that_nothing_listens():
+    """Guards against silence of the network that counts as the end of an endpoint."""
+    pool = connection_pool.ConnectionPool([])
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        assert pool.is_listening(make_record_at(port))
+    assert not pool.is_listening(make_record_at(port))
+    with pytest.raises(endpoint_errors.NotListening):
+        pool.acquire(make_record_at(port), fresh=True)
+
+
+def test_silent_address_counts_as_listening(monkeypatch):
+    def connect(connection):
+        raise urllib3.exceptions.ConnectTimeoutError(connection, "timed out")
+
+    monkeypatch.setattr(guarded_connection.GuardedConnection, "connect", connect)
+    assert connection_pool.ConnectionPool([]).is_listening(make_record_at(1))
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -159,8 +159,19 @@
     def log_sent_late(self, request, record, delay_s):
         assert delay_s > request_forwarder.LATE_SEND_S
 
-    def log_attempt_failed(self, request, record, error, will_retry, history):
+    def log_attempt_failed(self, request, record, error, will_retry, history, writing_s):
         assert history.attempts > 0
+        assert writing_s is None or writing_s >= 0
+
+
+class FakeCrashMonitor:
+    """Keeps the failures that it is told of."""
+
+    def __init__(self):
+        self.failures = []
+
+    def record_failure(self, record, prompt_parts, error, sent_at):
+        self.failures.append((record.endpoint_id, prompt_parts, type(error), sent_at))
 
 
 def empty_body():
@@ -209,6 +220,7 @@
         PassThroughCodec,
         stall_tracker.StallTracker(),
         limit_table.LimitTable("n0"),
+        FakeCrashMonitor(),
         CheckingLogger(),
     )
     return forwarder, endpoints, dispatcher
--- a/src/lynxlanding/errors/endpoint.py
+++ b/src/lynxlanding/errors/endpoint.py
@@ -23,6 +23,12 @@
     certainly_not_run = True
 
 
+class NotListening(ConnectionRefused):
+    """The address refuses connections, so no process listens there."""
+
+    type_name = "not_listening"
+
+
 class EndpointWithdrawn(AttemptError):
     """The endpoint left or restarted while the connection was established; nothing was sent."""
 
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -32,6 +32,8 @@
         Endpoints that have stopped making progress.
     limit_table : LimitTable
         Receives the limits that endpoints state.
+    crash_monitor : CrashMonitor
+        Told of attempts that broke off.
     logger : RequestLogger
         Logs decisions about requests.
     metrics : NodeMetrics
@@ -47,6 +49,7 @@
         codec,
         stall_tracker,
         limit_table,
+        crash_monitor,
         logger,
         metrics,
     ):
@@ -57,6 +60,7 @@
         self._codec = codec
         self._stall_tracker = stall_tracker
         self._limit_table = limit_table
+        self._crash_monitor = crash_monitor
         self._request_logger = logger
         self._metrics = metrics
 
@@ -82,6 +86,7 @@
                 self._codec,
                 self._stall_tracker,
                 self._limit_table,
+                self._crash_monitor,
                 self._request_logger,
             )
             reply = forwarder.forward()
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -13,6 +13,7 @@
 import pykka
 from eliot import stdlib
 
+from lynxlanding.crashes import crash_monitor
 from lynxlanding.dispatch import (
     connection_pool,
     dispatcher,
@@ -110,6 +111,7 @@
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
         self._limit_table = limit_table.LimitTable(settings.node_id)
+        self._crash_monitor = crash_monitor.CrashMonitor(self._pool)
         self._peer_view = peer_view.PeerView(self._stall_tracker)
         self._identity = peer_identity.PeerIdentity(
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
@@ -245,6 +247,7 @@
             request_headers,
             self._stall_tracker,
             self._limit_table,
+            self._crash_monitor,
             request_logger.RequestLogger(self._node_status),
             self._metrics,
         )
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -13,6 +13,7 @@
         "endpoint:changed",
         "endpoint:ignored",
         "endpoint:checked",
+        "endpoint:ended",
         "endpoint:allowance_changed",
         "endpoint:limit_changed",
         "endpoint:limit_malformed",
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -1,5 +1,9 @@
 """Decoding, encoding and filtering of HTTP request and response headers."""
 
+import string
+
+import xxhash
+
 from lynxlanding.dispatch import request_metadata, response_metadata
 
 REQUEST_ID = "X-Request-Id"
@@ -10,6 +14,9 @@
 _URGENCY = "X-Request-Urgency"
 _LAST_EVENT_ID = "Last-Event-Id"
 _LIMIT = "Server-Limit"
+_PROMPT_PARTS = "x-prompt-prefix"
+_HEX_DIGITS = frozenset(string.hexdigits.lower())
+_MAX_PART_DIGITS = 16
 _BEARER_SCHEME = "bearer"
 
 # Hop-by-hop headers, and headers that the node sets itself or must not disclose to endpoints. The
@@ -75,6 +82,7 @@
         max_answer_tokens=max_answer_tokens,
         expected_answer_tokens=_parse_int(values.get("x-length-hint")),
         last_event_id=_parse_int(values.get(_LAST_EVENT_ID.lower())),
+        prompt_parts=_decode_prompt_parts(headers),
     )
 
 
@@ -152,6 +160,27 @@
     return forwarded
 
 
+def _decode_prompt_parts(headers):
+    """Return the keys of the parts of a prompt, without the last one.
+
+    The parts are ``id:tokens`` entries. An id that is no hexadecimal number of 64 bits is hashed.
+    """
+    entries = []
+    for name, value in headers:
+        if name.lower() == _PROMPT_PARTS:
+            entries.extend(value.split(","))
+    keys = []
+    for entry in entries[:-1]:
+        part_id = entry.partition(":")[0].strip().lower()
+        if not part_id:
+            continue
+        if len(part_id) <= _MAX_PART_DIGITS and _HEX_DIGITS.issuperset(part_id):
+            keys.append(int(part_id, 16))
+        else:
+            keys.append(xxhash.xxh64_intdigest(part_id))
+    return tuple(keys)
+
+
 def _decode_endpoint_load(text):
     """Decode ``running,waiting,slots``; return None if the text is absent or malformed."""
     if text is None:
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -107,3 +107,28 @@
     metadata = request_headers.decode_response([("Server-Limit", value) for value in values])
     assert metadata.limit_per_s == limit_per_s
     assert metadata.has_malformed_limit == is_malformed
+
+
+@pytest.mark.parametrize(
+    ("values", "parts"),
+    [
+        (("5c1e07a2:800,91bd3f06:410,e4402b7d:250",), (0x5C1E07A2, 0x91BD3F06)),
+        (("5C1E07A2:800, 91bd3f06 :410,x",), (0x5C1E07A2, 0x91BD3F06)),
+        (("a:1", "b:1,c:1"), (0xA, 0xB)),
+        (("a:1",), ()),
+        (("",), ()),
+        ((",,:,a:1",), ()),
+        ((), ()),
+    ],
+)
+def test_decodes_the_shared_parts_of_a_prompt(values, parts):
+    """Guards against blaming the last part, which belongs to one request only."""
+    headers = [("X-Prompt-Prefix", value) for value in values]
+    assert request_headers.decode_request(headers).prompt_parts == parts
+
+
+def test_part_ids_that_are_no_numbers_are_told_apart():
+    headers = [("X-Prompt-Prefix", f"{'f' * 17}:1,zz:1,zy:1,own:1")]
+    parts = request_headers.decode_request(headers).prompt_parts
+    assert len(set(parts)) == 3
+    assert max(parts) < 1 << 64
