Reproduce prompts that crash one engine after the other

Nine nodes as processes against the stand-in site, which now has engines that end under a part of a prompt: the port refuses connections, open ones are reset, and the engine starts again later as another incarnation without a group.

--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -1,23 +1,20 @@
 """Command ``lynx-standins``: each stand-in as a process of its own, on loopback only."""
 
 import json
-import socket
 
 import click
-import uvicorn
 
 from lynxlanding_standins import (
     engine,
     history_file,
     object_api,
+    port_server,
     service,
     vm_list,
     weight_store,
 )
 from lynxlanding_standins.site import application
 
-HOST = "127.0.0.1"
-
 
 @click.group()
 def main():
@@ -115,26 +112,14 @@
 def run_site(port, engines, plain, heartbeat_s):
     """Serve the users' platform: its store, engines that form groups, and a plain service."""
     ports = list(range(port, port + 1 + engines + plain))
-    _serve(application.Site(ports, engines, heartbeat_s), ports)
+    site = application.Site(ports, engines, heartbeat_s)
+    server = port_server.PortServer(site, ports)
+    site.use_server(server)
+    server.serve_ports()
 
 
 def _serve(app, ports):
-    sockets = []
-    for port in ports:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((HOST, port))
-        sockets.append(listener)
-    config = uvicorn.Config(
-        app,
-        log_level="error",
-        access_log=False,
-        lifespan="off",
-        loop="uvloop",
-        timeout_graceful_shutdown=1,
-        backlog=2048,
-    )
-    uvicorn.Server(config).run(sockets=sockets)
+    port_server.PortServer(app, ports).serve_ports()
 
 
 if __name__ == "__main__":
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -52,13 +52,21 @@
                 born=int(time.time() * 1000),
             )
         self._endpoints = endpoints
-        self._engines = engine.SiteEngines(endpoints, self._publish, self._history)
+        self._server = None
+        self._engines = engine.SiteEngines(
+            endpoints, self._publish, self._history, self._crash_endpoint
+        )
         self._beats = None
+        self._restarts = set()
         self._configuration_version = 1
         self._store.put("config", "main", configuration(1))
         # An entry of another writer names no endpoint.
         self._store.put("servers", "foreign", {"state": 7})
 
+    def use_server(self, server):
+        """Set the ``PortServer`` whose ports close while an endpoint is down."""
+        self._server = server
+
     async def __call__(self, scope, receive, send):
         """Serve one request."""
         if scope["type"] != "http":
@@ -76,6 +84,7 @@
     async def _control(self, receive, send):
         """Change faults and return the history."""
         order = json.loads(await asgi.read_body(receive) or b"{}")
+        self._engines.crash_parts = order.get("crash_parts", self._engines.crash_parts)
         for endpoint in self._endpoints.values():
             self._control_endpoint(endpoint, order)
         if order.get("save_store"):
@@ -113,6 +122,10 @@
             endpoint.is_silent = False
             self._silent.pop(name, None)
             self._publish(endpoint)
+        if name in order.get("crash", {}):
+            self._crash_endpoint(endpoint, order["crash"][name])
+        if name in order.get("reset", ()):
+            self._server.reset_connections(endpoint.port)
         if name in order.get("limits", {}):
             endpoint.limit_per_s = order["limits"][name]
         if name in order.get("hold_heartbeat", ()):
@@ -134,8 +147,26 @@
             self._silent[name] = 0
             self._put_entry(name, self._held.pop(name))
 
+    def _crash_endpoint(self, endpoint, down_s):
+        """End an endpoint without notice; it starts again ``down_s`` later."""
+        if endpoint.is_down:
+            return
+        self._history.append(("crash", "", endpoint.endpoint_id, time.monotonic()))
+        endpoint.crash()
+        self._server.close_port(endpoint.port)
+        loop = asyncio.get_running_loop()
+        self._restarts.add(loop.create_task(self._restart_later(endpoint, down_s)))
+
+    async def _restart_later(self, endpoint, down_s):
+        await asyncio.sleep(down_s)
+        endpoint.start(int(time.time() * 1000))
+        self._silent.pop(endpoint.endpoint_id, None)
+        await self._server.open_port(endpoint.port)
+        self._publish(endpoint)
+        self._restarts.discard(asyncio.current_task())
+
     def _publish(self, endpoint):
-        if endpoint.is_dark or endpoint.is_silent:
+        if not endpoint.sends_heartbeats:
             return
         endpoint.heartbeats += 1
         self._put_entry(endpoint.endpoint_id, endpoint.entry())
@@ -149,7 +180,7 @@
             # What the operator and the endpoints have written is written again after a roll-back.
             self._store.put("config", "main", configuration(self._configuration_version))
             for endpoint in self._endpoints.values():
-                if not endpoint.is_dark and not endpoint.is_silent:
+                if endpoint.sends_heartbeats:
                     self._publish(endpoint)
                     continue
                 beats = self._silent.get(endpoint.endpoint_id, 0) + 1
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -25,6 +25,8 @@
         Whether the endpoint answers nothing and sends no heartbeats.
     is_silent : bool
         Whether the endpoint sends no heartbeats but answers.
+    is_down : bool
+        Whether the endpoint has crashed and not started again.
     limit_per_s : float or None
         Requests a second that the endpoint says it takes from all nodes together.
     heartbeats : int
@@ -42,6 +44,7 @@
     is_dark: bool = False
     is_leaving: bool = False
     is_silent: bool = False
+    is_down: bool = False
     limit_per_s: float | None = None
     heartbeats: int = 0
     group: dict | None = None
@@ -50,6 +53,30 @@
     running: int = 0
     seen_epoch: int = 0
 
+    @property
+    def port(self):
+        """Port of the endpoint."""
+        return int(self.address.rpartition(":")[2])
+
+    @property
+    def sends_heartbeats(self):
+        """Whether the endpoint keeps its registration."""
+        return not (self.is_dark or self.is_silent or self.is_down)
+
+    def crash(self):
+        """Lose everything but the models that the host has staged."""
+        self.is_down = True
+        self.group = None
+        self.model = None
+
+    def start(self, born):
+        """Begin another incarnation."""
+        self.is_down = False
+        self.is_leaving = False
+        self.born = born
+        self.heartbeats = 0
+        self.seen_epoch = 0
+
     def entry(self):
         """Return what the endpoint registers in the store."""
         spec = {
@@ -104,12 +131,18 @@
         Called with an endpoint whose registration has changed.
     history : list
         Receives ``(event, request id, endpoint id, monotonic time)`` for each run.
+    crash : callable
+        Called with an endpoint that ends, and the seconds until it starts again.
     """
 
-    def __init__(self, endpoints, publish, history):
+    def __init__(self, endpoints, publish, history, crash):
         self._endpoints = endpoints
         self._publish = publish
         self._history = history
+        self._crash = crash
+        # Seconds for which an endpoint is down that writes an answer on a part of a prompt, by id
+        # of the part.
+        self.crash_parts = {}
         self._by_id = {item.endpoint_id: item for item in endpoints.values()}
 
     async def serve(self, port, scope, receive, send):
@@ -192,6 +225,7 @@
             other = self._by_id[member]
             if (
                 other.is_dark
+                or other.is_down
                 or other.group is None
                 or other.group["name"] != endpoint.group["name"]
             ):
@@ -227,8 +261,14 @@
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         endpoint.running += 1
         self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
+        down_s = self._find_crash(scope)
         try:
             for number in range(first, EVENTS + 1):
+                if down_s is not None:
+                    await asyncio.sleep(EVENT_S)
+                    self._crash(endpoint, down_s)
+                if endpoint.group is not group:
+                    return
                 stalled_at = time.monotonic()
                 while endpoint.is_dark or not self._is_whole(endpoint):
                     await asyncio.sleep(0.02)
@@ -242,3 +282,13 @@
             await send({"type": "http.response.body", "body": b""})
         finally:
             endpoint.running -= 1
+
+    def _find_crash(self, scope):
+        """Return for how long a part of the prompt takes the engine down, or None."""
+        entries = (asgi.header(scope, b"x-prompt-prefix") or "").split(",")
+        # The last part belongs to the request itself.
+        for entry in entries[:-1]:
+            down_s = self.crash_parts.get(entry.strip().partition(":")[0])
+            if down_s is not None:
+                return down_s
+        return None
