Refuse prompts with parts that crash engines, on all nodes

Cause: every end of an engine was put down to the engine, so its requests were sent on, and new ones with the same part followed.

--- a/src/lynxlanding/crashes/crash_monitor.py
+++ b/src/lynxlanding/crashes/crash_monitor.py
@@ -3,18 +3,25 @@
 import time
 
 import eliot
+import xxhash
 
-from lynxlanding.crashes import broken_attempt, end_tracker
+from lynxlanding.crashes import broken_attempt, crash_evidence, end_tracker, statements
 from lynxlanding.errors import endpoint as endpoint_errors
 
 ENDPOINT_ENDED = "lynxlanding:endpoint:ended"
+QUARANTINE_BEGUN = "lynxlanding:prompt:quarantine_begun"
+QUARANTINE_ENDED = "lynxlanding:prompt:quarantine_ended"
+
+# An endpoint ends soon after it begins to write an answer on a part that it cannot bear. An
+# answer that has been written for this long is not the cause of a later end.
+HARMLESS_AFTER_S = 1.0
 
 # Failures after which the endpoint may have ended.
 _BREAKS = (endpoint_errors.ConnectionBroken, endpoint_errors.ResponseTruncated)
 
 
 class CrashMonitor:
-    """Records failed attempts and checks whether their endpoints have ended.
+    """Turns failed and complete attempts into evidence on parts of prompts.
 
     Request threads call it directly.
 
@@ -22,13 +29,16 @@
     ----------
     pool : ConnectionPool
         Tells whether an endpoint listens.
+    guard : PartGuard
+        Receives the evidence.
     """
 
-    def __init__(self, pool):
+    def __init__(self, pool, guard):
         self._pool = pool
+        self._guard = guard
         self._tracker = end_tracker.EndTracker()
 
-    def record_failure(self, record, prompt_parts, error, sent_at):
+    def record_failure(self, record, prompt_parts, error, sent_at, begun_at):
         """Record a failed attempt; return whether its endpoint is known to have ended.
 
         Parameters
@@ -41,6 +51,8 @@
             Failure.
         sent_at : float
             When the request was sent, in monotonic seconds.
+        begun_at : float or None
+            When the first event of its answer arrived, in monotonic seconds; None if none has.
         """
         now = time.monotonic()
         if isinstance(error, endpoint_errors.NotListening):
@@ -49,11 +61,15 @@
         # A leaving endpoint that ends does so on purpose.
         if not isinstance(error, _BREAKS) or record.is_leaving:
             return False
+        if begun_at is not None and now - begun_at >= HARMLESS_AFTER_S:
+            self._guard.record_harmless(prompt_parts, begun_at, now)
+            prompt_parts = ()
         attempt = broken_attempt.BrokenAttempt(
             record.endpoint_id, record.started_ms, prompt_parts, sent_at, now
         )
-        if self._tracker.record_broken(attempt, now):
-            _log_ended(record, [attempt])
+        ended = self._tracker.record_broken(attempt, now)
+        if ended:
+            self._record_ended(record, ended, now)
             return True
         if not self._tracker.should_check(record.endpoint_id, record.started_ms, now):
             return False
@@ -61,21 +77,59 @@
             return False
         return self._record_refused(record, time.monotonic())
 
+    def record_answer(self, prompt_parts, begun_at):
+        """Record an answer that is complete, and when it began."""
+        self._guard.record_harmless(prompt_parts, begun_at, time.monotonic())
+
     def _record_refused(self, record, now):
         attempts = self._tracker.record_refused(record.endpoint_id, record.started_ms, now)
         if attempts:
-            _log_ended(record, attempts)
+            self._record_ended(record, attempts, now)
         return bool(attempts)
 
+    def _record_ended(self, record, attempts, now):
+        sent_at_by_part = {}
+        # The cause has just begun, so the requests that were sent last come first.
+        for attempt in sorted(attempts, key=lambda item: -item.sent_at):
+            for part in attempt.prompt_parts[: crash_evidence.MAX_STATED_PARTS]:
+                sent_at_by_part.setdefault(part, attempt.sent_at)
+        sent_at_by_part = dict(list(sent_at_by_part.items())[: crash_evidence.MAX_STATED_PARTS])
+        ended_at = min(attempt.ended_at for attempt in attempts)
+        eliot.log_message(
+            message_type=ENDPOINT_ENDED,
+            endpoint=record.endpoint_id,
+            born_ms=record.started_ms,
+            broken_attempts=len(attempts),
+            prompt_parts=format_parts(sent_at_by_part),
+            age_s=round(now - ended_at, 3),
+        )
+        if sent_at_by_part:
+            end = statements.EndStatement(
+                hash_endpoint(record.endpoint_id), record.started_ms, ended_at, sent_at_by_part
+            )
+            self._guard.record_end(end, now)
+
+
+def hash_endpoint(endpoint_id):
+    """Return the hash by which nodes name an endpoint to each other."""
+    return xxhash.xxh64_intdigest(endpoint_id)
+
+
+def format_parts(parts):
+    """Return the keys of parts of a prompt as callers write them."""
+    return [f"{part:x}" for part in parts]
+
 
-def _log_ended(record, attempts):
-    parts = set()
-    for attempt in attempts:
-        parts.update(attempt.prompt_parts)
+def log_quarantine_change(change, now):
+    """Log a ``QuarantineChange``."""
+    statement = change.statement
     eliot.log_message(
-        message_type=ENDPOINT_ENDED,
-        endpoint=record.endpoint_id,
-        born_ms=record.started_ms,
-        broken_attempts=len(attempts),
-        prompt_parts=[f"{part:x}" for part in sorted(parts)],
+        message_type=QUARANTINE_BEGUN if change.ended_because is None else QUARANTINE_ENDED,
+        prompt_parts=format_parts(sorted(statement.parts)),
+        source=change.source,
+        reason=change.ended_because,
+        named_age_s=round(now - statement.named_at, 3),
+        last_end_age_s=round(now - statement.last_end_at, 3),
+        last_request_age_s=round(now - statement.last_seen_at, 3),
+        trials=statement.trials,
     )
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -11,6 +11,10 @@
 # have left in the meantime.
 LATE_SEND_S = 0.1
 
+# Such a prompt is refused for as long as requests with it come, so a retry is of no use before its
+# caller gives up.
+QUARANTINE_RETRY_AFTER_S = 30.0
+
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -34,6 +38,8 @@
         Endpoints that have stopped making progress.
     limit_table : LimitTable
         Receives the limits that endpoints state.
+    part_guard : PartGuard
+        Refuses prompts that crash engines.
     crash_monitor : CrashMonitor
         Told of attempts that broke off.
     request_logger : RequestLogger
@@ -48,6 +54,7 @@
         codec,
         stall_tracker,
         limit_table,
+        part_guard,
         crash_monitor,
         request_logger,
     ):
@@ -57,12 +64,15 @@
         self._codec = codec
         self._stall_tracker = stall_tracker
         self._limit_table = limit_table
+        self._part_guard = part_guard
         self._crash_monitor = crash_monitor
         self._request_logger = request_logger
         self._attempts = 0
         # Of the current attempt, in monotonic seconds.
         self._sent_at = 0.0
-        self._begun_at = None
+        self._responded_at = None
+        self._first_event_at = None
+        self._is_trial = False
         self._may_have_run = 0
         self._excluded = set()
         self._has_acquired_retry = False
@@ -98,6 +108,7 @@
     def _choose(self):
         now = time.monotonic()
         request = self._request
+        self._check_prompt(now)
         decision = self._serving.choose(self._make_query(now), now).get()
         if isinstance(decision, dispatch_decision.Refuse):
             self._request_logger.log_refused(request, decision, self._attempts)
@@ -105,6 +116,23 @@
         self._request_logger.log_chosen(request, decision, self._attempts)
         return decision.record, decision
 
+    def _check_prompt(self, now):
+        """Raise the final ``RequestError`` if parts of the prompt crash engines."""
+        if self._is_trial and not self._may_have_run:
+            # No engine has run it so far.
+            return
+        verdict = self._part_guard.check(self._request.metadata.prompt_parts, now)
+        if verdict is None:
+            return
+        self._request_logger.log_quarantined(self._request, verdict, self._attempts, now)
+        self._is_trial = verdict.is_trial
+        if verdict.is_trial:
+            return
+        reason = "parts of the prompt have crashed engines"
+        if self._may_have_run:
+            raise request_errors.EndpointFailed(reason)
+        raise request_errors.PromptQuarantined(reason, retry_after_s=QUARANTINE_RETRY_AFTER_S)
+
     def _refusal_error(self, reason, retry_after_s):
         if self._may_have_run:
             return request_errors.EndpointFailed(reason)
@@ -126,7 +154,8 @@
         self._attempts += 1
         self._may_have_run += 1
         self._sent_at = started_at
-        self._begun_at = None
+        self._responded_at = None
+        self._first_event_at = None
         response = None
         try:
             response, metadata = self._client.send(
@@ -149,6 +178,7 @@
                 before_sending=lambda: self._check_sendable(record, decision, started_at),
                 is_stream=request.route.is_stream,
             )
+            self._responded_at = time.monotonic()
             self._record_limit(record, response.status, metadata, started_at)
             if metadata.load is not None:
                 load = metadata.load.running + metadata.load.waiting
@@ -172,11 +202,18 @@
 
         It may have left, or stated a limit that the selection did not know.
         """
-        delay_s = time.monotonic() - chosen_at
+        now = time.monotonic()
+        delay_s = now - chosen_at
         if delay_s <= LATE_SEND_S:
             return
+        if not self._is_trial and self._part_guard.is_quarantined(
+            self._request.metadata.prompt_parts
+        ):
+            raise endpoint_errors.EndpointWithdrawn(
+                f"{record.address}: parts of the prompt have crashed engines since the selection"
+            )
         is_counted = decision.limit_per_s is not None
-        if not self._serving.may_send(record, time.monotonic(), is_counted=is_counted).get():
+        if not self._serving.may_send(record, now, is_counted=is_counted).get():
             raise endpoint_errors.EndpointWithdrawn(
                 f"{record.address}: no longer usable {delay_s:.3f} s after the selection"
             )
@@ -231,6 +268,8 @@
         for chunk in response.chunks:
             parts.append(chunk)
         self._serving.end_response(record.endpoint_id, response.status)
+        if response.status == 200:
+            self._record_answer()
         headers = self._codec.filter_response_headers(response.headers)
         return reply.Reply(response.status, headers, body=b"".join(parts))
 
@@ -241,7 +280,7 @@
         buffer = event_buffer.EventBuffer(last_id)
         first_events = self._read_first_events(response, buffer)
         now = time.monotonic()
-        self._begun_at = now
+        self._first_event_at = now
         self._serving.record_first_event(
             self._make_query(started_at), decision, now - started_at, now
         )
@@ -312,10 +351,12 @@
         if has_caller_left:
             raise request_errors.CallerDisconnected("the caller has closed its connection")
         self._serving.record_failure(record.endpoint_id, type(error), now)
-        self._record_failure(record, error)
+        has_ended = self._record_failure(record, error)
         was_not_run = error.certainly_not_run
         history = self._history(last_was_not_run=was_not_run)
         may_retry = retry_rules.may_retry(request.route, history)
+        if may_retry and has_ended and not was_not_run:
+            may_retry = self._part_guard.may_repeat(request.metadata.prompt_parts)
         # An attempt that sent nothing did not reach the service, so its retry is not counted.
         uses_budget = not isinstance(error, _UNSENT_ERRORS)
         if may_retry and uses_budget and not self._has_acquired_retry:
@@ -333,12 +374,20 @@
         raise request_errors.EndpointFailed(str(error)) from error
 
     def _record_failure(self, record, error):
+        """Record a failed attempt; return whether its endpoint has ended."""
+        parts = self._request.metadata.prompt_parts
+        return self._crash_monitor.record_failure(
+            record, parts, error, self._sent_at, self._first_event_at
+        )
+
+    def _record_answer(self):
         parts = self._request.metadata.prompt_parts
-        self._crash_monitor.record_failure(record, parts, error, self._sent_at)
+        if parts:
+            self._crash_monitor.record_answer(parts, self._first_event_at or self._responded_at)
 
     def _writing_s(self, now):
         """Return how long the current attempt's stream has been written; None before that."""
-        return None if self._begun_at is None else now - self._begun_at
+        return None if self._first_event_at is None else now - self._first_event_at
 
     def _history(self, *, last_was_not_run):
         return retry_rules.AttemptHistory(
@@ -348,6 +397,10 @@
             time_left_s=self._request.deadline - time.monotonic(),
         )
 
+    def complete_attempt(self):
+        """Record that the current attempt's stream is complete."""
+        self._record_answer()
+
     def finish_attempt(self, record):
         """Stop counting an attempt whose stream has ended."""
         self._serving.end_attempt(record.endpoint_id)
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -2,10 +2,14 @@
 
 import eliot
 
+from lynxlanding.crashes import crash_monitor
+
 CHOSEN = "lynxlanding:request:chosen"
 REFUSED = "lynxlanding:request:refused"
 ATTEMPT_FAILED = "lynxlanding:request:attempt_failed"
 FINISHED = "lynxlanding:request:finished"
+QUARANTINED = "lynxlanding:request:quarantined"
+TRIAL = "lynxlanding:request:trial"
 SENT_LATE = "lynxlanding:request:sent_late"
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
@@ -63,6 +67,19 @@
             registry_age_s=self._node_status.registry_age_s,
         )
 
+    def log_quarantined(self, request, verdict, attempts, now):
+        """Log that a request is refused for its prompt, or sent to find out about it."""
+        eliot.log_message(
+            message_type=TRIAL if verdict.is_trial else QUARANTINED,
+            request_id=request.metadata.request_id,
+            route=request.route.name,
+            service=request.service,
+            model=request.metadata.model,
+            prompt_parts=crash_monitor.format_parts(sorted(verdict.parts)),
+            named_age_s=round(now - verdict.named_at, 3),
+            attempts=attempts,
+        )
+
     def log_sent_late(self, request, record, delay_s):
         """Log that a connection was established long after the endpoint was selected."""
         eliot.log_message(
@@ -101,15 +118,12 @@
             attempts=history.attempts,
             time_left_s=round(history.time_left_s, 3),
             writing_s=None if writing_s is None else round(writing_s, 3),
-            prompt_parts=format_parts(request.metadata.prompt_parts),
+            prompt_parts=crash_monitor.format_parts(
+                request.metadata.prompt_parts[:MAX_LOGGED_PARTS]
+            ),
         )
 
 
-def format_parts(prompt_parts):
-    """Return the keys of parts of a prompt as callers write them."""
-    return [f"{part:x}" for part in prompt_parts[:MAX_LOGGED_PARTS]]
-
-
 def log_limit_changed(change, request_id=None):
     """Log a ``LimitChange``, with the request whose response has stated the limit."""
     eliot.log_message(
--- a/src/lynxlanding/dispatch/stall_tracker.py
+++ b/src/lynxlanding/dispatch/stall_tracker.py
@@ -19,6 +19,10 @@
         """Record that the endpoint has sent data."""
         self._last_event_at[endpoint_id] = now
 
+    def last_event_at(self, endpoint_id):
+        """Return when the endpoint last sent data to this node, monotonic seconds; 0 if never."""
+        return self._last_event_at.get(endpoint_id, 0.0)
+
     def record_stall(self, endpoint_id, now):
         """Record a stall that this node has observed."""
         self._own[endpoint_id] = now
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -73,6 +73,7 @@
                 yield from read_events(self._response, self._buffer)
                 if not self._buffer.is_empty:
                     raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
+                self._forwarder.complete_attempt()
                 self._release()
                 return
             except endpoint_errors.AttemptError as e:
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lynxlanding.crashes import part_guard, statements
 from lynxlanding.dispatch import (
     dispatch_decision,
     forward_request,
@@ -170,8 +171,12 @@
     def __init__(self):
         self.failures = []
 
-    def record_failure(self, record, prompt_parts, error, sent_at):
-        self.failures.append((record.endpoint_id, prompt_parts, type(error), sent_at))
+    def record_failure(self, record, prompt_parts, error, sent_at, begun_at):
+        self.failures.append((record.endpoint_id, prompt_parts, type(error), sent_at, begun_at))
+        return False
+
+    def record_answer(self, prompt_parts, begun_at):
+        raise AssertionError("the requests have no parts")
 
 
 def empty_body():
@@ -220,6 +225,7 @@
         PassThroughCodec,
         stall_tracker.StallTracker(),
         limit_table.LimitTable("n0"),
+        part_guard.PartGuard("n0"),
         FakeCrashMonitor(),
         CheckingLogger(),
     )
@@ -422,3 +428,115 @@
     )
     forwarder._client = OneResponse(200, make_response_metadata(request_id=None))
     assert forwarder.forward().body == b"whole"
+
+
+BAD_PARTS = (0xA1, 0xBAD)
+
+
+class EndingEndpoints:
+    """Each endpoint ends while it writes the first event."""
+
+    def __init__(self):
+        self.runs = []
+
+    def send(self, record, *arguments, before_sending, **options):
+        del arguments, options
+        before_sending()
+        self.runs.append(record.endpoint_id)
+        raise endpoint_errors.ResponseTruncated("ended")
+
+
+class EndingMonitor(FakeCrashMonitor):
+    """Reports each failure to the guard as the end of the endpoint."""
+
+    def __init__(self, guard):
+        super().__init__()
+        self._guard = guard
+
+    def record_failure(self, record, prompt_parts, error, sent_at, begun_at):
+        now = time.monotonic()
+        key = hash(record.endpoint_id)
+        self._guard.record_end(
+            statements.EndStatement(key, 1, now, dict.fromkeys(prompt_parts, sent_at)), now
+        )
+        return True
+
+
+def make_bad_request_forwarder(guard, max_attempts):
+    forwarder, _, _ = make_forwarder(1, dispatch_factories.make_route(max_attempts=max_attempts))
+    metadata = request_metadata.RequestMetadata("q", model="small", prompt_parts=BAD_PARTS)
+    forwarder._request = dataclasses.replace(forwarder._request, metadata=metadata)
+    forwarder._client = EndingEndpoints()
+    forwarder._part_guard = guard
+    forwarder._crash_monitor = EndingMonitor(guard)
+    forwarder._request_logger.log_quarantined = lambda *arguments: None
+    return forwarder
+
+
+def quarantine(guard):
+    now = time.monotonic()
+    for number in range(3):
+        at = now - 3.0 + number
+        guard.record_end(
+            statements.EndStatement(number, 1, at, dict.fromkeys(BAD_PARTS, at - 0.1)), at
+        )
+    guard.expire(lambda key: 0.0, now)
+
+
+def test_request_is_not_sent_to_a_third_engine_after_two_have_ended_under_it():
+    """Guards against repeats that carry a bad prompt from engine to engine."""
+    forwarder = make_bad_request_forwarder(part_guard.PartGuard("n0"), max_attempts=3)
+    with pytest.raises(request_errors.EndpointFailed):
+        forwarder.forward()
+    assert len(forwarder._client.runs) == 2
+
+
+def test_request_whose_engine_has_ended_for_the_first_time_moves_on():
+    """Guards against sound requests that are given up when an engine crashes."""
+    forwarder = make_bad_request_forwarder(part_guard.PartGuard("n0"), max_attempts=2)
+    with pytest.raises(request_errors.EndpointFailed):
+        forwarder.forward()
+    assert len(forwarder._client.runs) == 2
+
+
+def test_quarantined_prompt_is_refused_at_once_and_truly_not_run():
+    guard = part_guard.PartGuard("n0")
+    quarantine(guard)
+    forwarder = make_bad_request_forwarder(guard, max_attempts=2)
+    with pytest.raises(request_errors.PromptQuarantined) as refusal:
+        forwarder.forward()
+    assert (refusal.value.status, refusal.value.executed) == (503, "no")
+    assert refusal.value.retry_after_s == request_forwarder.QUARANTINE_RETRY_AFTER_S
+    assert forwarder._client.runs == []
+
+
+def test_stream_that_broke_is_not_resumed_under_quarantine():
+    """Guards against resumed streams as a way round the refusal of prompts."""
+    guard = part_guard.PartGuard("n0")
+    quarantine(guard)
+    forwarder = make_bad_request_forwarder(guard, max_attempts=3)
+    forwarder._attempts = forwarder._may_have_run = 1
+    forwarder._crash_monitor = FakeCrashMonitor()
+    record = dispatch_factories.make_head(0)
+    with pytest.raises(request_errors.EndpointFailed) as failure:
+        forwarder.resume(record, endpoint_errors.ConnectionBroken("reset"), last_id=3)
+    assert failure.value.executed == "unknown"
+    assert forwarder._client.runs == []
+
+
+def test_request_that_waited_for_its_connection_is_checked_again(monkeypatch):
+    """Guards against requests that were selected before their prompt was quarantined."""
+    monkeypatch.setattr(request_forwarder, "LATE_SEND_S", -1.0)
+    guard = part_guard.PartGuard("n0")
+    forwarder = make_bad_request_forwarder(guard, max_attempts=2)
+    guard_check = guard.check
+
+    def check(parts, now):
+        verdict = guard_check(parts, now)
+        quarantine(guard)
+        return verdict
+
+    guard.check = check
+    with pytest.raises(request_errors.PromptQuarantined):
+        forwarder.forward()
+    assert forwarder._client.runs == []
--- a/src/lynxlanding/errors/request.py
+++ b/src/lynxlanding/errors/request.py
@@ -113,6 +113,13 @@
     default_executed = EXECUTED_UNKNOWN
 
 
+class PromptQuarantined(RequestError):
+    """The prompt contains parts under which engines have crashed."""
+
+    type_name = "prompt_quarantined"
+    status = 503
+
+
 class NodeStopping(RequestError):
     """The node is shutting down and accepts no new requests."""
 
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -32,6 +32,8 @@
         Endpoints that have stopped making progress.
     limit_table : LimitTable
         Receives the limits that endpoints state.
+    part_guard : PartGuard
+        Refuses prompts that crash engines.
     crash_monitor : CrashMonitor
         Told of attempts that broke off.
     logger : RequestLogger
@@ -49,6 +51,7 @@
         codec,
         stall_tracker,
         limit_table,
+        part_guard,
         crash_monitor,
         logger,
         metrics,
@@ -60,6 +63,7 @@
         self._codec = codec
         self._stall_tracker = stall_tracker
         self._limit_table = limit_table
+        self._part_guard = part_guard
         self._crash_monitor = crash_monitor
         self._request_logger = logger
         self._metrics = metrics
@@ -86,6 +90,7 @@
                 self._codec,
                 self._stall_tracker,
                 self._limit_table,
+                self._part_guard,
                 self._crash_monitor,
                 self._request_logger,
             )
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -13,7 +13,7 @@
 import pykka
 from eliot import stdlib
 
-from lynxlanding.crashes import crash_monitor
+from lynxlanding.crashes import crash_monitor, part_guard
 from lynxlanding.dispatch import (
     connection_pool,
     dispatcher,
@@ -111,7 +111,10 @@
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
         self._limit_table = limit_table.LimitTable(settings.node_id)
-        self._crash_monitor = crash_monitor.CrashMonitor(self._pool)
+        self._part_guard = part_guard.PartGuard(
+            settings.node_id, settings.requests.exempt_prompt_part_keys
+        )
+        self._crash_monitor = crash_monitor.CrashMonitor(self._pool, self._part_guard)
         self._peer_view = peer_view.PeerView(self._stall_tracker)
         self._identity = peer_identity.PeerIdentity(
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
@@ -247,6 +250,7 @@
             request_headers,
             self._stall_tracker,
             self._limit_table,
+            self._part_guard,
             self._crash_monitor,
             request_logger.RequestLogger(self._node_status),
             self._metrics,
@@ -325,6 +329,9 @@
             self._store.is_unavailable,
             self._limit_table.statements_to_report(now),
             self._limit_table.own_changes,
+            self._part_guard.statements_to_report(now),
+            self._part_guard.own_changes,
+            self._part_guard.urgent_changes,
         )
 
     def _on_peer_report(self, report, now):
@@ -336,6 +343,7 @@
             self._log_limit_changes(
                 self._serving.apply_peer_statements(report.node_id, statements, now).get()
             )
+        self._part_guard.apply_peer(report.prompts.shift(now), report.node_id, now)
         self._serving.apply_peer_load(report.node_id, requests_by_endpoint, now)
 
     def _update_allowances(self, now):
@@ -344,6 +352,11 @@
         for change in self._serving.use_live_nodes(live_nodes, now).get():
             request_logger.log_allowance_changed(change)
 
+    def _update_quarantines(self, now):
+        self._part_guard.use_live_nodes(self._peer_table.live_node_ids(now))
+        for change in self._part_guard.expire(self._peer_view.last_event_at_by_key, now):
+            crash_monitor.log_quarantine_change(change, now)
+
     def _log_limit_changes(self, changes):
         for change in changes:
             request_logger.log_limit_changed(change)
@@ -356,6 +369,7 @@
             now = time.monotonic()
             self._endpoint_handler.process_changes(self._serving.expire(now).get(), None)
             self._update_allowances(now)
+            self._update_quarantines(now)
             self._confirmation_checker.check_all()
             self._pool.close_expired(now)
             records, _ = self._serving.records().get()
@@ -387,6 +401,7 @@
         eliot.log_message(message_type=NODE_RELOADED, is_changed=settings != self._settings)
         self._settings = settings
         requests = settings.requests
+        self._part_guard.use_exempt_parts(requests.exempt_prompt_part_keys)
         self._serving.use_retry_limits(
             (requests.repeat_ratio, requests.repeat_slack, requests.repeat_window_s)
         )
@@ -412,6 +427,11 @@
             "Endpoints that state how many requests a second they take.",
             lambda: len(self._limit_table.limited_ids),
         )
+        self._metrics.add_gauge(
+            "lynxlanding_prompt_quarantines",
+            "Sets of parts of prompts that are refused because engines have crashed under them.",
+            lambda: len(self._part_guard.quarantines),
+        )
         self._metrics.add_gauge(
             "lynxlanding_registry_age_seconds",
             "Time since the store last confirmed the endpoints.",
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -28,6 +28,8 @@
         "feed:followed",
         "feed:lost",
         "configuration:in_force",
+        "prompt:quarantine_begun",
+        "prompt:quarantine_ended",
         "node:started",
         "node:stopping",
     }
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from lynxlanding.crashes import statements
 from lynxlanding.dispatch import limit_statement
 
 
@@ -29,6 +30,12 @@
         What endpoints have stated to this node about the rate of requests that they take.
     limit_changes : int
         Number of changes of these limits, of which peers should hear at once.
+    prompts : PromptStatements
+        What this node knows about ends of endpoints and parts of prompts, in monotonic seconds.
+    prompt_changes : int
+        Number of changes of the latter, of which peers should hear soon.
+    urgent_changes : int
+        Number of changes that all peers should hear of at once.
     """
 
     loads: dict[str, int]
@@ -40,3 +47,6 @@
     is_store_unavailable: bool
     limits: list[limit_statement.EndpointStatement]
     limit_changes: int
+    prompts: statements.PromptStatements
+    prompt_changes: int
+    urgent_changes: int
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -26,6 +26,36 @@
   ageMs @4 :UInt64;
 }
 
+struct PartTime {
+  # Key of a part of prompts.
+  part @0 :UInt64;
+  # Time since a request with it was sent, or since an answer on it began, in milliseconds.
+  ageMs @1 :UInt64;
+}
+
+struct EndedEndpoint {
+  # xxHash64 of the endpoint id.
+  key @0 :UInt64;
+  # Start of the endpoint's incarnation, in Unix milliseconds.
+  startedMs @1 :Int64;
+  # Time since its end, in milliseconds.
+  ageMs @2 :UInt64;
+  # Parts of the prompts that it was working on.
+  parts @3 :List(PartTime);
+}
+
+struct Quarantine {
+  # Keys of the parts of prompts; requests with all of them are refused.
+  parts @0 :List(UInt64);
+  # Times since the parts were named, the last end of an endpoint under them, the last request with
+  # them, and the last trial, in milliseconds.
+  namedAgeMs @1 :UInt64;
+  endAgeMs @2 :UInt64;
+  seenAgeMs @3 :UInt64;
+  trialAgeMs @4 :UInt64;
+  trials @5 :UInt16;
+}
+
 struct PeerReport {
   nodeId @0 :Text;
   incarnation @1 :UInt64;
@@ -43,4 +73,9 @@
   isStoreUnavailable @10 :Bool;
   # What endpoints have stated to the sender about the rate of requests that they take.
   limits @11 :List(StatedLimit);
+  # Ends of endpoints that the sender has seen.
+  ends @12 :List(EndedEndpoint);
+  # Parts of prompts on which the sender has got answers lately.
+  harmless @13 :List(PartTime);
+  quarantines @14 :List(Quarantine);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lynxlanding.crashes import statements
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportedLimit:
@@ -56,6 +58,8 @@
         Whether the store refuses or does not answer the sender.
     limits : tuple of ReportedLimit
         Limits that endpoints have stated to the sender.
+    prompts : PromptStatements
+        Ends of endpoints and parts of prompts; times are relative to the sending of the report.
     """
 
     node_id: str
@@ -70,3 +74,4 @@
     loading: frozenset[int] = frozenset()
     is_store_unavailable: bool = False
     limits: tuple[ReportedLimit, ...] = ()
+    prompts: statements.PromptStatements = statements.PromptStatements()
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -71,6 +71,11 @@
             statements.append(limit_statement.EndpointStatement(endpoint_id, statement))
         return statements
 
+    def last_event_at_by_key(self, endpoint_key):
+        """Return when an endpoint last sent data to this node, by the hash of its id."""
+        endpoint_id = self._endpoint_ids_by_hash.get(endpoint_key)
+        return 0.0 if endpoint_id is None else self._stall_tracker.last_event_at(endpoint_id)
+
     def loading_engines(self, live_nodes):
         """Return the ids of the engines that are loading weights on the orders of other nodes.
 
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from lynxlanding.errors import membership as membership_errors
-from lynxlanding.peers import peer_report
+from lynxlanding.peers import peer_report, prompt_codec
 
 # Size of the receive buffer. A datagram that IP does not fragment carries about 100 endpoints.
 MAX_DATAGRAM_BYTES = 8192
@@ -53,6 +53,7 @@
             limits[index].hasEnded = limit.limit_per_s is None
             limits[index].limitPerS = limit.limit_per_s or 0.0
             limits[index].ageMs = limit.age_ms
+        prompt_codec.encode(message, report.prompts)
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -87,6 +88,7 @@
                 frozenset(message.loading),
                 message.isStoreUnavailable,
                 tuple(_decode_limit(item) for item in message.limits),
+                prompt_codec.decode(message),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -17,6 +17,8 @@
 HEARTBEAT_INTERVAL_S = 0.4
 # With more peers, each report is sent to this many of them in turn.
 MAX_TARGETS = 24
+# Urgent changes are in this many reports to all peers, since datagrams may be lost.
+URGENT_REPORTS = 2
 # Every peer must hear from this node within its liveness timeout, also if a datagram is lost.
 MAX_ROUND_S = 0.5
 
@@ -69,18 +71,24 @@
     def _report(self):
         last_state = None
         last_sent_at = 0.0
+        urgent_reports = 0
         while not self._stop.wait(REPORT_INTERVAL_S):
             now = time.monotonic()
             state = self._build_state()
             rounds = math.ceil(len(self._table.peers) / MAX_TARGETS)
             heartbeat_s = min(HEARTBEAT_INTERVAL_S, MAX_ROUND_S / max(1, rounds))
-            if _is_unchanged(state, last_state) and now - last_sent_at < heartbeat_s:
+            is_due = urgent_reports > 0 or now - last_sent_at >= heartbeat_s
+            if _is_unchanged(state, last_state) and not is_due:
                 continue
+            if last_state is not None and state.urgent_changes != last_state.urgent_changes:
+                urgent_reports = URGENT_REPORTS
+            is_urgent = urgent_reports > 0
+            urgent_reports -= is_urgent
             last_state = state
             last_sent_at = now
-            self._send(state, now)
+            self._send(state, now, to_all=is_urgent)
 
-    def _send(self, state, now):
+    def _send(self, state, now, *, to_all):
         loads_by_hash = {}
         for endpoint_id, requests in state.loads.items():
             loads_by_hash[report_codec.hash_endpoint_id(endpoint_id)] = requests
@@ -105,9 +113,11 @@
                 loading,
                 state.is_store_unavailable,
                 make_reported_limits(state.limits, now),
+                state.prompts.shift(-now),
             )
         )
-        for address in self._next_targets(now):
+        targets = self._table.target_addresses(now) if to_all else self._next_targets(now)
+        for address in targets:
             self.send_datagram(data, address)
 
     def send_datagram(self, data, address):
@@ -187,4 +197,6 @@
         state.loading,
         state.is_store_unavailable,
         state.limit_changes,
+        state.prompt_changes,
+        state.urgent_changes,
     )
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -8,6 +8,7 @@
 
 Ratio = Annotated[float, pydantic.Field(ge=0, le=10, allow_inf_nan=False)]
 NonNegative = Annotated[float, pydantic.Field(ge=0, le=1e9, allow_inf_nan=False)]
+PartId = Annotated[str, pydantic.Field(pattern=r"^[0-9a-fA-F]{1,16}$")]
 Address = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")]
 
 
@@ -79,12 +80,20 @@
         retries per request plus ``repeat_slack``.
     repeat_window_s : float
         Length of the window.
+    exempt_prompt_parts : list of str
+        Hexadecimal ids of parts of prompts that are never refused, whatever happens to engines.
     """
 
     concurrency: Annotated[int, pydantic.Field(ge=1, le=10_000)] = 400
     repeat_ratio: Ratio = 0.2
     repeat_slack: NonNegative = 0.0
     repeat_window_s: section.Seconds = 10.0
+    exempt_prompt_parts: list[PartId] = []
+
+    @property
+    def exempt_prompt_part_keys(self):
+        """The parts as numbers."""
+        return frozenset(int(part_id, 16) for part_id in self.exempt_prompt_parts)
 
 
 class GroupSettings(VmSection):
