Avoid endpoints whose end another node has seen

In the users' incident, 615 attempts within 10 s found no process at engines that had ended, and requests used up their four attempts on them within 10 ms: each node found out by itself, while registrations lapse after 3.6 s only.

Ends are already reported to all nodes for the parts of prompts; ends without parts are now reported too, and the endpoint is a last resort for 4 s on every node, for that incarnation, unless it has answered this node since. A node that is cut from engines can therefore not keep the others from them. Ruled out: removing the endpoint from the registry, since an end may be a cut.

--- a/src/lynxlanding/crashes/crash_monitor.py
+++ b/src/lynxlanding/crashes/crash_monitor.py
@@ -31,11 +31,14 @@
         Tells whether an endpoint listens.
     guard : PartGuard
         Receives the evidence.
+    on_ended : callable
+        Called with the record of an endpoint whose process has ended, and the time.
     """
 
-    def __init__(self, pool, guard):
+    def __init__(self, pool, guard, on_ended):
         self._pool = pool
         self._guard = guard
+        self._on_ended = on_ended
         self._tracker = end_tracker.EndTracker()
 
     def record_failure(self, record, prompt_parts, error, sent_at, begun_at):
@@ -103,11 +106,11 @@
             prompt_parts=format_parts(sent_at_by_part),
             age_s=round(now - ended_at, 3),
         )
-        if sent_at_by_part:
-            end = statements.EndStatement(
-                hash_endpoint(record.endpoint_id), record.started_ms, ended_at, sent_at_by_part
-            )
-            self._guard.record_end(end, now)
+        self._on_ended(record, now)
+        end = statements.EndStatement(
+            hash_endpoint(record.endpoint_id), record.started_ms, ended_at, sent_at_by_part
+        )
+        self._guard.record_end(end, now)
 
 
 def hash_endpoint(endpoint_id):
--- a/src/lynxlanding/crashes/tests/test_crash_monitor.py
+++ b/src/lynxlanding/crashes/tests/test_crash_monitor.py
@@ -32,6 +32,10 @@
         super().__init__("n0")
         self.ends = []
         self.harmless = []
+        self.ended = []
+
+    def on_ended(self, record, now):
+        self.ended.append(record.endpoint_id)
 
     def record_end(self, statement, now):
         self.ends.append(statement)
@@ -43,7 +47,7 @@
 def make_monitor(listens=False):
     pool = FakePool(listens)
     guard = KeepingGuard()
-    return crash_monitor.CrashMonitor(pool, guard), pool, guard
+    return crash_monitor.CrashMonitor(pool, guard, guard.on_ended), pool, guard
 
 
 def record(monitor, error=BROKEN, endpoint=None, parts=PARTS, begun_s=None):
@@ -57,6 +61,7 @@
     monitor, _, guard = make_monitor()
     assert record(monitor)
     assert set(guard.ends[0].sent_at_by_part) == set(PARTS)
+    assert guard.ended == ["e0"]
 
 
 @pytest.mark.parametrize(
@@ -95,10 +100,9 @@
     """Guards against blaming requests that ran on the engine when another one ended it."""
     monitor, _, guard = make_monitor()
     assert record(monitor, begun_s=crash_monitor.HARMLESS_AFTER_S + 0.1)
-    assert guard.ends == []
     assert guard.harmless == [PARTS]
     assert record(monitor, begun_s=0.1, parts=(0xBAD,))
-    assert [set(end.sent_at_by_part) for end in guard.ends] == [{0xBAD}]
+    assert [set(end.sent_at_by_part) for end in guard.ends] == [set(), {0xBAD}]
 
 
 def test_connection_that_is_refused_later_explains_earlier_breaks():
--- a/src/lynxlanding/dispatch/endpoint_health.py
+++ b/src/lynxlanding/dispatch/endpoint_health.py
@@ -6,6 +6,8 @@
 # Cooldown after a failure; it doubles with each consecutive failure.
 INITIAL_COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
+# Cooldown of an endpoint whose process has ended: within about this time its registration lapses.
+ENDED_COOLDOWN_S = 4.0
 # Weight of a new observation in the moving average of observed over expected times.
 SLOWNESS_WEIGHT = 0.3
 # A single observation is clamped to this range.
@@ -36,6 +38,11 @@
         state.failures += 1
         state.cooldown_until = max(state.cooldown_until, now + cooldown_s)
 
+    def record_ended(self, endpoint_id, now):
+        """Record that the endpoint's process has ended, as this node or a peer has seen."""
+        state = self._states.setdefault(endpoint_id, _State())
+        state.cooldown_until = max(state.cooldown_until, now + ENDED_COOLDOWN_S)
+
     def record_success(self, endpoint_id):
         """Record a response of the endpoint, which ends its cooldown."""
         state = self._states.setdefault(endpoint_id, _State())
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -181,6 +181,12 @@
         if issubclass(error_type, _HEALTH_FAILURES):
             self._dispatcher.health.record_failure(endpoint_id, now)
 
+    def record_ended(self, endpoint_id, started_ms, now):
+        """Record that an incarnation has ended, as this node or a peer has seen."""
+        known = self._registry.get(endpoint_id)
+        if known is not None and known.started_ms == started_ms:
+            self._dispatcher.health.record_ended(endpoint_id, now)
+
     def _update_candidates(self, changes):
         self._dispatcher.apply(changes)
         return changes
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lynxlanding.dispatch import limit_table, serving_actor
+from lynxlanding.dispatch import endpoint_health, limit_table, serving_actor
 from lynxlanding.dispatch.tests import dispatch_factories
 
 
@@ -58,3 +58,29 @@
     assert not actor.may_check("p0", 100.2)
     assert actor.may_check("p0", 102.2)
     assert not actor.may_send(record, 102.3, is_counted=False)
+
+
+def test_endpoint_whose_end_a_peer_has_seen_is_avoided():
+    """Guards against each node finding out by itself, with its callers' attempts."""
+    records = [dispatch_factories.make_head(0), dispatch_factories.make_head(1)]
+    dispatcher, registry = dispatch_factories.make_dispatcher(records)
+    gate = dispatch_factories.make_limit_gate()
+    actor = serving_actor.ServingActor(registry, dispatcher, gate)
+    actor.record_ended("e0", records[0].started_ms, 10.0)
+    for _ in range(9):
+        decision = actor.choose(dispatch_factories.make_query(), 10.5)
+        assert decision.record.endpoint_id == "e1"
+    later = 10.0 + endpoint_health.ENDED_COOLDOWN_S + 0.1
+    chosen = {
+        actor.choose(dispatch_factories.make_query(), later).record.endpoint_id for _ in range(4)
+    }
+    assert "e0" in chosen, "its registration has lapsed, or it lives"
+
+
+def test_end_of_an_earlier_incarnation_says_nothing():
+    record = dispatch_factories.make_head(0)
+    dispatcher, registry = dispatch_factories.make_dispatcher([record])
+    gate = dispatch_factories.make_limit_gate()
+    actor = serving_actor.ServingActor(registry, dispatcher, gate)
+    actor.record_ended("e0", record.started_ms - 1, 10.0)
+    assert not dispatcher.health.is_cooling_down("e0", 10.1)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -114,7 +114,9 @@
         self._part_guard = part_guard.PartGuard(
             settings.node_id, settings.requests.exempt_prompt_part_keys
         )
-        self._crash_monitor = crash_monitor.CrashMonitor(self._pool, self._part_guard)
+        self._crash_monitor = crash_monitor.CrashMonitor(
+            self._pool, self._part_guard, self._on_endpoint_ended
+        )
         self._peer_view = peer_view.PeerView(self._stall_tracker)
         self._identity = peer_identity.PeerIdentity(
             settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
@@ -293,6 +295,9 @@
     def _on_endpoint_confirmed(self, changes):
         self._endpoint_handler.process_changes(changes, None)
 
+    def _on_endpoint_ended(self, record, now):
+        self._serving.record_ended(record.endpoint_id, record.started_ms, now)
+
     def _get_health_path(self, service):
         configuration = self._node_status.configuration
         spec = None if configuration is None else configuration.services.get(service)
@@ -343,7 +348,10 @@
             self._log_limit_changes(
                 self._serving.apply_peer_statements(report.node_id, statements, now).get()
             )
-        self._part_guard.apply_peer(report.prompts.shift(now), report.node_id, now)
+        prompts = report.prompts.shift(now)
+        self._part_guard.apply_peer(prompts, report.node_id, now)
+        for endpoint_id, started_ms in self._peer_view.resolve_ends(prompts):
+            self._serving.record_ended(endpoint_id, started_ms, now)
         self._serving.apply_peer_load(report.node_id, requests_by_endpoint, now)
 
     def _update_allowances(self, now):
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -71,6 +71,24 @@
             statements.append(limit_statement.EndpointStatement(endpoint_id, statement))
         return statements
 
+    def resolve_ends(self, prompts):
+        """Return endpoint id and start of the endpoints whose end a report states.
+
+        Parameters
+        ----------
+        prompts : PromptStatements
+            Statements of the report, on this node's clock. Ends of unknown endpoints, and of those
+            that have sent something to this node since, are ignored.
+        """
+        ended = []
+        for end in prompts.ends:
+            endpoint_id = self._endpoint_ids_by_hash.get(end.endpoint_key)
+            if endpoint_id is None:
+                continue
+            if self._stall_tracker.last_event_at(endpoint_id) <= end.ended_at:
+                ended.append((endpoint_id, end.started_ms))
+        return ended
+
     def last_event_at_by_key(self, endpoint_key):
         """Return when an endpoint last sent data to this node, by the hash of its id."""
         endpoint_id = self._endpoint_ids_by_hash.get(endpoint_key)
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -1,5 +1,6 @@
 import pytest
 
+from lynxlanding.crashes import statements
 from lynxlanding.dispatch import limit_statement, stall_tracker
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.peers import (
@@ -147,3 +148,16 @@
     assert [(limit.started_ms, limit.age_ms) for limit in limits] == [(1, 0)]
     codec = report_codec.ReportCodec()
     assert codec.decode(codec.encode(make_report(limits=limits))).limits == limits
+
+
+def test_ends_that_peers_state_are_resolved_unless_the_endpoint_has_answered_since():
+    """Guards against a node that is cut from engines and takes them for ended."""
+    tracker = stall_tracker.StallTracker()
+    view = peer_view.PeerView(tracker)
+    view.set_endpoint_ids(["e0", "e1"])
+    ends = []
+    for endpoint_id in ("e0", "e1", "unknown"):
+        key = report_codec.hash_endpoint_id(endpoint_id)
+        ends.append(statements.EndStatement(key, 7, 10.0, {}))
+    tracker.record_event("e1", 10.05)
+    assert view.resolve_ends(statements.PromptStatements(tuple(ends))) == [("e0", 7)]
