--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -118,10 +118,13 @@
     endpoints = set()
     groups = set()
     models = set()
+    parts = set()
     for line in request_lines:
         endpoints.add(line.fields.get("endpoint"))
         groups.add(line.fields.get("group"))
         models.add(line.fields.get("model"))
+        if line.event.startswith("request:"):
+            parts.update(line.fields.get("prompt_parts") or ())
     resource_names = {name for name in endpoints | groups if name}
     timeline = list(request_lines)
     for line in lines:
@@ -129,12 +132,22 @@
             continue
         if not first_timestamp - CONTEXT_WINDOW_S <= line.timestamp <= last_timestamp + 1.0:
             continue
-        if _is_related(line, nodes, resource_names, {model for model in models if model}):
+        is_related = _is_related(line, nodes, resource_names, {model for model in models if model})
+        if is_related or _has_parts(line, parts):
             timeline.append(line)
     timeline.sort(key=lambda line: line.timestamp)
     return timeline
 
 
+def _has_parts(line, parts):
+    """Return whether a line is about parts of the request's prompt; any node may have seen it."""
+    if line.event.startswith("prompt:"):
+        return parts.issuperset(line.fields.get("prompt_parts") or ("",))
+    return line.event == "endpoint:ended" and not parts.isdisjoint(
+        line.fields.get("prompt_parts") or ()
+    )
+
+
 def _is_related(line, nodes, resource_names, models):
     if line.event.startswith(("store:", "feed:", "node:", "configuration:")):
         return line.node in nodes
@@ -162,6 +175,8 @@
             finished = line.fields
         elif line.event == "request:refused":
             cause = f"refused: {line.fields.get('reason')}"
+        elif line.event == "request:quarantined":
+            cause = f"refused: engines crashed under {line.fields.get('prompt_parts')}"
         elif line.event == "request:attempt_failed":
             cause = f"{line.fields.get('endpoint')}: {line.fields.get('detail')}"
     if finished is None:
--- a/src/lynxlanding/operators/tests/test_explain.py
+++ b/src/lynxlanding/operators/tests/test_explain.py
@@ -181,3 +181,31 @@
         "request:chosen",
         "request:sent_late",
     ]
+
+
+def make_line(timestamp, node, event, **fields):
+    return json.dumps(
+        {"timestamp": timestamp, "node": node, "message_type": f"lynxlanding:{event}", **fields}
+    )
+
+
+def test_refused_prompt_is_explained_by_the_ends_that_other_nodes_have_seen():
+    """Guards against refusals for parts of prompts whose evidence is on other nodes."""
+    lines = request_timeline.parse(
+        [
+            make_line(1.0, "n2", "endpoint:ended", endpoint="e7", prompt_parts=["a1", "bad"]),
+            make_line(1.5, "n3", "endpoint:ended", endpoint="e8", prompt_parts=["c0"]),
+            make_line(2.0, "n3", "prompt:quarantine_begun", prompt_parts=["bad"], source="n3"),
+            make_line(2.1, "n3", "prompt:quarantine_begun", prompt_parts=["other"], source="n3"),
+            make_line(3.0, "n1", "request:quarantined", request_id="q", prompt_parts=["bad"]),
+            make_line(3.0, "n1", "request:finished", request_id="q", status=503, result="refused"),
+        ]
+    )
+    timeline = request_timeline.build_timeline(lines, "q")
+    assert [(line.node, line.event) for line in timeline] == [
+        ("n2", "endpoint:ended"),
+        ("n3", "prompt:quarantine_begun"),
+        ("n1", "request:quarantined"),
+        ("n1", "request:finished"),
+    ]
+    assert "engines crashed under ['bad']" in request_timeline.summarize_outcome(timeline, "q")
--- /dev/null
+++ b/src/lynxlanding/settings/tests/test_vm_settings.py
@@ -0,0 +1,32 @@
+import pytest
+
+from lynxlanding.errors import settings as settings_errors
+from lynxlanding.settings import loading, vm_settings
+
+VALID_SETTINGS = """
+node_id: n1
+data_centre: a
+store_address: "127.0.0.1:1"
+is_first_start: true
+listen: {callers: "127.0.0.1:2", readiness: "127.0.0.1:3", peers: "127.0.0.1:4"}
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "node.yaml"
+    path.write_text(text)
+    return loading.load(str(path), vm_settings.VmSettings)
+
+
+def test_parts_of_prompts_can_be_exempt(tmp_path):
+    settings = load(tmp_path, VALID_SETTINGS + 'requests: {exempt_prompt_parts: ["5C1E07a2"]}')
+    assert settings.requests.exempt_prompt_part_keys == {0x5C1E07A2}
+    assert load(tmp_path, VALID_SETTINGS).requests.exempt_prompt_part_keys == frozenset()
+
+
+@pytest.mark.parametrize("part_id", ["", "xyz", "0x5c", "1" * 17])
+def test_ids_that_are_no_parts_are_refused(tmp_path, part_id):
+    """Guards against an exemption that has no effect because of a typing error."""
+    with pytest.raises(settings_errors.SettingsError) as caught:
+        load(tmp_path, VALID_SETTINGS + f'requests: {{exempt_prompt_parts: ["{part_id}"]}}')
+    assert caught.value.path.startswith("requests.exempt_prompt_parts")
