Log when a node reaches no endpoint

The logs only said that single attempts found no connection. Two endpoints without a connection or an answer, and no new connection in between, now make the node connect to six of them at once; endpoints:unreachable and endpoints:reachable say what came of it, and a gauge. No request is decided differently.

--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -15,6 +15,8 @@
 CONNECT_TIMEOUT_S = 0.4
 # A request that may be sent to another endpoint waits for the check.
 CHECK_TIMEOUT_S = 0.1
+# Several endpoints are asked at the same time, so one lost packet does not matter.
+REACHABILITY_TIMEOUT_S = 0.25
 # Endpoints close idle connections, some of them earlier than they announce.
 MAX_IDLE_S = 8.0
 IDLE_MARGIN_S = 0.5
@@ -40,10 +42,13 @@
     ----------
     socket_options : list of tuple
         Socket options of every connection.
+    on_connected : callable, optional
+        Called without arguments whenever a new connection is established.
     """
 
-    def __init__(self, socket_options):
+    def __init__(self, socket_options, on_connected=lambda: None):
         self._socket_options = socket_options
+        self._on_connected = on_connected
         self._idle = {}
 
     def acquire(self, record, *, fresh):
@@ -80,6 +85,14 @@
             return True
         return True
 
+    def is_reachable(self, record):
+        """Return whether a new connection to an endpoint can be established."""
+        try:
+            self._connect(record, REACHABILITY_TIMEOUT_S).close()
+        except endpoint_errors.ConnectionRefused:
+            return False
+        return True
+
     def _connect(self, record, timeout_s):
         host, _, port = record.address.rpartition(":")
         connection = guarded_connection.GuardedConnection(
@@ -96,6 +109,7 @@
             ):
                 error_type = endpoint_errors.NotListening
             raise error_type(f"{record.address}: {e}") from e
+        self._on_connected()
         # AttemptMonitor enforces timeouts from here on. The connection's own timeout is cleared as
         # well, because urllib3 sets it on the socket again with each request.
         connection.timeout = None
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -42,6 +42,8 @@
         Refuses prompts that crash engines.
     crash_monitor : CrashMonitor
         Told of attempts that broke off.
+    reachability : Reachability
+        Told of endpoints that could not be reached or stayed silent.
     request_logger : RequestLogger
         Logs the decisions.
     """
@@ -56,6 +58,7 @@
         limit_table,
         part_guard,
         crash_monitor,
+        reachability,
         request_logger,
     ):
         self._request = request
@@ -66,6 +69,7 @@
         self._limit_table = limit_table
         self._part_guard = part_guard
         self._crash_monitor = crash_monitor
+        self._reachability = reachability
         self._request_logger = request_logger
         self._attempts = 0
         # Of the current attempt, in monotonic seconds.
@@ -375,6 +379,9 @@
 
     def _record_failure(self, record, error):
         """Record a failed attempt; return whether its endpoint has ended."""
+        is_silent = isinstance(error, endpoint_errors.AttemptTimedOut) and not self._responded_at
+        if is_silent or isinstance(error, endpoint_errors.ConnectionRefused):
+            self._reachability.record_failure(record.endpoint_id, time.monotonic())
         parts = self._request.metadata.prompt_parts
         return self._crash_monitor.record_failure(
             record, parts, error, self._sent_at, self._first_event_at
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -21,6 +21,7 @@
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import stream_aborted
+from lynxlanding.handover import reachability
 from lynxlanding.traffic import route as traffic_route
 
 SCHEDULE_COUNT = 1000
@@ -227,6 +228,7 @@
         limit_table.LimitTable("n0"),
         part_guard.PartGuard("n0"),
         FakeCrashMonitor(),
+        reachability.Reachability(now),
         CheckingLogger(),
     )
     return forwarder, endpoints, dispatcher
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -36,6 +36,8 @@
         Refuses prompts that crash engines.
     crash_monitor : CrashMonitor
         Told of attempts that broke off.
+    reachability : Reachability
+        Told of endpoints that could not be reached.
     logger : RequestLogger
         Logs decisions about requests.
     metrics : NodeMetrics
@@ -53,6 +55,7 @@
         limit_table,
         part_guard,
         crash_monitor,
+        reachability,
         logger,
         metrics,
     ):
@@ -65,6 +68,7 @@
         self._limit_table = limit_table
         self._part_guard = part_guard
         self._crash_monitor = crash_monitor
+        self._reachability = reachability
         self._request_logger = logger
         self._metrics = metrics
 
@@ -92,6 +96,7 @@
                 self._limit_table,
                 self._part_guard,
                 self._crash_monitor,
+                self._reachability,
                 self._request_logger,
             )
             reply = forwarder.forward()
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -28,6 +28,7 @@
 from lynxlanding.errors import settings as settings_errors
 from lynxlanding.fleet import registry as fleet_registry
 from lynxlanding.gateway import http_server
+from lynxlanding.handover import reachability, reachability_checker
 from lynxlanding.node import (
     configuration_handler,
     confirmation_checker,
@@ -107,7 +108,10 @@
         self._node_status = node_status.NodeStatus()
         self._log = bounded_log.BoundedLog()
         self._metrics = deferred_metrics.DeferredMetrics(settings.node_id, settings.data_centre)
-        self._pool = connection_pool.ConnectionPool(sockets.OPTIONS)
+        self._reachability = reachability.Reachability(time.monotonic())
+        self._pool = connection_pool.ConnectionPool(
+            sockets.OPTIONS, self._reachability.record_connected
+        )
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
         self._limit_table = limit_table.LimitTable(settings.node_id)
@@ -161,6 +165,13 @@
             self._change_feed.receive,
             self._random_state,
         )
+        self._reachability_checker = reachability_checker.ReachabilityChecker(
+            self._reachability,
+            self._pool,
+            self._get_usable_endpoints,
+            self._on_reachability_changed,
+            self._random_state,
+        )
         self._watchers = self._create_watchers()
         self._directory = node_directory.NodeDirectory(
             self._store, self._identity, self._peer_table, self._on_node_count
@@ -188,6 +199,7 @@
         self._report_transport.start()
         self._change_feed.start()
         self._group_controller.start()
+        self._reachability_checker.start()
         restarting_thread.start(self._run_maintenance, "upkeep")
         eliot.log_message(
             message_type=NODE_STARTED,
@@ -254,6 +266,7 @@
             self._limit_table,
             self._part_guard,
             self._crash_monitor,
+            self._reachability,
             request_logger.RequestLogger(self._node_status),
             self._metrics,
         )
@@ -283,6 +296,13 @@
     def _get_endpoint_records(self):
         return self._serving.records().get()
 
+    def _get_usable_endpoints(self):
+        records, _ = self._serving.records().get()
+        return [record for record in records.values() if record.accepts_requests]
+
+    def _on_reachability_changed(self, change):
+        del change
+
     def _get_store_nodes(self):
         return self._peer_table.store_node_ids(
             time.monotonic(), is_own_store_unavailable=self._store.is_unavailable
@@ -435,6 +455,11 @@
             "Endpoints that state how many requests a second they take.",
             lambda: len(self._limit_table.limited_ids),
         )
+        self._metrics.add_gauge(
+            "lynxlanding_endpoints_unreachable",
+            "1 while this node reaches no endpoint.",
+            lambda: int(self._reachability.is_cut),
+        )
         self._metrics.add_gauge(
             "lynxlanding_prompt_quarantines",
             "Sets of parts of prompts that are refused because engines have crashed under them.",
@@ -491,6 +516,7 @@
         )
         self._change_feed.stop()
         self._report_transport.stop()
+        self._reachability_checker.stop()
         self._directory.stop()
         for watcher in self._watchers:
             watcher.stop()
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -28,6 +28,8 @@
         "feed:followed",
         "feed:lost",
         "configuration:in_force",
+        "endpoints:unreachable",
+        "endpoints:reachable",
         "prompt:quarantine_begun",
         "prompt:quarantine_ended",
         "node:started",
@@ -149,7 +151,7 @@
 
 
 def _is_related(line, nodes, resource_names, models):
-    if line.event.startswith(("store:", "feed:", "node:", "configuration:")):
+    if line.event.startswith(("endpoints:", "store:", "feed:", "node:", "configuration:")):
         return line.node in nodes
     if line.event.startswith("endpoint:"):
         return line.node in nodes and line.fields.get("endpoint") in resource_names
