Reproduce nodes that are cut from all endpoints

The stand-in site serves each node at an address of its own, which it can cut off: connections hang, are reset and refused, or live on while new ones are refused.

--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -109,11 +109,13 @@
 @click.option("--engines", type=int, default=20, help="Engines, on the ports that follow.")
 @click.option("--plain", type=int, default=2, help="Endpoints of the plain service.")
 @click.option("--heartbeat-s", type=float, default=0.3, help="Between heartbeats of an endpoint.")
-def run_site(port, engines, plain, heartbeat_s):
+@click.option("--hosts", type=int, default=0, help="Further addresses, from 127.0.1.1 on.")
+def run_site(port, engines, plain, heartbeat_s, hosts):
     """Serve the users' platform: its store, engines that form groups, and a plain service."""
     ports = list(range(port, port + 1 + engines + plain))
     site = application.Site(ports, engines, heartbeat_s)
-    server = port_server.PortServer(site, ports)
+    addresses = [port_server.HOST, *(f"127.0.1.{number + 1}" for number in range(hosts))]
+    server = port_server.PortServer(site, ports, addresses)
     site.use_server(server)
     server.serve_ports()
 
--- a/src/lynxlanding_standins/port_server.py
+++ b/src/lynxlanding_standins/port_server.py
@@ -7,6 +7,8 @@
 import uvicorn
 
 HOST = "127.0.0.1"
+# Connections that fill the queue of a socket that listens and accepts none.
+QUEUE_FILLERS = 3
 
 
 class PortServer(uvicorn.Server):
@@ -18,9 +20,12 @@
         ASGI application.
     ports : list of int
         Ports on loopback.
+    hosts : sequence of str, optional
+        Loopback addresses, each with all ports. Callers that use an address each can be cut off
+        separately.
     """
 
-    def __init__(self, app, ports):
+    def __init__(self, app, ports, hosts=(HOST,)):
         config = uvicorn.Config(
             app,
             log_level="error",
@@ -31,39 +36,68 @@
             backlog=2048,
         )
         super().__init__(config)
-        self._ports = ports
+        self._addresses = [(host, port) for host in hosts for port in ports]
+        self._closed = set()
+        self._full_queues = {}
 
     def serve_ports(self):
         """Serve until the process is told to stop."""
-        self.run(sockets=[_listen(port) for port in self._ports])
+        self.run(sockets=[_listen(address) for address in self._addresses])
 
-    def reset_connections(self, port):
-        """Reset all connections that callers have opened to a port."""
+    def reset_connections(self, port, host=None):
+        """Reset all connections that callers have opened to a port, at one host or at all."""
         for connection in list(self.server_state.connections):
-            if connection.server is not None and connection.server[1] == port:
-                connection.transport.abort()
+            address = connection.server
+            if address is None or address[1] != port or host not in (None, address[0]):
+                continue
+            connection.transport.abort()
 
-    def close_port(self, port):
-        """Refuse new connections to a port and reset the open ones."""
-        self.servers[self._ports.index(port)].close()
-        self.reset_connections(port)
+    def close_port(self, port, host=None):
+        """Refuse new connections to a port, at one host or at all; open ones go on."""
+        for address in self._matching(port, host):
+            if address not in self._closed:
+                self._closed.add(address)
+                self.servers[self._addresses.index(address)].close()
 
-    async def open_port(self, port):
-        """Accept connections to a port that was closed."""
+    def fill_port(self, port, host):
+        """Let new connections to a port hang, as if their packets were lost."""
+        self.close_port(port, host)
+        listener = _listen((host, port))
+        listener.listen(0)
+        fillers = [listener]
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            filler.connect_ex((host, port))
+            fillers.append(filler)
+        self._full_queues[(host, port)] = fillers
+
+    async def open_port(self, port, host=None):
+        """Accept connections to a port that was closed or filled, at one host or at all."""
         factory = functools.partial(
             self.config.http_protocol_class,
             config=self.config,
             server_state=self.server_state,
             app_state=self.lifespan.state,
         )
-        server = await asyncio.get_running_loop().create_server(
-            factory, sock=_listen(port), backlog=self.config.backlog
-        )
-        self.servers[self._ports.index(port)] = server
+        for address in self._matching(port, host):
+            if address not in self._closed:
+                continue
+            for item in self._full_queues.pop(address, ()):
+                item.close()
+            self._closed.discard(address)
+            self.servers[
+                self._addresses.index(address)
+            ] = await asyncio.get_running_loop().create_server(
+                factory, sock=_listen(address), backlog=self.config.backlog
+            )
+
+    def _matching(self, port, host):
+        return [item for item in self._addresses if item[1] == port and host in (None, item[0])]
 
 
-def _listen(port):
+def _listen(address):
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((HOST, port))
+    listener.bind(address)
     return listener
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -5,7 +5,7 @@
 import time
 
 from lynxlanding_standins import asgi
-from lynxlanding_standins.site import engine, store
+from lynxlanding_standins.site import address_rewriter, engine, store
 
 # Heartbeats without one from an endpoint after which its entry is removed.
 SILENT_BEATS = 3
@@ -79,11 +79,18 @@
         elif scope["path"] == "/control":
             await self._control(receive, send)
         else:
-            await self._store.serve(scope, receive, send)
+            host = scope["server"][0]
+            await self._store.serve(
+                scope, receive, address_rewriter.AddressRewriter(send, host, self._endpoints)
+            )
 
     async def _control(self, receive, send):
         """Change faults and return the history."""
         order = json.loads(await asgi.read_body(receive) or b"{}")
+        for host, mode in order.get("cut", {}).items():
+            self._cut(host, mode)
+        for host in order.get("uncut", ()):
+            await self._end_cut(host)
         self._engines.crash_parts = order.get("crash_parts", self._engines.crash_parts)
         for endpoint in self._endpoints.values():
             self._control_endpoint(endpoint, order)
@@ -154,9 +161,27 @@
         self._history.append(("crash", "", endpoint.endpoint_id, time.monotonic()))
         endpoint.crash()
         self._server.close_port(endpoint.port)
+        self._server.reset_connections(endpoint.port)
         loop = asyncio.get_running_loop()
         self._restarts.add(loop.create_task(self._restart_later(endpoint, down_s)))
 
+    def _cut(self, host, mode):
+        """Cut a caller, which uses a host of its own, from all endpoints."""
+        for port in self._endpoints:
+            if mode == "hang":
+                self._engines.hung_hosts.add(host)
+                self._server.fill_port(port, host)
+                continue
+            self._server.close_port(port, host)
+            if mode == "reset":
+                self._server.reset_connections(port, host)
+
+    async def _end_cut(self, host):
+        self._engines.hung_hosts.discard(host)
+        for port, endpoint in self._endpoints.items():
+            if not endpoint.is_down:
+                await self._server.open_port(port, host)
+
     async def _restart_later(self, endpoint, down_s):
         await asyncio.sleep(down_s)
         endpoint.start(int(time.time() * 1000))
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -143,13 +143,16 @@
         # Seconds for which an endpoint is down that writes an answer on a part of a prompt, by id
         # of the part.
         self.crash_parts = {}
+        # Hosts whose callers get nothing more on the connections that they have.
+        self.hung_hosts = set()
         self._by_id = {item.endpoint_id: item for item in endpoints.values()}
 
     async def serve(self, port, scope, receive, send):
         """Serve one request at an endpoint."""
         endpoint = self._endpoints[port]
         body = await asgi.read_body(receive)
-        while endpoint.is_dark:
+        host = scope["server"][0]
+        while endpoint.is_dark or host in self.hung_hosts:
             await asyncio.sleep(0.05)
         expected = asgi.header(scope, b"x-expect-instance")
         if expected is not None and expected != endpoint.endpoint_id:
@@ -277,6 +280,8 @@
                         self._publish(endpoint)
                         return
                 await asyncio.sleep(EVENT_S)
+                while scope["server"][0] in self.hung_hosts:
+                    await asyncio.sleep(0.05)
                 event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
                 await send({"type": "http.response.body", "body": event, "more_body": True})
             await send({"type": "http.response.body", "body": b""})
--- a/tests/site_installation.py
+++ b/tests/site_installation.py
@@ -33,14 +33,20 @@
         Seconds between heartbeats of an endpoint.
     node_names : sequence of str, optional
         Names of the nodes, which are in the data centres in turn.
+    has_own_hosts : bool, optional
+        Whether each node reaches the site at an address of its own, so that it can be cut off.
     """
 
-    def __init__(self, running, engines, plain, heartbeat_s, node_names=NODES):
+    def __init__(self, running, engines, plain, heartbeat_s, node_names=NODES, has_own_hosts=False):
         self.running = running
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
         self.store_port = ports[0]
-        options = ("--engines", engines, "--plain", plain, "--heartbeat-s", heartbeat_s)
+        options = ["--engines", engines, "--plain", plain, "--heartbeat-s", heartbeat_s]
+        self.hosts = dict.fromkeys(node_names, "127.0.0.1")
+        if has_own_hosts:
+            options += ["--hosts", len(node_names)]
+            self.hosts = {name: f"127.0.1.{i + 1}" for i, name in enumerate(node_names)}
         running.start_standin("site", "site", "--port", self.store_port, *options)
         wait_for(self._is_site_up, "the site listens")
         self.nodes = {}
@@ -87,7 +93,7 @@
             f"""
 node_id: {name}
 data_centre: {data_centre}
-store_address: "127.0.0.1:{self.store_port}"
+store_address: "{self.hosts[name]}:{self.store_port}"
 is_first_start: true
 listen:
   callers: "127.0.0.1:{front}"
