--- a/src/lynxlanding/crashes/crash_monitor.py
+++ b/src/lynxlanding/crashes/crash_monitor.py
@@ -33,12 +33,15 @@
         Receives the evidence.
     on_ended : callable
         Called with the record of an endpoint whose process has ended, and the time.
+    is_cut : callable
+        Returns whether this node reaches no endpoint, so that a refused connection tells nothing.
     """
 
-    def __init__(self, pool, guard, on_ended):
+    def __init__(self, pool, guard, on_ended, is_cut=lambda: False):
         self._pool = pool
         self._guard = guard
         self._on_ended = on_ended
+        self._is_cut = is_cut
         self._tracker = end_tracker.EndTracker()
 
     def record_failure(self, record, prompt_parts, error, sent_at, begun_at):
@@ -59,8 +62,7 @@
         """
         now = time.monotonic()
         if isinstance(error, endpoint_errors.NotListening):
-            self._record_refused(record, now)
-            return True
+            return self._record_refused(record, now)
         # A leaving endpoint that ends does so on purpose.
         if not isinstance(error, _BREAKS) or record.is_leaving:
             return False
@@ -85,6 +87,8 @@
         self._guard.record_harmless(prompt_parts, begun_at, time.monotonic())
 
     def _record_refused(self, record, now):
+        if self._is_cut():
+            return False
         attempts = self._tracker.record_refused(record.endpoint_id, record.started_ms, now)
         if attempts:
             self._record_ended(record, attempts, now)
--- a/src/lynxlanding/dispatch/endpoint_health.py
+++ b/src/lynxlanding/dispatch/endpoint_health.py
@@ -83,6 +83,10 @@
         decay = math.exp(-(now - state.slowness_at) / SLOWNESS_DECAY_S)
         return 1.0 + (state.slowness - 1.0) * decay
 
+    def clear(self):
+        """Discard the state of all endpoints."""
+        self._states.clear()
+
     def forget(self, endpoint_id):
         """Discard the state of an endpoint that restarted or was removed."""
         self._states.pop(endpoint_id, None)
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -44,6 +44,8 @@
         Told of attempts that broke off.
     reachability : Reachability
         Told of endpoints that could not be reached or stayed silent.
+    peer_forwarder : PeerForwarder or None
+        Hands requests over to other nodes; None if the request comes from one.
     request_logger : RequestLogger
         Logs the decisions.
     """
@@ -59,6 +61,7 @@
         part_guard,
         crash_monitor,
         reachability,
+        peer_forwarder,
         request_logger,
     ):
         self._request = request
@@ -70,6 +73,7 @@
         self._part_guard = part_guard
         self._crash_monitor = crash_monitor
         self._reachability = reachability
+        self._peer_forwarder = peer_forwarder
         self._request_logger = request_logger
         self._attempts = 0
         # Of the current attempt, in monotonic seconds.
@@ -89,12 +93,31 @@
         errors.request.RequestError
             If the request is refused or has failed.
         """
-        while True:
+        while not self._should_hand_over():
             record, decision = self._choose()
             try:
                 return self._send_attempt(record, decision)
             except endpoint_errors.AttemptError as e:
-                self._handle_failure(record, e)
+                try:
+                    self._handle_failure(record, e)
+                except request_errors.RequestError as final_error:
+                    if not self._may_hand_over(final_error):
+                        raise
+        return self._peer_forwarder.begin(self._request, self._may_have_run).forward()
+
+    def _should_hand_over(self):
+        """Return whether another node is to serve the request because this one cannot."""
+        if self._peer_forwarder is None or not self._peer_forwarder.is_needed():
+            return False
+        time_left_s = self._request.deadline - time.monotonic()
+        if time_left_s < retry_rules.MIN_TIME_LEFT_S:
+            return False
+        return not self._may_have_run or self._request.route.is_idempotent
+
+    def _may_hand_over(self, error):
+        """Return whether a request that this node gives up may go to another one instead."""
+        has_caller_left = isinstance(error, request_errors.CallerDisconnected)
+        return not has_caller_left and self._should_hand_over()
 
     def _make_query(self, now):
         request = self._request
@@ -282,7 +305,7 @@
         if last_id is None:
             last_id = self._request.metadata.last_event_id
         buffer = event_buffer.EventBuffer(last_id)
-        first_events = self._read_first_events(response, buffer)
+        first_events = stream_relay.read_first_events(response, buffer)
         now = time.monotonic()
         self._first_event_at = now
         self._serving.record_first_event(
@@ -293,13 +316,6 @@
         relay = stream_relay.StreamRelay(self, record, response, buffer, first_events)
         return reply.Reply(response.status, headers, stream=relay)
 
-    def _read_first_events(self, response, buffer):
-        for events in stream_relay.read_events(response, buffer):
-            return events
-        if not buffer.is_empty:
-            raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
-        return b""
-
     def resume(self, record, error, last_id):
         """Return the ``Reply`` of another endpoint that resumes the stream after ``last_id``.
 
@@ -320,17 +336,29 @@
         if last_id is None:
             self._record_failure(record, error)
             raise request_errors.EndpointFailed("the stream broke without a position to resume at")
-        self._handle_failure(record, error)
-        while True:
-            next_record, decision = self._choose()
+        try:
+            self._handle_failure(record, error)
+            resumed = self._resume_here(last_id)
+        except request_errors.RequestError as e:
+            if not self._may_hand_over(e):
+                raise
+            resumed = None
+        if resumed is None:
+            handed_over = self._peer_forwarder.begin(self._request, self._may_have_run)
+            resumed = handed_over.forward(last_id)
+        if resumed.stream is None:
+            raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
+        return resumed
+
+    def _resume_here(self, last_id):
+        """Return the ``Reply`` of an endpoint; None if another node is to resume the stream."""
+        while not self._should_hand_over():
+            record, decision = self._choose()
             try:
-                resumed = self._send_attempt(next_record, decision, resume_after=last_id)
+                return self._send_attempt(record, decision, resume_after=last_id)
             except endpoint_errors.AttemptError as e:
-                self._handle_failure(next_record, e)
-                continue
-            if resumed.stream is None:
-                raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
-            return resumed
+                self._handle_failure(record, e)
+        return None
 
     def _may_abort(self, record):
         """Return whether a stalled attempt may be aborted in favour of another one."""
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -10,11 +10,14 @@
 FINISHED = "lynxlanding:request:finished"
 QUARANTINED = "lynxlanding:request:quarantined"
 TRIAL = "lynxlanding:request:trial"
+ACCEPTED = "lynxlanding:request:accepted_for_node"
 SENT_LATE = "lynxlanding:request:sent_late"
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
 LIMIT_MALFORMED = "lynxlanding:endpoint:limit_malformed"
 
+# A caller may set the header that names the sending node.
+MAX_SENDER_CHARACTERS = 64
 # Keeps log lines short; prompts have a few parts.
 MAX_LOGGED_PARTS = 16
 
@@ -80,6 +83,15 @@
             attempts=attempts,
         )
 
+    def log_accepted(self, request, sender, is_cut):
+        """Log a request that another node has handed over."""
+        eliot.log_message(
+            message_type=ACCEPTED,
+            request_id=request.metadata.request_id,
+            sender=sender[:MAX_SENDER_CHARACTERS],
+            is_cut=is_cut,
+        )
+
     def log_sent_late(self, request, record, delay_s):
         """Log that a connection was established long after the endpoint was selected."""
         eliot.log_message(
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -187,6 +187,10 @@
         if known is not None and known.started_ms == started_ms:
             self._dispatcher.health.record_ended(endpoint_id, now)
 
+    def forget_failures(self):
+        """Forget failures of endpoints that were due to this node's own connections."""
+        self._dispatcher.health.clear()
+
     def _update_candidates(self, changes):
         self._dispatcher.apply(changes)
         return changes
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -27,6 +27,21 @@
             yield events
 
 
+def read_first_events(response, buffer):
+    """Return the first complete events of a stream; empty if it has none.
+
+    Raises
+    ------
+    errors.endpoint.ResponseTruncated
+        If the stream ends inside an event.
+    """
+    for events in read_events(response, buffer):
+        return events
+    if not buffer.is_empty:
+        raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
+    return b""
+
+
 class StreamRelay:
     """Iterator over the events of a stream that fails over between endpoints.
 
@@ -62,8 +77,13 @@
 
     @property
     def upstream(self):
-        """Endpoint, response, buffer and first events, for the relay that continues with them."""
-        return self._record, self._response, self._buffer, self._first_events
+        """What the relay that continues with it needs: forwarder, endpoint, response, buffer."""
+        return self._forwarder, self._record, self._response, self._buffer
+
+    @property
+    def first_events(self):
+        """Events that have already been read."""
+        return self._first_events
 
     def _iterate(self):
         if self._first_events:
@@ -88,8 +108,8 @@
             reply = self._forwarder.resume(failed, error, self._buffer.last_id)
         except request_errors.RequestError as e:
             raise stream_aborted.StreamAborted(str(e)) from e
-        self._record, self._response, self._buffer, first_events = reply.stream.upstream
-        return first_events
+        self._forwarder, self._record, self._response, self._buffer = reply.stream.upstream
+        return reply.stream.first_events
 
     def _release(self):
         response = self._response
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -229,6 +229,7 @@
         part_guard.PartGuard("n0"),
         FakeCrashMonitor(),
         reachability.Reachability(now),
+        None,
         CheckingLogger(),
     )
     return forwarder, endpoints, dispatcher
@@ -542,3 +543,93 @@
     with pytest.raises(request_errors.PromptQuarantined):
         forwarder.forward()
     assert forwarder._client.runs == []
+
+
+class StubPeers:
+    """Stands in for the ``PeerForwarder``; serves what is handed over."""
+
+    def __init__(self, needed_after=0):
+        self.needed_after = needed_after
+        self.handed_over = []
+        self.asked = 0
+
+    def is_needed(self):
+        self.asked += 1
+        return self.asked > self.needed_after
+
+    def begin(self, request, may_have_run):
+        del request
+        self.handed_over.append(may_have_run)
+        return self
+
+    def forward(self, resume_after=None):
+        self.handed_over.append(resume_after)
+        return "reply of another node"
+
+
+class UnreachableEndpoints(EndingEndpoints):
+    """No connection is established."""
+
+    def send(self, record, *arguments, **options):
+        del arguments, options
+        self.runs.append(record.endpoint_id)
+        raise endpoint_errors.ConnectionRefused("timed out")
+
+
+def make_cut_forwarder(peers, route, client):
+    forwarder, _, _ = make_forwarder(1, route)
+    forwarder._peer_forwarder = peers
+    forwarder._client = client
+    return forwarder
+
+
+def test_node_that_is_cut_hands_over_at_once():
+    """Guards against callers that wait while this node finds out again what it knows."""
+    peers = StubPeers()
+    route = dispatch_factories.make_route(traffic_route.UNSAFE, 1)
+    forwarder = make_cut_forwarder(peers, route, UnreachableEndpoints())
+    assert forwarder.forward() == "reply of another node"
+    assert forwarder._client.runs == []
+
+
+def test_request_in_whose_attempts_the_cut_is_found_is_handed_over():
+    peers = StubPeers(needed_after=2)
+    route = dispatch_factories.make_route(traffic_route.UNSAFE, 1)
+    forwarder = make_cut_forwarder(peers, route, UnreachableEndpoints())
+    assert forwarder.forward() == "reply of another node"
+    assert len(forwarder._client.runs) == 2
+    assert peers.handed_over == [0, None]
+
+
+def test_unsafe_request_that_may_have_run_is_not_handed_over():
+    """Guards against a second run at another node."""
+    peers = StubPeers(needed_after=1)
+    route = dispatch_factories.make_route(traffic_route.UNSAFE, 1)
+    forwarder = make_cut_forwarder(peers, route, EndingEndpoints())
+    with pytest.raises(request_errors.EndpointFailed):
+        forwarder.forward()
+    assert peers.handed_over == []
+
+
+def test_request_of_another_node_is_not_handed_over_again():
+    """Guards against requests that go round between nodes."""
+    route = dispatch_factories.make_route(traffic_route.SAFE, 1)
+    forwarder = make_cut_forwarder(None, route, UnreachableEndpoints())
+    with pytest.raises(request_errors.Overloaded):
+        forwarder.forward()
+
+
+def test_stream_that_breaks_in_the_cut_is_resumed_by_another_node():
+    class ResumingPeers(StubPeers):
+        def forward(self, resume_after=None):
+            self.handed_over.append(resume_after)
+            return type("Reply", (), {"stream": "stream of another node"})
+
+    peers = ResumingPeers()
+    forwarder = make_cut_forwarder(peers, dispatch_factories.make_route(), UnreachableEndpoints())
+    forwarder._attempts = forwarder._may_have_run = 1
+    record = dispatch_factories.make_head(0)
+    reply = forwarder.resume(record, endpoint_errors.ConnectionBroken("reset"), last_id=3)
+    assert reply.stream == "stream of another node"
+    assert peers.handed_over == [1, 3]
+    assert forwarder._client.runs == []
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -1,14 +1,18 @@
 """WSGI application that forwards callers' requests to endpoints."""
 
+import dataclasses
 import logging
 import time
 
 from lynxlanding.dispatch import request_forwarder, request_logger
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import json_response, stream_aborted, strict_parser
+from lynxlanding.handover import peer_forwarder
 
 _logger = logging.getLogger(__name__)
 
+# Retry-After of a node that reaches no endpoint, for a node that has just asked it.
+CUT_RETRY_AFTER_S = 0.5
 # Statuses after which callers may send the same request again; sent with Retry-After.
 _RETRYABLE_STATUSES = (429, 503)
 
@@ -38,6 +42,8 @@
         Told of attempts that broke off.
     reachability : Reachability
         Told of endpoints that could not be reached.
+    peers : PeerForwarder
+        Hands requests over to other nodes.
     logger : RequestLogger
         Logs decisions about requests.
     metrics : NodeMetrics
@@ -56,6 +62,7 @@
         part_guard,
         crash_monitor,
         reachability,
+        peers,
         logger,
         metrics,
     ):
@@ -69,6 +76,7 @@
         self._part_guard = part_guard
         self._crash_monitor = crash_monitor
         self._reachability = reachability
+        self._peers = peers
         self._request_logger = logger
         self._metrics = metrics
 
@@ -84,9 +92,12 @@
                 raise request_errors.NodeStopping("the node is shutting down", retry_after_s=0.0)
             request = self._reader.read(environ, decoded_headers, received_at)
             record.set_request(request)
-            self._serving.record_request(
-                request.service, request.metadata.model, request.work, received_at
-            )
+            request, sender = self._accept_handed_over(request)
+            if sender is not None or not self._peers.is_needed():
+                # Otherwise the node that serves the request counts it.
+                self._serving.record_request(
+                    request.service, request.metadata.model, request.work, received_at
+                )
             forwarder = request_forwarder.RequestForwarder(
                 request,
                 self._serving,
@@ -97,6 +108,7 @@
                 self._part_guard,
                 self._crash_monitor,
                 self._reachability,
+                self._peers if sender is None else None,
                 self._request_logger,
             )
             reply = forwarder.forward()
@@ -118,6 +130,30 @@
             if not is_stream:
                 self._node_status.end_request()
 
+    def _accept_handed_over(self, request):
+        """Return a request without the mark of another node, and that node's id or None.
+
+        Raises
+        ------
+        errors.request.NoEndpoint
+            If this node reaches no endpoint either.
+        """
+        sender = None
+        headers = []
+        for name, value in request.headers:
+            if name.lower() == peer_forwarder.HANDED_OVER_BY.lower():
+                sender = value
+            else:
+                headers.append((name, value))
+        if sender is None:
+            return request, None
+        self._request_logger.log_accepted(request, sender, self._reachability.is_cut)
+        if self._reachability.is_cut:
+            raise request_errors.NoEndpoint(
+                "this node reaches no endpoint", retry_after_s=CUT_RETRY_AFTER_S
+            )
+        return dataclasses.replace(request, headers=headers), sender
+
     def _response_headers(self, reply):
         headers = list(reply.headers)
         if reply.body is not None:
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -28,7 +28,7 @@
 from lynxlanding.errors import settings as settings_errors
 from lynxlanding.fleet import registry as fleet_registry
 from lynxlanding.gateway import http_server
-from lynxlanding.handover import reachability, reachability_checker
+from lynxlanding.handover import peer_forwarder, reachability, reachability_checker
 from lynxlanding.node import (
     configuration_handler,
     confirmation_checker,
@@ -119,21 +119,40 @@
             settings.node_id, settings.requests.exempt_prompt_part_keys
         )
         self._crash_monitor = crash_monitor.CrashMonitor(
-            self._pool, self._part_guard, self._on_endpoint_ended
+            self._pool,
+            self._part_guard,
+            self._on_endpoint_ended,
+            lambda: self._reachability.is_cut,
         )
         self._peer_view = peer_view.PeerView(self._stall_tracker)
         self._identity = peer_identity.PeerIdentity(
-            settings.node_id, time.time_ns(), settings.listen.peers, settings.data_centre
+            settings.node_id,
+            time.time_ns(),
+            settings.listen.peers,
+            settings.data_centre,
+            settings.listen.callers,
         )
         self._peer_table = peer_table.PeerTable(settings.node_id)
         self._serving = self._start_serving_actor().proxy()
+        self._peer_pool = connection_pool.ConnectionPool(sockets.OPTIONS)
+        self._peer_forwarder = peer_forwarder.PeerForwarder(
+            settings.node_id,
+            self._reachability,
+            self._get_helpers,
+            endpoint_client.EndpointClient(
+                self._peer_pool, self._monitor, request_headers, stall_tracker.StallTracker()
+            ),
+            request_headers,
+            self._serving,
+            self._random_state,
+        )
         self._store = object_client.PlatformObjectStore(settings.store_address)
         self._group_controller = group_controller.GroupController(
             settings.node_id,
             self._store,
             engine_client.PlatformEngineClient(),
             self._get_endpoint_records,
-            self._get_store_nodes,
+            self._get_planning_nodes,
             self._has_traffic,
             self._get_stalled_endpoints,
             self._get_busy_groups,
@@ -267,6 +286,7 @@
             self._part_guard,
             self._crash_monitor,
             self._reachability,
+            self._peer_forwarder,
             request_logger.RequestLogger(self._node_status),
             self._metrics,
         )
@@ -301,7 +321,19 @@
         return [record for record in records.values() if record.accepts_requests]
 
     def _on_reachability_changed(self, change):
-        del change
+        self._group_controller.wake()
+        if not change.is_cut:
+            self._serving.forget_failures()
+
+    def _get_helpers(self):
+        return self._peer_table.helpers(time.monotonic())
+
+    def _get_planning_nodes(self):
+        return self._peer_table.planning_node_ids(
+            time.monotonic(),
+            is_own_store_unavailable=self._store.is_unavailable,
+            is_own_cut=self._reachability.is_cut,
+        )
 
     def _get_store_nodes(self):
         return self._peer_table.store_node_ids(
@@ -344,9 +376,12 @@
 
     def _build_local_state(self):
         now = time.monotonic()
+        is_cut = self._reachability.is_cut
+        status = self._node_status
         return local_state.LocalState(
             self._serving.own_load().get(),
-            self._stall_tracker.own_stalled(now),
+            # What a node that is cut from all endpoints sees says nothing about them.
+            frozenset() if is_cut else self._stall_tracker.own_stalled(now),
             self._node_status.configuration_version or 0,
             self._node_status.has_traffic or self._peer_view.has_traffic,
             self._serving.busy_groups(now).get(),
@@ -357,6 +392,8 @@
             self._part_guard.statements_to_report(now),
             self._part_guard.own_changes,
             self._part_guard.urgent_changes,
+            status.is_ready and not status.refuses_requests and not is_cut,
+            is_cut,
         )
 
     def _on_peer_report(self, report, now):
@@ -400,6 +437,7 @@
             self._update_quarantines(now)
             self._confirmation_checker.check_all()
             self._pool.close_expired(now)
+            self._peer_pool.close_expired(now)
             records, _ = self._serving.records().get()
             self._peer_view.set_endpoint_ids(records)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
@@ -460,6 +498,11 @@
             "1 while this node reaches no endpoint.",
             lambda: int(self._reachability.is_cut),
         )
+        self._metrics.add_gauge(
+            "lynxlanding_requests_handed_over",
+            "Requests that other nodes were asked to serve, since the start of the process.",
+            lambda: self._peer_forwarder.total,
+        )
         self._metrics.add_gauge(
             "lynxlanding_prompt_quarantines",
             "Sets of parts of prompts that are refused because engines have crashed under them.",
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -36,6 +36,10 @@
         Number of changes of the latter, of which peers should hear soon.
     urgent_changes : int
         Number of changes that all peers should hear of at once.
+    takes_requests : bool
+        Whether this node takes requests of nodes that reach no endpoint.
+    is_cut : bool
+        Whether this node itself reaches no endpoint.
     """
 
     loads: dict[str, int]
@@ -50,3 +54,5 @@
     prompts: statements.PromptStatements
     prompt_changes: int
     urgent_changes: int
+    takes_requests: bool
+    is_cut: bool
--- a/src/lynxlanding/peers/peer_identity.py
+++ b/src/lynxlanding/peers/peer_identity.py
@@ -18,9 +18,12 @@
         ``host:port`` at which the node receives reports over UDP.
     data_centre : str
         Data centre of the node.
+    callers_address : str
+        ``host:port`` at which the node takes callers' requests.
     """
 
     node_id: str
     incarnation: int
     address: str
     data_centre: str
+    callers_address: str = ""
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -78,4 +78,10 @@
   # Parts of prompts on which the sender has got answers lately.
   harmless @13 :List(PartTime);
   quarantines @14 :List(Quarantine);
+  # host:port at which the sender takes callers' requests.
+  callersAddress @15 :Text;
+  # Whether the sender takes requests of nodes that reach no endpoint.
+  takesRequests @16 :Bool;
+  # Whether the sender itself reaches no endpoint.
+  isCut @17 :Bool;
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -60,6 +60,12 @@
         Limits that endpoints have stated to the sender.
     prompts : PromptStatements
         Ends of endpoints and parts of prompts; times are relative to the sending of the report.
+    callers_address : str
+        ``host:port`` at which the sender takes callers' requests.
+    takes_requests : bool
+        Whether the sender takes requests of nodes that reach no endpoint.
+    is_cut : bool
+        Whether the sender itself reaches no endpoint.
     """
 
     node_id: str
@@ -75,3 +81,6 @@
     is_store_unavailable: bool = False
     limits: tuple[ReportedLimit, ...] = ()
     prompts: statements.PromptStatements = statements.PromptStatements()
+    callers_address: str = ""
+    takes_requests: bool = False
+    is_cut: bool = False
--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lynxlanding.handover import helper_choice
+
 # A node without a report for this long is not counted as live. Nodes send a report at least every
 # 0.4 s, and datagrams may be lost.
 LIVENESS_TIMEOUT_S = 1.3
@@ -31,6 +33,14 @@
         Version of the configuration in the last report.
     is_store_unavailable : bool
         Whether the store refused or did not answer the node as of the last report.
+    callers_address : str
+        ``host:port`` at which the node takes callers' requests.
+    takes_requests : bool
+        Whether the node takes requests of nodes that reach no endpoint.
+    is_cut : bool
+        Whether the node itself reaches no endpoint.
+    requests : int
+        Requests in flight from the node to endpoints.
     """
 
     node_id: str
@@ -41,6 +51,10 @@
     last_listed_at: float = 0.0
     configuration_version: int = 0
     is_store_unavailable: bool = False
+    callers_address: str = ""
+    takes_requests: bool = False
+    is_cut: bool = False
+    requests: int = 0
 
 
 class PeerTable:
@@ -94,6 +108,10 @@
         peer.address = report.address
         peer.configuration_version = report.configuration_version
         peer.is_store_unavailable = report.is_store_unavailable
+        peer.callers_address = report.callers_address
+        peer.takes_requests = report.takes_requests
+        peer.is_cut = report.is_cut
+        peer.requests = sum(report.loads.values())
         peer.last_report_at = now
         return True
 
@@ -118,6 +136,30 @@
                 nodes.append(node_id)
         return nodes or self.live_node_ids(now)
 
+    def planning_node_ids(self, now, *, is_own_store_unavailable, is_own_cut):
+        """Return the nodes that plan groups: those with a store that reach endpoints, if any."""
+        store_nodes = self.store_node_ids(now, is_own_store_unavailable=is_own_store_unavailable)
+        nodes = []
+        for node_id in store_nodes:
+            peer = self._peers.get(node_id)
+            is_cut = is_own_cut if peer is None else peer.is_cut
+            if not is_cut:
+                nodes.append(node_id)
+        return nodes or store_nodes
+
+    def helpers(self, now):
+        """Return the live nodes that take requests of others, as ``Helper`` objects."""
+        found = []
+        for peer in self._peers.values():
+            if not peer.takes_requests or not peer.callers_address or peer.last_report_at is None:
+                continue
+            age_s = now - peer.last_report_at
+            if age_s <= LIVENESS_TIMEOUT_S:
+                found.append(
+                    helper_choice.Helper(peer.node_id, peer.callers_address, peer.requests, age_s)
+                )
+        return found
+
     def target_addresses(self, now):
         """Return the addresses to send reports to; drop the peers that have expired."""
         addresses = []
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -54,6 +54,9 @@
             limits[index].limitPerS = limit.limit_per_s or 0.0
             limits[index].ageMs = limit.age_ms
         prompt_codec.encode(message, report.prompts)
+        message.callersAddress = report.callers_address
+        message.takesRequests = report.takes_requests
+        message.isCut = report.is_cut
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -89,6 +92,9 @@
                 message.isStoreUnavailable,
                 tuple(_decode_limit(item) for item in message.limits),
                 prompt_codec.decode(message),
+                message.callersAddress,
+                message.takesRequests,
+                message.isCut,
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -114,6 +114,9 @@
                 state.is_store_unavailable,
                 make_reported_limits(state.limits, now),
                 state.prompts.shift(-now),
+                self._identity.callers_address,
+                state.takes_requests,
+                state.is_cut,
             )
         )
         targets = self._table.target_addresses(now) if to_all else self._next_targets(now)
@@ -199,4 +202,6 @@
         state.limit_changes,
         state.prompt_changes,
         state.urgent_changes,
+        state.takes_requests,
+        state.is_cut,
     )
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -161,3 +161,34 @@
         ends.append(statements.EndStatement(key, 7, 10.0, {}))
     tracker.record_event("e1", 10.05)
     assert view.resolve_ends(statements.PromptStatements(tuple(ends))) == [("e0", 7)]
+
+
+def make_helper_report(node_id, **fields):
+    return peer_report.PeerReport(
+        node_id, 1, 1, "127.0.0.1:1", 1, {1: 2, 2: 3}, callers_address="127.0.0.1:9", **fields
+    )
+
+
+def test_live_nodes_that_reach_endpoints_help_the_others():
+    """Guards against requests that go to nodes that are cut, stopping or gone."""
+    table = peer_table.PeerTable("n1")
+    table.record_report(make_helper_report("n2", takes_requests=True), 0.0)
+    table.record_report(make_helper_report("n3", is_cut=True), 0.0)
+    table.record_report(make_report("n4", takes_requests=True), 0.0)
+    helpers = table.helpers(0.5)
+    assert [(item.node_id, item.address, item.requests) for item in helpers] == [
+        ("n2", "127.0.0.1:9", 5)
+    ]
+    assert table.helpers(peer_table.LIVENESS_TIMEOUT_S + 0.1) == []
+
+
+def test_nodes_that_reach_no_endpoint_plan_no_groups():
+    """Guards against groups that are given up because their planner is cut off."""
+    table = peer_table.PeerTable("n1")
+    table.record_report(make_helper_report("n2"), 0.0)
+    table.record_report(make_helper_report("n3", is_cut=True), 0.0)
+    options = {"is_own_store_unavailable": False}
+    assert table.planning_node_ids(0.1, is_own_cut=False, **options) == ["n1", "n2"]
+    assert table.planning_node_ids(0.1, is_own_cut=True, **options) == ["n2"]
+    alone = peer_table.PeerTable("n1")
+    assert alone.planning_node_ids(0.1, is_own_cut=True, **options) == ["n1"]
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -132,6 +132,29 @@
     return forwarded
 
 
+def encode_handed_over_headers(headers, time_left_s, last_event_id):
+    """Return the headers of a request that another node is asked to serve.
+
+    They are the caller's, with its credentials, except for those of the connection, the time left
+    and the position in a stream.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        The caller's headers.
+    time_left_s : float
+        Time until the caller's deadline.
+    last_event_id : int or None
+        Last event that the caller has received, if a stream is resumed.
+    """
+    encoded = encode_forwarded_headers(headers, "", time_left_s, None, None, last_event_id)
+    kept = [(name, value) for name, value in encoded if name != EXPECT_INSTANCE]
+    for name, value in headers:
+        if name.lower() == "authorization":
+            kept.append((name, value))
+    return kept
+
+
 def decode_response(headers):
     """Return the ``ResponseMetadata`` decoded from a response's headers."""
     values = _index_last_values(headers)
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -132,3 +132,14 @@
     parts = request_headers.decode_request(headers).prompt_parts
     assert len(set(parts)) == 3
     assert max(parts) < 1 << 64
+
+
+def test_request_for_another_node_keeps_the_callers_key_and_nothing_of_the_connection():
+    encoded = request_headers.encode_handed_over_headers(REQUEST_HEADERS, 1.5, 20)
+    values = dict(encoded)
+    assert values["Authorization"] == "Bearer key"
+    assert values["X-Deadline-Ms"] == "1500"
+    assert values["Last-Event-Id"] == "20"
+    assert not {"X-Expect-Instance", "X-Tenant", "X-Hop", "Connection"} & values.keys()
+    kept = dict(request_headers.encode_handed_over_headers(REQUEST_HEADERS, 1.5, None))
+    assert kept["Last-Event-Id"] == "12"
