Split the handover of one request from the choice of nodes

No change of behaviour. A request at other nodes and the selection and counting of nodes were in one file of 330 lines, which reached into each other's attributes.

--- a/src/lynxlanding/dispatch/tests/test_connection_pool.py
+++ b/src/lynxlanding/dispatch/tests/test_connection_pool.py
@@ -11,6 +11,7 @@
 from lynxlanding.dispatch import connection_pool
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.platform import sockets
 from lynxlanding.transport import guarded_connection
 
 
@@ -85,3 +86,14 @@
 
     monkeypatch.setattr(guarded_connection.GuardedConnection, "connect", connect)
     assert connection_pool.ConnectionPool([]).is_listening(make_record_at(1))
+
+
+def test_no_user_timeout_shortens_the_keep_alive_probes():
+    """Guards against a library that sets one: it decides when probes give up, not their number."""
+    pool = connection_pool.ConnectionPool(sockets.OPTIONS)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        record = make_record_at(listener.getsockname()[1])
+        connection, _ = pool.acquire(record, fresh=True)
+        user_timeout_ms = connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        connection.close()
+    assert user_timeout_ms == 0
--- a/src/lynxlanding/handover/tests/test_peer_forwarder.py
+++ b/src/lynxlanding/handover/tests/test_peer_forwarder.py
@@ -11,7 +11,12 @@
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import stream_aborted
-from lynxlanding.handover import helper_choice, peer_forwarder, reachability
+from lynxlanding.handover import (
+    handed_over_request,
+    helper_choice,
+    peer_forwarder,
+    reachability,
+)
 from lynxlanding.platform import request_headers
 from lynxlanding.traffic import route as traffic_route
 
@@ -118,7 +123,7 @@
     assert (reply.status, reply.body) == (200, b"whole")
     _, headers, is_fresh = client.calls[0]
     assert headers["Authorization"] == "Bearer key"
-    assert headers[peer_forwarder.HANDED_OVER_BY] == "own"
+    assert headers[handed_over_request.HANDED_OVER_BY] == "own"
     assert 5000 < int(headers["X-Deadline-Ms"]) < 6000
     assert "X-Expect-Instance" not in headers
     assert is_fresh, "a kept connection may close while the request is being sent"
@@ -136,7 +141,7 @@
         forward(peers, make_request())
     assert refusal.value.executed == "no"
     assert refusal.value.retry_after_s == 0.4
-    assert len(client.calls) == peer_forwarder.MAX_HELPERS
+    assert len(client.calls) == handed_over_request.MAX_HELPERS
 
 
 def test_unsafe_request_is_not_sent_again_after_a_lost_answer():
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -7,7 +7,7 @@
 from lynxlanding.dispatch import request_forwarder, request_logger
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import json_response, stream_aborted, strict_parser
-from lynxlanding.handover import peer_forwarder
+from lynxlanding.handover import handed_over_request
 
 _logger = logging.getLogger(__name__)
 
@@ -141,7 +141,7 @@
         sender = None
         headers = []
         for name, value in request.headers:
-            if name.lower() == peer_forwarder.HANDED_OVER_BY.lower():
+            if name.lower() == handed_over_request.HANDED_OVER_BY.lower():
                 sender = value
             else:
                 headers.append((name, value))
