Share the callers of the tests with processes

No check changes. tests/test_crashing_parts.py and tests/test_cut_nodes.py each had callers in threads, a way to send streams and the wait for open groups.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,16 +1,14 @@
 """Prompts with a part that crashes engines: nodes as processes, under sound requests."""
 
 import dataclasses
-import http.client
 import itertools
 import os
-import threading
 import time
 
 import pytest
 
 from lynxlanding_bench import processes
-from tests import crash_checker, site_installation
+from tests import calling_installation, crash_checker
 
 # More nodes and engines than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_CRASH_TEST_NODES", "9"))
@@ -33,72 +31,40 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Response:
-    """What a caller got; times in monotonic seconds."""
+    """What a caller got; time in monotonic seconds."""
 
     sent_at: float
-    duration_s: float
-    request_id: str
     status: int
     is_whole: bool
 
 
-class Installation(site_installation.SiteInstallation):
+class Installation(calling_installation.CallingInstallation):
     """The site, its nodes, and callers of sound and of bad requests."""
 
     def __init__(self, running):
         super().__init__(running, ENGINES, 1, HEARTBEAT_S, NODES)
-        self._stop = threading.Event()
-        self._callers = []
         self._numbers = itertools.count()
         self.sound = []
         self.bad = []
 
     def start_callers(self, count, per_s, parts, responses, kind):
         """Start callers of requests with ``parts()`` and a part of their own in their prompts."""
+        interval_s = count / per_s
         for number in range(count):
-            caller = threading.Thread(
-                target=self._call_in_a_loop, args=(number, count / per_s, parts, responses, kind)
+            self.start_caller(
+                lambda: responses.append(self._call(parts, kind)),
+                interval_s,
+                interval_s * number / count,
             )
-            caller.start()
-            self._callers.append(caller)
-
-    def stop(self):
-        self._stop.set()
-        for caller in self._callers:
-            caller.join()
-
-    def _call_in_a_loop(self, number, interval_s, parts, responses, kind):
-        time.sleep(interval_s * number / max(1, SOUND_CALLERS))
-        while not self._stop.is_set():
-            started_at = time.monotonic()
-            count = next(self._numbers)
-            node = NODES[(number + count) % len(NODES)]
-            prefix = ",".join([*parts(count), f"f{count:x}:460"])
-            responses.append(self._call(node, f"{kind}-{count}", prefix))
-            self._stop.wait(max(0.0, interval_s - (time.monotonic() - started_at)))
-
-    def _call(self, node, request_id, prefix):
+
+    def _call(self, parts, kind):
+        count = next(self._numbers)
+        prefix = ",".join([*parts(count), f"f{count:x}:460"])
         sent_at = time.monotonic()
-        connection = http.client.HTTPConnection("127.0.0.1", self.nodes[node][0], timeout=6)
-        headers = {
-            **site_installation.CALLER_HEADERS,
-            "X-Request-Id": request_id,
-            "X-Model": "small",
-            "X-Token-Counts": "700,60",
-            "X-Prompt-Prefix": prefix,
-        }
-        status = 0
-        is_whole = False
-        try:
-            connection.request("POST", "/chat/x", b"prompt", headers)
-            response = connection.getresponse()
-            status = response.status
-            is_whole = status == 200 and response.read().count(b"\n\n") == EVENTS
-        except (OSError, http.client.HTTPException):
-            is_whole = False
-        finally:
-            connection.close()
-        return Response(sent_at, time.monotonic() - sent_at, request_id, status, is_whole)
+        status, is_whole = self.stream(
+            NODES[count % len(NODES)], f"{kind}-{count}", EVENTS, {"X-Prompt-Prefix": prefix}
+        )
+        return Response(sent_at, status, is_whole)
 
     def bad_runs(self):
         found = []
@@ -126,14 +92,7 @@
     with processes.Processes(tmp_path) as running:
         installation = Installation(running)
         installation.wait_ready()
-
-        def count_heads():
-            groups = [item for item in installation.control()["groups"] if item["state"] == "open"]
-            return len({item["members"][0] for item in groups if len(item["members"]) == 2})
-
-        site_installation.wait_for(lambda: count_heads() >= 4, "groups are open")
-        # Surplus groups have retired by then.
-        time.sleep(3.0)
+        installation.wait_for_small_groups(4)
         yield installation
         installation.stop()
 
--- a/tests/test_cut_nodes.py
+++ b/tests/test_cut_nodes.py
@@ -1,15 +1,14 @@
 """Nodes that are cut from all endpoints, which their callers and the other nodes still reach."""
 
 import dataclasses
-import http.client
+import itertools
 import os
-import threading
 import time
 
 import pytest
 
 from lynxlanding_bench import processes
-from tests import cut_checker, site_installation
+from tests import calling_installation, cut_checker
 
 # More nodes than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_CUT_TEST_NODES", "9"))
@@ -39,27 +38,20 @@
     is_whole: bool
 
 
-class Installation(site_installation.SiteInstallation):
+class Installation(calling_installation.CallingInstallation):
     """The site, its nodes, and some callers for each node."""
 
     def __init__(self, running):
         super().__init__(running, ENGINES, PLAIN, HEARTBEAT_S, NODES, has_own_hosts=True)
-        self._interval_s = len(NODES) * CALLERS_PER_NODE / REQUESTS_PER_S
-        self._stop = threading.Event()
-        self._callers = []
+        self._numbers = itertools.count()
         self.responses = []
 
     def start_callers(self):
+        interval_s = len(NODES) * CALLERS_PER_NODE / REQUESTS_PER_S
         for name in self.nodes:
             for number in range(CALLERS_PER_NODE):
-                caller = threading.Thread(target=self._call_in_a_loop, args=(name, number))
-                caller.start()
-                self._callers.append(caller)
-
-    def stop(self):
-        self._stop.set()
-        for caller in self._callers:
-            caller.join()
+                delay_s = interval_s * number / CALLERS_PER_NODE
+                self.start_caller(lambda name=name: self._call(name), interval_s, delay_s)
 
     def runs(self):
         """Return the endpoints that have run each request."""
@@ -69,42 +61,22 @@
                 found.setdefault(request_id, []).append(endpoint_id)
         return found
 
-    def _call_in_a_loop(self, name, number):
-        time.sleep(self._interval_s * number / CALLERS_PER_NODE)
-        count = number
-        while not self._stop.is_set():
-            count += 1
-            started_at = time.monotonic()
-            kind = KINDS[count % len(KINDS)]
-            self.responses.append(self._call(name, f"{name}-{number}-{count}", kind))
-            self._stop.wait(max(0.0, self._interval_s - (time.monotonic() - started_at)))
-
-    def _call(self, name, request_id, kind):
+    def _call(self, node):
+        count = next(self._numbers)
+        request_id = f"{node}-{count}"
+        kind = KINDS[count % len(KINDS)]
         sent_at = time.monotonic()
-        connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name][0], timeout=5)
-        headers = {**site_installation.CALLER_HEADERS, "X-Request-Id": request_id}
-        status = 0
-        is_whole = False
-        try:
-            if kind == "stream":
-                headers.update({"X-Model": "small", "X-Token-Counts": "700,60"})
-                connection.request("POST", "/chat/x", b"prompt", headers)
-            elif kind == "unsafe":
-                connection.request("POST", "/book/x", b"booking", headers)
-            else:
-                connection.request("GET", "/look/x", headers=headers)
-            response = connection.getresponse()
-            status = response.status
-            body = response.read()
-            is_whole = status == 200 and response.headers["X-Response-Seal"] == "seal"
-            if kind == "stream":
-                is_whole = is_whole and body.count(b"\n\n") == EVENTS
-        except (OSError, http.client.HTTPException):
-            is_whole = False
-        finally:
-            connection.close()
+        if kind == "stream":
+            status, is_whole = self.stream(node, request_id, EVENTS)
+        else:
+            line = ("POST", "/book/x") if kind == "unsafe" else ("GET", "/look/x")
+            body = b"booking" if kind == "unsafe" else None
+            status, headers, _ = self.send(node, *line, request_id, body)
+            is_whole = status == 200 and headers["X-Response-Seal"] == "seal"
         duration_s = time.monotonic() - sent_at
-        return Response(sent_at, duration_s, name, request_id, kind, status, is_whole)
+        self.responses.append(
+            Response(sent_at, duration_s, node, request_id, kind, status, is_whole)
+        )
 
 
 @pytest.fixture(scope="module")
@@ -112,14 +84,7 @@
     with processes.Processes(tmp_path_factory.mktemp("cut")) as running:
         installation = Installation(running)
         installation.wait_ready()
-
-        def count_heads():
-            groups = [item for item in installation.control()["groups"] if item["state"] == "open"]
-            return len({item["members"][0] for item in groups if len(item["members"]) == 2})
-
-        site_installation.wait_for(lambda: count_heads() >= 4, "groups are open")
-        # Surplus groups have retired by then.
-        time.sleep(3.0)
+        installation.wait_for_small_groups(4)
         installation.start_callers()
         time.sleep(OBSERVED_BEFORE_S)
         yield installation
