--- a/src/lynxlanding/crashes/part_guard.py
+++ b/src/lynxlanding/crashes/part_guard.py
@@ -94,7 +94,6 @@
         self._changes = []
         self._report_at = {}
         self._heard_from = {}
-        self._own_changes = 0
         self._urgent_changes = 0
         self._evaluated_version = 0
         self._evaluated_until = 0.0
@@ -107,7 +106,7 @@
     @property
     def own_changes(self):
         """Number of changes that peers should hear of soon."""
-        return self._own_changes + self._evidence.changes
+        return self._evidence.changes
 
     @property
     def urgent_changes(self):
