--- a/src/lynxlanding/crashes/suspicion.py
+++ b/src/lynxlanding/crashes/suspicion.py
@@ -5,6 +5,8 @@
 ENDS_TO_NAME = 3
 # The same for a part with which answers were written without harm before.
 ENDS_TO_NAME_HARMLESS = 4
+# Ends from which on a part without harmless answers may explain those of a part with them.
+ENDS_TO_EXPLAIN = 2
 # Ends in sequence after which a request that has itself seen its endpoint end is not repeated.
 ENDS_TO_STOP_REPEATS = 2
 
@@ -51,23 +53,38 @@
     dict of frozenset to float
         Suspect sets, with the time of the last end that one of their parts may have caused.
     """
+    new_parts = {}
+    known_parts = {}
+    for part, ends in ends_by_part.items():
+        (known_parts if part in harmless_parts else new_parts)[part] = ends
+    suspects = _find_equal_suspects(new_parts, ends_to_name)
+    # Parts with harmless answers are less likely to be the cause, so they are only judged by ends
+    # that no other part may explain, be it named or about to be.
+    explained = set()
+    for ends in new_parts.values():
+        if len(ends) >= ENDS_TO_EXPLAIN:
+            explained.update(ends)
+    unexplained = {}
+    for part, ends in known_parts.items():
+        unexplained[part] = {key: end for key, end in ends.items() if key not in explained}
+    suspects.update(_find_equal_suspects(unexplained, ENDS_TO_NAME_HARMLESS))
+    return suspects
+
+
+def _find_equal_suspects(ends_by_part, ends_to_name):
+    """Return the suspect sets among parts that are equally likely to be the cause."""
     suspects = {}
     for part, ends in ends_by_part.items():
-        is_harmless = part in harmless_parts
-        needed = ENDS_TO_NAME_HARMLESS if is_harmless else ends_to_name
-        if len(ends) < needed or count_sequence(ends.values()) < needed:
+        if len(ends) < ends_to_name or count_sequence(ends.values()) < ends_to_name:
             continue
         together = {part}
         for other, other_ends in ends_by_part.items():
-            if other in harmless_parts and not is_harmless:
-                # It is less likely to be the cause than the part itself.
-                continue
             shared = ends.keys() & other_ends.keys()
-            if len(shared) < needed:
+            if len(shared) < ends_to_name:
                 continue
             # The other part may have caused all but a few ordinary ends.
-            unexplained = [end for key, end in ends.items() if key not in shared]
-            if count_sequence(unexplained) < needed:
+            remaining = [end for key, end in ends.items() if key not in shared]
+            if count_sequence(remaining) < ends_to_name:
                 together.add(other)
         last_end_at = max(ended_at for _, ended_at in ends.values())
         key = frozenset(together)
--- a/src/lynxlanding/crashes/tests/test_fleet_schedules.py
+++ b/src/lynxlanding/crashes/tests/test_fleet_schedules.py
@@ -26,7 +26,10 @@
 class Fleet:
     """Nodes with a guard each; engines end under requests with the bad part."""
 
-    def __init__(self, seed, node_count):
+    def __init__(self, seed, node_count, bad_parts=(BAD,)):
+        self.bad_parts = bad_parts
+        self.sent_by_part = {bad: [] for bad in bad_parts}
+        self.ends_by_part = {bad: [] for bad in bad_parts}
         self.random_state = random.Random(seed)
         self.node_ids = [f"n{number}" for number in range(node_count)]
         self.guards = {node_id: part_guard.PartGuard(node_id) for node_id in self.node_ids}
@@ -81,17 +84,20 @@
         self.try_bad(node_id, attempts=0)
 
     def try_bad(self, node_id, attempts):
-        parts = (SHARED, self.random_state.randrange(1000, 1004), BAD)
+        bad = self.random_state.choice(self.bad_parts)
+        parts = (SHARED, self.random_state.randrange(1000, 1004), bad)
         verdict = self.guards[node_id].check(parts, self.now)
         if verdict is not None and not verdict.is_trial:
             return
         self.sent_bad.append(self.now)
+        self.sent_by_part[bad].append(self.now)
         run_s = self.random_state.uniform(*RUN_S)
         self.schedule(self.now + run_s, self.end, node_id, parts, self.now, attempts + 1)
 
     def end(self, node_id, parts, sent_at, attempts):
         number = len(self.ends)
         self.ends.append(self.now)
+        self.ends_by_part[parts[-1]].append(self.now)
         end = statements.EndStatement(number, 1, self.now, dict.fromkeys(parts, sent_at))
         self.guards[node_id].record_end(end, self.now)
         # Sound requests of other nodes share the end of the engine.
@@ -143,6 +149,22 @@
         assert refused <= served / 50, f"seed {seed}: {refused} of {served} sound ones refused"
 
 
+def test_two_bad_parts_at_once():
+    """Guards against refusing sound requests for the part that they share with both."""
+    for seed in range(6):
+        fleet = Fleet(seed, 9, (BAD, BAD + 1))
+        fleet.start_reports()
+        fleet.start(fleet.send_sound, 20.0, 0.0, 25.0)
+        fleet.start(fleet.send_bad, 3.0, 3.0, 25.0)
+        fleet.run(25.0)
+        served, refused = fleet.sound
+        assert refused <= served / 50, f"seed {seed}: {refused} of {served} sound ones refused"
+        for bad, sent in fleet.sent_by_part.items():
+            ends = fleet.ends_by_part[bad]
+            late = [at for at in sent if len(ends) >= 5 and at > ends[4] + STABLE_S]
+            assert len(late) <= ALLOWED_AFTER, f"seed {seed}: {bad:x} {late}"
+
+
 def test_full_size():
     """Guards against knowledge that spreads too slowly among 410 nodes."""
     fleet = Fleet(1, 410)
--- a/src/lynxlanding/crashes/tests/test_suspicion.py
+++ b/src/lynxlanding/crashes/tests/test_suspicion.py
@@ -71,3 +71,10 @@
     """Guards against naming a sound part because the bad request's report was lost."""
     ends = make_ends({SOUND, BAD}, {SOUND, BAD}, {SOUND}, {SOUND, BAD})
     assert frozenset({SOUND}) not in find(ends)
+
+
+def test_part_that_two_bad_ones_share_is_not_named():
+    """Guards against refusing a caller's sound requests when two parts are bad at once."""
+    other_bad = 9
+    ends = make_ends(*[{SHARED, BAD}, {SHARED, other_bad}] * 4)
+    assert find(ends, harmless={SHARED}) == {frozenset({BAD}), frozenset({other_bad})}
