Keep load reports as short as they were, and split small types

A report with 12 loads and 2 models had grown from 185 bytes to 222, at full size 9 KB/s a node: empty lists were written, and the callers' address as text. Only its port is sent now where the host is that of the report's own address, and no empty list: 189 bytes.

Verdict and QuarantineChange have files of their own.

--- a/src/lynxlanding/crashes/part_guard.py
+++ b/src/lynxlanding/crashes/part_guard.py
@@ -2,7 +2,13 @@
 
 import dataclasses
 
-from lynxlanding.crashes import crash_evidence, statements, suspicion
+from lynxlanding.crashes import (
+    crash_evidence,
+    quarantine_change,
+    statements,
+    suspicion,
+    verdict,
+)
 from lynxlanding.membership import rendezvous
 
 # An end counts after this time. By then, all nodes whose requests the endpoint was working on have
@@ -33,44 +39,6 @@
 CROWDED_OUT = "too many quarantines"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class QuarantineChange:
-    """Begin or end of a quarantine.
-
-    Parameters
-    ----------
-    statement : QuarantineStatement
-        The quarantine.
-    source : str
-        Id of the node that this node has it from.
-    ended_because : str or None
-        Why it has ended; None if it has begun.
-    """
-
-    statement: statements.QuarantineStatement
-    source: str
-    ended_because: str | None = None
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Verdict:
-    """What to do with a request.
-
-    Parameters
-    ----------
-    parts : frozenset of int
-        The parts under quarantine.
-    is_trial : bool
-        Whether the request is sent nevertheless, to find out whether they are harmless.
-    named_at : float
-        When the parts were named, in monotonic seconds.
-    """
-
-    parts: frozenset[int]
-    is_trial: bool
-    named_at: float
-
-
 class PartGuard:
     """Quarantine of parts of prompts; performs no I/O.
 
@@ -139,7 +107,7 @@
             if is_trial:
                 self._urgent_changes += 1
                 self._report_at.pop(parts, None)
-            return Verdict(parts, is_trial, known.named_at)
+            return verdict.Verdict(parts, is_trial, known.named_at)
         return None
 
     def is_quarantined(self, prompt_parts):
@@ -292,14 +260,16 @@
         self._quarantines[statement.parts] = statement
         self._sources[statement.parts] = source
         self._urgent_changes += 1
-        self._changes.append(QuarantineChange(statement, source))
+        self._changes.append(quarantine_change.QuarantineChange(statement, source))
         if len(self._quarantines) > MAX_QUARANTINES:
             oldest = min(self._quarantines.values(), key=lambda item: item.last_seen_at)
             self._end(oldest.parts, CROWDED_OUT)
 
     def _end(self, parts, reason):
         self._changes.append(
-            QuarantineChange(self._quarantines[parts], self._sources[parts], reason)
+            quarantine_change.QuarantineChange(
+                self._quarantines[parts], self._sources[parts], reason
+            )
         )
         self._drop(parts)
 
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -103,6 +103,7 @@
                 except request_errors.RequestError as final_error:
                     if not self._may_hand_over(final_error):
                         raise
+                    break
         return self._peer_forwarder.begin(self._request, self._may_have_run).forward()
 
     def _should_hand_over(self):
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -78,10 +78,12 @@
   # Parts of prompts on which the sender has got answers lately.
   harmless @13 :List(PartTime);
   quarantines @14 :List(Quarantine);
-  # host:port at which the sender takes callers' requests.
-  callersAddress @15 :Text;
+  # Port at which the sender takes callers' requests, at the host of its address; 0 if it differs.
+  callersPort @15 :UInt16;
   # Whether the sender takes requests of nodes that reach no endpoint.
   takesRequests @16 :Bool;
   # Whether the sender itself reaches no endpoint.
   isCut @17 :Bool;
+  # host:port at which the sender takes callers' requests, unless callersPort says it.
+  callersAddress @18 :Text;
 }
--- a/src/lynxlanding/peers/prompt_codec.py
+++ b/src/lynxlanding/peers/prompt_codec.py
@@ -13,7 +13,7 @@
 def encode(message, prompts):
     """Write ``PromptStatements`` into a ``PeerReport`` message."""
     ends = [item for item in prompts.ends if 0 <= item.started_ms < MAX_STARTED_MS]
-    end_list = message.init("ends", len(ends))
+    end_list = _init(message, "ends", ends)
     for index, end in enumerate(ends):
         end_list[index].key = end.endpoint_key
         end_list[index].startedMs = end.started_ms
@@ -22,11 +22,11 @@
         for part_index, (part, sent_at) in enumerate(end.sent_at_by_part.items()):
             parts[part_index].part = part
             parts[part_index].ageMs = _to_age_ms(sent_at)
-    harmless_list = message.init("harmless", len(prompts.harmless))
+    harmless_list = _init(message, "harmless", prompts.harmless)
     for index, harmless in enumerate(prompts.harmless):
         harmless_list[index].part = harmless.part
         harmless_list[index].ageMs = _to_age_ms(harmless.begun_at)
-    quarantine_list = message.init("quarantines", len(prompts.quarantines))
+    quarantine_list = _init(message, "quarantines", prompts.quarantines)
     for index, quarantine in enumerate(prompts.quarantines):
         quarantine_list[index].parts = sorted(quarantine.parts)
         quarantine_list[index].namedAgeMs = _to_age_ms(quarantine.named_at)
@@ -73,6 +73,11 @@
     return statements.PromptStatements(tuple(ends), tuple(harmless), tuple(quarantines))
 
 
+def _init(message, name, items):
+    """Return the list to write ``items`` to; one that is empty takes no bytes if it is left out."""
+    return message.init(name, len(items)) if items else ()
+
+
 def _to_age_ms(relative_s):
     # A request can arrive between the time of the report and its encoding.
     return max(0, round(-relative_s * 1000))
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -54,7 +54,11 @@
             limits[index].limitPerS = limit.limit_per_s or 0.0
             limits[index].ageMs = limit.age_ms
         prompt_codec.encode(message, report.prompts)
-        message.callersAddress = report.callers_address
+        host, _, port = report.callers_address.rpartition(":")
+        if host == report.address.rpartition(":")[0] and port.isdigit():
+            message.callersPort = int(port)
+        elif report.callers_address:
+            message.callersAddress = report.callers_address
         message.takesRequests = report.takes_requests
         message.isCut = report.is_cut
         loads = message.init("loads", len(report.loads))
@@ -92,7 +96,7 @@
                 message.isStoreUnavailable,
                 tuple(_decode_limit(item) for item in message.limits),
                 prompt_codec.decode(message),
-                message.callersAddress,
+                _decode_callers_address(message),
                 message.takesRequests,
                 message.isCut,
             )
@@ -100,6 +104,12 @@
             raise membership_errors.MalformedMessage(str(e)) from e
 
 
+def _decode_callers_address(message):
+    if not message.callersPort:
+        return message.callersAddress
+    return f"{message.address.rpartition(':')[0]}:{message.callersPort}"
+
+
 def _decode_limit(item):
     if not (item.limitPerS >= 0 and math.isfinite(item.limitPerS)):
         raise ValueError(f"limit {item.limitPerS} is not a rate")
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -192,3 +192,15 @@
     assert table.planning_node_ids(0.1, is_own_cut=True, **options) == ["n2"]
     alone = peer_table.PeerTable("n1")
     assert alone.planning_node_ids(0.1, is_own_cut=True, **options) == ["n1"]
+
+
+@pytest.mark.parametrize("callers_address", ["127.0.0.1:9", "10.0.0.1:9", "", "127.0.0.1:0"])
+def test_callers_address_survives_encoding(callers_address):
+    """Guards against requests that are handed over to the wrong port."""
+    codec = report_codec.ReportCodec()
+    sent = make_report(callers_address=callers_address, takes_requests=True, is_cut=True)
+    received = codec.decode(codec.encode(sent))
+    expected = "" if callers_address.endswith(":0") else callers_address
+    assert received.callers_address == expected
+    assert received.takes_requests
+    assert received.is_cut
