--- a/src/lynxlanding/crashes/crash_monitor.py
+++ b/src/lynxlanding/crashes/crash_monitor.py
@@ -12,8 +12,8 @@
 QUARANTINE_BEGUN = "lynxlanding:prompt:quarantine_begun"
 QUARANTINE_ENDED = "lynxlanding:prompt:quarantine_ended"
 
-# An endpoint ends soon after it begins to write an answer on a part that it cannot bear. An
-# answer that has been written for this long is not the cause of a later end.
+# A part that crashes endpoints does so soon after they begin to write the answer. An answer that
+# has been written for this long is not the cause of a later end.
 HARMLESS_AFTER_S = 1.0
 
 # Failures after which the endpoint may have ended.
--- a/src/lynxlanding/crashes/part_guard.py
+++ b/src/lynxlanding/crashes/part_guard.py
@@ -12,11 +12,12 @@
 from lynxlanding.membership import rendezvous
 
 # An end counts after this time. By then, all nodes whose requests the endpoint was working on have
-# reported them; what only one of them has seen may name a part of a request that merely was there.
+# reported them. Judged by the reports of some, the end could be blamed on a request that only
+# shared the endpoint with the cause.
 SETTLING_S = 0.3
-# Time without an end before a request with the parts is sent nevertheless, in case that they were
-# named wrongly: before the first trial of all nodes together, the second, and each later one.
-# Engines must be serving again by then, or a trial takes the next one away as well.
+# Time without an end before the next trial: a request with the parts that is sent in spite of the
+# quarantine, in case that they were named wrongly. The last value holds for all later trials. By
+# then, engines that have ended must be serving again.
 TRIAL_WAITS_S = (10.0, 30.0, 600.0)
 # One node after the other may send the trial. The margin at both ends of a node's turn is for
 # views of the quarantine that differ by the age of a report.
@@ -253,7 +254,7 @@
     def _begin(self, statement, source):
         for parts in list(self._quarantines):
             if parts <= statement.parts:
-                # What is refused already needs no second quarantine.
+                # Its requests are refused already.
                 return
             if statement.parts < parts:
                 self._drop(parts)
--- a/src/lynxlanding/crashes/suspicion.py
+++ b/src/lynxlanding/crashes/suspicion.py
@@ -1,7 +1,7 @@
 """Which parts of prompts explain the ends of endpoints."""
 
-# Ends in sequence after which a part is named. Two may be ordinary ends that met the same request
-# and its repeat.
+# Ends in sequence after which a part is named. Two may be ordinary ends that happened to hit a
+# request and its repeat.
 ENDS_TO_NAME = 3
 # The same for a part with which answers were written without harm before.
 ENDS_TO_NAME_HARMLESS = 4
--- a/src/lynxlanding/handover/handed_over_request.py
+++ b/src/lynxlanding/handover/handed_over_request.py
@@ -10,8 +10,8 @@
 from lynxlanding.fleet import endpoint_record
 from lynxlanding.requests import attempt_monitor
 
-# Tells a node that a request comes from another one, which it must not go back to. A caller that
-# sets it only does without a second node.
+# Marks a request that comes from another node, so that it is not handed over again. A caller that
+# sets the header only loses that possibility.
 HANDED_OVER_BY = "X-Lynxlanding-Handed-Over-By"
 EXECUTED = "x-executed"
 RETRY_AFTER = "retry-after"
--- a/src/lynxlanding/handover/reachability.py
+++ b/src/lynxlanding/handover/reachability.py
@@ -7,7 +7,8 @@
 # Different endpoints that refuse connections or stay silent before all are checked. One alone may
 # have ended, or be silent for a moment.
 FAILURES_TO_CHECK = 2
-# Endpoints checked at the same time. More than that are hardly ever down together.
+# Endpoints checked at the same time. It is unlikely that so many random ones are down while others
+# are not.
 CHECKED_ENDPOINTS = 6
 # Interval between checks while no endpoint is reached.
 CHECK_INTERVAL_S = 0.5
