--- a/src/lynxlanding/crashes/crash_monitor.py
+++ b/src/lynxlanding/crashes/crash_monitor.py
@@ -3,14 +3,18 @@
 import time
 
 import eliot
-import xxhash
 
-from lynxlanding.crashes import broken_attempt, crash_evidence, end_tracker, statements
+from lynxlanding.crashes import (
+    broken_attempt,
+    crash_evidence,
+    end_tracker,
+    part_log,
+    statements,
+)
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.fleet import endpoint_key
 
 ENDPOINT_ENDED = "lynxlanding:endpoint:ended"
-QUARANTINE_BEGUN = "lynxlanding:prompt:quarantine_begun"
-QUARANTINE_ENDED = "lynxlanding:prompt:quarantine_ended"
 
 # A part that crashes endpoints does so soon after they begin to write the answer. An answer that
 # has been written for this long is not the cause of a later end.
@@ -107,36 +111,14 @@
             endpoint=record.endpoint_id,
             born_ms=record.started_ms,
             broken_attempts=len(attempts),
-            prompt_parts=format_parts(sent_at_by_part),
+            prompt_parts=part_log.format_parts(sent_at_by_part),
             age_s=round(now - ended_at, 3),
         )
         self._on_ended(record, now)
         end = statements.EndStatement(
-            hash_endpoint(record.endpoint_id), record.started_ms, ended_at, sent_at_by_part
+            endpoint_key.hash_endpoint_id(record.endpoint_id),
+            record.started_ms,
+            ended_at,
+            sent_at_by_part,
         )
         self._guard.record_end(end, now)
-
-
-def hash_endpoint(endpoint_id):
-    """Return the hash by which nodes name an endpoint to each other."""
-    return xxhash.xxh64_intdigest(endpoint_id)
-
-
-def format_parts(parts):
-    """Return the keys of parts of a prompt as callers write them."""
-    return [f"{part:x}" for part in parts]
-
-
-def log_quarantine_change(change, now):
-    """Log a ``QuarantineChange``."""
-    statement = change.statement
-    eliot.log_message(
-        message_type=QUARANTINE_BEGUN if change.ended_because is None else QUARANTINE_ENDED,
-        prompt_parts=format_parts(sorted(statement.parts)),
-        source=change.source,
-        reason=change.ended_because,
-        named_age_s=round(now - statement.named_at, 3),
-        last_end_age_s=round(now - statement.last_end_at, 3),
-        last_request_age_s=round(now - statement.last_seen_at, 3),
-        trials=statement.trials,
-    )
--- a/src/lynxlanding/crashes/part_guard.py
+++ b/src/lynxlanding/crashes/part_guard.py
@@ -94,35 +94,30 @@
         """Return the ``Verdict`` on a request with these parts; None if nothing is against it."""
         if not self._quarantines:
             return None
-        present = set(prompt_parts) - self._exempt_parts
-        for parts, known in self._quarantines.items():
-            if not parts <= present:
-                continue
-            is_trial = self._may_try(known, now)
-            self._quarantines[parts] = dataclasses.replace(
-                known,
-                last_seen_at=now,
-                trials=known.trials + is_trial,
-                last_trial_at=now if is_trial else known.last_trial_at,
-            )
-            if is_trial:
-                self._urgent_changes += 1
-                self._report_at.pop(parts, None)
-            return verdict.Verdict(parts, is_trial, known.named_at)
-        return None
+        parts = self._find_contained(self._quarantines, prompt_parts)
+        if parts is None:
+            return None
+        known = self._quarantines[parts]
+        is_trial = self._may_try(known, now)
+        self._quarantines[parts] = dataclasses.replace(
+            known,
+            last_seen_at=now,
+            trials=known.trials + is_trial,
+            last_trial_at=now if is_trial else known.last_trial_at,
+        )
+        if is_trial:
+            self._urgent_changes += 1
+            self._report_at.pop(parts, None)
+        return verdict.Verdict(parts, is_trial, known.named_at)
 
     def is_quarantined(self, prompt_parts):
         """Return whether requests with these parts are refused."""
-        present = set(prompt_parts) - self._exempt_parts
-        return any(parts <= present for parts in self._quarantines)
+        return self._find_contained(self._quarantines, prompt_parts) is not None
 
     def may_repeat(self, prompt_parts):
         """Return whether to repeat a request whose endpoint has ended."""
-        present = set(prompt_parts) - self._exempt_parts
-        for parts in self._evidence.find_suspects(suspicion.ENDS_TO_STOP_REPEATS):
-            if parts <= present:
-                return False
-        return True
+        suspects = self._evidence.find_suspects(suspicion.ENDS_TO_STOP_REPEATS)
+        return self._find_contained(suspects, prompt_parts) is None
 
     def record_end(self, statement, now):
         """Record an ``EndStatement`` of this node."""
@@ -180,6 +175,14 @@
         self._changes = []
         return changes
 
+    def _find_contained(self, sets_of_parts, prompt_parts):
+        """Return the first set whose parts a prompt all has, or None; exempt parts do not count."""
+        present = set(prompt_parts) - self._exempt_parts
+        for parts in sets_of_parts:
+            if parts <= present:
+                return parts
+        return None
+
     def _may_try(self, known, now):
         last_at = max(known.named_at, known.last_end_at, known.last_trial_at)
         if now - last_at < TRIAL_WAITS_S[min(known.trials, len(TRIAL_WAITS_S) - 1)]:
--- a/src/lynxlanding/crashes/tests/test_part_guard.py
+++ b/src/lynxlanding/crashes/tests/test_part_guard.py
@@ -148,14 +148,20 @@
     assert make_guard(2).may_repeat((SHARED, COMMON))
 
 
-def test_trials_of_all_nodes_together_are_bounded():
-    """Guards against nodes that each try for themselves whether a part is still bad."""
+def make_quarantined_guards():
+    """Return a guard for each node, all of which refuse the same parts at 12.5 s."""
     guards = {node_id: make_guard(node_id=node_id) for node_id in NODES}
     for number in range(3):
         guards["n0"].record_end(make_end(number, 10.0 + number), 10.0 + number)
         exchange(guards, 10.1 + number)
     exchange(guards, 12.4)
     exchange(guards, 12.5)
+    return guards
+
+
+def test_trials_of_all_nodes_together_are_bounded():
+    """Guards against nodes that each try for themselves whether a part is still bad."""
+    guards = make_quarantined_guards()
     trials = []
     for step in range(1, 1200):
         now = 12.5 + step / 10
@@ -171,12 +177,7 @@
 
 
 def test_part_that_was_named_wrongly_comes_free_after_one_trial():
-    guards = {node_id: make_guard(node_id=node_id) for node_id in NODES}
-    for number in range(3):
-        guards["n0"].record_end(make_end(number, 10.0 + number), 10.0 + number)
-        exchange(guards, 10.1 + number)
-    exchange(guards, 12.4)
-    exchange(guards, 12.5)
+    guards = make_quarantined_guards()
     now = 12.5
     trials = 0
     while guards["n5"].quarantines:
--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -77,21 +77,20 @@
 
         It counts as listening unless it refuses: silence may be due to the network.
         """
-        try:
-            self._connect(record, CHECK_TIMEOUT_S).close()
-        except endpoint_errors.NotListening:
-            return False
-        except endpoint_errors.ConnectionRefused:
-            return True
-        return True
+        error = self._try_connect(record, CHECK_TIMEOUT_S)
+        return not isinstance(error, endpoint_errors.NotListening)
 
     def is_reachable(self, record):
         """Return whether a new connection to an endpoint can be established."""
+        return self._try_connect(record, REACHABILITY_TIMEOUT_S) is None
+
+    def _try_connect(self, record, timeout_s):
+        """Open a connection and close it again; return the ``ConnectionRefused`` or None."""
         try:
-            self._connect(record, REACHABILITY_TIMEOUT_S).close()
-        except endpoint_errors.ConnectionRefused:
-            return False
-        return True
+            self._connect(record, timeout_s).close()
+        except endpoint_errors.ConnectionRefused as e:
+            return e
+        return None
 
     def _connect(self, record, timeout_s):
         host, _, port = record.address.rpartition(":")
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -104,7 +104,12 @@
                     if not self._may_hand_over(final_error):
                         raise
                     break
-        return self._peer_forwarder.begin(self._request, self._may_have_run).forward()
+        return self._hand_over()
+
+    def _hand_over(self, resume_after=None):
+        """Return the ``Reply`` of another node."""
+        handed_over = self._peer_forwarder.begin(self._request, self._may_have_run)
+        return handed_over.forward(resume_after)
 
     def _should_hand_over(self):
         """Return whether another node is to serve the request because this one cannot."""
@@ -337,16 +342,15 @@
         if last_id is None:
             self._record_failure(record, error)
             raise request_errors.EndpointFailed("the stream broke without a position to resume at")
+        resumed = None
         try:
             self._handle_failure(record, error)
             resumed = self._resume_here(last_id)
         except request_errors.RequestError as e:
             if not self._may_hand_over(e):
                 raise
-            resumed = None
         if resumed is None:
-            handed_over = self._peer_forwarder.begin(self._request, self._may_have_run)
-            resumed = handed_over.forward(last_id)
+            resumed = self._hand_over(last_id)
         if resumed.stream is None:
             raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
         return resumed
@@ -380,8 +384,7 @@
         now = time.monotonic()
         self._excluded.add(record.endpoint_id)
         request = self._request
-        has_caller_left = request.has_caller_left()
-        if has_caller_left:
+        if request.has_caller_left():
             raise request_errors.CallerDisconnected("the caller has closed its connection")
         self._serving.record_failure(record.endpoint_id, type(error), now)
         has_ended = self._record_failure(record, error)
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -2,7 +2,7 @@
 
 import eliot
 
-from lynxlanding.crashes import crash_monitor
+from lynxlanding.crashes import part_log
 
 CHOSEN = "lynxlanding:request:chosen"
 REFUSED = "lynxlanding:request:refused"
@@ -78,7 +78,7 @@
             route=request.route.name,
             service=request.service,
             model=request.metadata.model,
-            prompt_parts=crash_monitor.format_parts(sorted(verdict.parts)),
+            prompt_parts=part_log.format_parts(sorted(verdict.parts)),
             named_age_s=round(now - verdict.named_at, 3),
             attempts=attempts,
         )
@@ -130,9 +130,7 @@
             attempts=history.attempts,
             time_left_s=round(history.time_left_s, 3),
             writing_s=None if writing_s is None else round(writing_s, 3),
-            prompt_parts=crash_monitor.format_parts(
-                request.metadata.prompt_parts[:MAX_LOGGED_PARTS]
-            ),
+            prompt_parts=part_log.format_parts(request.metadata.prompt_parts[:MAX_LOGGED_PARTS]),
         )
 
 
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -37,9 +37,14 @@
     """
     for events in read_events(response, buffer):
         return events
+    _check_end(buffer)
+    return b""
+
+
+def _check_end(buffer):
+    """Raise ``ResponseTruncated`` if a stream has ended inside an event."""
     if not buffer.is_empty:
         raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
-    return b""
 
 
 class StreamRelay:
@@ -91,8 +96,7 @@
         while True:
             try:
                 yield from read_events(self._response, self._buffer)
-                if not self._buffer.is_empty:
-                    raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
+                _check_end(self._buffer)
                 self._forwarder.complete_attempt()
                 self._release()
                 return
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -13,7 +13,7 @@
 import pykka
 from eliot import stdlib
 
-from lynxlanding.crashes import crash_monitor, part_guard
+from lynxlanding.crashes import crash_monitor, part_guard, part_log
 from lynxlanding.dispatch import (
     connection_pool,
     dispatcher,
@@ -420,7 +420,7 @@
     def _update_quarantines(self, now):
         self._part_guard.use_live_nodes(self._peer_table.live_node_ids(now))
         for change in self._part_guard.expire(self._peer_view.last_event_at_by_key, now):
-            crash_monitor.log_quarantine_change(change, now)
+            part_log.log_quarantine_change(change, now)
 
     def _log_limit_changes(self, changes):
         for change in changes:
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -4,6 +4,9 @@
 
 from lynxlanding.crashes import statements
 
+# Start times of endpoints must be below this value, which the encoding can hold.
+MAX_STARTED_MS = 1 << 63
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportedLimit:
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -1,7 +1,7 @@
 """Combined view of the reports of the other nodes."""
 
 from lynxlanding.dispatch import limit_statement
-from lynxlanding.peers import report_codec
+from lynxlanding.fleet import endpoint_key
 
 
 class PeerView:
@@ -33,7 +33,7 @@
             return
         endpoint_ids_by_hash = {}
         for endpoint_id in endpoint_ids:
-            endpoint_ids_by_hash[report_codec.hash_endpoint_id(endpoint_id)] = endpoint_id
+            endpoint_ids_by_hash[endpoint_key.hash_endpoint_id(endpoint_id)] = endpoint_id
         self._endpoint_ids_by_hash = endpoint_ids_by_hash
 
     def apply(self, report, now):
--- a/src/lynxlanding/peers/prompt_codec.py
+++ b/src/lynxlanding/peers/prompt_codec.py
@@ -4,15 +4,14 @@
 """
 
 from lynxlanding.crashes import statements
+from lynxlanding.peers import peer_report
 
-# Start times of endpoints must be below this value.
-MAX_STARTED_MS = 1 << 63
 MAX_TRIALS = 0xFFFF
 
 
 def encode(message, prompts):
     """Write ``PromptStatements`` into a ``PeerReport`` message."""
-    ends = [item for item in prompts.ends if 0 <= item.started_ms < MAX_STARTED_MS]
+    ends = [item for item in prompts.ends if 0 <= item.started_ms < peer_report.MAX_STARTED_MS]
     end_list = _init(message, "ends", ends)
     for index, end in enumerate(ends):
         end_list[index].key = end.endpoint_key
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -4,24 +4,16 @@
 import math
 
 import capnp
-import xxhash
 
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.peers import peer_report, prompt_codec
 
 # Size of the receive buffer. A datagram that IP does not fragment carries about 100 endpoints.
 MAX_DATAGRAM_BYTES = 8192
-# Start times of endpoints must be below this value.
-MAX_STARTED_MS = 1 << 63
 # Limit on the data read while decoding one report, in 8-byte words.
 _TRAVERSAL_LIMIT_WORDS = 1 << 16
 
 
-def hash_endpoint_id(endpoint_id):
-    """Return the hash that identifies an endpoint in reports."""
-    return xxhash.xxh64_intdigest(endpoint_id)
-
-
 class ReportCodec:
     """Encoder and decoder of ``PeerReport``, with the schema from ``peer_report.capnp``."""
 
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -8,6 +8,7 @@
 import time
 
 from lynxlanding.errors import membership as membership_errors
+from lynxlanding.fleet import endpoint_key
 from lynxlanding.observability import restarting_thread
 from lynxlanding.peers import feed_codec, peer_report, report_codec
 
@@ -91,12 +92,12 @@
     def _send(self, state, now, *, to_all):
         loads_by_hash = {}
         for endpoint_id, requests in state.loads.items():
-            loads_by_hash[report_codec.hash_endpoint_id(endpoint_id)] = requests
+            loads_by_hash[endpoint_key.hash_endpoint_id(endpoint_id)] = requests
         stalled = frozenset(
-            report_codec.hash_endpoint_id(endpoint_id) for endpoint_id in state.stalled
+            endpoint_key.hash_endpoint_id(endpoint_id) for endpoint_id in state.stalled
         )
         loading = frozenset(
-            report_codec.hash_endpoint_id(endpoint_id) for endpoint_id in state.loading
+            endpoint_key.hash_endpoint_id(endpoint_id) for endpoint_id in state.loading
         )
         self._sequence += 1
         data = self._codec.encode(
@@ -171,11 +172,11 @@
     limits = []
     for item in statements:
         statement = item.statement
-        if not 0 <= statement.started_ms < report_codec.MAX_STARTED_MS:
+        if not 0 <= statement.started_ms < peer_report.MAX_STARTED_MS:
             continue
         limits.append(
             peer_report.ReportedLimit(
-                report_codec.hash_endpoint_id(item.endpoint_id),
+                endpoint_key.hash_endpoint_id(item.endpoint_id),
                 statement.started_ms,
                 statement.limit_per_s,
                 # A statement can arrive between ``now`` and the encoding.
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -3,6 +3,7 @@
 from lynxlanding.crashes import statements
 from lynxlanding.dispatch import limit_statement, stall_tracker
 from lynxlanding.errors import membership as membership_errors
+from lynxlanding.fleet import endpoint_key
 from lynxlanding.peers import (
     peer_report,
     peer_table,
@@ -87,7 +88,7 @@
     tracker = stall_tracker.StallTracker()
     view = peer_view.PeerView(tracker)
     view.set_endpoint_ids(["e1", "e2"])
-    endpoint_hash = report_codec.hash_endpoint_id("e1")
+    endpoint_hash = endpoint_key.hash_endpoint_id("e1")
     sent = peer_report.PeerReport(
         "n2",
         1,
@@ -98,7 +99,7 @@
         True,
         frozenset({endpoint_hash}),
         {"m": 1.5},
-        frozenset({report_codec.hash_endpoint_id("e2"), 98}),
+        frozenset({endpoint_key.hash_endpoint_id("e2"), 98}),
     )
     assert view.apply(sent, 10.0) == {"e1": 3}
     assert view.has_traffic
@@ -123,7 +124,7 @@
 def test_limits_of_known_endpoints_are_resolved_with_their_age():
     view = peer_view.PeerView(stall_tracker.StallTracker())
     view.set_endpoint_ids(["e0"])
-    known = peer_report.ReportedLimit(report_codec.hash_endpoint_id("e0"), 7, 1.4, 250)
+    known = peer_report.ReportedLimit(endpoint_key.hash_endpoint_id("e0"), 7, 1.4, 250)
     unknown = peer_report.ReportedLimit(1, 7, 1.4, 250)
     (item,) = view.resolve_limits(make_report(limits=(known, unknown)), 10.0)
     assert item.endpoint_id == "e0"
@@ -157,7 +158,7 @@
     view.set_endpoint_ids(["e0", "e1"])
     ends = []
     for endpoint_id in ("e0", "e1", "unknown"):
-        key = report_codec.hash_endpoint_id(endpoint_id)
+        key = endpoint_key.hash_endpoint_id(endpoint_id)
         ends.append(statements.EndStatement(key, 7, 10.0, {}))
     tracker.record_event("e1", 10.05)
     assert view.resolve_ends(statements.PromptStatements(tuple(ends))) == [("e0", 7)]
