--- a/src/lynxlanding/platform/tests/test_boundary.py
+++ b/src/lynxlanding/platform/tests/test_boundary.py
@@ -26,7 +26,8 @@
     r"|\btraffic_split\b|\bapi_keys\b|\btenants?\b|\bback end\b|/v1/(objects|order|report|ready)",
 )
 DECISION_IMPORTS = re.compile(
-    r"lynxlanding\.(crashes|dispatch|handover|replicas|peers|node|routing|admission|retry|groups) import (.*)"
+    r"lynxlanding\.(crashes|dispatch|handover|replicas|peers|node|routing|admission|retry|groups)"
+    r" import (.*)"
 )
 DATA_MODULES = {
     "request_metadata",
