Decode what endpoints state into one type and record it in one place

RequestForwarder keeps the decisions on its request. The line endpoint:limit_malformed is now endpoint:statement_malformed with the name of the statement.

The test of malformed limits now checks the table and the line that is logged, instead of a call of the logger; the cases are the same.

--- a/src/lynxlanding/node/tests/conftest.py
+++ b/src/lynxlanding/conftest.py
@@ -1,3 +1,5 @@
+"""Fixtures of all tests."""
+
 import eliot
 import pytest
 
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -36,8 +36,8 @@
         Provides ``encode_forwarded_headers`` and ``filter_response_headers``.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
-    limit_table : LimitTable
-        Receives the limits that endpoints state.
+    statement_recorder : StatementRecorder
+        Receives what endpoints state about themselves.
     part_guard : PartGuard
         Refuses prompts that crash engines.
     crash_monitor : CrashMonitor
@@ -57,7 +57,7 @@
         client,
         codec,
         stall_tracker,
-        limit_table,
+        statement_recorder,
         part_guard,
         crash_monitor,
         reachability,
@@ -69,7 +69,7 @@
         self._client = client
         self._codec = codec
         self._stall_tracker = stall_tracker
-        self._limit_table = limit_table
+        self._statement_recorder = statement_recorder
         self._part_guard = part_guard
         self._crash_monitor = crash_monitor
         self._reachability = reachability
@@ -212,7 +212,14 @@
                 is_stream=request.route.is_stream,
             )
             self._responded_at = time.monotonic()
-            self._record_limit(record, response.status, metadata, started_at)
+            self._statement_recorder.record_response(
+                record,
+                request.metadata.request_id,
+                response.status,
+                metadata,
+                started_at,
+                self._responded_at,
+            )
             if metadata.load is not None:
                 load = metadata.load.running + metadata.load.waiting
                 self._serving.record_reported_load(record.endpoint_id, load, time.monotonic())
@@ -252,38 +259,9 @@
             )
         self._request_logger.log_sent_late(self._request, record, delay_s)
 
-    def _is_of_another_request(self, status, metadata):
-        """Return whether a response may be a late second one to an earlier request.
-
-        Endpoints repeat the request's id in all that they run; refusals may lack it.
-        """
-        request_id = self._request.metadata.request_id
-        if metadata.request_id is None:
-            is_refusal = metadata.was_not_run or status == 421
-            return bool(request_id) and not is_refusal
-        return metadata.request_id != request_id
-
-    def _record_limit(self, record, status, metadata, sent_at):
-        """Record the limit that a response states, if the endpoint itself has sent it."""
-        request_id = self._request.metadata.request_id
-        is_foreign = self._is_of_another_request(status, metadata) or status == 421
-        if is_foreign or not (metadata.is_sealed or metadata.was_not_run):
-            return
-        if metadata.has_malformed_limit:
-            self._request_logger.log_malformed_limit(self._request, record)
-            return
-        if metadata.limit_per_s is None and (metadata.was_not_run or status >= 500):
-            # A failure may lack the headers of other responses, so it does not end a limit.
-            return
-        change = self._limit_table.record_response(
-            record, metadata.limit_per_s, sent_at, time.monotonic()
-        )
-        if change is not None:
-            self._request_logger.log_limit_changed(change, request_id)
-
     def _check_response(self, response, metadata):
         request = self._request
-        if self._is_of_another_request(response.status, metadata):
+        if metadata.may_be_of_another_request(request.metadata.request_id, response.status):
             raise endpoint_errors.ResponseMismatch("the response belongs to another request")
         if metadata.was_not_run or response.status == 421:
             raise endpoint_errors.EndpointRefused(response.status)
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -14,7 +14,7 @@
 SENT_LATE = "lynxlanding:request:sent_late"
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
-LIMIT_MALFORMED = "lynxlanding:endpoint:limit_malformed"
+STATEMENT_MALFORMED = "lynxlanding:endpoint:statement_malformed"
 
 # A caller may set the header that names the sending node.
 MAX_SENDER_CHARACTERS = 64
@@ -102,18 +102,6 @@
             registry_age_s=self._node_status.registry_age_s,
         )
 
-    def log_limit_changed(self, change, request_id):
-        """Log a ``LimitChange`` that follows from the response to a request."""
-        log_limit_changed(change, request_id)
-
-    def log_malformed_limit(self, request, record):
-        """Log that a response states a limit that cannot be read; the known one stays."""
-        eliot.log_message(
-            message_type=LIMIT_MALFORMED,
-            request_id=request.metadata.request_id,
-            endpoint=record.endpoint_id,
-        )
-
     def log_attempt_failed(self, request, record, error, will_retry, history, writing_s):
         """Log a failed attempt and whether another one follows.
 
@@ -147,6 +135,16 @@
     )
 
 
+def log_malformed_statement(record, name, request_id):
+    """Log that a statement in a response cannot be read; what was known before stays."""
+    eliot.log_message(
+        message_type=STATEMENT_MALFORMED,
+        endpoint=record.endpoint_id,
+        statement=name,
+        request_id=request_id,
+    )
+
+
 def log_allowance_changed(change):
     """Log an ``AllowanceChange``."""
     eliot.log_message(
--- a/src/lynxlanding/dispatch/response_metadata.py
+++ b/src/lynxlanding/dispatch/response_metadata.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# Names of the statements.
+LIMIT = "limit"
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointLoad:
@@ -12,6 +15,22 @@
     slots: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointStatements:
+    """What an endpoint states about itself in a response.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Requests a second that the endpoint takes from all nodes together.
+    malformed : tuple of str
+        Names of the fields whose statement is there but cannot be read.
+    """
+
+    limit_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ResponseMetadata:
     """Metadata of a response.
@@ -32,10 +51,8 @@
         Whether the endpoint closes the connection after the response.
     idle_timeout_s : float or None
         Time for which the endpoint keeps an idle connection open, in seconds.
-    limit_per_s : float or None
-        Requests a second that the endpoint takes from all nodes together.
-    has_malformed_limit : bool
-        Whether the response states a limit that cannot be read.
+    statements : EndpointStatements
+        What the endpoint states about itself.
     """
 
     request_id: str | None
@@ -45,5 +62,14 @@
     is_encoded: bool
     closes_connection: bool
     idle_timeout_s: float | None
-    limit_per_s: float | None = None
-    has_malformed_limit: bool = False
+    statements: EndpointStatements = EndpointStatements()
+
+    def may_be_of_another_request(self, request_id, status):
+        """Return whether the response may be a late second one to an earlier request.
+
+        Endpoints repeat the request's id in all that they run; refusals may lack it.
+        """
+        if self.request_id is None:
+            is_refusal = self.was_not_run or status == 421
+            return bool(request_id) and not is_refusal
+        return self.request_id != request_id
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -13,9 +13,11 @@
     forward_request,
     limit_table,
     request_forwarder,
+    request_logger,
     request_metadata,
     response_metadata,
     stall_tracker,
+    statement_recorder,
 )
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
@@ -225,7 +227,7 @@
         endpoints,
         PassThroughCodec,
         stall_tracker.StallTracker(),
-        limit_table.LimitTable("n0"),
+        statement_recorder.StatementRecorder(limit_table.LimitTable("n0")),
         part_guard.PartGuard("n0"),
         FakeCrashMonitor(),
         reachability.Reachability(now),
@@ -360,22 +362,6 @@
     yield b"whole"
 
 
-class LimitLogger(CheckingLogger):
-    """Keeps the changes of limits."""
-
-    def __init__(self):
-        self.changes = []
-        self.malformed = 0
-
-    def log_limit_changed(self, change, request_id=None):
-        assert request_id == "q"
-        self.changes.append(change)
-
-    def log_malformed_limit(self, request, record):
-        del request, record
-        self.malformed += 1
-
-
 @pytest.mark.parametrize(
     ("status", "fields", "is_learnt"),
     [
@@ -385,24 +371,41 @@
         (200, {"request_id": "another"}, False),
         (200, {"is_sealed": False}, False),
         (421, {"is_sealed": False, "was_not_run": True}, False),
-        (200, {"limit_per_s": None, "has_malformed_limit": True}, False),
     ],
 )
-def test_limit_is_learnt_from_the_endpoints_own_responses(status, fields, is_learnt):
+def test_limit_is_learnt_from_the_endpoints_own_responses(status, fields, is_learnt, log_messages):
     """Guards against limits of another endpoint, and against refusals that are not heard."""
     route = dispatch_factories.make_route(traffic_route.UNSAFE, 1, service="app")
     forwarder, _, _ = make_forwarder(1, route)
-    logger = LimitLogger()
     table = limit_table.LimitTable("n0")
-    metadata = dataclasses.replace(make_response_metadata(), limit_per_s=1.5)
+    metadata = dataclasses.replace(
+        make_response_metadata(), statements=response_metadata.EndpointStatements(1.5)
+    )
     forwarder._client = OneResponse(status, dataclasses.replace(metadata, **fields))
-    forwarder._limit_table = table
-    forwarder._request_logger = logger
+    forwarder._statement_recorder = statement_recorder.StatementRecorder(table)
     with contextlib.suppress(request_errors.RequestError):
         forwarder.forward()
-    assert bool(logger.changes) == is_learnt
+    logged = [item for item in log_messages if item["message_type"] == request_logger.LIMIT_CHANGED]
+    assert {item["request_id"] for item in logged} == ({"q"} if is_learnt else set())
     assert bool(table.limited_ids) == is_learnt
-    assert logger.malformed == int(fields.get("has_malformed_limit", False))
+
+
+def test_malformed_limit_does_not_end_the_known_one(log_messages):
+    """Guards against a header that cannot be read and counts as the end of a limit."""
+    table = limit_table.LimitTable("n0")
+    recorder = statement_recorder.StatementRecorder(table)
+    record = dispatch_factories.make_plain_endpoint(0)
+    stated = dataclasses.replace(
+        make_response_metadata(), statements=response_metadata.EndpointStatements(1.5)
+    )
+    recorder.record_response(record, "q", 200, stated, 1.0, 2.0)
+    malformed = dataclasses.replace(
+        stated,
+        statements=response_metadata.EndpointStatements(malformed=(response_metadata.LIMIT,)),
+    )
+    recorder.record_response(record, "q", 200, malformed, 3.0, 4.0)
+    assert table.limit_per_s(record.endpoint_id) == 1.5
+    assert log_messages[-1]["message_type"] == request_logger.STATEMENT_MALFORMED
 
 
 @pytest.mark.parametrize(
--- a/src/lynxlanding/node/proxy_app.py
+++ b/src/lynxlanding/node/proxy_app.py
@@ -34,8 +34,8 @@
         Decodes and encodes headers.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
-    limit_table : LimitTable
-        Receives the limits that endpoints state.
+    statement_recorder : StatementRecorder
+        Receives what endpoints state about themselves.
     part_guard : PartGuard
         Refuses prompts that crash engines.
     crash_monitor : CrashMonitor
@@ -58,7 +58,7 @@
         endpoint_client,
         codec,
         stall_tracker,
-        limit_table,
+        statement_recorder,
         part_guard,
         crash_monitor,
         reachability,
@@ -72,7 +72,7 @@
         self._endpoint_client = endpoint_client
         self._codec = codec
         self._stall_tracker = stall_tracker
-        self._limit_table = limit_table
+        self._statement_recorder = statement_recorder
         self._part_guard = part_guard
         self._crash_monitor = crash_monitor
         self._reachability = reachability
@@ -104,7 +104,7 @@
                 self._endpoint_client,
                 self._codec,
                 self._stall_tracker,
-                self._limit_table,
+                self._statement_recorder,
                 self._part_guard,
                 self._crash_monitor,
                 self._reachability,
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -24,6 +24,7 @@
     request_logger,
     serving_actor,
     stall_tracker,
+    statement_recorder,
 )
 from lynxlanding.errors import settings as settings_errors
 from lynxlanding.fleet import registry as fleet_registry
@@ -282,7 +283,7 @@
             ),
             request_headers,
             self._stall_tracker,
-            self._limit_table,
+            statement_recorder.StatementRecorder(self._limit_table),
             self._part_guard,
             self._crash_monitor,
             self._reachability,
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -16,7 +16,7 @@
         "endpoint:ended",
         "endpoint:allowance_changed",
         "endpoint:limit_changed",
-        "endpoint:limit_malformed",
+        "endpoint:statement_malformed",
         "engine:silent",
         "engine:answers_again",
         "domain:plan_stored",
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -160,7 +160,6 @@
     values = _index_last_values(headers)
     connection = values.get("connection", "").lower()
     encoding = values.get("content-encoding", "").strip().lower()
-    limit_per_s, has_malformed_limit = _decode_limit(headers)
     return response_metadata.ResponseMetadata(
         request_id=values.get(REQUEST_ID.lower()),
         is_sealed="x-response-seal" in values,
@@ -169,8 +168,7 @@
         is_encoded=encoding not in ("", "identity"),
         closes_connection="close" in connection,
         idle_timeout_s=_decode_idle_timeout(values.get("keep-alive")),
-        limit_per_s=limit_per_s,
-        has_malformed_limit=has_malformed_limit,
+        statements=_decode_statements(headers),
     )
 
 
@@ -219,6 +217,14 @@
     return response_metadata.EndpointLoad(*counts)
 
 
+def _decode_statements(headers):
+    """Return the ``EndpointStatements`` of a response."""
+    limit_per_s, has_malformed_limit = _decode_limit(headers)
+    return response_metadata.EndpointStatements(
+        limit_per_s, (response_metadata.LIMIT,) if has_malformed_limit else ()
+    )
+
+
 def _decode_limit(headers):
     """Return the lowest limit, or None, and whether all that are stated are malformed."""
     lowest = None
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -105,8 +105,8 @@
 def test_decodes_the_limit_on_requests(values, limit_per_s, is_malformed):
     """Guards against a malformed limit that counts as none, or as one of any value."""
     metadata = request_headers.decode_response([("Server-Limit", value) for value in values])
-    assert metadata.limit_per_s == limit_per_s
-    assert metadata.has_malformed_limit == is_malformed
+    assert metadata.statements.limit_per_s == limit_per_s
+    assert metadata.statements.malformed == (("limit",) if is_malformed else ())
 
 
 @pytest.mark.parametrize(
