Stop the use of endpoints that state their leaving in responses

Cause: no line read Server-Leaving, so a node knew of a leaving from the store only. Ruled out: connections that were late (they look at the registry again before they send).

The adapter decodes the header, the recorder of statements takes it from the endpoint's own responses, and the registry marks the incarnation as leaving. Peers hear it with the next report. Values other than 0 and 1 are logged and ignored.

After a restart the endpoint is used again.

--- a/src/lynxlanding/dispatch/limit_table.py
+++ b/src/lynxlanding/dispatch/limit_table.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lynxlanding.dispatch import limit_statement
+from lynxlanding.dispatch import limit_statement, report_turns
 
 # A limit that only a peer has heard is dropped if no peer has confirmed it for this long, because
 # the peer may be gone. Peers repeat what they have heard within seconds.
@@ -16,9 +16,6 @@
 # peer that still believes in the limit.
 END_REPORT_S = 10.0
 END_REPEAT_S = 2.0
-# Older statements take turns, which bounds the size of a report.
-MAX_REPORTED = 16
-MAX_REPORTED_OLD = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +62,7 @@
         self._node_id = node_id
         self._entries = {}
         self._limited = frozenset()
-        self._next_old = 0
+        self._report_turns = report_turns.ReportTurns()
         self._own_changes = 0
 
     @property
@@ -191,12 +188,7 @@
                 fresh.append(item)
             else:
                 old.append(item)
-        reported = fresh[:MAX_REPORTED]
-        count = min(MAX_REPORTED_OLD, MAX_REPORTED - len(reported), len(old))
-        for offset in range(count):
-            reported.append(old[(self._next_old + offset) % len(old)])
-        self._next_old += count
-        return reported
+        return self._report_turns.select(fresh, old)
 
     def keep_incarnation(self, record):
         """Discard what earlier incarnations of an endpoint have stated."""
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -14,6 +14,7 @@
 SENT_LATE = "lynxlanding:request:sent_late"
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
+LEAVING_STATED = "lynxlanding:endpoint:leaving_stated"
 STATEMENT_MALFORMED = "lynxlanding:endpoint:statement_malformed"
 
 # A caller may set the header that names the sending node.
@@ -135,6 +136,32 @@
     )
 
 
+def log_leaving_stated(endpoint_id, started_ms, source, age_s, request_id=None):
+    """Log that an endpoint has said in a response that it is leaving.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Endpoint that is leaving.
+    started_ms : int
+        Start of its incarnation, in Unix milliseconds.
+    source : str
+        Id of the node that received the response.
+    age_s : float
+        Time since the response, in seconds.
+    request_id : str, optional
+        Request whose response this node has received.
+    """
+    eliot.log_message(
+        message_type=LEAVING_STATED,
+        endpoint=endpoint_id,
+        born_ms=started_ms,
+        source=source,
+        age_s=round(age_s, 3),
+        request_id=request_id,
+    )
+
+
 def log_malformed_statement(record, name, request_id):
     """Log that a statement in a response cannot be read; what was known before stays."""
     eliot.log_message(
--- a/src/lynxlanding/dispatch/response_metadata.py
+++ b/src/lynxlanding/dispatch/response_metadata.py
@@ -4,6 +4,7 @@
 
 # Names of the statements.
 LIMIT = "limit"
+LEAVING = "leaving"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -23,11 +24,14 @@
     ----------
     limit_per_s : float or None
         Requests a second that the endpoint takes from all nodes together.
+    is_leaving : bool
+        Whether the endpoint is shutting down and takes no new requests.
     malformed : tuple of str
         Names of the fields whose statement is there but cannot be read.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
     malformed: tuple[str, ...] = ()
 
 
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -70,6 +70,10 @@
         """Record that an incarnation serves; return the changes of the registry."""
         return self._update_candidates(self._registry.confirm(endpoint_id, started_ms))
 
+    def record_leaving(self, endpoint_id, started_ms):
+        """Record that an incarnation says that it is leaving; return the registry's changes."""
+        return self._update_candidates(self._registry.record_leaving(endpoint_id, started_ms))
+
     def records(self):
         """Return a copy of the records by endpoint id, and whether the store is available."""
         return dict(self._registry.records), self._registry.is_store_available
--- a/src/lynxlanding/dispatch/statement_recorder.py
+++ b/src/lynxlanding/dispatch/statement_recorder.py
@@ -8,12 +8,21 @@
 
     Parameters
     ----------
+    node_id : str
+        Id of this node, as the source of statements in log lines.
     limit_table : LimitTable
         Receives the limits on the rate of requests.
+    leavings : StatedLeavings
+        Receives the endpoints that are leaving.
+    on_leaving : callable
+        Called with the record of an endpoint when it first states that it is leaving.
     """
 
-    def __init__(self, limit_table):
+    def __init__(self, node_id, limit_table, leavings, on_leaving):
+        self._node_id = node_id
         self._limit_table = limit_table
+        self._leavings = leavings
+        self._on_leaving = on_leaving
 
     def record_response(self, record, request_id, status, metadata, sent_at, now):
         """Record what a response states, if the endpoint itself has sent it.
@@ -37,6 +46,11 @@
             return
         for name in metadata.statements.malformed:
             request_logger.log_malformed_statement(record, name, request_id)
+        if metadata.statements.is_leaving and self._leavings.record_response(record, now):
+            request_logger.log_leaving_stated(
+                record.endpoint_id, record.started_ms, self._node_id, 0.0, request_id
+            )
+            self._on_leaving(record)
         self._record_limit(record, request_id, status, metadata, sent_at, now)
 
     def _record_limit(self, record, request_id, status, metadata, sent_at, now):
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -9,7 +9,10 @@
     limit_gate,
     limit_table,
     request_allowance,
+    response_metadata,
     stall_tracker,
+    stated_leavings,
+    statement_recorder,
 )
 from lynxlanding.fleet import endpoint_record, group_membership, registry
 from lynxlanding.replicas.tests import simulated_domain
@@ -91,6 +94,28 @@
     return limit_gate.LimitGate(limits, allowance)
 
 
+def make_statement_recorder(limits=None, on_leaving=None):
+    return statement_recorder.StatementRecorder(
+        "n0",
+        limits or limit_table.LimitTable("n0"),
+        stated_leavings.StatedLeavings(),
+        on_leaving or (lambda record: None),
+    )
+
+
+def make_response_metadata(request_id="q", was_not_run=False, **statements):
+    return response_metadata.ResponseMetadata(
+        request_id,
+        not was_not_run,
+        was_not_run,
+        None,
+        False,
+        False,
+        None,
+        response_metadata.EndpointStatements(**statements),
+    )
+
+
 def make_dispatcher(records, tracker=None, seed=1, limits=None):
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
--- a/src/lynxlanding/dispatch/tests/test_limit_table.py
+++ b/src/lynxlanding/dispatch/tests/test_limit_table.py
@@ -1,6 +1,6 @@
 import dataclasses
 
-from lynxlanding.dispatch import limit_statement, limit_table
+from lynxlanding.dispatch import limit_statement, limit_table, report_turns
 from lynxlanding.dispatch.tests import dispatch_factories
 
 RECORD = dispatch_factories.make_head(0)
@@ -130,11 +130,11 @@
     table = limit_table.LimitTable("n0")
     for number in range(40):
         table.record_response(dispatch_factories.make_head(number), 1.0, 0.0, 1.0)
-    assert len(table.statements_to_report(1.5)) == limit_table.MAX_REPORTED
+    assert len(table.statements_to_report(1.5)) == report_turns.MAX_REPORTED
     reported = set()
     for _ in range(10):
         items = table.statements_to_report(10.0)
-        assert len(items) == limit_table.MAX_REPORTED_OLD
+        assert len(items) == report_turns.MAX_REPORTED_OLD
         reported.update(item.endpoint_id for item in items)
     assert len(reported) == 40
 
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -15,9 +15,7 @@
     request_forwarder,
     request_logger,
     request_metadata,
-    response_metadata,
     stall_tracker,
-    statement_recorder,
 )
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
@@ -104,23 +102,27 @@
             raise endpoint_errors.ConnectionRefused("refused")
         if draw < 0.3:
             self.refused += 1
-            return FakeResponse(503, empty_body()), make_response_metadata(was_not_run=True)
+            return FakeResponse(503, empty_body()), dispatch_factories.make_response_metadata(
+                was_not_run=True
+            )
         if draw < 0.4:
             raise endpoint_errors.ConnectionBroken("reset before it ran")
         self.runs.append(record.endpoint_id)
         if draw < 0.55:
             raise endpoint_errors.ConnectionBroken("reset after it ran")
         if draw < 0.6:
-            return FakeResponse(200, self._body()), make_response_metadata(request_id="another")
+            return FakeResponse(200, self._body()), dispatch_factories.make_response_metadata(
+                request_id="another"
+            )
         if draw < 0.65 and not self.is_stream:
             # The request has run, but the status says that it has not.
-            return FakeResponse(503, self._body()), make_response_metadata()
+            return FakeResponse(503, self._body()), dispatch_factories.make_response_metadata()
         if not self.is_stream:
-            return FakeResponse(200, self._body()), make_response_metadata()
+            return FakeResponse(200, self._body()), dispatch_factories.make_response_metadata()
         resume_after = dict(headers).get("Last-Event-Id")
         return FakeResponse(
             200, self._events(0 if resume_after is None else resume_after)
-        ), make_response_metadata()
+        ), dispatch_factories.make_response_metadata()
 
     def _body(self):
         yield b"who"
@@ -186,12 +188,6 @@
     yield from ()
 
 
-def make_response_metadata(request_id="q", was_not_run=False):
-    return response_metadata.ResponseMetadata(
-        request_id, not was_not_run, was_not_run, None, False, False, None
-    )
-
-
 def make_forwarder(seed, route):
     random_state = random.Random(seed)
     is_model = route.kind == traffic_route.STREAMING
@@ -227,7 +223,7 @@
         endpoints,
         PassThroughCodec,
         stall_tracker.StallTracker(),
-        statement_recorder.StatementRecorder(limit_table.LimitTable("n0")),
+        dispatch_factories.make_statement_recorder(),
         part_guard.PartGuard("n0"),
         FakeCrashMonitor(),
         reachability.Reachability(now),
@@ -378,11 +374,9 @@
     route = dispatch_factories.make_route(traffic_route.UNSAFE, 1, service="app")
     forwarder, _, _ = make_forwarder(1, route)
     table = limit_table.LimitTable("n0")
-    metadata = dataclasses.replace(
-        make_response_metadata(), statements=response_metadata.EndpointStatements(1.5)
-    )
+    metadata = dispatch_factories.make_response_metadata(limit_per_s=1.5)
     forwarder._client = OneResponse(status, dataclasses.replace(metadata, **fields))
-    forwarder._statement_recorder = statement_recorder.StatementRecorder(table)
+    forwarder._statement_recorder = dispatch_factories.make_statement_recorder(table)
     with contextlib.suppress(request_errors.RequestError):
         forwarder.forward()
     logged = [item for item in log_messages if item["message_type"] == request_logger.LIMIT_CHANGED]
@@ -390,24 +384,6 @@
     assert bool(table.limited_ids) == is_learnt
 
 
-def test_malformed_limit_does_not_end_the_known_one(log_messages):
-    """Guards against a header that cannot be read and counts as the end of a limit."""
-    table = limit_table.LimitTable("n0")
-    recorder = statement_recorder.StatementRecorder(table)
-    record = dispatch_factories.make_plain_endpoint(0)
-    stated = dataclasses.replace(
-        make_response_metadata(), statements=response_metadata.EndpointStatements(1.5)
-    )
-    recorder.record_response(record, "q", 200, stated, 1.0, 2.0)
-    malformed = dataclasses.replace(
-        stated,
-        statements=response_metadata.EndpointStatements(malformed=(response_metadata.LIMIT,)),
-    )
-    recorder.record_response(record, "q", 200, malformed, 3.0, 4.0)
-    assert table.limit_per_s(record.endpoint_id) == 1.5
-    assert log_messages[-1]["message_type"] == request_logger.STATEMENT_MALFORMED
-
-
 @pytest.mark.parametrize(
     ("status", "fields"),
     [
@@ -420,7 +396,7 @@
     """Guards against the late second copy of an answer on a connection that is in use again."""
     route = dispatch_factories.make_route(traffic_route.SAFE, 1, service="app")
     forwarder, _, _ = make_forwarder(1, route)
-    metadata = dataclasses.replace(make_response_metadata(), **fields)
+    metadata = dataclasses.replace(dispatch_factories.make_response_metadata(), **fields)
     forwarder._client = OneResponse(status, metadata)
     with pytest.raises(request_errors.EndpointFailed, match="another request"):
         forwarder.forward()
@@ -432,7 +408,7 @@
     forwarder._request = dataclasses.replace(
         forwarder._request, metadata=request_metadata.RequestMetadata("")
     )
-    forwarder._client = OneResponse(200, make_response_metadata(request_id=None))
+    forwarder._client = OneResponse(200, dispatch_factories.make_response_metadata(request_id=None))
     assert forwarder.forward().body == b"whole"
 
 
--- /dev/null
+++ b/src/lynxlanding/dispatch/tests/test_statement_recorder.py
@@ -0,0 +1,48 @@
+import dataclasses
+
+import pytest
+
+from lynxlanding.dispatch import limit_table, request_logger, response_metadata
+from lynxlanding.dispatch.tests import dispatch_factories
+
+RECORD = dispatch_factories.make_plain_endpoint(0)
+
+
+def record(recorder, metadata, status=200, sent_at=1.0):
+    recorder.record_response(RECORD, "q", status, metadata, sent_at, sent_at + 1.0)
+
+
+def test_malformed_limit_does_not_end_the_known_one(log_messages):
+    """Guards against a header that cannot be read and counts as the end of a limit."""
+    table = limit_table.LimitTable("n0")
+    recorder = dispatch_factories.make_statement_recorder(table)
+    record(recorder, dispatch_factories.make_response_metadata(limit_per_s=1.5))
+    malformed = dispatch_factories.make_response_metadata(malformed=(response_metadata.LIMIT,))
+    record(recorder, malformed, sent_at=3.0)
+    assert table.limit_per_s(RECORD.endpoint_id) == 1.5
+    assert log_messages[-1]["message_type"] == request_logger.STATEMENT_MALFORMED
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "is_heard"),
+    [
+        (200, {}, True),
+        (500, {}, True),
+        (503, {"is_sealed": False, "was_not_run": True}, True),
+        (200, {"request_id": "another"}, False),
+        (200, {"is_sealed": False}, False),
+        (421, {"is_sealed": False, "was_not_run": True}, False),
+    ],
+)
+def test_leaving_is_heard_once_from_the_endpoints_own_responses(
+    status, fields, is_heard, log_messages
+):
+    """Guards against an endpoint that goes out of use because of another one's response."""
+    heard = []
+    recorder = dispatch_factories.make_statement_recorder(on_leaving=heard.append)
+    metadata = dispatch_factories.make_response_metadata(is_leaving=True)
+    record(recorder, dataclasses.replace(metadata, **fields), status)
+    record(recorder, dataclasses.replace(metadata, **fields), status)
+    assert heard == ([RECORD] if is_heard else [])
+    logged = [item["source"] for item in log_messages]
+    assert logged == (["n0"] if is_heard else [])
--- a/src/lynxlanding/fleet/incarnation_memory.py
+++ b/src/lynxlanding/fleet/incarnation_memory.py
@@ -13,9 +13,9 @@
         # Ids of endpoints of which an incarnation has ended.
         self._ended = {}
 
-    def record_leaving(self, record):
+    def record_leaving(self, endpoint_id, started_ms):
         """Record that an incarnation has announced its shutdown."""
-        _remember(self._leaving, (record.endpoint_id, record.started_ms), True)
+        _remember(self._leaving, (endpoint_id, started_ms), True)
 
     def record_ended(self, record):
         """Record that an incarnation was replaced or that its entry was removed."""
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -21,7 +21,8 @@
     """Endpoints that requests and orders may be sent to.
 
     Records of one incarnation are ordered by the number of the heartbeat, which late writes do not
-    change. An endpoint that has announced its shutdown stays leaving until it restarts.
+    change. An endpoint that has announced its shutdown, in the store or in a response, stays
+    leaving until it restarts.
 
     Two kinds of entries may be late writes of an incarnation that is gone, and nothing in the store
     tells that. Such an endpoint is unconfirmed and gets no requests:
@@ -170,6 +171,17 @@
         self._returned_at.pop(endpoint_id, None)
         return self._set(record, record)
 
+    def record_leaving(self, endpoint_id, started_ms):
+        """Record that an incarnation says that it is leaving; return the changes.
+
+        Its registration may say so later, or not at all.
+        """
+        self._memory.record_leaving(endpoint_id, started_ms)
+        known = self._records.get(endpoint_id)
+        if known is None or known.started_ms != started_ms or known.is_leaving:
+            return []
+        return self._set(dataclasses.replace(known, is_leaving=True), known)
+
     def expire(self, now):
         """Apply what follows from the time; return the changes.
 
@@ -259,7 +271,7 @@
         )
         self._records[record.endpoint_id] = record
         if record.is_leaving:
-            self._memory.record_leaving(record)
+            self._memory.record_leaving(record.endpoint_id, record.started_ms)
         return endpoint_change.find_changes(known, record)
 
     def _remove(self, endpoint_id, now):
--- a/src/lynxlanding/fleet/tests/test_registry.py
+++ b/src/lynxlanding/fleet/tests/test_registry.py
@@ -122,3 +122,27 @@
     endpoints.on_store_rolled_back()
     endpoints.apply_list([make_record("i-2")], 1.0)
     assert change_kinds(endpoints.expire(1.0 + registry.LAPSE_GRACE_S)) == ["removed"]
+
+
+def test_leaving_stated_in_a_response_holds_until_the_endpoint_restarts():
+    """Guards against an endpoint that its next heartbeat brings back into use."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    endpoints.apply_list([make_record()], 0.0)
+    assert endpoints.record_leaving("i-1", 9) == []
+    assert change_kinds(endpoints.record_leaving("i-1", 10)) == [endpoint_change.LEAVING]
+    assert endpoints.record_leaving("i-1", 10) == []
+    assert not endpoints.is_usable("i-1")
+    endpoints.apply_changes([make_record(heartbeat_number=1)], [], 1.0)
+    assert not endpoints.is_usable("i-1")
+    endpoints.apply_changes([make_record(started_ms=20)], [], 2.0)
+    endpoints.confirm("i-1", 20)
+    assert endpoints.is_usable("i-1")
+
+
+def test_leaving_of_an_incarnation_that_is_not_registered_yet_is_remembered():
+    """Guards against a statement that is lost because the store is read later."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    endpoints.apply_list([], 0.0)
+    assert endpoints.record_leaving("i-1", 10) == []
+    endpoints.apply_changes([make_record()], [], 1.0)
+    assert not endpoints.is_usable("i-1")
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -24,6 +24,7 @@
     request_logger,
     serving_actor,
     stall_tracker,
+    stated_leavings,
     statement_recorder,
 )
 from lynxlanding.errors import settings as settings_errors
@@ -116,6 +117,7 @@
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
         self._limit_table = limit_table.LimitTable(settings.node_id)
+        self._stated_leavings = stated_leavings.StatedLeavings()
         self._part_guard = part_guard.PartGuard(
             settings.node_id, settings.requests.exempt_prompt_part_keys
         )
@@ -283,7 +285,12 @@
             ),
             request_headers,
             self._stall_tracker,
-            statement_recorder.StatementRecorder(self._limit_table),
+            statement_recorder.StatementRecorder(
+                settings.node_id,
+                self._limit_table,
+                self._stated_leavings,
+                lambda record: self._record_leaving(record.endpoint_id, record.started_ms),
+            ),
             self._part_guard,
             self._crash_monitor,
             self._reachability,
@@ -348,6 +355,10 @@
     def _on_endpoint_confirmed(self, changes):
         self._endpoint_handler.process_changes(changes, None)
 
+    def _record_leaving(self, endpoint_id, started_ms):
+        changes = self._serving.record_leaving(endpoint_id, started_ms).get()
+        self._endpoint_handler.process_changes(changes, None)
+
     def _on_endpoint_ended(self, record, now):
         self._serving.record_ended(record.endpoint_id, record.started_ms, now)
 
@@ -395,6 +406,8 @@
             self._part_guard.urgent_changes,
             status.is_ready and not status.refuses_requests and not is_cut,
             is_cut,
+            self._stated_leavings.statements_to_report(now),
+            self._stated_leavings.changes,
         )
 
     def _on_peer_report(self, report, now):
@@ -406,6 +419,13 @@
             self._log_limit_changes(
                 self._serving.apply_peer_statements(report.node_id, statements, now).get()
             )
+        for leaving in self._peer_view.resolve_leavings(report, now):
+            if not self._stated_leavings.record_peer(leaving):
+                continue
+            request_logger.log_leaving_stated(
+                leaving.endpoint_id, leaving.started_ms, report.node_id, now - leaving.stated_at
+            )
+            self._record_leaving(leaving.endpoint_id, leaving.started_ms)
         prompts = report.prompts.shift(now)
         self._part_guard.apply_peer(prompts, report.node_id, now)
         for endpoint_id, started_ms in self._peer_view.resolve_ends(prompts):
@@ -441,6 +461,7 @@
             self._peer_pool.close_expired(now)
             records, _ = self._serving.records().get()
             self._peer_view.set_endpoint_ids(records)
+            self._stated_leavings.expire(records)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
                 self._reload_requested.clear()
                 self._reload_settings()
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -16,6 +16,7 @@
         "endpoint:ended",
         "endpoint:allowance_changed",
         "endpoint:limit_changed",
+        "endpoint:leaving_stated",
         "endpoint:statement_malformed",
         "engine:silent",
         "engine:answers_again",
--- a/src/lynxlanding/operators/tests/test_explain.py
+++ b/src/lynxlanding/operators/tests/test_explain.py
@@ -100,7 +100,7 @@
 
         return test_request_forwarder.FakeResponse(
             200, chunks()
-        ), test_request_forwarder.make_response_metadata()
+        ), dispatch_factories.make_response_metadata()
 
     forward_request([dispatch_factories.make_head(0)], send_truncated)
     log_endpoint_removal(0)
@@ -125,7 +125,7 @@
 
         return test_request_forwarder.FakeResponse(
             200, chunks()
-        ), test_request_forwarder.make_response_metadata()
+        ), dispatch_factories.make_response_metadata()
 
     forward_request(
         [dispatch_factories.make_head(0), dispatch_factories.make_head(1)], stall_first_call
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from lynxlanding.crashes import statements
-from lynxlanding.dispatch import limit_statement
+from lynxlanding.dispatch import limit_statement, stated_leavings
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,6 +40,10 @@
         Whether this node takes requests of nodes that reach no endpoint.
     is_cut : bool
         Whether this node itself reaches no endpoint.
+    leavings : list of LeavingStatement
+        Endpoints that have said to this node in responses that they are leaving.
+    leaving_changes : int
+        Number of such endpoints so far, of which peers should hear at once.
     """
 
     loads: dict[str, int]
@@ -56,3 +60,5 @@
     urgent_changes: int
     takes_requests: bool
     is_cut: bool
+    leavings: list[stated_leavings.LeavingStatement]
+    leaving_changes: int
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -26,6 +26,15 @@
   ageMs @4 :UInt64;
 }
 
+struct LeavingEndpoint {
+  # xxHash64 of the endpoint id.
+  key @0 :UInt64;
+  # Start of the endpoint's incarnation, in Unix milliseconds.
+  startedMs @1 :Int64;
+  # Time since the endpoint has said so, in milliseconds.
+  ageMs @2 :UInt64;
+}
+
 struct PartTime {
   # Key of a part of prompts.
   part @0 :UInt64;
@@ -86,4 +95,6 @@
   isCut @17 :Bool;
   # host:port at which the sender takes callers' requests, unless callersPort says it.
   callersAddress @18 :Text;
+  # Endpoints that have said to the sender in responses that they are leaving.
+  leavings @19 :List(LeavingEndpoint);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -30,6 +30,25 @@
     age_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportedLeaving:
+    """An endpoint that has said to the sender in a response that it is leaving.
+
+    Parameters
+    ----------
+    endpoint_hash : int
+        Hash of the endpoint id.
+    started_ms : int
+        Start of the endpoint's incarnation, in Unix milliseconds.
+    age_ms : int
+        Time since the response, in milliseconds.
+    """
+
+    endpoint_hash: int
+    started_ms: int
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReport:
     """Load report of one node.
@@ -69,6 +88,8 @@
         Whether the sender takes requests of nodes that reach no endpoint.
     is_cut : bool
         Whether the sender itself reaches no endpoint.
+    leavings : tuple of ReportedLeaving
+        Endpoints that have said to the sender that they are leaving.
     """
 
     node_id: str
@@ -87,3 +108,4 @@
     callers_address: str = ""
     takes_requests: bool = False
     is_cut: bool = False
+    leavings: tuple[ReportedLeaving, ...] = ()
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -1,6 +1,6 @@
 """Combined view of the reports of the other nodes."""
 
-from lynxlanding.dispatch import limit_statement
+from lynxlanding.dispatch import limit_statement, stated_leavings
 from lynxlanding.fleet import endpoint_key
 
 
@@ -71,6 +71,23 @@
             statements.append(limit_statement.EndpointStatement(endpoint_id, statement))
         return statements
 
+    def resolve_leavings(self, report, now):
+        """Return the ``LeavingStatement``s of a report, with times by this node's clock.
+
+        Hashes of unknown endpoints are ignored; reports repeat them.
+        """
+        statements = []
+        for leaving in report.leavings:
+            endpoint_id = self._endpoint_ids_by_hash.get(leaving.endpoint_hash)
+            if endpoint_id is None:
+                continue
+            statements.append(
+                stated_leavings.LeavingStatement(
+                    endpoint_id, leaving.started_ms, now - leaving.age_ms / 1000
+                )
+            )
+        return statements
+
     def resolve_ends(self, prompts):
         """Return endpoint id and start of the endpoints whose end a report states.
 
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -53,6 +53,11 @@
             message.callersAddress = report.callers_address
         message.takesRequests = report.takes_requests
         message.isCut = report.is_cut
+        leavings = message.init("leavings", len(report.leavings))
+        for index, leaving in enumerate(report.leavings):
+            leavings[index].key = leaving.endpoint_hash
+            leavings[index].startedMs = leaving.started_ms
+            leavings[index].ageMs = leaving.age_ms
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -91,6 +96,10 @@
                 _decode_callers_address(message),
                 message.takesRequests,
                 message.isCut,
+                tuple(
+                    peer_report.ReportedLeaving(item.key, item.startedMs, item.ageMs)
+                    for item in message.leavings
+                ),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -118,6 +118,7 @@
                 self._identity.callers_address,
                 state.takes_requests,
                 state.is_cut,
+                make_reported_leavings(state.leavings, now),
             )
         )
         targets = self._table.target_addresses(now) if to_all else self._next_targets(now)
@@ -164,6 +165,26 @@
                 self._on_report(report, now)
 
 
+def make_reported_leavings(statements, now):
+    """Return the ``ReportedLeaving`` tuple of a report from a list of ``LeavingStatement``.
+
+    A start time that the encoding cannot hold is no time; such statements are left out.
+    """
+    leavings = []
+    for statement in statements:
+        if not 0 <= statement.started_ms < peer_report.MAX_STARTED_MS:
+            continue
+        leavings.append(
+            peer_report.ReportedLeaving(
+                endpoint_key.hash_endpoint_id(statement.endpoint_id),
+                statement.started_ms,
+                # A statement can arrive between ``now`` and the encoding.
+                max(0, int((now - statement.stated_at) * 1000)),
+            )
+        )
+    return tuple(leavings)
+
+
 def make_reported_limits(statements, now):
     """Return the ``ReportedLimit`` tuple of a report from a list of ``EndpointStatement``.
 
@@ -205,4 +226,5 @@
         state.urgent_changes,
         state.takes_requests,
         state.is_cut,
+        state.leaving_changes,
     )
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -1,7 +1,7 @@
 import pytest
 
 from lynxlanding.crashes import statements
-from lynxlanding.dispatch import limit_statement, stall_tracker
+from lynxlanding.dispatch import limit_statement, stall_tracker, stated_leavings
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.fleet import endpoint_key
 from lynxlanding.peers import (
@@ -205,3 +205,23 @@
     assert received.callers_address == expected
     assert received.takes_requests
     assert received.is_cut
+
+
+def test_leavings_survive_encoding_and_name_known_endpoints():
+    """Guards against endpoints that only the node that was told stops using."""
+    reported = report_transport.make_reported_leavings(
+        [
+            stated_leavings.LeavingStatement("e0", 7, 9.5),
+            stated_leavings.LeavingStatement("unknown", 7, 9.5),
+            stated_leavings.LeavingStatement("e0", -1, 9.5),
+        ],
+        now=10.0,
+    )
+    codec = report_codec.ReportCodec()
+    received = codec.decode(codec.encode(make_report(leavings=reported)))
+    assert len(received.leavings) == 2
+    view = peer_view.PeerView(stall_tracker.StallTracker())
+    view.set_endpoint_ids({"e0": None})
+    assert view.resolve_leavings(received, 20.0) == [
+        stated_leavings.LeavingStatement("e0", 7, 19.5)
+    ]
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -14,6 +14,8 @@
 _URGENCY = "X-Request-Urgency"
 _LAST_EVENT_ID = "Last-Event-Id"
 _LIMIT = "Server-Limit"
+_LEAVING = "Server-Leaving"
+_LEAVING_VALUES = {"0": False, "1": True}
 _PROMPT_PARTS = "x-prompt-prefix"
 _HEX_DIGITS = frozenset(string.hexdigits.lower())
 _MAX_PART_DIGITS = 16
@@ -219,24 +221,30 @@
 
 def _decode_statements(headers):
     """Return the ``EndpointStatements`` of a response."""
+    malformed = []
     limit_per_s, has_malformed_limit = _decode_limit(headers)
-    return response_metadata.EndpointStatements(
-        limit_per_s, (response_metadata.LIMIT,) if has_malformed_limit else ()
-    )
+    if has_malformed_limit:
+        malformed.append(response_metadata.LIMIT)
+    is_leaving, has_malformed_leaving = _decode_leaving(headers)
+    if has_malformed_leaving:
+        malformed.append(response_metadata.LEAVING)
+    return response_metadata.EndpointStatements(limit_per_s, is_leaving, tuple(malformed))
 
 
 def _decode_limit(headers):
     """Return the lowest limit, or None, and whether all that are stated are malformed."""
-    lowest = None
-    is_stated = False
-    for name, value in headers:
-        if name.lower() != _LIMIT.lower():
-            continue
-        is_stated = True
-        limit_per_s = _parse_float(value)
-        if limit_per_s is not None and (lowest is None or limit_per_s < lowest):
-            lowest = limit_per_s
-    return lowest, is_stated and lowest is None
+    values = _find_values(headers, _LIMIT)
+    limits = [_parse_float(value) for value in values]
+    valid_limits = [limit for limit in limits if limit is not None]
+    lowest = min(valid_limits, default=None)
+    return lowest, bool(values) and lowest is None
+
+
+def _decode_leaving(headers):
+    """Return whether any header states the leaving, and whether all of them are malformed."""
+    values = _find_values(headers, _LEAVING)
+    is_leaving = [_LEAVING_VALUES.get(value.strip()) for value in values]
+    return True in is_leaving, bool(values) and set(is_leaving) == {None}
 
 
 def _decode_idle_timeout(text):
@@ -248,6 +256,11 @@
     return None
 
 
+def _find_values(headers, wanted):
+    """Return all values of a header."""
+    return [value for name, value in headers if name.lower() == wanted.lower()]
+
+
 def _index_last_values(headers):
     """Return the last value of each header by lower-case name."""
     values = {}
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -109,6 +109,29 @@
     assert metadata.statements.malformed == (("limit",) if is_malformed else ())
 
 
+@pytest.mark.parametrize(
+    ("values", "is_leaving", "is_malformed"),
+    [
+        ([], False, False),
+        (["1"], True, False),
+        ([" 1 "], True, False),
+        (["0"], False, False),
+        (["0", "1"], True, False),
+        (["x", "1"], True, False),
+        (["x", "0"], False, False),
+        ([""], False, True),
+        (["true"], False, True),
+        (["-1"], False, True),
+        (["1" * 5000], False, True),
+    ],
+)
+def test_decodes_the_leaving(values, is_leaving, is_malformed):
+    """Guards against an endpoint that goes out of use because of a malformed header."""
+    metadata = request_headers.decode_response([("Server-Leaving", value) for value in values])
+    assert metadata.statements.is_leaving == is_leaving
+    assert metadata.statements.malformed == (("leaving",) if is_malformed else ())
+
+
 @pytest.mark.parametrize(
     ("values", "parts"),
     [
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -135,6 +135,8 @@
             self._server.reset_connections(endpoint.port)
         if name in order.get("limits", {}):
             endpoint.limit_per_s = order["limits"][name]
+        if name in order.get("states_leaving", ()):
+            endpoint.states_leaving = True
         if name in order.get("hold_heartbeat", ()):
             endpoint.heartbeats += 1
             self._held[name] = endpoint.entry()
@@ -142,6 +144,7 @@
             endpoint.born = order["restart"][name]
             endpoint.heartbeats = 0
             endpoint.is_leaving = False
+            endpoint.states_leaving = False
             self._publish(endpoint)
         if name in order.get("leaving", ()):
             endpoint.is_leaving = True
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -29,6 +29,8 @@
         Whether the endpoint has crashed and not started again.
     limit_per_s : float or None
         Requests a second that the endpoint says it takes from all nodes together.
+    states_leaving : bool
+        Whether the endpoint says in its responses that it is leaving; its registration may not.
     heartbeats : int
         Number of heartbeats of the incarnation.
     group : dict or None
@@ -46,6 +48,7 @@
     is_silent: bool = False
     is_down: bool = False
     limit_per_s: float | None = None
+    states_leaving: bool = False
     heartbeats: int = 0
     group: dict | None = None
     model: str | None = None
@@ -73,6 +76,7 @@
         """Begin another incarnation."""
         self.is_down = False
         self.is_leaving = False
+        self.states_leaving = False
         self.born = born
         self.heartbeats = 0
         self.seen_epoch = 0
@@ -94,11 +98,14 @@
             spec.update(self.state())
         return spec
 
-    def limit_headers(self):
-        """Return the header that states the limit, if there is one."""
-        if self.limit_per_s is None:
-            return []
-        return [(b"server-limit", str(self.limit_per_s).encode())]
+    def statement_headers(self):
+        """Return the headers of responses in which the endpoint states something about itself."""
+        headers = []
+        if self.limit_per_s is not None:
+            headers.append((b"server-limit", str(self.limit_per_s).encode()))
+        if self.states_leaving:
+            headers.append((b"server-leaving", b"1"))
+        return headers
 
     def state(self):
         """Return the engine's state as registrations and reports have it."""
@@ -159,7 +166,7 @@
             await asgi.send_json(send, 421, {})
             return
         if scope["path"] == HEALTH_PATH:
-            status = 503 if endpoint.is_leaving else 200
+            status = 503 if endpoint.is_leaving or endpoint.states_leaving else 200
             instance = [(b"x-instance-id", endpoint.endpoint_id.encode())]
             await asgi.send_json(send, status, {}, instance)
         elif scope["path"] == "/v1/order":
@@ -245,7 +252,7 @@
             "workspace": asgi.header(scope, b"x-tenant"),
             "key": asgi.header(scope, b"authorization"),
         }
-        headers = [SEAL, (b"x-request-id", request_id.encode()), *endpoint.limit_headers()]
+        headers = [SEAL, (b"x-request-id", request_id.encode()), *endpoint.statement_headers()]
         await asgi.send_json(send, 200, document, headers)
 
     async def _stream(self, endpoint, scope, send):
@@ -259,7 +266,7 @@
             (b"content-type", b"text/event-stream"),
             (b"x-request-id", request_id.encode()),
             SEAL,
-            *endpoint.limit_headers(),
+            *endpoint.statement_headers(),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         endpoint.running += 1
