--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -59,20 +59,20 @@
         Ratio, slack and window in seconds of the retry limit.
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
-    limit_gate : LimitGate
+    statement_gate : StatementGate
         Keeps requests to the limits that endpoints state.
     random_state : random.Random
         Source of cost jitter, samples of heads and Retry-After jitter.
     """
 
     def __init__(
-        self, data_centre, registry, retry_limits, stall_tracker, limit_gate, random_state
+        self, data_centre, registry, retry_limits, stall_tracker, statement_gate, random_state
     ):
         self._data_centre = data_centre
         self._registry = registry
         self._retry_limits = retry_limits
         self._stall_tracker = stall_tracker
-        self._limit_gate = limit_gate
+        self._statement_gate = statement_gate
         self._random_state = random_state
         self._configuration = None
         self._nodes = 1
@@ -123,7 +123,7 @@
                 self._stall_tracker.forget(change.record.endpoint_id)
                 self._load_tracker.forget(change.record.endpoint_id)
             if change.kind in (endpoint_change.ADDED, endpoint_change.RESTARTED):
-                self._limit_gate.table.keep_incarnation(change.record)
+                self._statement_gate.table.keep_incarnation(change.record)
         self._plain = {}
         self._heads = {}
         for record in self._registry.records.values():
@@ -175,11 +175,11 @@
         decision = self._decide(query, now)
         candidates = self._candidates(query)
         is_sent = isinstance(decision, dispatch_decision.Send)
-        if is_sent and not self._limit_gate.admits(query, candidates, now):
+        if is_sent and not self._statement_gate.admits(query, candidates, now):
             return self._refuse_limited(query, candidates)
         if is_sent:
             self._load_tracker.begin(decision.record.endpoint_id)
-            self._limit_gate.allowance.consume(decision.record.endpoint_id, now)
+            self._statement_gate.allowance.consume(decision.record.endpoint_id, now)
         return decision
 
     def try_acquire_failover(self, query, now):
@@ -206,7 +206,7 @@
     def _choose_head(self, query, engine, now):
         model = engine.models.get(query.model)
         all_heads = self._heads.get((query.service, query.model), ())
-        heads = self._limit_gate.select_sendable(all_heads, now)
+        heads = self._statement_gate.select_sendable(all_heads, now)
         if all_heads and not heads:
             return self._refuse_limited(query, all_heads)
         offset_s = self._first_event_offset.get(query.service, query.model)
@@ -240,8 +240,8 @@
                 predicted_s,
                 first_event_timeout_s,
                 stall_timeout_s,
-                self._limit_gate.table.limit_per_s(record.endpoint_id),
-                self._limit_gate.allowance.rate_per_s(record.endpoint_id, now),
+                self._statement_gate.table.limit_per_s(record.endpoint_id),
+                self._statement_gate.allowance.rate_per_s(record.endpoint_id, now),
             )
             if is_best:
                 best = decision
@@ -293,7 +293,7 @@
 
     def _choose_plain(self, query, now):
         all_candidates = self._plain.get(query.service, ())
-        candidates = self._limit_gate.select_sendable(all_candidates, now)
+        candidates = self._statement_gate.select_sendable(all_candidates, now)
         if all_candidates and not candidates:
             return self._refuse_limited(query, all_candidates)
         best = None
@@ -317,8 +317,8 @@
                     0.0,
                     stall_timeout_s,
                     stall_timeout_s,
-                    self._limit_gate.table.limit_per_s(record.endpoint_id),
-                    self._limit_gate.allowance.rate_per_s(record.endpoint_id, now),
+                    self._statement_gate.table.limit_per_s(record.endpoint_id),
+                    self._statement_gate.allowance.rate_per_s(record.endpoint_id, now),
                 )
                 best_cost = cost
         if best is None:
@@ -329,7 +329,7 @@
 
     def _refuse_limited(self, query, records):
         """Refuse a request for which no endpoint takes another one from this node."""
-        retry_after_s = max(BUSY_RETRY_AFTER_S, self._limit_gate.retry_after_s(records))
+        retry_after_s = max(BUSY_RETRY_AFTER_S, self._statement_gate.retry_after_s(records))
         return self._refuse(query, "every endpoint has reached its limit", retry_after_s)
 
     def _refuse(self, query, reason, retry_after_s):
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -23,17 +23,17 @@
         Known endpoints.
     dispatcher : Dispatcher
         Selects endpoints and counts requests.
-    limit_gate : LimitGate
+    statement_gate : StatementGate
         Keeps requests to the limits that endpoints state.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, registry, dispatcher, limit_gate):
+    def __init__(self, registry, dispatcher, statement_gate):
         super().__init__()
         self._registry = registry
         self._dispatcher = dispatcher
-        self._limit_gate = limit_gate
+        self._statement_gate = statement_gate
 
     def use_configuration(self, configuration):
         """Switch to a newer configuration."""
@@ -126,15 +126,15 @@
         is_same = known is not None and known.started_ms == record.started_ms
         if not is_same or not known.accepts_requests:
             return False
-        return is_counted or self._limit_gate.allowance.try_consume(record.endpoint_id, now)
+        return is_counted or self._statement_gate.allowance.try_consume(record.endpoint_id, now)
 
     def may_check(self, endpoint_id, now):
         """Count a health check, which reaches the endpoint like a request; return if allowed."""
-        return self._limit_gate.allowance.try_consume(endpoint_id, now)
+        return self._statement_gate.allowance.try_consume(endpoint_id, now)
 
     def use_live_nodes(self, node_ids, now):
         """Set the nodes that share the limits of endpoints; return the ``AllowanceChange``s."""
-        return self._limit_gate.allowance.use_live_nodes(node_ids, now)
+        return self._statement_gate.allowance.use_live_nodes(node_ids, now)
 
     def apply_peer_statements(self, peer_id, statements, now):
         """Record what endpoints have stated to a peer; return the ``LimitChange``s.
@@ -153,14 +153,14 @@
             record = self._registry.get(item.endpoint_id)
             if record is None:
                 continue
-            change = self._limit_gate.table.record_peer(record, item.statement, peer_id, now)
+            change = self._statement_gate.table.record_peer(record, item.statement, peer_id, now)
             if change is not None:
                 changes.append(change)
         return changes
 
     def expire_limits(self, now):
         """Drop limits that have expired; return the ``LimitChange``s."""
-        return self._limit_gate.table.expire(self._registry.records, now)
+        return self._statement_gate.table.expire(self._registry.records, now)
 
     def record_reported_load(self, endpoint_id, load, now):
         """Record the running and waiting requests that an endpoint reports."""
--- a/src/lynxlanding/dispatch/limit_gate.py
+++ b/src/lynxlanding/dispatch/statement_gate.py
@@ -1,9 +1,9 @@
-"""Keeps the requests of a node to the limits that endpoints state."""
+"""Keeps the requests of a node to what endpoints state about themselves."""
 
 from lynxlanding.dispatch import request_allowance, urgency_gate
 
 
-class LimitGate:
+class StatementGate:
     """Decides which endpoints may get a request of this node; performs no I/O.
 
     Parameters
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -6,12 +6,12 @@
     cost_model,
     dispatch_decision,
     dispatcher,
-    limit_gate,
     limit_table,
     request_allowance,
     response_metadata,
     stall_tracker,
     stated_leavings,
+    statement_gate,
     statement_recorder,
 )
 from lynxlanding.fleet import endpoint_record, group_membership, registry
@@ -88,10 +88,10 @@
     )
 
 
-def make_limit_gate(limits=None):
+def make_statement_gate(limits=None):
     limits = limits or limit_table.LimitTable("n0")
     allowance = request_allowance.RequestAllowance("n0", limits, now=0.0)
-    return limit_gate.LimitGate(limits, allowance)
+    return statement_gate.StatementGate(limits, allowance)
 
 
 def make_statement_recorder(limits=None, on_leaving=None):
@@ -123,7 +123,7 @@
         endpoint_registry,
         RETRY_LIMITS,
         tracker or stall_tracker.StallTracker(),
-        make_limit_gate(limits),
+        make_statement_gate(limits),
         random.Random(seed),
     )
     new_dispatcher.use_configuration(make_configuration())
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -49,7 +49,7 @@
     record = dispatch_factories.make_plain_endpoint(0)
     dispatcher, registry = dispatch_factories.make_dispatcher([record], limits=limits)
     actor = serving_actor.ServingActor(
-        registry, dispatcher, dispatch_factories.make_limit_gate(limits)
+        registry, dispatcher, dispatch_factories.make_statement_gate(limits)
     )
     assert actor.may_send(record, 100.0, is_counted=False)
     limits.record_response(record, 0.5, 99.0, 100.1)
@@ -64,7 +64,7 @@
     """Guards against each node finding out by itself, with its callers' attempts."""
     records = [dispatch_factories.make_head(0), dispatch_factories.make_head(1)]
     dispatcher, registry = dispatch_factories.make_dispatcher(records)
-    gate = dispatch_factories.make_limit_gate()
+    gate = dispatch_factories.make_statement_gate()
     actor = serving_actor.ServingActor(registry, dispatcher, gate)
     actor.record_ended("e0", records[0].started_ms, 10.0)
     for _ in range(9):
@@ -80,7 +80,7 @@
 def test_end_of_an_earlier_incarnation_says_nothing():
     record = dispatch_factories.make_head(0)
     dispatcher, registry = dispatch_factories.make_dispatcher([record])
-    gate = dispatch_factories.make_limit_gate()
+    gate = dispatch_factories.make_statement_gate()
     actor = serving_actor.ServingActor(registry, dispatcher, gate)
     actor.record_ended("e0", record.started_ms - 1, 10.0)
     assert not dispatcher.health.is_cooling_down("e0", 10.1)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -18,13 +18,13 @@
     connection_pool,
     dispatcher,
     endpoint_client,
-    limit_gate,
     limit_table,
     request_allowance,
     request_logger,
     serving_actor,
     stall_tracker,
     stated_leavings,
+    statement_gate,
     statement_recorder,
 )
 from lynxlanding.errors import settings as settings_errors
@@ -243,7 +243,7 @@
         allowance = request_allowance.RequestAllowance(
             settings.node_id, self._limit_table, time.monotonic()
         )
-        gate = limit_gate.LimitGate(self._limit_table, allowance)
+        gate = statement_gate.StatementGate(self._limit_table, allowance)
         request_dispatcher = dispatcher.Dispatcher(
             settings.data_centre,
             registry,
--- a/src/lynxlanding_bench/dispatch_cost.py
+++ b/src/lynxlanding_bench/dispatch_cost.py
@@ -44,7 +44,7 @@
         known,
         dispatch_factories.RETRY_LIMITS,
         stall_tracker.StallTracker(),
-        dispatch_factories.make_limit_gate(),
+        dispatch_factories.make_statement_gate(),
         random_state,
     )
     made.use_configuration(dispatch_factories.make_configuration())
