Leave endpoints alone for the time that their 503 states

Cause: no line read Retry-After of endpoints; an endpoint that rejected a request only cooled down, 0.5 s at first, and was used all the same if there was no other one. Ruled out: the retry budget (the requests were first attempts).

The adapter decodes seconds and dates, the recorder takes them from the endpoint's own 503 to requests and health checks, and the gate that selection, late connections and health checks ask leaves the endpoint out. If all reject, a request is refused at once with the time until the first one takes requests. EndpointStatements moves to fleet, because health checks return it too.

Two tests of ServingActor used a LimitTable in place of the gate; they now use the gate.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -123,7 +123,7 @@
                 self._stall_tracker.forget(change.record.endpoint_id)
                 self._load_tracker.forget(change.record.endpoint_id)
             if change.kind in (endpoint_change.ADDED, endpoint_change.RESTARTED):
-                self._statement_gate.table.keep_incarnation(change.record)
+                self._statement_gate.keep_incarnation(change.record)
         self._plain = {}
         self._heads = {}
         for record in self._registry.records.values():
@@ -208,7 +208,7 @@
         all_heads = self._heads.get((query.service, query.model), ())
         heads = self._statement_gate.select_sendable(all_heads, now)
         if all_heads and not heads:
-            return self._refuse_limited(query, all_heads)
+            return self._refuse_unsendable(query, all_heads, now)
         offset_s = self._first_event_offset.get(query.service, query.model)
         stall_timeout_s = 0.0 if model is None else cost_model.stall_timeout(engine, model)
         best = None
@@ -295,7 +295,7 @@
         all_candidates = self._plain.get(query.service, ())
         candidates = self._statement_gate.select_sendable(all_candidates, now)
         if all_candidates and not candidates:
-            return self._refuse_limited(query, all_candidates)
+            return self._refuse_unsendable(query, all_candidates, now)
         best = None
         best_cost = 0.0
         for record in candidates:
@@ -327,6 +327,19 @@
             return self._refuse(query, "every endpoint of the service is full", PLAIN_RETRY_AFTER_S)
         return best
 
+    def _refuse_unsendable(self, query, records, now):
+        """Refuse a request because of what all endpoints that could serve it have stated."""
+        accepting = self._statement_gate.select_accepting(records, now)
+        if accepting:
+            return self._refuse_limited(query, accepting)
+        reason = "every endpoint rejects requests for a time"
+        wait_s = self._statement_gate.shortest_rejection_s(records, now)
+        wait_s += BUSY_RETRY_AFTER_S * self._random_state.random()
+        if wait_s > query.time_left_s - query.route.target_latency_s:
+            # The caller cannot wait for so long, but another node may be served sooner.
+            return self._refuse(query, reason, BUSY_RETRY_AFTER_S)
+        return dispatch_decision.Refuse(reason, wait_s)
+
     def _refuse_limited(self, query, records):
         """Refuse a request for which no endpoint takes another one from this node."""
         retry_after_s = max(BUSY_RETRY_AFTER_S, self._statement_gate.retry_after_s(records))
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -15,6 +15,7 @@
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
 LEAVING_STATED = "lynxlanding:endpoint:leaving_stated"
+REJECTED = "lynxlanding:endpoint:rejected"
 STATEMENT_MALFORMED = "lynxlanding:endpoint:statement_malformed"
 
 # A caller may set the header that names the sending node.
@@ -162,6 +163,17 @@
     )
 
 
+def log_rejected(rejection, request_id):
+    """Log a ``Rejection``, with the request whose response has stated it, if it was one."""
+    eliot.log_message(
+        message_type=REJECTED,
+        endpoint=rejection.endpoint_id,
+        born_ms=rejection.started_ms,
+        retry_after_s=round(rejection.until - rejection.stated_at, 3),
+        request_id=request_id,
+    )
+
+
 def log_malformed_statement(record, name, request_id):
     """Log that a statement in a response cannot be read; what was known before stays."""
     eliot.log_message(
--- a/src/lynxlanding/dispatch/response_metadata.py
+++ b/src/lynxlanding/dispatch/response_metadata.py
@@ -2,9 +2,7 @@
 
 import dataclasses
 
-# Names of the statements.
-LIMIT = "limit"
-LEAVING = "leaving"
+from lynxlanding.fleet import endpoint_statements
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -16,25 +14,6 @@
     slots: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class EndpointStatements:
-    """What an endpoint states about itself in a response.
-
-    Parameters
-    ----------
-    limit_per_s : float or None
-        Requests a second that the endpoint takes from all nodes together.
-    is_leaving : bool
-        Whether the endpoint is shutting down and takes no new requests.
-    malformed : tuple of str
-        Names of the fields whose statement is there but cannot be read.
-    """
-
-    limit_per_s: float | None = None
-    is_leaving: bool = False
-    malformed: tuple[str, ...] = ()
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class ResponseMetadata:
     """Metadata of a response.
@@ -66,7 +45,7 @@
     is_encoded: bool
     closes_connection: bool
     idle_timeout_s: float | None
-    statements: EndpointStatements = EndpointStatements()
+    statements: endpoint_statements.EndpointStatements = endpoint_statements.EndpointStatements()
 
     def may_be_of_another_request(self, request_id, status):
         """Return whether the response may be a late second one to an earlier request.
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -126,11 +126,11 @@
         is_same = known is not None and known.started_ms == record.started_ms
         if not is_same or not known.accepts_requests:
             return False
-        return is_counted or self._statement_gate.allowance.try_consume(record.endpoint_id, now)
+        return self._statement_gate.may_send(record.endpoint_id, now, is_counted=is_counted)
 
     def may_check(self, endpoint_id, now):
         """Count a health check, which reaches the endpoint like a request; return if allowed."""
-        return self._statement_gate.allowance.try_consume(endpoint_id, now)
+        return self._statement_gate.may_send(endpoint_id, now)
 
     def use_live_nodes(self, node_ids, now):
         """Set the nodes that share the limits of endpoints; return the ``AllowanceChange``s."""
--- a/src/lynxlanding/dispatch/statement_gate.py
+++ b/src/lynxlanding/dispatch/statement_gate.py
@@ -12,11 +12,14 @@
         Limits in force.
     allowance : RequestAllowance
         This node's part of these limits.
+    rejections : RejectionTable
+        Endpoints that want no requests from this node for a time.
     """
 
-    def __init__(self, table, allowance):
+    def __init__(self, table, allowance, rejections):
         self._table = table
         self._allowance = allowance
+        self._rejections = rejections
         self._urgency_gate = urgency_gate.UrgencyGate()
 
     @property
@@ -29,8 +32,37 @@
         """``RequestAllowance``: this node's part of the limits."""
         return self._allowance
 
+    def keep_incarnation(self, record):
+        """Discard what earlier incarnations of an endpoint have stated."""
+        self._table.keep_incarnation(record)
+        self._rejections.keep_incarnation(record)
+
+    def may_send(self, endpoint_id, now, *, is_counted=False):
+        """Return whether this node may send a request to the endpoint, and count it.
+
+        ``is_counted`` says whether the request is already counted in the allowance.
+        """
+        if self._rejections.remaining_s(endpoint_id, now) > 0:
+            return False
+        return is_counted or self._allowance.try_consume(endpoint_id, now)
+
+    def select_accepting(self, records, now):
+        """Return the endpoints that have not rejected this node for a time."""
+        if self._rejections.is_empty:
+            return records
+        return [
+            record
+            for record in records
+            if self._rejections.remaining_s(record.endpoint_id, now) == 0
+        ]
+
+    def shortest_rejection_s(self, records, now):
+        """Return the time until the first of the endpoints takes requests again, in seconds."""
+        return min(self._rejections.remaining_s(record.endpoint_id, now) for record in records)
+
     def select_sendable(self, records, now):
         """Return the endpoints to which this node may send a request now."""
+        records = self.select_accepting(records, now)
         limited_ids = self._table.limited_ids
         if not limited_ids:
             return records
@@ -59,7 +91,7 @@
         if not limited_ids or query.excluded:
             return True
         supply_per_s = 0.0
-        for record in records:
+        for record in self.select_accepting(records, now):
             if record.endpoint_id not in limited_ids:
                 return True
             supply_per_s += self._allowance.rate_per_s(record.endpoint_id, now)
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -7,6 +7,7 @@
     dispatch_decision,
     dispatcher,
     limit_table,
+    rejection_table,
     request_allowance,
     response_metadata,
     stall_tracker,
@@ -14,7 +15,7 @@
     statement_gate,
     statement_recorder,
 )
-from lynxlanding.fleet import endpoint_record, group_membership, registry
+from lynxlanding.fleet import endpoint_record, endpoint_statements, group_membership, registry
 from lynxlanding.replicas.tests import simulated_domain
 from lynxlanding.traffic import limits as traffic_limits
 from lynxlanding.traffic import route as traffic_route
@@ -88,16 +89,19 @@
     )
 
 
-def make_statement_gate(limits=None):
+def make_statement_gate(limits=None, rejections=None):
     limits = limits or limit_table.LimitTable("n0")
     allowance = request_allowance.RequestAllowance("n0", limits, now=0.0)
-    return statement_gate.StatementGate(limits, allowance)
+    return statement_gate.StatementGate(
+        limits, allowance, rejections or rejection_table.RejectionTable()
+    )
 
 
-def make_statement_recorder(limits=None, on_leaving=None):
+def make_statement_recorder(limits=None, on_leaving=None, rejections=None):
     return statement_recorder.StatementRecorder(
         "n0",
         limits or limit_table.LimitTable("n0"),
+        rejections or rejection_table.RejectionTable(),
         stated_leavings.StatedLeavings(),
         on_leaving or (lambda record: None),
     )
@@ -112,18 +116,18 @@
         False,
         False,
         None,
-        response_metadata.EndpointStatements(**statements),
+        endpoint_statements.EndpointStatements(**statements),
     )
 
 
-def make_dispatcher(records, tracker=None, seed=1, limits=None):
+def make_dispatcher(records, tracker=None, seed=1, limits=None, rejections=None):
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
         endpoint_registry,
         RETRY_LIMITS,
         tracker or stall_tracker.StallTracker(),
-        make_statement_gate(limits),
+        make_statement_gate(limits, rejections),
         random.Random(seed),
     )
     new_dispatcher.use_configuration(make_configuration())
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -4,14 +4,16 @@
 
 import pytest
 
-from lynxlanding.dispatch import endpoint_health, limit_table, serving_actor
+from lynxlanding.dispatch import endpoint_health, limit_table, rejection_table, serving_actor
 from lynxlanding.dispatch.tests import dispatch_factories
 
 
 @pytest.fixture
 def serving():
     dispatcher, registry = dispatch_factories.make_dispatcher([])
-    reference = serving_actor.ServingActor.start(registry, dispatcher, limit_table.LimitTable("n0"))
+    reference = serving_actor.ServingActor.start(
+        registry, dispatcher, dispatch_factories.make_statement_gate()
+    )
     yield reference.proxy()
     reference.stop()
 
@@ -60,6 +62,21 @@
     assert not actor.may_send(record, 102.3, is_counted=False)
 
 
+def test_request_that_waited_for_a_connection_is_not_sent_after_a_rejection():
+    """Guards against requests and checks at an endpoint that wants none for a time."""
+    rejections = rejection_table.RejectionTable()
+    record = dispatch_factories.make_plain_endpoint(0)
+    dispatcher, registry = dispatch_factories.make_dispatcher([record], rejections=rejections)
+    actor = serving_actor.ServingActor(
+        registry, dispatcher, dispatch_factories.make_statement_gate(rejections=rejections)
+    )
+    rejections.record_response(record, 2.0, 100.0)
+    assert not actor.may_send(record, 101.9, is_counted=True)
+    assert not actor.may_check("p0", 101.9)
+    assert actor.may_send(record, 102.0, is_counted=True)
+    assert actor.may_check("p0", 102.0)
+
+
 def test_endpoint_whose_end_a_peer_has_seen_is_avoided():
     """Guards against each node finding out by itself, with its callers' attempts."""
     records = [dispatch_factories.make_head(0), dispatch_factories.make_head(1)]
--- a/src/lynxlanding/fleet/health_client.py
+++ b/src/lynxlanding/fleet/health_client.py
@@ -2,14 +2,14 @@
 
 from typing import Protocol
 
-from lynxlanding.fleet import endpoint_record
+from lynxlanding.fleet import endpoint_record, health_check
 
 
 class HealthClient(Protocol):
     """Asks endpoints about themselves."""
 
-    def is_serving(self, record: endpoint_record.EndpointRecord, path: str) -> bool:
-        """Return whether an endpoint considers itself healthy and not leaving.
+    def check(self, record: endpoint_record.EndpointRecord, path: str) -> health_check.HealthCheck:
+        """Return the ``HealthCheck`` of an endpoint.
 
         ``path`` is that of the health check of the endpoint's service. Raises
         ``errors.endpoint.AttemptError`` if the endpoint does not respond.
--- a/src/lynxlanding/node/confirmation_checker.py
+++ b/src/lynxlanding/node/confirmation_checker.py
@@ -27,16 +27,20 @@
         Sends the checks.
     get_health_path : callable
         Returns the path of a service's health check, or None if it has none.
+    record_check : callable
+        Called with the record of a checked endpoint, the status of its response, its statements
+        and the time, in monotonic seconds.
     on_confirmed : callable
         Called with the changes of the registry after a successful check.
     random_state : random.Random
         Source of the delays.
     """
 
-    def __init__(self, serving, client, get_health_path, on_confirmed, random_state):
+    def __init__(self, serving, client, get_health_path, record_check, on_confirmed, random_state):
         self._serving = serving
         self._client = client
         self._get_health_path = get_health_path
+        self._record_check = record_check
         self._on_confirmed = on_confirmed
         self._random_state = random_state
         # Times of the last check by endpoint id.
@@ -57,7 +61,7 @@
             if now - self._checked_at.get(record.endpoint_id, -CHECK_INTERVAL_S) < CHECK_INTERVAL_S:
                 continue
             if not self._serving.may_check(record.endpoint_id, now).get():
-                # The endpoint takes few requests, and a check is one of them.
+                # The endpoint takes few requests or none, and a check is one of them.
                 continue
             self._checked_at[record.endpoint_id] = now
             threading.Thread(target=self._check, args=(record, path), daemon=True).start()
@@ -67,7 +71,9 @@
         is_serving = False
         error = None
         try:
-            is_serving = self._client.is_serving(record, path)
+            check = self._client.check(record, path)
+            is_serving = check.is_serving
+            self._record_check(record, check.status, check.statements, time.monotonic())
         except endpoint_errors.AttemptError as e:
             error = str(e)[:200]
         eliot.log_message(
--- a/src/lynxlanding/node/tests/test_confirmation_checker.py
+++ b/src/lynxlanding/node/tests/test_confirmation_checker.py
@@ -4,6 +4,7 @@
 
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.fleet import endpoint_statements, health_check
 from lynxlanding.node import confirmation_checker
 
 
@@ -31,16 +32,21 @@
     def __init__(self, *script):
         self._script = list(script)
         self.calls = []
+        self.recorded = []
         self.answered = threading.Event()
 
-    def is_serving(self, record, path):
+    def check(self, record, path):
         self.calls.append((record.endpoint_id, path))
         result = self._script.pop(0)
         if not self._script:
             self.answered.set()
         if isinstance(result, Exception):
             raise result
-        return result
+        return health_check.HealthCheck(
+            result,
+            200 if result else 503,
+            endpoint_statements.EndpointStatements(retry_after_s=9.0),
+        )
 
 
 def make_checker(monkeypatch, client, health_path="/healthz"):
@@ -48,7 +54,12 @@
     serving = StubServingProxy([dispatch_factories.make_plain_endpoint(1)])
     received = []
     checker = confirmation_checker.ConfirmationChecker(
-        serving, client, lambda service: health_path, received.append, random.Random(1)
+        serving,
+        client,
+        lambda service: health_path,
+        lambda record, status, statements, now: client.recorded.append((status, statements)),
+        received.append,
+        random.Random(1),
     )
     return checker, serving, received
 
@@ -79,6 +90,7 @@
     wait_for(lambda: len(log_messages) == 2)
     assert [line["is_serving"] for line in log_messages] == [False, False]
     assert log_messages[1]["error"] == "refused"
+    assert [(status, item.retry_after_s) for status, item in client.recorded] == [(503, 9.0)]
     assert serving.confirmed == received == []
 
 
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -19,6 +19,7 @@
     dispatcher,
     endpoint_client,
     limit_table,
+    rejection_table,
     request_allowance,
     request_logger,
     serving_actor,
@@ -117,7 +118,15 @@
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
         self._limit_table = limit_table.LimitTable(settings.node_id)
+        self._rejections = rejection_table.RejectionTable()
         self._stated_leavings = stated_leavings.StatedLeavings()
+        self._statement_recorder = statement_recorder.StatementRecorder(
+            settings.node_id,
+            self._limit_table,
+            self._rejections,
+            self._stated_leavings,
+            lambda record: self._record_leaving(record.endpoint_id, record.started_ms),
+        )
         self._part_guard = part_guard.PartGuard(
             settings.node_id, settings.requests.exempt_prompt_part_keys
         )
@@ -170,6 +179,7 @@
             self._serving,
             health_client.PlatformHealthClient(),
             self._get_health_path,
+            self._statement_recorder.record_check,
             self._on_endpoint_confirmed,
             self._random_state,
         )
@@ -243,7 +253,7 @@
         allowance = request_allowance.RequestAllowance(
             settings.node_id, self._limit_table, time.monotonic()
         )
-        gate = statement_gate.StatementGate(self._limit_table, allowance)
+        gate = statement_gate.StatementGate(self._limit_table, allowance, self._rejections)
         request_dispatcher = dispatcher.Dispatcher(
             settings.data_centre,
             registry,
@@ -285,12 +295,7 @@
             ),
             request_headers,
             self._stall_tracker,
-            statement_recorder.StatementRecorder(
-                settings.node_id,
-                self._limit_table,
-                self._stated_leavings,
-                lambda record: self._record_leaving(record.endpoint_id, record.started_ms),
-            ),
+            self._statement_recorder,
             self._part_guard,
             self._crash_monitor,
             self._reachability,
@@ -462,6 +467,7 @@
             records, _ = self._serving.records().get()
             self._peer_view.set_endpoint_ids(records)
             self._stated_leavings.expire(records)
+            self._rejections.expire(now)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
                 self._reload_requested.clear()
                 self._reload_settings()
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -17,6 +17,7 @@
         "endpoint:allowance_changed",
         "endpoint:limit_changed",
         "endpoint:leaving_stated",
+        "endpoint:rejected",
         "endpoint:statement_malformed",
         "engine:silent",
         "engine:answers_again",
--- a/src/lynxlanding/platform/health_client.py
+++ b/src/lynxlanding/platform/health_client.py
@@ -1,6 +1,7 @@
 """HTTP client for the health checks of endpoints."""
 
-from lynxlanding.platform import endpoint_call, sockets
+from lynxlanding.fleet import endpoint_statements, health_check
+from lynxlanding.platform import endpoint_call, request_headers, sockets
 from lynxlanding.transport import guarded_connection
 
 # A healthy endpoint with a free slot responds within a few milliseconds.
@@ -21,8 +22,8 @@
             retries=False,
         )
 
-    def is_serving(self, record, path):
-        """Return whether an endpoint considers itself healthy and not leaving.
+    def check(self, record, path):
+        """Return the ``HealthCheck`` of an endpoint.
 
         Parameters
         ----------
@@ -37,6 +38,14 @@
             If the endpoint cannot be connected to or does not respond.
         """
         response = endpoint_call.get(self._pool, record, path, HEALTH_TIMEOUT_S)
-        return (
-            response.status == 200 and response.headers.get(_INSTANCE_HEADER) == record.endpoint_id
+        instance = response.headers.get(_INSTANCE_HEADER)
+        is_own = instance == record.endpoint_id
+        statements = endpoint_statements.EndpointStatements()
+        metadata = request_headers.decode_response(list(response.headers.iteritems()))
+        # Refusals may lack the instance. With 421, another endpoint refuses.
+        is_refusal = metadata.was_not_run and response.status != 421
+        if is_own or (is_refusal and instance is None):
+            statements = metadata.statements
+        return health_check.HealthCheck(
+            is_own and response.status == 200, response.status, statements
         )
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -1,10 +1,13 @@
 """Decoding, encoding and filtering of HTTP request and response headers."""
 
+import datetime
+import email.utils
 import string
 
 import xxhash
 
 from lynxlanding.dispatch import request_metadata, response_metadata
+from lynxlanding.fleet import endpoint_statements
 
 REQUEST_ID = "X-Request-Id"
 EXPECT_INSTANCE = "X-Expect-Instance"
@@ -15,6 +18,9 @@
 _LAST_EVENT_ID = "Last-Event-Id"
 _LIMIT = "Server-Limit"
 _LEAVING = "Server-Leaving"
+_RETRY_AFTER = "Retry-After"
+# Longer than each of the three formats of HTTP.
+_MAX_DATE_CHARACTERS = 64
 _LEAVING_VALUES = {"0": False, "1": True}
 _PROMPT_PARTS = "x-prompt-prefix"
 _HEX_DIGITS = frozenset(string.hexdigits.lower())
@@ -224,11 +230,16 @@
     malformed = []
     limit_per_s, has_malformed_limit = _decode_limit(headers)
     if has_malformed_limit:
-        malformed.append(response_metadata.LIMIT)
+        malformed.append(endpoint_statements.LIMIT)
     is_leaving, has_malformed_leaving = _decode_leaving(headers)
     if has_malformed_leaving:
-        malformed.append(response_metadata.LEAVING)
-    return response_metadata.EndpointStatements(limit_per_s, is_leaving, tuple(malformed))
+        malformed.append(endpoint_statements.LEAVING)
+    retry_after_s, has_malformed_retry_after = _decode_retry_after(headers)
+    if has_malformed_retry_after:
+        malformed.append(endpoint_statements.RETRY_AFTER)
+    return endpoint_statements.EndpointStatements(
+        limit_per_s, is_leaving, retry_after_s, tuple(malformed)
+    )
 
 
 def _decode_limit(headers):
@@ -256,6 +267,46 @@
     return None
 
 
+def _decode_retry_after(headers):
+    """Return the longest time in seconds, or None, and whether all values are malformed."""
+    values = _find_values(headers, _RETRY_AFTER)
+    longest_s = None
+    for value in values:
+        retry_after_s = _parse_float(value)
+        if retry_after_s is None:
+            retry_after_s = _parse_time_until(value, headers)
+        if retry_after_s is not None and (longest_s is None or retry_after_s > longest_s):
+            longest_s = retry_after_s
+    return longest_s, bool(values) and longest_s is None
+
+
+def _parse_time_until(text, headers):
+    """Return the time from the response until an HTTP date, in seconds; None if it is no date.
+
+    The response's own date is that of the same clock. Without it, this host's clock counts.
+    """
+    until = _parse_date(text)
+    if until is None:
+        return None
+    responded_at = None
+    for value in _find_values(headers, "Date"):
+        responded_at = _parse_date(value)
+    if responded_at is None:
+        responded_at = datetime.datetime.now(datetime.UTC)
+    return max(0.0, (until - responded_at).total_seconds())
+
+
+def _parse_date(text):
+    if len(text) > _MAX_DATE_CHARACTERS:
+        return None
+    try:
+        date = email.utils.parsedate_to_datetime(text)
+    except ValueError:
+        return None
+    # Dates without a zone are those of the obsolete formats, which are in UTC.
+    return date.replace(tzinfo=datetime.UTC) if date.tzinfo is None else date
+
+
 def _find_values(headers, wanted):
     """Return all values of a header."""
     return [value for name, value in headers if name.lower() == wanted.lower()]
--- a/src/lynxlanding/platform/tests/test_endless_responses.py
+++ b/src/lynxlanding/platform/tests/test_endless_responses.py
@@ -49,7 +49,7 @@
     with endless_server.EndlessServer(respond) as server:
         client = health_client.PlatformHealthClient()
         record = make_record(server)
-        result = run_with_limit(lambda: client.is_serving(record, "/health"), CALL_LIMIT_S)
+        result = run_with_limit(lambda: client.check(record, "/health"), CALL_LIMIT_S)
     assert isinstance(result, endpoint_errors.AttemptTimedOut)
 
 
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -1,3 +1,6 @@
+import email.utils
+import time
+
 import pytest
 
 from lynxlanding.platform import request_headers
@@ -109,6 +112,43 @@
     assert metadata.statements.malformed == (("limit",) if is_malformed else ())
 
 
+@pytest.mark.parametrize(
+    ("values", "retry_after_s", "is_malformed"),
+    [
+        ([], None, False),
+        (["0"], 0.0, False),
+        (["2.5"], 2.5, False),
+        (["3600"], 3600.0, False),
+        (["-1"], None, True),
+        (["nan"], None, True),
+        (["inf"], None, True),
+        ([""], None, True),
+        (["soon"], None, True),
+        (["9" * 5000], None, True),
+        (["1", "3"], 3.0, False),
+        (["x", "3"], 3.0, False),
+        (["Fri, 04 Dec 2026 10:00:09 GMT"], 9.0, False),
+        (["Friday, 04-Dec-26 10:00:09 GMT"], 9.0, False),
+        (["Fri Dec  4 10:00:09 2026"], 9.0, False),
+        (["Fri, 04 Dec 2026 09:59:00 GMT"], 0.0, False),
+        (["Fri, 99 Dec 2026 10:00:09 GMT"], None, True),
+    ],
+)
+def test_decodes_the_time_to_retry_after(values, retry_after_s, is_malformed):
+    """Guards against a malformed value that keeps all requests from an endpoint, or none."""
+    headers = [("Retry-After", value) for value in values]
+    headers.append(("Date", "Fri, 04 Dec 2026 10:00:00 GMT"))
+    metadata = request_headers.decode_response(headers)
+    assert metadata.statements.retry_after_s == retry_after_s
+    assert metadata.statements.malformed == (("retry_after",) if is_malformed else ())
+
+
+def test_date_to_retry_after_is_compared_with_this_clock_if_the_response_has_no_date():
+    until = email.utils.formatdate(time.time() + 60.0, usegmt=True)
+    metadata = request_headers.decode_response([("Retry-After", until)])
+    assert 50.0 < metadata.statements.retry_after_s <= 60.0
+
+
 @pytest.mark.parametrize(
     ("values", "is_leaving", "is_malformed"),
     [
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -137,6 +137,8 @@
             endpoint.limit_per_s = order["limits"][name]
         if name in order.get("states_leaving", ()):
             endpoint.states_leaving = True
+        if name in order.get("rejecting", {}):
+            endpoint.retry_after = order["rejecting"][name]
         if name in order.get("hold_heartbeat", ()):
             endpoint.heartbeats += 1
             self._held[name] = endpoint.entry()
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -13,6 +13,8 @@
 EVENT_S = 0.03
 SEAL = (b"x-response-seal", b"seal")
 HEALTH_PATH = "/healthz"
+ORDER_PATH = "/v1/order"
+_CONTROL_PATHS = (ORDER_PATH, "/v1/report")
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +33,8 @@
         Requests a second that the endpoint says it takes from all nodes together.
     states_leaving : bool
         Whether the endpoint says in its responses that it is leaving; its registration may not.
+    retry_after : str or None
+        ``Retry-After`` of the responses with which the endpoint rejects all requests, if it does.
     heartbeats : int
         Number of heartbeats of the incarnation.
     group : dict or None
@@ -49,6 +53,7 @@
     is_down: bool = False
     limit_per_s: float | None = None
     states_leaving: bool = False
+    retry_after: str | None = None
     heartbeats: int = 0
     group: dict | None = None
     model: str | None = None
@@ -77,6 +82,7 @@
         self.is_down = False
         self.is_leaving = False
         self.states_leaving = False
+        self.retry_after = None
         self.born = born
         self.heartbeats = 0
         self.seen_epoch = 0
@@ -137,7 +143,7 @@
     publish : callable
         Called with an endpoint whose registration has changed.
     history : list
-        Receives ``(event, request id, endpoint id, monotonic time)`` for each run.
+        Receives ``(event, request id, endpoint id, monotonic time)`` for each run and rejection.
     crash : callable
         Called with an endpoint that ends, and the seconds until it starts again.
     """
@@ -165,21 +171,38 @@
         if expected is not None and expected != endpoint.endpoint_id:
             await asgi.send_json(send, 421, {})
             return
-        if scope["path"] == HEALTH_PATH:
+        if scope["path"] in _CONTROL_PATHS:
+            await self._control(endpoint, scope, body, send)
+        elif endpoint.retry_after is not None:
+            await self._reject(endpoint, scope, send)
+        elif scope["path"] == HEALTH_PATH:
             status = 503 if endpoint.is_leaving or endpoint.states_leaving else 200
             instance = [(b"x-instance-id", endpoint.endpoint_id.encode())]
             await asgi.send_json(send, status, {}, instance)
-        elif scope["path"] == "/v1/order":
-            status = await self._order(endpoint, json.loads(body))
-            await asgi.send_json(send, status, {})
-        elif scope["path"] == "/v1/report":
-            report = {**endpoint.state(), "born": endpoint.born, "running": endpoint.running}
-            await asgi.send_json(send, 200, report)
         elif endpoint.domain is None:
             await self._answer(endpoint, scope, body, send)
         else:
             await self._stream(endpoint, scope, send)
 
+    async def _control(self, endpoint, scope, body, send):
+        """Serve an order or a report, which the endpoint does whatever it states."""
+        if scope["path"] == ORDER_PATH:
+            status = await self._order(endpoint, json.loads(body))
+            await asgi.send_json(send, status, {})
+            return
+        report = {**endpoint.state(), "born": endpoint.born, "running": endpoint.running}
+        await asgi.send_json(send, 200, report)
+
+    async def _reject(self, endpoint, scope, send):
+        request_id = asgi.header(scope, b"x-request-id") or ""
+        self._history.append(("reject", request_id, endpoint.endpoint_id, time.monotonic()))
+        headers = [
+            (b"x-not-executed", b"1"),
+            (b"x-request-id", request_id.encode()),
+            (b"retry-after", endpoint.retry_after.encode()),
+        ]
+        await asgi.send_json(send, 503, {}, headers)
+
     async def _order(self, endpoint, order):
         kind = order["operation"]
         if kind == "stage":
