--- a/tests/calling_installation.py
+++ b/src/lynxlanding_bench/site_day/calling_installation.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from tests import site_installation
+from lynxlanding_bench.site_day import site_installation
 
 CALLER_TIMEOUT_S = 6.0
 # Surplus groups have retired by then.
--- a/tests/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -5,8 +5,6 @@
 import json
 import time
 
-import pytest
-
 from lynxlanding_bench import processes
 
 NODES = ("n0", "n1")
@@ -109,10 +107,10 @@
 
 
 def wait_for(condition, what, limit_s=START_LIMIT_S):
-    """Wait until a condition holds; fail the test if it does not in time."""
+    """Wait until a condition holds; raises ``TimeoutError`` if it does not in time."""
     end = time.monotonic() + limit_s
     while time.monotonic() < end:
         if condition():
             return
         time.sleep(0.1)
-    pytest.fail(f"not in time: {what}")
+    raise TimeoutError(f"not in time: {what}")
--- a/tests/test_crash_checker.py
+++ b/src/lynxlanding_bench/site_day/tests/test_crash_checker.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests import crash_checker
+from lynxlanding_bench.site_day import crash_checker
 
 
 @dataclasses.dataclass
--- a/tests/test_cut_checker.py
+++ b/src/lynxlanding_bench/site_day/tests/test_cut_checker.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests import cut_checker
+from lynxlanding_bench.site_day import cut_checker
 
 
 @pytest.mark.parametrize(
--- a/tests/test_leaving_checker.py
+++ b/src/lynxlanding_bench/site_day/tests/test_leaving_checker.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests import leaving_checker
+from lynxlanding_bench.site_day import leaving_checker
 
 
 def attempt(sent_at, node="n0", endpoint_id="e0", is_told=False):
--- a/tests/test_limit_checker.py
+++ b/src/lynxlanding_bench/site_day/tests/test_limit_checker.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests import limit_checker
+from lynxlanding_bench.site_day import limit_checker
 
 
 def arrivals_at(*times, node="n0"):
--- a/tests/test_rejection_checker.py
+++ b/src/lynxlanding_bench/site_day/tests/test_rejection_checker.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests import rejection_checker
+from lynxlanding_bench.site_day import rejection_checker
 
 
 def arrival(at, retry_after_s=None, node="n0", endpoint_id="e0"):
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lynxlanding_bench import processes
-from tests import calling_installation, crash_checker
+from lynxlanding_bench.site_day import calling_installation, crash_checker
 
 # More nodes and engines than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_CRASH_TEST_NODES", "9"))
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -13,7 +13,7 @@
 
 from lynxlanding.peers import feed_roles
 from lynxlanding_bench import processes
-from tests import site_installation
+from lynxlanding_bench.site_day import site_installation
 
 ENDPOINTS = 7
 CALLERS_PER_NODE = 2
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lynxlanding_bench import processes
-from tests import calling_installation
+from lynxlanding_bench.site_day import calling_installation
 
 SEED = int(os.environ.get("LYNXLANDING_SILENCE_TEST_SEED", "20261204"))
 NODES = tuple(f"n{number}" for number in range(6))
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lynxlanding_bench import processes
-from tests import site_installation
+from lynxlanding_bench.site_day import site_installation
 
 ENGINES = 20
 HEARTBEAT_S = 0.3
--- a/tests/test_stated_leaving.py
+++ b/tests/test_stated_leaving.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lynxlanding_bench import processes
-from tests import calling_installation, leaving_checker
+from lynxlanding_bench.site_day import calling_installation, leaving_checker
 
 # More nodes than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_LEAVING_TEST_NODES", "6"))
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -13,7 +13,7 @@
 
 from lynxlanding.membership import rendezvous
 from lynxlanding_bench import processes
-from tests import limit_checker, site_installation
+from lynxlanding_bench.site_day import limit_checker, site_installation
 
 # More nodes than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_LIMIT_TEST_NODES", "9"))
--- a/tests/test_stated_rejections.py
+++ b/tests/test_stated_rejections.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lynxlanding_bench import processes
-from tests import calling_installation, rejection_checker
+from lynxlanding_bench.site_day import calling_installation, rejection_checker
 
 # More nodes than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_REJECTION_TEST_NODES", "6"))
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lynxlanding_bench import processes
-from tests import site_installation
+from lynxlanding_bench.site_day import site_installation
 
 CALLERS = 6
 STOPS = 3
