--- a/src/lynxlanding_bench/main.py
+++ b/src/lynxlanding_bench/main.py
@@ -21,6 +21,7 @@
     shares_experiment,
 )
 from lynxlanding_bench.scenario import command
+from lynxlanding_bench.site_day import command as site_command
 
 
 @click.group()
@@ -47,6 +48,7 @@
 main.add_command(routing_cost_experiment.routing_cost)
 main.add_command(overload_experiment.overload)
 main.add_command(shares_experiment.shares)
+main.add_command(site_command.command)
 
 TOOLS = (result_file.compare.name, result_plot.plot.name)
 
--- a/src/lynxlanding_bench/site_day/calling_installation.py
+++ b/src/lynxlanding_bench/site_day/calling_installation.py
@@ -32,6 +32,19 @@
         for caller in self._callers:
             caller.join()
 
+    def restart_nodes(self):
+        """Start all nodes again, so that each one has read the endpoints' addresses itself.
+
+        Nodes pass changes of registrations on to each other, with the addresses at which they
+        reach the endpoints themselves. This matters if nodes have own hosts.
+        """
+        for name in self.nodes:
+            self.running.kill(name)
+        for name in self.nodes:
+            self.running.restart(name)
+        self.wait_ready()
+        time.sleep(SETTLING_S)
+
     def wait_for_small_groups(self, count):
         """Wait until the nodes have opened groups of the small model."""
 
--- a/tests/test_cut_nodes.py
+++ b/tests/test_cut_nodes.py
@@ -85,14 +85,7 @@
         installation = Installation(running)
         installation.wait_ready()
         installation.wait_for_small_groups(4)
-        # Nodes pass changes of registrations on to each other, with the addresses at which they
-        # reach the endpoints themselves. Started again, each one has listed its own addresses.
-        for name in NODES:
-            running.kill(name)
-        for name in NODES:
-            running.restart(name)
-        installation.wait_ready()
-        time.sleep(calling_installation.SETTLING_S)
+        installation.restart_nodes()
         installation.start_callers()
         time.sleep(OBSERVED_BEFORE_S)
         yield installation
