Count a rejection for the incarnation that has stated it only

A response that an earlier incarnation had sent could arrive after the restart was known, and kept requests from the new one. The table now compares the incarnation at each question; the test fails without that. The gate's property for the limits says so in its name.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -60,7 +60,7 @@
     stall_tracker : StallTracker
         Endpoints that have stopped making progress.
     statement_gate : StatementGate
-        Keeps requests to the limits that endpoints state.
+        Keeps requests to what endpoints state about themselves.
     random_state : random.Random
         Source of cost jitter, samples of heads and Retry-After jitter.
     """
@@ -240,7 +240,7 @@
                 predicted_s,
                 first_event_timeout_s,
                 stall_timeout_s,
-                self._statement_gate.table.limit_per_s(record.endpoint_id),
+                self._statement_gate.limits.limit_per_s(record.endpoint_id),
                 self._statement_gate.allowance.rate_per_s(record.endpoint_id, now),
             )
             if is_best:
@@ -317,7 +317,7 @@
                     0.0,
                     stall_timeout_s,
                     stall_timeout_s,
-                    self._statement_gate.table.limit_per_s(record.endpoint_id),
+                    self._statement_gate.limits.limit_per_s(record.endpoint_id),
                     self._statement_gate.allowance.rate_per_s(record.endpoint_id, now),
                 )
                 best_cost = cost
--- a/src/lynxlanding/dispatch/rejection_table.py
+++ b/src/lynxlanding/dispatch/rejection_table.py
@@ -68,10 +68,12 @@
         self._rejections[record.endpoint_id] = rejection
         return rejection
 
-    def remaining_s(self, endpoint_id, now):
-        """Return for how long the endpoint wants no requests, in seconds."""
-        rejection = self._rejections.get(endpoint_id)
-        return 0.0 if rejection is None else max(0.0, rejection.until - now)
+    def remaining_s(self, record, now):
+        """Return for how long an incarnation wants no requests, in seconds."""
+        rejection = self._rejections.get(record.endpoint_id)
+        if rejection is None or rejection.started_ms != record.started_ms:
+            return 0.0
+        return max(0.0, rejection.until - now)
 
     def keep_incarnation(self, record):
         """Discard what earlier incarnations of an endpoint have stated."""
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -24,7 +24,7 @@
     dispatcher : Dispatcher
         Selects endpoints and counts requests.
     statement_gate : StatementGate
-        Keeps requests to the limits that endpoints state.
+        Keeps requests to what endpoints state about themselves.
     """
 
     use_daemon_thread = True
@@ -126,11 +126,11 @@
         is_same = known is not None and known.started_ms == record.started_ms
         if not is_same or not known.accepts_requests:
             return False
-        return self._statement_gate.may_send(record.endpoint_id, now, is_counted=is_counted)
+        return self._statement_gate.may_send(record, now, is_counted=is_counted)
 
-    def may_check(self, endpoint_id, now):
+    def may_check(self, record, now):
         """Count a health check, which reaches the endpoint like a request; return if allowed."""
-        return self._statement_gate.may_send(endpoint_id, now)
+        return self._statement_gate.may_send(record, now)
 
     def use_live_nodes(self, node_ids, now):
         """Set the nodes that share the limits of endpoints; return the ``AllowanceChange``s."""
@@ -153,14 +153,14 @@
             record = self._registry.get(item.endpoint_id)
             if record is None:
                 continue
-            change = self._statement_gate.table.record_peer(record, item.statement, peer_id, now)
+            change = self._statement_gate.limits.record_peer(record, item.statement, peer_id, now)
             if change is not None:
                 changes.append(change)
         return changes
 
     def expire_limits(self, now):
         """Drop limits that have expired; return the ``LimitChange``s."""
-        return self._statement_gate.table.expire(self._registry.records, now)
+        return self._statement_gate.limits.expire(self._registry.records, now)
 
     def record_reported_load(self, endpoint_id, load, now):
         """Record the running and waiting requests that an endpoint reports."""
--- a/src/lynxlanding/dispatch/statement_gate.py
+++ b/src/lynxlanding/dispatch/statement_gate.py
@@ -8,7 +8,7 @@
 
     Parameters
     ----------
-    table : LimitTable
+    limits : LimitTable
         Limits in force.
     allowance : RequestAllowance
         This node's part of these limits.
@@ -16,16 +16,16 @@
         Endpoints that want no requests from this node for a time.
     """
 
-    def __init__(self, table, allowance, rejections):
-        self._table = table
+    def __init__(self, limits, allowance, rejections):
+        self._limits = limits
         self._allowance = allowance
         self._rejections = rejections
         self._urgency_gate = urgency_gate.UrgencyGate()
 
     @property
-    def table(self):
+    def limits(self):
         """``LimitTable`` of the limits in force."""
-        return self._table
+        return self._limits
 
     @property
     def allowance(self):
@@ -34,36 +34,32 @@
 
     def keep_incarnation(self, record):
         """Discard what earlier incarnations of an endpoint have stated."""
-        self._table.keep_incarnation(record)
+        self._limits.keep_incarnation(record)
         self._rejections.keep_incarnation(record)
 
-    def may_send(self, endpoint_id, now, *, is_counted=False):
+    def may_send(self, record, now, *, is_counted=False):
         """Return whether this node may send a request to the endpoint, and count it.
 
         ``is_counted`` says whether the request is already counted in the allowance.
         """
-        if self._rejections.remaining_s(endpoint_id, now) > 0:
+        if self._rejections.remaining_s(record, now) > 0:
             return False
-        return is_counted or self._allowance.try_consume(endpoint_id, now)
+        return is_counted or self._allowance.try_consume(record.endpoint_id, now)
 
     def select_accepting(self, records, now):
         """Return the endpoints that have not rejected this node for a time."""
         if self._rejections.is_empty:
             return records
-        return [
-            record
-            for record in records
-            if self._rejections.remaining_s(record.endpoint_id, now) == 0
-        ]
+        return [record for record in records if self._rejections.remaining_s(record, now) == 0]
 
     def shortest_rejection_s(self, records, now):
         """Return the time until the first of the endpoints takes requests again, in seconds."""
-        return min(self._rejections.remaining_s(record.endpoint_id, now) for record in records)
+        return min(self._rejections.remaining_s(record, now) for record in records)
 
     def select_sendable(self, records, now):
         """Return the endpoints to which this node may send a request now."""
         records = self.select_accepting(records, now)
-        limited_ids = self._table.limited_ids
+        limited_ids = self._limits.limited_ids
         if not limited_ids:
             return records
         found = []
@@ -87,7 +83,7 @@
         now : float
             Monotonic seconds.
         """
-        limited_ids = self._table.limited_ids
+        limited_ids = self._limits.limited_ids
         if not limited_ids or query.excluded:
             return True
         supply_per_s = 0.0
@@ -105,6 +101,6 @@
         """
         total_per_s = 0.0
         for record in records:
-            limit_per_s = self._table.limit_per_s(record.endpoint_id) or 0.0
+            limit_per_s = self._limits.limit_per_s(record.endpoint_id) or 0.0
             total_per_s += max(limit_per_s, request_allowance.MIN_RATE_PER_S)
         return 1.0 / total_per_s
--- a/src/lynxlanding/dispatch/tests/test_rejection_table.py
+++ b/src/lynxlanding/dispatch/tests/test_rejection_table.py
@@ -5,14 +5,15 @@
 
 RECORD = dispatch_factories.make_head(0)
 RESTARTED_RECORD = dataclasses.replace(RECORD, started_ms=2)
+OTHER_RECORD = dispatch_factories.make_head(1)
 
 
 def test_rejection_holds_for_the_stated_time():
     table = rejection_table.RejectionTable()
     assert table.record_response(RECORD, 3.0, 1.0).until == 4.0
-    assert table.remaining_s("e0", 1.5) == 2.5
-    assert table.remaining_s("e0", 4.0) == 0.0
-    assert table.remaining_s("e1", 1.5) == 0.0
+    assert table.remaining_s(RECORD, 1.5) == 2.5
+    assert table.remaining_s(RECORD, 4.0) == 0.0
+    assert table.remaining_s(OTHER_RECORD, 1.5) == 0.0
     table.expire(3.9)
     assert not table.is_empty
     table.expire(4.0)
@@ -24,7 +25,7 @@
     table = rejection_table.RejectionTable()
     table.record_response(RECORD, 3.0, 1.0)
     assert table.record_response(RECORD, 1.0, 1.5) is None
-    assert table.remaining_s("e0", 2.0) == 2.0
+    assert table.remaining_s(RECORD, 2.0) == 2.0
     assert table.record_response(RECORD, 3.0, 2.0).until == 5.0
 
 
@@ -39,10 +40,18 @@
     table = rejection_table.RejectionTable()
     table.record_response(RECORD, 3600.0, 1.0)
     table.keep_incarnation(RECORD)
-    assert table.remaining_s("e0", 2.0) > 3000.0
+    assert table.remaining_s(RECORD, 2.0) > 3000.0
     table.keep_incarnation(RESTARTED_RECORD)
-    assert table.remaining_s("e0", 2.0) == 0.0
+    assert table.is_empty
     # A later incarnation may state a shorter time.
     table.record_response(RECORD, 3600.0, 3.0)
     table.record_response(RESTARTED_RECORD, 1.0, 3.0)
-    assert table.remaining_s("e0", 3.0) == 1.0
+    assert table.remaining_s(RESTARTED_RECORD, 3.0) == 1.0
+
+
+def test_late_response_of_an_earlier_incarnation_does_not_count():
+    """Guards against an endpoint that is left alone for what it said before its restart."""
+    table = rejection_table.RejectionTable()
+    table.keep_incarnation(RESTARTED_RECORD)
+    table.record_response(RECORD, 3600.0, 1.0)
+    assert table.remaining_s(RESTARTED_RECORD, 2.0) == 0.0
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -57,8 +57,8 @@
     limits.record_response(record, 0.5, 99.0, 100.1)
     assert not actor.may_send(record, 100.2, is_counted=False)
     assert actor.may_send(record, 100.2, is_counted=True)
-    assert not actor.may_check("p0", 100.2)
-    assert actor.may_check("p0", 102.2)
+    assert not actor.may_check(record, 100.2)
+    assert actor.may_check(record, 102.2)
     assert not actor.may_send(record, 102.3, is_counted=False)
 
 
@@ -72,9 +72,9 @@
     )
     rejections.record_response(record, 2.0, 100.0)
     assert not actor.may_send(record, 101.9, is_counted=True)
-    assert not actor.may_check("p0", 101.9)
+    assert not actor.may_check(record, 101.9)
     assert actor.may_send(record, 102.0, is_counted=True)
-    assert actor.may_check("p0", 102.0)
+    assert actor.may_check(record, 102.0)
 
 
 def test_endpoint_whose_end_a_peer_has_seen_is_avoided():
--- a/src/lynxlanding/dispatch/tests/test_statement_recorder.py
+++ b/src/lynxlanding/dispatch/tests/test_statement_recorder.py
@@ -82,5 +82,5 @@
     recorder.record_check(RECORD, 200, statements, 3.0)
     assert rejections.is_empty
     recorder.record_check(RECORD, 503, statements, 3.0)
-    assert rejections.remaining_s(RECORD.endpoint_id, 4.0) == 4.0
+    assert rejections.remaining_s(RECORD, 4.0) == 4.0
     assert table.limit_per_s(RECORD.endpoint_id) == 1.5
--- a/src/lynxlanding/node/confirmation_checker.py
+++ b/src/lynxlanding/node/confirmation_checker.py
@@ -60,7 +60,7 @@
                 continue
             if now - self._checked_at.get(record.endpoint_id, -CHECK_INTERVAL_S) < CHECK_INTERVAL_S:
                 continue
-            if not self._serving.may_check(record.endpoint_id, now).get():
+            if not self._serving.may_check(record, now).get():
                 # The endpoint takes few requests or none, and a check is one of them.
                 continue
             self._checked_at[record.endpoint_id] = now
--- a/src/lynxlanding/node/tests/test_confirmation_checker.py
+++ b/src/lynxlanding/node/tests/test_confirmation_checker.py
@@ -17,8 +17,8 @@
     def records_to_check(self):
         return dispatch_factories.CompletedFuture(self.records)
 
-    def may_check(self, endpoint_id, now):
-        del endpoint_id, now
+    def may_check(self, record, now):
+        del record, now
         return dispatch_factories.CompletedFuture(self.may_check_now)
 
     def confirm(self, endpoint_id, started_ms):
