Ignore limits in responses that an earlier incarnation had sent

A response without a limit that the endpoint sent before its restart ended the limit of the new incarnation, and one with a limit replaced it. The table now knows which incarnation the registry has; the test failed before (None instead of 1.4). Rejections and leavings compare the incarnation already.

--- a/src/lynxlanding/dispatch/limit_table.py
+++ b/src/lynxlanding/dispatch/limit_table.py
@@ -61,6 +61,8 @@
     def __init__(self, node_id):
         self._node_id = node_id
         self._entries = {}
+        # Start of the incarnation that the registry knows, by endpoint id.
+        self._known_started_ms = {}
         self._limited = frozenset()
         self._report_turns = report_turns.ReportTurns()
         self._own_changes = 0
@@ -101,6 +103,10 @@
         LimitChange or None
             The change of the limit in force, if there is one.
         """
+        known_started_ms = self._known_started_ms.get(record.endpoint_id, record.started_ms)
+        if known_started_ms != record.started_ms:
+            # The endpoint has restarted since it sent the response.
+            return None
         entry = self._entries.get(record.endpoint_id)
         if entry is None or entry.started_ms != record.started_ms:
             if limit_per_s is None:
@@ -191,7 +197,8 @@
         return self._report_turns.select(fresh, old)
 
     def keep_incarnation(self, record):
-        """Discard what earlier incarnations of an endpoint have stated."""
+        """Discard what earlier incarnations of an endpoint have stated, also in late responses."""
+        self._known_started_ms[record.endpoint_id] = record.started_ms
         entry = self._entries.get(record.endpoint_id)
         if entry is not None and entry.started_ms != record.started_ms:
             self._drop(record.endpoint_id)
@@ -207,6 +214,9 @@
             Monotonic seconds.
         """
         changes = []
+        for endpoint_id in list(self._known_started_ms):
+            if endpoint_id not in known_ids:
+                del self._known_started_ms[endpoint_id]
         for endpoint_id, entry in list(self._entries.items()):
             known_limit_per_s = entry.limit_per_s
             if endpoint_id in known_ids:
--- a/src/lynxlanding/dispatch/tests/test_limit_table.py
+++ b/src/lynxlanding/dispatch/tests/test_limit_table.py
@@ -150,3 +150,26 @@
     assert table.own_changes == 1
     table.record_response(RECORD, None, 4.0, 4.1)
     assert table.own_changes == 2
+
+
+def test_late_responses_of_an_earlier_incarnation_do_not_count():
+    """Guards against a limit that a response sent before the restart ends, or brings back."""
+    table = limit_table.LimitTable("n0")
+    table.keep_incarnation(RESTARTED_RECORD)
+    table.record_response(RESTARTED_RECORD, 1.4, 1.0, 1.1)
+    assert table.record_response(RECORD, None, 0.5, 1.2) is None
+    assert table.limit_per_s(RECORD.endpoint_id) == 1.4
+    assert table.record_response(RECORD, 0.2, 0.5, 1.3) is None
+    assert table.limit_per_s(RECORD.endpoint_id) == 1.4
+    # An incarnation that this node has not read from the store yet may state a limit.
+    unknown = limit_table.LimitTable("n0")
+    assert unknown.record_response(RECORD, 0.2, 0.5, 1.3).limit_per_s == 0.2
+
+
+def test_incarnations_of_endpoints_that_are_gone_are_forgotten():
+    """Guards against memory that grows with every endpoint that ever registered."""
+    table = limit_table.LimitTable("n0")
+    table.keep_incarnation(RESTARTED_RECORD)
+    table.expire({}, 1.0)
+    table.expire({}, 2.0 + limit_table.MISSING_RETENTION_S)
+    assert table.record_response(RECORD, 0.2, 99.0, 99.1).limit_per_s == 0.2
