--- a/src/lynxlanding_bench/site_day/day_load.py
+++ b/src/lynxlanding_bench/site_day/day_load.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import xxhash
+
 from lynxlanding_bench.site_day import day_record
 
 # More requests than these at a time are sent late.
@@ -86,7 +88,7 @@
         self._late += sent_at - due_at > 0.1
         bad_part = self._get_bad_part() if is_bad and kind == day_record.STREAM else None
         if kind == day_record.STREAM:
-            parts = ["c0:400", f"f{abs(hash(request_id)):x}:300"]
+            parts = ["c0:400", f"{xxhash.xxh64_hexdigest(request_id)}:300"]
             if bad_part is not None:
                 parts.insert(1, f"{bad_part}:90")
             line = ("POST", "/chat/x", b"prompt")
