Check that a rejecting endpoint is used again when the others reject

Traced by the nodes' logs: it had rejected two requests, both nodes knew, its group stood, and no node chose it later; with 12 streams a second other heads are as good, and an endpoint that is not used lately is predicted at normal speed. No rule asks for it to be chosen. The check now lets all others reject for 2.5 s, so that the endpoint has to be used; that is the case the test is about, and as strict.

--- a/tests/test_stated_rejections.py
+++ b/tests/test_stated_rejections.py
@@ -24,6 +24,8 @@
 BEFORE_S = 2.0
 OBSERVED_S = 9.0
 RETRY_AFTER_S = 4.0
+# Time in which all other endpoints reject requests.
+ALONE_S = 2.5
 # Requests are refused at once.
 REFUSAL_LIMIT_S = 0.5
 
@@ -87,6 +89,14 @@
     def plain_endpoints(self):
         return [f"i-{ENGINES + number:03d}" for number in range(ENDPOINTS)]
 
+    def others_than(self, endpoint_id):
+        """Return the endpoints that could serve what an endpoint serves."""
+        plain = self.plain_endpoints()
+        if endpoint_id in plain:
+            return [item for item in plain if item != endpoint_id]
+        heads = {item["members"][0] for item in self.control()["groups"]}
+        return sorted(heads - {endpoint_id})
+
     def most_used_head(self):
         counts = collections.Counter()
         for _, request_id, endpoint_id, _ in self.control()["history"]:
@@ -140,8 +150,14 @@
     ended_at = site.reject([endpoint_id], None)
     site.check(since)
     assert [item for item in site.responses if item.sent_at > since and not item.is_whole] == []
-    time.sleep(RETRY_AFTER_S + 2.0)
-    runs = [item for item in site.arrivals(ended_at) if item.endpoint_id == endpoint_id]
+    time.sleep(max(0.0, ended_at + RETRY_AFTER_S + 0.5 - time.monotonic()))
+    # Others may be as good, so only without them the endpoint has to be used.
+    others = site.others_than(endpoint_id)
+    alone_at = site.reject(others, ALONE_S)
+    time.sleep(ALONE_S)
+    site.reject(others, None)
+    time.sleep(ALONE_S + 0.5)
+    runs = [item for item in site.arrivals(alone_at) if item.endpoint_id == endpoint_id]
     assert runs, "the endpoint is not used again"
 
 
