Decode all statements of endpoints in one loop

Limit, leaving and Retry-After were each decoded by a function of the same shape: find the header's values, parse them, choose one, tell whether all are malformed. One loop does it now, and parts of prompts use the same search for a header's values. Behaviour and tests are the same.

--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -2,6 +2,7 @@
 
 import datetime
 import email.utils
+import functools
 import string
 
 import xxhash
@@ -195,9 +196,8 @@
     The parts are ``id:tokens`` entries. An id that is no hexadecimal number of 64 bits is hashed.
     """
     entries = []
-    for name, value in headers:
-        if name.lower() == _PROMPT_PARTS:
-            entries.extend(value.split(","))
+    for value in _find_values(headers, _PROMPT_PARTS):
+        entries.extend(value.split(","))
     keys = []
     for entry in entries[:-1]:
         part_id = entry.partition(":")[0].strip().lower()
@@ -227,35 +227,32 @@
 
 def _decode_statements(headers):
     """Return the ``EndpointStatements`` of a response."""
+    stated = {}
     malformed = []
-    limit_per_s, has_malformed_limit = _decode_limit(headers)
-    if has_malformed_limit:
-        malformed.append(endpoint_statements.LIMIT)
-    is_leaving, has_malformed_leaving = _decode_leaving(headers)
-    if has_malformed_leaving:
-        malformed.append(endpoint_statements.LEAVING)
-    retry_after_s, has_malformed_retry_after = _decode_retry_after(headers)
-    if has_malformed_retry_after:
-        malformed.append(endpoint_statements.RETRY_AFTER)
+    for name, header, parse in (
+        (endpoint_statements.LIMIT, _LIMIT, _parse_float),
+        (endpoint_statements.LEAVING, _LEAVING, _parse_leaving),
+        (
+            endpoint_statements.RETRY_AFTER,
+            _RETRY_AFTER,
+            functools.partial(_parse_retry_after, headers),
+        ),
+    ):
+        texts = _find_values(headers, header)
+        stated[name] = [value for value in map(parse, texts) if value is not None]
+        if texts and not stated[name]:
+            malformed.append(name)
+    # Of several values, the one that keeps more requests from the endpoint holds.
     return endpoint_statements.EndpointStatements(
-        limit_per_s, is_leaving, retry_after_s, tuple(malformed)
+        min(stated[endpoint_statements.LIMIT], default=None),
+        any(stated[endpoint_statements.LEAVING]),
+        max(stated[endpoint_statements.RETRY_AFTER], default=None),
+        tuple(malformed),
     )
 
 
-def _decode_limit(headers):
-    """Return the lowest limit, or None, and whether all that are stated are malformed."""
-    values = _find_values(headers, _LIMIT)
-    limits = [_parse_float(value) for value in values]
-    valid_limits = [limit for limit in limits if limit is not None]
-    lowest = min(valid_limits, default=None)
-    return lowest, bool(values) and lowest is None
-
-
-def _decode_leaving(headers):
-    """Return whether any header states the leaving, and whether all of them are malformed."""
-    values = _find_values(headers, _LEAVING)
-    is_leaving = [_LEAVING_VALUES.get(value.strip()) for value in values]
-    return True in is_leaving, bool(values) and set(is_leaving) == {None}
+def _parse_leaving(text):
+    return _LEAVING_VALUES.get(text.strip())
 
 
 def _decode_idle_timeout(text):
@@ -267,17 +264,10 @@
     return None
 
 
-def _decode_retry_after(headers):
-    """Return the longest time in seconds, or None, and whether all values are malformed."""
-    values = _find_values(headers, _RETRY_AFTER)
-    longest_s = None
-    for value in values:
-        retry_after_s = _parse_float(value)
-        if retry_after_s is None:
-            retry_after_s = _parse_time_until(value, headers)
-        if retry_after_s is not None and (longest_s is None or retry_after_s > longest_s):
-            longest_s = retry_after_s
-    return longest_s, bool(values) and longest_s is None
+def _parse_retry_after(headers, text):
+    """Return the time in seconds that a number or an HTTP date states; None if it is neither."""
+    retry_after_s = _parse_float(text)
+    return _parse_time_until(text, headers) if retry_after_s is None else retry_after_s
 
 
 def _parse_time_until(text, headers):
