Use the decoded Retry-After of a node's refusal

A request that was handed over parsed the header again, beside the adapter, which decodes it with each response now. The tests' stand-in decodes its headers as the client does; the assertions are the same.

--- a/src/lynxlanding/handover/handed_over_request.py
+++ b/src/lynxlanding/handover/handed_over_request.py
@@ -14,7 +14,6 @@
 # sets the header only loses that possibility.
 HANDED_OVER_BY = "X-Lynxlanding-Handed-Over-By"
 EXECUTED = "x-executed"
-RETRY_AFTER = "retry-after"
 
 # Nodes that one request is handed over to, one after the other.
 MAX_HELPERS = 3
@@ -148,7 +147,7 @@
         own_headers = {name.lower(): value for name, value in response.headers}
         executed = own_headers.get(EXECUTED)
         if executed == request_errors.EXECUTED_NO:
-            self._record_retry_after(own_headers.get(RETRY_AFTER))
+            self._record_retry_after(metadata.statements.retry_after_s)
             raise endpoint_errors.EndpointRefused(response.status)
         if executed is None:
             raise endpoint_errors.MalformedResponse("neither an endpoint's nor a node's response")
@@ -157,10 +156,8 @@
             raise request_errors.DeadlineExceeded(message)
         raise request_errors.EndpointFailed(message)
 
-    def _record_retry_after(self, text):
-        try:
-            retry_after_s = float(text or DEFAULT_RETRY_AFTER_S)
-        except ValueError:
+    def _record_retry_after(self, retry_after_s):
+        if retry_after_s is None:
             retry_after_s = DEFAULT_RETRY_AFTER_S
         if self._retry_after_s is None or retry_after_s < self._retry_after_s:
             self._retry_after_s = retry_after_s
--- a/src/lynxlanding/handover/tests/test_peer_forwarder.py
+++ b/src/lynxlanding/handover/tests/test_peer_forwarder.py
@@ -44,7 +44,8 @@
     headers = [("X-Executed", executed)] if executed else []
     if retry_after is not None:
         headers.append(("Retry-After", retry_after))
-    return FakeResponse(status, [b"{}"], headers), make_metadata("q", is_sealed=False)
+    metadata = request_headers.decode_response([("X-Request-Id", "q"), *headers])
+    return FakeResponse(status, [b"{}"], headers), metadata
 
 
 def make_metadata(request_id, is_sealed):
