--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -8,6 +8,19 @@
 MAX_STARTED_MS = 1 << 63
 
 
+def is_encodable_start(started_ms):
+    """Return whether the encoding can hold the start time of an endpoint; others are no times."""
+    return 0 <= started_ms < MAX_STARTED_MS
+
+
+def age_ms(stated_at, now):
+    """Return the age of a statement in milliseconds.
+
+    It may arrive between ``now`` and the encoding, so the age is 0 at least.
+    """
+    return max(0, int((now - stated_at) * 1000))
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportedLimit:
     """What an endpoint has stated to the sender about the rate of requests that it takes.
--- a/src/lynxlanding/peers/prompt_codec.py
+++ b/src/lynxlanding/peers/prompt_codec.py
@@ -11,7 +11,7 @@
 
 def encode(message, prompts):
     """Write ``PromptStatements`` into a ``PeerReport`` message."""
-    ends = [item for item in prompts.ends if 0 <= item.started_ms < peer_report.MAX_STARTED_MS]
+    ends = [item for item in prompts.ends if peer_report.is_encodable_start(item.started_ms)]
     end_list = _init(message, "ends", ends)
     for index, end in enumerate(ends):
         end_list[index].key = end.endpoint_key
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -168,18 +168,17 @@
 def make_reported_leavings(statements, now):
     """Return the ``ReportedLeaving`` tuple of a report from a list of ``LeavingStatement``.
 
-    A start time that the encoding cannot hold is no time; such statements are left out.
+    Statements whose start time cannot be encoded are left out.
     """
     leavings = []
     for statement in statements:
-        if not 0 <= statement.started_ms < peer_report.MAX_STARTED_MS:
+        if not peer_report.is_encodable_start(statement.started_ms):
             continue
         leavings.append(
             peer_report.ReportedLeaving(
                 endpoint_key.hash_endpoint_id(statement.endpoint_id),
                 statement.started_ms,
-                # A statement can arrive between ``now`` and the encoding.
-                max(0, int((now - statement.stated_at) * 1000)),
+                peer_report.age_ms(statement.stated_at, now),
             )
         )
     return tuple(leavings)
@@ -188,20 +187,19 @@
 def make_reported_limits(statements, now):
     """Return the ``ReportedLimit`` tuple of a report from a list of ``EndpointStatement``.
 
-    A start time that the encoding cannot hold is no time; such statements are left out.
+    Statements whose start time cannot be encoded are left out.
     """
     limits = []
     for item in statements:
         statement = item.statement
-        if not 0 <= statement.started_ms < peer_report.MAX_STARTED_MS:
+        if not peer_report.is_encodable_start(statement.started_ms):
             continue
         limits.append(
             peer_report.ReportedLimit(
                 endpoint_key.hash_endpoint_id(item.endpoint_id),
                 statement.started_ms,
                 statement.limit_per_s,
-                # A statement can arrive between ``now`` and the encoding.
-                max(0, int((now - statement.stated_at) * 1000)),
+                peer_report.age_ms(statement.stated_at, now),
             )
         )
     return tuple(limits)
