Share callers, streams and log readings among tests on the site

Two new tests started their callers in the same way and one composed a stream that the installation could send; the reading of refused requests' durations stood in two tests, and the cases of an endpoint's own responses in two more. The installation and the factories hold them now. Assertions and cases are the same; a stream of test_stated_leaving must have its seal as well. Some comments are reworded.

--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -21,6 +21,15 @@
 from lynxlanding.traffic import route as traffic_route
 from lynxlanding.traffic import service_spec, traffic_configuration
 
+# Status and fields of responses to the request "q", and whether they are the endpoint's own.
+RESPONSE_ORIGINS = [
+    (200, {}, True),
+    (500, {}, True),
+    (503, {"is_sealed": False, "was_not_run": True}, True),
+    (200, {"request_id": "another"}, False),
+    (200, {"is_sealed": False}, False),
+    (421, {"is_sealed": False, "was_not_run": True}, False),
+]
 # Ratio, slack and window in seconds.
 RETRY_LIMITS = (0.2, 109.0, 10.0)
 
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -360,14 +360,7 @@
 
 @pytest.mark.parametrize(
     ("status", "fields", "is_learnt"),
-    [
-        (200, {}, True),
-        (500, {}, True),
-        (503, {"is_sealed": False, "was_not_run": True}, True),
-        (200, {"request_id": "another"}, False),
-        (200, {"is_sealed": False}, False),
-        (421, {"is_sealed": False, "was_not_run": True}, False),
-    ],
+    dispatch_factories.RESPONSE_ORIGINS,
 )
 def test_limit_is_learnt_from_the_endpoints_own_responses(status, fields, is_learnt, log_messages):
     """Guards against limits of another endpoint, and against refusals that are not heard."""
--- a/src/lynxlanding/dispatch/tests/test_statement_recorder.py
+++ b/src/lynxlanding/dispatch/tests/test_statement_recorder.py
@@ -26,14 +26,7 @@
 
 @pytest.mark.parametrize(
     ("status", "fields", "is_heard"),
-    [
-        (200, {}, True),
-        (500, {}, True),
-        (503, {"is_sealed": False, "was_not_run": True}, True),
-        (200, {"request_id": "another"}, False),
-        (200, {"is_sealed": False}, False),
-        (421, {"is_sealed": False, "was_not_run": True}, False),
-    ],
+    dispatch_factories.RESPONSE_ORIGINS,
 )
 def test_leaving_is_heard_once_from_the_endpoints_own_responses(
     status, fields, is_heard, log_messages
--- a/src/lynxlanding_bench/site_day/calling_installation.py
+++ b/src/lynxlanding_bench/site_day/calling_installation.py
@@ -1,5 +1,7 @@
 """A site with nodes, and callers in threads that observe what they get."""
 
+import collections
+import functools
 import http.client
 import threading
 import time
@@ -26,6 +28,20 @@
         caller.start()
         self._callers.append(caller)
 
+    def start_caller_at_each_node(self, call, per_s):
+        """Start a caller for each node that calls ``call(node)``; ``per_s`` is that of all."""
+        interval_s = len(self.nodes) / per_s
+        for number, node in enumerate(self.nodes):
+            delay_s = interval_s * number / len(self.nodes)
+            self.start_caller(functools.partial(call, node), interval_s, delay_s)
+
+    def most_used(self, marker):
+        """Return the endpoint with the most requests whose id contains ``marker``."""
+        counts = collections.Counter()
+        for _, request_id, endpoint_id, _ in self.control()["history"]:
+            counts[endpoint_id] += marker in request_id
+        return counts.most_common(1)[0][0]
+
     def stop(self):
         """Wait until all callers have ended."""
         self._stop.set()
@@ -76,6 +92,11 @@
 
     def stream(self, node, request_id, events, headers=()):
         """Return the status of a stream, and whether the caller has got all of its events."""
+        status, _, is_whole = self.send_stream(node, request_id, events, headers)
+        return status, is_whole
+
+    def send_stream(self, node, request_id, events, headers=()):
+        """Return status and headers of a stream, and whether it has all of its events."""
         status, received, body = self.send(
             node,
             "POST",
@@ -85,7 +106,7 @@
             {"X-Model": "small", "X-Token-Counts": "700,60", **dict(headers)},
         )
         is_whole = status == 200 and body.count(b"\n\n") == events
-        return status, is_whole and received.get("X-Response-Seal") == "seal"
+        return status, received, is_whole and received.get("X-Response-Seal") == "seal"
 
     def _call_in_a_loop(self, call, interval_s, delay_s):
         self._stop.wait(delay_s)
--- a/src/lynxlanding_bench/site_day/crash_checker.py
+++ b/src/lynxlanding_bench/site_day/crash_checker.py
@@ -4,7 +4,7 @@
 
 # Engines that have ended before nodes have to know the part.
 CRASHES = 5
-# Requests that may still reach engines afterwards.
+# Requests that are allowed to reach engines after that.
 ALLOWED_AFTER = 3
 # From this long after the crash on.
 STABLE_S = 3.0
--- a/src/lynxlanding_bench/site_day/day_load.py
+++ b/src/lynxlanding_bench/site_day/day_load.py
@@ -9,7 +9,7 @@
 
 from lynxlanding_bench.site_day import day_record
 
-# More requests than these at a time are sent late.
+# Threads that send requests. While all of them wait for responses, further requests are late.
 MAX_CONCURRENT = 256
 EVENTS = 12
 # Share of the streams that have the bad part while one is in force.
@@ -91,22 +91,13 @@
             parts = ["c0:400", f"{xxhash.xxh64_hexdigest(request_id)}:300"]
             if bad_part is not None:
                 parts.insert(1, f"{bad_part}:90")
-            line = ("POST", "/chat/x", b"prompt")
-            headers = {
-                "X-Model": "small",
-                "X-Token-Counts": "700,60",
-                "X-Prompt-Prefix": ",".join(parts),
-            }
+            status, received, is_whole = self._installation.send_stream(
+                node, request_id, EVENTS, {"X-Prompt-Prefix": ",".join(parts)}
+            )
         else:
-            line = _LINES[kind]
-            headers = {}
-        method, path, body = line
-        status, received, answer = self._installation.send(
-            node, method, path, request_id, body, headers
-        )
-        is_whole = status == 200 and received.get("X-Response-Seal") == "seal"
-        if kind == day_record.STREAM:
-            is_whole = is_whole and answer.count(b"\n\n") == EVENTS
+            method, path, body = _LINES[kind]
+            status, received, _ = self._installation.send(node, method, path, request_id, body)
+            is_whole = status == 200 and received.get("X-Response-Seal") == "seal"
         self._responses.append(
             day_record.Response(
                 request_id,
--- a/src/lynxlanding_bench/site_day/fault.py
+++ b/src/lynxlanding_bench/site_day/fault.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-# What a fault concerns.
+# Scopes of faults.
 ENDPOINTS = "endpoints"
 NODES = "nodes"
 SITE = "site"
--- a/src/lynxlanding_bench/site_day/leaving_checker.py
+++ b/src/lynxlanding_bench/site_day/leaving_checker.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-# No request may be sent on that a caller has sent later than this after the node was told.
+# A request that its caller sends later than this after the node was told must not reach the
+# endpoint.
 DRAIN_S = 2.0
 
 
--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -66,6 +66,15 @@
         connection.close()
         return answer
 
+    def finished_durations_s(self, text):
+        """Return the durations of requests whose last line in a node's log contains a text."""
+        durations = []
+        for name in self.nodes:
+            for line in (self.running.directory / f"{name}.log").read_text().splitlines():
+                if '"lynxlanding:request:finished"' in line and text in line:
+                    durations.append(json.loads(line)["duration_s"])
+        return durations
+
     def is_ready(self, name):
         """Return whether a node says that it is ready."""
         connection = http.client.HTTPConnection("127.0.0.1", self.nodes[name][1], timeout=2)
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import itertools
 import os
 import random
@@ -44,13 +45,9 @@
         self.responses = []
 
     def start_callers(self):
-        interval_s = len(NODES) * len(KINDS) / REQUESTS_PER_S
-        callers = list(itertools.product(NODES, KINDS))
-        for number, (node, kind) in enumerate(callers):
-            delay_s = interval_s * number / len(callers)
-            self.start_caller(
-                lambda node=node, kind=kind: self._call(node, kind), interval_s, delay_s
-            )
+        for kind in KINDS:
+            call = functools.partial(self._call, kind)
+            self.start_caller_at_each_node(call, REQUESTS_PER_S / len(KINDS))
 
     def open_groups(self):
         """Return the members of the open groups by name."""
@@ -67,7 +64,7 @@
             counts[request_id] += event == "run"
         return counts
 
-    def _call(self, node, kind):
+    def _call(self, kind, node):
         request_id = f"{kind}-{next(self._numbers)}"
         begun_at = time.monotonic()
         if kind == "stream":
--- a/tests/test_stated_leaving.py
+++ b/tests/test_stated_leaving.py
@@ -1,6 +1,5 @@
 """Endpoints that say in their responses only that they are leaving: nodes as processes."""
 
-import collections
 import dataclasses
 import itertools
 import os
@@ -43,12 +42,8 @@
         self.responses = {}
 
     def start_callers(self):
-        for number, node in enumerate(NODES):
-            share = number / len(NODES)
-            call_s = len(NODES) / CALLS_PER_S
-            stream_s = len(NODES) / STREAMS_PER_S
-            self.start_caller(lambda node=node: self._call(node), call_s, share * call_s)
-            self.start_caller(lambda node=node: self._stream(node), stream_s, share * stream_s)
+        self.start_caller_at_each_node(self._call, CALLS_PER_S)
+        self.start_caller_at_each_node(self._stream, STREAMS_PER_S)
 
     def attempts(self):
         """Return the ``Attempt``s of all requests whose response has arrived."""
@@ -64,13 +59,6 @@
             )
         return found
 
-    def most_used(self, prefix):
-        """Return the endpoint with the most requests whose id begins with ``prefix``."""
-        counts = collections.Counter()
-        for _, request_id, endpoint_id, _ in self.control()["history"]:
-            counts[endpoint_id] += request_id.startswith(prefix)
-        return counts.most_common(1)[0][0]
-
     def check_leaving(self, endpoint_id, stated_at):
         """Fail if requests reach the endpoint later than the rule allows."""
         attempts = self.attempts()
@@ -102,15 +90,7 @@
     def _stream(self, node):
         request_id = f"stream-{next(self._numbers)}"
         sent_at = time.monotonic()
-        status, headers, body = self.send(
-            node,
-            "POST",
-            "/chat/x",
-            request_id,
-            b"prompt",
-            {"X-Model": "small", "X-Token-Counts": "700,60"},
-        )
-        is_whole = status == 200 and body.count(b"\n\n") == EVENTS
+        _, headers, is_whole = self.send_stream(node, request_id, EVENTS)
         self._record(request_id, sent_at, node, is_whole, headers)
 
     def _record(self, request_id, sent_at, node, is_whole, headers):
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 import http.client
-import json
 import os
 import signal
 import threading
@@ -102,16 +101,6 @@
         assert excess == {}
         return worst
 
-    def refusal_durations_s(self):
-        """Return how long the nodes took to refuse requests, from their logs."""
-        durations = []
-        for name in self.nodes:
-            for line in (self.running.directory / f"{name}.log").read_text().splitlines():
-                if '"lynxlanding:request:finished"' not in line or '"refused"' not in line:
-                    continue
-                durations.append(json.loads(line)["duration_s"])
-        return durations
-
     def _call_in_a_loop(self, name, number):
         count = 0
         while not self._stop.is_set():
@@ -206,7 +195,7 @@
     assert len(served) >= 0.5 * sum(limits.values()) * (OBSERVED_S - 1.0)
     assert {item.status for item in refused} == {503}
     # Callers also wait for the processor that this process and the nodes share.
-    assert 0.0 < max(site.refusal_durations_s()) < 0.5
+    assert 0.0 < max(site.finished_durations_s('"refused"')) < 0.5
     assert min(float(item.retry_after) for item in refused) > 0.2
 
 
--- a/tests/test_stated_rejections.py
+++ b/tests/test_stated_rejections.py
@@ -1,9 +1,7 @@
 """Endpoints that reject requests and say for how long: nodes as processes, under requests."""
 
-import collections
 import dataclasses
 import itertools
-import json
 import os
 import time
 
@@ -50,12 +48,8 @@
         self.responses = []
 
     def start_callers(self):
-        for number, node in enumerate(NODES):
-            share = number / len(NODES)
-            call_s = len(NODES) / CALLS_PER_S
-            stream_s = len(NODES) / STREAMS_PER_S
-            self.start_caller(lambda node=node: self._call(node), call_s, share * call_s)
-            self.start_caller(lambda node=node: self._stream(node), stream_s, share * stream_s)
+        self.start_caller_at_each_node(self._call, CALLS_PER_S)
+        self.start_caller_at_each_node(self._stream, STREAMS_PER_S)
 
     def reject(self, endpoint_ids, retry_after_s):
         """Let endpoints reject all requests, or none; return the site's time."""
@@ -97,21 +91,6 @@
         heads = {item["members"][0] for item in self.control()["groups"]}
         return sorted(heads - {endpoint_id})
 
-    def most_used_head(self):
-        counts = collections.Counter()
-        for _, request_id, endpoint_id, _ in self.control()["history"]:
-            counts[endpoint_id] += "-stream-" in request_id
-        return counts.most_common(1)[0][0]
-
-    def refusal_durations_s(self, reason):
-        """Return how long the nodes took to refuse requests with a reason, from their logs."""
-        durations = []
-        for name in self.nodes:
-            for line in (self.running.directory / f"{name}.log").read_text().splitlines():
-                if '"lynxlanding:request:finished"' in line and reason in line:
-                    durations.append(json.loads(line)["duration_s"])
-        return durations
-
     def _call(self, node):
         request_id = f"{node}-call-{next(self._numbers)}"
         sent_at = time.monotonic()
@@ -144,7 +123,9 @@
 
     The other endpoints have room, so all callers are served.
     """
-    endpoint_id = site.plain_endpoints()[0] if kind == "plain endpoint" else site.most_used_head()
+    endpoint_id = (
+        site.plain_endpoints()[0] if kind == "plain endpoint" else site.most_used("-stream-")
+    )
     since = site.reject([endpoint_id], RETRY_AFTER_S)
     time.sleep(OBSERVED_S)
     ended_at = site.reject([endpoint_id], None)
@@ -173,9 +154,9 @@
     calls = [item for item in site.responses if since < item.sent_at < served_again_at]
     refused = [item for item in calls if not item.is_whole]
     assert {item.status for item in refused} == {503}
-    durations_s = site.refusal_durations_s("every endpoint rejects requests")
+    durations_s = site.finished_durations_s("every endpoint rejects requests")
     assert 0.0 < max(durations_s) < REFUSAL_LIMIT_S
-    # In the first second, the rejections last longer than the callers' deadlines allow to wait.
+    # Before that, the rejections last longer than the callers can wait, so they get a short time.
     early = [item for item in refused if since + 1.0 < item.sent_at < since + 2.0]
     hints = [float(item.retry_after) for item in early]
     print(f"Retry-After {min(hints)} to {max(hints)} s, 1 to 2 s after the first rejections")
