Do not abort an attempt that ends while the monitor checks it

Cause: AttemptMonitor checks attempts one after the other, and a check may wait for the state of the caller's connection. A response that becomes complete in the meantime returns its connection to the pool; the monitor then shut down the socket, which another request may already use.

Ruled out: ordering of discard and release alone; both happen before the abort.

--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -1,6 +1,7 @@
 """Aborts attempts that stall, exceed their deadline or have lost their caller."""
 
 import socket
+import threading
 import time
 
 from urllib3.util import wait
@@ -47,7 +48,9 @@
         "_deadline",
         "_has_caller_left",
         "_is_endpoint_stalled",
+        "_is_finished",
         "_last_data_at",
+        "_lock",
         "_may_abort",
         "_reason",
         "_socket",
@@ -68,6 +71,8 @@
         self._last_data_at = time.monotonic()
         self._may_abort = may_abort
         self._is_endpoint_stalled = is_endpoint_stalled
+        self._is_finished = False
+        self._lock = threading.Lock()
         self._reason = None
         self._socket = None
 
@@ -98,18 +103,24 @@
         """Change the longest time without data, in seconds."""
         self._stall_timeout_s = stall_timeout_s
 
+    def finish(self):
+        """Record that the attempt has ended; another request may use the socket from now on."""
+        with self._lock:
+            self._is_finished = True
+
     def check(self, now):
         """Abort the attempt if necessary; ``reason`` then says why."""
         if self._reason is not None or self._socket is None:
             return
+        reason = None
         if now > self._deadline:
-            self._reason = DEADLINE
+            reason = DEADLINE
         elif self._has_caller_left():
-            self._reason = CALLER_LEFT
+            reason = CALLER_LEFT
         elif self._is_stalled(now) and self._may_abort():
-            self._reason = STALLED
-        if self._reason is not None:
-            self._shut_down()
+            reason = STALLED
+        if reason is not None:
+            self._abort(reason)
 
     def _is_stalled(self, now):
         if now - self._last_data_at <= self._stall_timeout_s and not self._is_endpoint_stalled():
@@ -119,12 +130,17 @@
             return False
         return not wait.wait_for_read(self._socket, timeout=0)
 
-    def _shut_down(self):
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection is already closed.
-            return
+    def _abort(self, reason):
+        with self._lock:
+            if self._is_finished:
+                # It has ended during the check.
+                return
+            self._reason = reason
+            try:
+                self._socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The connection is already closed.
+                return
 
 
 class AttemptMonitor:
@@ -152,8 +168,9 @@
         self._attempts.add(attempt)
 
     def discard(self, attempt):
-        """Stop monitoring an attempt."""
+        """Stop monitoring an attempt, which has ended."""
         self._attempts.discard(attempt)
+        attempt.finish()
 
     def check_all(self, now):
         """Check every attempt at the monotonic time ``now``."""
