State a version of the protocol between nodes, and skip unknown datagrams

Cause (issue "Two versions at once"): nothing said which version a node speaks, so no new format could be sent without breaking older nodes, and a datagram of an unknown kind was taken for a malformed report.

Change: a version in registrations, reports and the start line, kept with the peer; a gauge of live nodes of other versions; datagrams of unknown kinds are skipped, counted, and logged once for each sender and kind.

--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -51,6 +51,7 @@
     peer_identity,
     peer_table,
     peer_view,
+    protocol,
     report_transport,
 )
 from lynxlanding.platform import (
@@ -238,6 +239,7 @@
             data_centre=self._settings.data_centre,
             incarnation=self._identity.incarnation,
             is_first_start=self._settings.is_first_start,
+            protocol=protocol.CURRENT,
         )
         self._stop_requested.wait()
         self._shut_down(servers)
@@ -546,12 +548,26 @@
             "Version of the configuration in force.",
             lambda: self._node_status.configuration_version or 0,
         )
+        self._metrics.add_gauge(
+            "lynxlanding_nodes_of_other_protocol",
+            "Live nodes that speak another version of the protocol between nodes.",
+            self._count_nodes_of_other_protocol,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_unknown_datagrams",
+            "Skipped datagrams of kinds that this version does not know.",
+            lambda: self._report_transport.unknown_total,
+        )
         self._metrics.add_gauge(
             "lynxlanding_store_era",
             "Era of the store; increases when it comes back from an older copy.",
             lambda: self._store.era or 0,
         )
 
+    def _count_nodes_of_other_protocol(self):
+        counts = self._peer_table.count_live_by_version(time.monotonic())
+        return sum(counts.values()) - counts[protocol.CURRENT]
+
     def _get_registry_age_s(self):
         age_s = self._node_status.registry_age_s
         return math.nan if age_s is None else age_s
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -5,22 +5,17 @@
 import zlib
 
 from lynxlanding.errors import membership as membership_errors
-from lynxlanding.peers import feed_message
+from lynxlanding.peers import feed_message, protocol
 from lynxlanding.store import store_version, stored_object
 
-# No packed load report starts with these bytes, so that both fit on one socket.
-PREFIX = b"\xfflxf"
+KIND = b"f"
+PREFIX = protocol.DATAGRAM_PREFIX + KIND
 # A larger datagram is fragmented by IP, and the loss of one fragment loses all of it.
 MAX_DATAGRAM_BYTES = 1400
 # Limit on the data decoded from one datagram, in bytes.
 _MAX_DECODED_BYTES = 1 << 18
 
 
-def is_feed(data):
-    """Return whether a datagram is a feed message or a subscription."""
-    return data.startswith(PREFIX)
-
-
 def encode(message):
     """Return the datagram of a message; without the changes if they do not fit into it."""
     data = _compress(_to_document(message))
--- a/src/lynxlanding/peers/node_directory.py
+++ b/src/lynxlanding/peers/node_directory.py
@@ -7,6 +7,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.observability import restarting_thread
+from lynxlanding.peers import protocol
 
 KIND = "lynxlanding-nodes"
 # New nodes send reports to all others on their own; refreshing the list finds nodes that started
@@ -76,6 +77,7 @@
             "address": identity.address,
             "data_centre": identity.data_centre,
             "incarnation": identity.incarnation,
+            "protocol": protocol.CURRENT,
         }
         try:
             self._store.create(KIND, identity.node_id, value)
@@ -88,11 +90,14 @@
         registrations, _ = self._store.list(KIND, may_be_stale=may_be_stale)
         now = time.monotonic()
         for registration in registrations:
-            address = (
-                registration.value.get("address") if isinstance(registration.value, dict) else None
-            )
-            if isinstance(address, str):
-                self._table.record_registration(registration.name, address, now)
+            value = registration.value if isinstance(registration.value, dict) else {}
+            address = value.get("address")
+            if not isinstance(address, str):
+                continue
+            version = value.get("protocol")
+            if not isinstance(version, int):
+                version = protocol.UNSTATED
+            self._table.record_registration(registration.name, address, now, version)
         live_ids = set(self._table.live_node_ids(now))
         # Live nodes count even if the store has lost their registrations.
         node_ids = {registration.name for registration in registrations}
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -97,4 +97,6 @@
   callersAddress @18 :Text;
   # Endpoints that have said to the sender in responses that they are leaving.
   leavings @19 :List(LeavingEndpoint);
+  # Version of the protocol between nodes that the sender speaks; 0 if it states none.
+  protocolVersion @20 :UInt16;
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lynxlanding.crashes import statements
+from lynxlanding.peers import protocol
 
 # Start times of endpoints must be below this value, which the encoding can hold.
 MAX_STARTED_MS = 1 << 63
@@ -103,6 +104,8 @@
         Whether the sender itself reaches no endpoint.
     leavings : tuple of ReportedLeaving
         Endpoints that have said to the sender that they are leaving.
+    protocol_version : int
+        Version of the protocol between nodes that the sender speaks.
     """
 
     node_id: str
@@ -122,3 +125,4 @@
     takes_requests: bool = False
     is_cut: bool = False
     leavings: tuple[ReportedLeaving, ...] = ()
+    protocol_version: int = protocol.UNSTATED
--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lynxlanding.handover import helper_choice
+from lynxlanding.peers import protocol
 
 # A node without a report for this long is not counted as live. Nodes send a report at least every
 # 0.4 s, and datagrams may be lost.
@@ -41,6 +42,8 @@
         Whether the node itself reaches no endpoint.
     requests : int
         Requests in flight from the node to endpoints.
+    protocol_version : int
+        Version of the protocol between nodes that the node speaks, as far as it has stated it.
     """
 
     node_id: str
@@ -55,6 +58,7 @@
     takes_requests: bool = False
     is_cut: bool = False
     requests: int = 0
+    protocol_version: int = protocol.UNSTATED
 
 
 class PeerTable:
@@ -75,17 +79,21 @@
         """Peers by node id."""
         return self._peers
 
-    def record_registration(self, node_id, address, now):
+    def record_registration(self, node_id, address, now, protocol_version=protocol.UNSTATED):
         """Record a registration in the store; return whether the node was unknown."""
         if node_id == self._node_id:
             return False
         peer = self._peers.get(node_id)
         if peer is None:
-            self._peers[node_id] = Peer(node_id, address, last_listed_at=now)
+            self._peers[node_id] = Peer(
+                node_id, address, last_listed_at=now, protocol_version=protocol_version
+            )
             return True
         peer.last_listed_at = now
         if peer.last_report_at is None or now - peer.last_report_at > LIVENESS_TIMEOUT_S:
             peer.address = address
+            # Reports are more recent than registrations.
+            peer.protocol_version = protocol_version
         return False
 
     def record_report(self, report, now):
@@ -112,6 +120,7 @@
         peer.takes_requests = report.takes_requests
         peer.is_cut = report.is_cut
         peer.requests = sum(report.loads.values())
+        peer.protocol_version = report.protocol_version
         peer.last_report_at = now
         return True
 
@@ -123,6 +132,15 @@
                 nodes.append(peer.node_id)
         return nodes
 
+    def count_live_by_version(self, now):
+        """Return the number of live nodes, including this one, by protocol version."""
+        counts = {protocol.CURRENT: 1}
+        for peer in self._peers.values():
+            if peer.last_report_at is None or now - peer.last_report_at > LIVENESS_TIMEOUT_S:
+                continue
+            counts[peer.protocol_version] = counts.get(peer.protocol_version, 0) + 1
+        return counts
+
     def store_node_ids(self, now, *, is_own_store_unavailable):
         """Return the ids of the live nodes that the store answers, or all if it answers none.
 
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -53,6 +53,7 @@
             message.callersAddress = report.callers_address
         message.takesRequests = report.takes_requests
         message.isCut = report.is_cut
+        message.protocolVersion = report.protocol_version
         leavings = message.init("leavings", len(report.leavings))
         for index, leaving in enumerate(report.leavings):
             leavings[index].key = leaving.endpoint_hash
@@ -100,6 +101,7 @@
                     peer_report.ReportedLeaving(item.key, item.startedMs, item.ageMs)
                     for item in message.leavings
                 ),
+                message.protocolVersion,
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -10,7 +10,7 @@
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.fleet import endpoint_key
 from lynxlanding.observability import restarting_thread
-from lynxlanding.peers import feed_codec, peer_report, report_codec
+from lynxlanding.peers import feed_codec, peer_report, protocol, report_codec
 
 # Changed loads are reported at this interval.
 REPORT_INTERVAL_S = 0.1
@@ -22,6 +22,8 @@
 URGENT_REPORTS = 2
 # Every peer must hear from this node within its liveness timeout, also if a datagram is lost.
 MAX_ROUND_S = 0.5
+# Bounds the memory for senders whose datagrams of unknown kinds have been logged.
+MAX_LOGGED_UNKNOWN = 1000
 
 _logger = logging.getLogger(__name__)
 
@@ -56,13 +58,20 @@
         self._codec = report_codec.ReportCodec()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sequence = 0
+        self._unknown_kinds = set()
+        self._unknown_total = 0
         self._stop = threading.Event()
 
+    @property
+    def unknown_total(self):
+        """Number of skipped datagrams of kinds that this version does not know."""
+        return self._unknown_total
+
     def start(self):
         """Bind the socket and start the threads that send and receive reports."""
         host, _, port = self._identity.address.rpartition(":")
         self._socket.bind((host, int(port)))
-        restarting_thread.start(self._receive, "receive reports")
+        restarting_thread.start(self._receive_all, "receive reports")
         restarting_thread.start(self._report, "send reports")
 
     def stop(self):
@@ -119,6 +128,7 @@
                 state.takes_requests,
                 state.is_cut,
                 make_reported_leavings(state.leavings, now),
+                protocol.CURRENT,
             )
         )
         targets = self._table.target_addresses(now) if to_all else self._next_targets(now)
@@ -144,25 +154,41 @@
         del self._remaining_targets[:MAX_TARGETS]
         return next_targets
 
-    def _receive(self):
+    def _receive_all(self):
         while not self._stop.is_set():
             try:
-                data, _ = self._socket.recvfrom(report_codec.MAX_DATAGRAM_BYTES)
+                data, sender = self._socket.recvfrom(report_codec.MAX_DATAGRAM_BYTES)
             except OSError as e:
                 _logger.warning("failed to receive a report: %s", e)
                 time.sleep(REPORT_INTERVAL_S)
                 continue
-            if feed_codec.is_feed(data):
-                self._on_feed(data, time.monotonic())
-                continue
-            try:
-                report = self._codec.decode(data)
-            except membership_errors.MalformedMessage as e:
-                _logger.warning("dropped a malformed report: %s", e)
-                continue
-            now = time.monotonic()
-            if self._table.record_report(report, now):
-                self._on_report(report, now)
+            self.receive(data, sender, time.monotonic())
+
+    def receive(self, data, sender, now):
+        """Process a datagram that a peer has sent."""
+        kind = protocol.get_kind(data)
+        if kind == feed_codec.KIND:
+            self._on_feed(data, now)
+            return
+        if kind:
+            self._skip_unknown(kind, sender)
+            return
+        try:
+            report = self._codec.decode(data)
+        except membership_errors.MalformedMessage as e:
+            _logger.warning("dropped a malformed report: %s", e)
+            return
+        if self._table.record_report(report, now):
+            self._on_report(report, now)
+
+    def _skip_unknown(self, kind, sender):
+        """Count a datagram of a later version; it is logged once for each sender and kind."""
+        self._unknown_total += 1
+        key = (sender, kind)
+        if key in self._unknown_kinds or len(self._unknown_kinds) >= MAX_LOGGED_UNKNOWN:
+            return
+        self._unknown_kinds.add(key)
+        _logger.warning("skipped a datagram of unknown kind %r from %s", kind, sender)
 
 
 def make_reported_leavings(statements, now):
--- a/src/lynxlanding/peers/tests/test_change_feed.py
+++ b/src/lynxlanding/peers/tests/test_change_feed.py
@@ -14,6 +14,7 @@
     peer_identity,
     peer_report,
     peer_table,
+    protocol,
     report_codec,
 )
 from lynxlanding.store import store_version, stored_object, watch_batch
@@ -158,7 +159,7 @@
 
 def test_load_reports_are_told_from_feed_messages():
     report = peer_report.PeerReport("n1", 1, 1, "127.0.0.1:1", 1, {})
-    assert not feed_codec.is_feed(report_codec.ReportCodec().encode(report))
+    assert protocol.get_kind(report_codec.ReportCodec().encode(report)) == b""
 
 
 def test_malformed_messages_are_dropped(network):
