Gather reports between nodes in fleets of more than 25

With 194 peers a round of 24 targets every 0.1 s was sent whether or not anything had changed: 240 datagrams a second sent and received by each node, 46,800 a second for the fleet (computed from the constants).

Change: in a fleet with more than 24 live peers of this version, a node reports to two gatherers (rendezvous hashing, one for 40 nodes). The first sums up the work of its members, and both say how long ago they have heard a node; each gatherer sends a digest to all every 0.4 s. Urgent facts still go to all nodes at once, in reports of their own. Nodes of earlier versions get direct reports, and smaller fleets exchange reports as before. Protocol version 2.

Weighed: report on change with a slow heartbeat (liveness in 1.3 s alone needs every node to hear every other, so still quadratic); gossip of vectors (the slowest of 195 nodes hears after some 2 s); a grid of rows and columns (14 + 14 datagrams an interval); digests with a third hop (a second more for the same bytes). Ruled out on the way: a digest interval of 0.5 s, which takes a live node for dead after one lost digest; node hashes of 64 bits (14.7 KB/s at 195 nodes).

The simulation of crashing parts follows the new paths, with 195 nodes added; its bounds are the same.

--- a/src/lynxlanding/crashes/tests/test_fleet_schedules.py
+++ b/src/lynxlanding/crashes/tests/test_fleet_schedules.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lynxlanding.crashes import part_guard, statements
-from lynxlanding.peers import report_transport
+from lynxlanding.peers import gathering, report_exchange, report_schedule
 
 SHARED, BAD = 0xA1, 0xBAD
 # Delay and loss of datagrams.
@@ -54,7 +54,7 @@
     def start_reports(self):
         for node_id in self.node_ids:
             self.schedule(
-                self.random_state.uniform(0, report_transport.REPORT_INTERVAL_S),
+                self.random_state.uniform(0, report_schedule.REPORT_INTERVAL_S),
                 self.report,
                 node_id,
             )
@@ -65,16 +65,23 @@
         guard = self.guards[node_id]
         changes, remaining = self.urgent.get(node_id, (0, 0))
         if guard.urgent_changes != changes:
-            remaining = report_transport.URGENT_REPORTS
+            remaining = report_schedule.URGENT_REPORTS
         self.urgent[node_id] = (guard.urgent_changes, remaining - (remaining > 0))
-        count = len(others) if remaining else min(report_transport.MAX_TARGETS, len(others))
-        for other in self.random_state.sample(others, count):
+        if remaining or len(others) <= gathering.MAX_DIRECT_PEERS:
+            self.send(node_id, others, report)
+        elif report != statements.PromptStatements() and self.random_state.random() >= LOSS:
+            # The gatherer passes it on with its next digest.
+            wait_s = self.random_state.uniform(0, report_exchange.DIGEST_INTERVAL_S)
+            self.schedule(self.now + wait_s, self.send, node_id, others, report)
+        guard.expire(lambda key: 0.0, self.now)
+        self.schedule(self.now + report_schedule.REPORT_INTERVAL_S, self.report, node_id)
+
+    def send(self, sender, recipients, report):
+        for recipient in recipients:
             if self.random_state.random() < LOSS:
                 continue
             delay_s = self.random_state.uniform(0, MAX_DELAY_S)
-            self.schedule(self.now + delay_s, self.receive, other, node_id, report)
-        guard.expire(lambda key: 0.0, self.now)
-        self.schedule(self.now + report_transport.REPORT_INTERVAL_S, self.report, node_id)
+            self.schedule(self.now + delay_s, self.receive, recipient, sender, report)
 
     def receive(self, node_id, sender, report):
         self.guards[node_id].apply_peer(report, sender, self.now)
@@ -165,9 +172,10 @@
             assert len(late) <= ALLOWED_AFTER, f"seed {seed}: {bad:x} {late}"
 
 
-def test_full_size():
-    """Guards against knowledge that spreads too slowly among 410 nodes."""
-    fleet = Fleet(1, 410)
+@pytest.mark.parametrize("node_count", [195, 410])
+def test_full_size(node_count):
+    """Guards against knowledge that spreads too slowly among hundreds of nodes."""
+    fleet = Fleet(1, node_count)
     fleet.start_reports()
     fleet.start(fleet.send_sound, 50.0, 0.0, 12.0)
     fleet.start(fleet.send_bad, 10.0, 1.0, 12.0)
--- a/src/lynxlanding/dispatch/load_tracker.py
+++ b/src/lynxlanding/dispatch/load_tracker.py
@@ -61,6 +61,24 @@
         for endpoint_id, count in counts.items():
             self._peer_sums[endpoint_id] = self._peer_sums.get(endpoint_id, 0) + count
 
+    def replace_digest_counts(self, gatherer_id, member_ids, counts, now):
+        """Replace the sum of the counts of a gatherer's members.
+
+        Parameters
+        ----------
+        gatherer_id : str
+            The gatherer.
+        member_ids : list of str
+            Nodes whose counts are part of the sum and no longer count by themselves.
+        counts : dict of str to int
+            Requests in flight of all members by endpoint id.
+        now : float
+            Monotonic seconds.
+        """
+        for member_id in member_ids:
+            self.remove_peer(member_id)
+        self.replace_peer_counts(("digest", gatherer_id), counts, now)
+
     def remove_peer(self, peer_id):
         """Remove the counts of a peer."""
         removed = self._peers.pop(peer_id, None)
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -86,6 +86,10 @@
         """Replace the counts of a peer's requests in flight by endpoint id."""
         self._dispatcher.load_tracker.replace_peer_counts(peer_id, counts, now)
 
+    def apply_digest_load(self, gatherer_id, member_ids, counts, now):
+        """Replace the sum of the requests in flight of a gatherer's members by endpoint id."""
+        self._dispatcher.load_tracker.replace_digest_counts(gatherer_id, member_ids, counts, now)
+
     def use_retry_limits(self, retry_limits):
         """Switch to another retry limit: ratio, slack and window in seconds."""
         self._dispatcher.use_retry_limits(retry_limits)
--- /dev/null
+++ b/src/lynxlanding/node/peer_report_handler.py
@@ -0,0 +1,73 @@
+"""Applies what other nodes report."""
+
+from lynxlanding.dispatch import request_logger
+
+
+class PeerReportHandler:
+    """Passes the parts of reports and digests on to the owners of the state.
+
+    Parameters
+    ----------
+    serving : ServingActor proxy
+        Receives loads, limits and ends of endpoints.
+    table : PeerTable
+        The other nodes.
+    view : PeerView
+        Resolves the hashes of endpoints.
+    part_guard : PartGuard
+        Receives what peers state about parts of prompts.
+    leavings : StatedLeavings
+        Endpoints that are leaving by their own responses.
+    on_leaving : callable
+        Called with id and start time of an endpoint that is leaving.
+    on_stalled : callable
+        Called without arguments after a peer has reported stalled endpoints.
+    """
+
+    def __init__(self, serving, table, view, part_guard, leavings, on_leaving, on_stalled):
+        self._serving = serving
+        self._table = table
+        self._view = view
+        self._part_guard = part_guard
+        self._leavings = leavings
+        self._on_leaving = on_leaving
+        self._on_stalled = on_stalled
+
+    def on_report(self, report, now):
+        """Apply a ``PeerReport`` that arrived at ``now``, in monotonic seconds."""
+        requests_by_endpoint = self._view.apply(report, now)
+        self._apply_statements(report, now)
+        prompts = report.prompts.shift(now)
+        self._part_guard.apply_peer(prompts, report.node_id, now)
+        for endpoint_id, started_ms in self._view.resolve_ends(prompts):
+            self._serving.record_ended(endpoint_id, started_ms, now)
+        if requests_by_endpoint is not None:
+            self._serving.apply_peer_load(report.node_id, requests_by_endpoint, now)
+
+    def on_digest(self, digest, own, now):
+        """Apply a ``ReportDigest`` that includes the ``OwnContribution`` of this node."""
+        member_ids = []
+        for member in digest.members:
+            node_id = self._table.find_node_id(member.key)
+            if node_id is not None:
+                member_ids.append(node_id)
+        requests_by_endpoint = self._view.apply_digest(digest, member_ids, own, now)
+        self._apply_statements(digest, now)
+        self._serving.apply_digest_load(digest.node_id, member_ids, requests_by_endpoint, now)
+
+    def _apply_statements(self, source, now):
+        """Apply what a report or a digest says about endpoints."""
+        if source.stalled:
+            self._on_stalled()
+        statements = self._view.resolve_limits(source, now)
+        if statements:
+            changes = self._serving.apply_peer_statements(source.node_id, statements, now).get()
+            for change in changes:
+                request_logger.log_limit_changed(change)
+        for leaving in self._view.resolve_leavings(source, now):
+            if not self._leavings.record_peer(leaving):
+                continue
+            request_logger.log_leaving_stated(
+                leaving.endpoint_id, leaving.started_ms, source.node_id, now - leaving.stated_at
+            )
+            self._on_leaving(leaving.endpoint_id, leaving.started_ms)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -38,6 +38,7 @@
     endpoint_handler,
     monitoring_apps,
     node_status,
+    peer_report_handler,
     proxy_app,
     request_reader,
     stop_plan,
@@ -190,11 +191,21 @@
             self._get_store_nodes,
             self._send_datagram,
         )
+        self._peer_report_handler = peer_report_handler.PeerReportHandler(
+            self._serving,
+            self._peer_table,
+            self._peer_view,
+            self._part_guard,
+            self._stated_leavings,
+            self._record_leaving,
+            self._group_controller.wake,
+        )
         self._report_transport = report_transport.ReportTransport(
             self._identity,
             self._peer_table,
             self._build_local_state,
-            self._on_peer_report,
+            self._peer_report_handler.on_report,
+            self._peer_report_handler.on_digest,
             self._change_feed.receive,
             self._random_state,
         )
@@ -417,28 +428,6 @@
             self._stated_leavings.changes,
         )
 
-    def _on_peer_report(self, report, now):
-        requests_by_endpoint = self._peer_view.apply(report, now)
-        if report.stalled:
-            self._group_controller.wake()
-        statements = self._peer_view.resolve_limits(report, now)
-        if statements:
-            self._log_limit_changes(
-                self._serving.apply_peer_statements(report.node_id, statements, now).get()
-            )
-        for leaving in self._peer_view.resolve_leavings(report, now):
-            if not self._stated_leavings.record_peer(leaving):
-                continue
-            request_logger.log_leaving_stated(
-                leaving.endpoint_id, leaving.started_ms, report.node_id, now - leaving.stated_at
-            )
-            self._record_leaving(leaving.endpoint_id, leaving.started_ms)
-        prompts = report.prompts.shift(now)
-        self._part_guard.apply_peer(prompts, report.node_id, now)
-        for endpoint_id, started_ms in self._peer_view.resolve_ends(prompts):
-            self._serving.record_ended(endpoint_id, started_ms, now)
-        self._serving.apply_peer_load(report.node_id, requests_by_endpoint, now)
-
     def _update_allowances(self, now):
         self._log_limit_changes(self._serving.expire_limits(now).get())
         live_nodes = self._peer_table.live_node_ids(now)
@@ -463,6 +452,7 @@
             self._endpoint_handler.process_changes(self._serving.expire(now).get(), None)
             self._update_allowances(now)
             self._update_quarantines(now)
+            self._peer_view.expire_digests(now)
             self._confirmation_checker.check_all()
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -99,4 +99,7 @@
   leavings @19 :List(LeavingEndpoint);
   # Version of the protocol between nodes that the sender speaks; 0 if it states none.
   protocolVersion @20 :UInt16;
+  # xxHash32 of the ids of the nodes that gather this report, the one that sums it up first. Empty if
+  # the sender reports to all nodes.
+  gatherers @21 :List(UInt32);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -22,6 +22,14 @@
     return max(0, int((now - stated_at) * 1000))
 
 
+def port_at_same_host(address, other_address):
+    """Return the port of ``address`` if both have the same host, else 0."""
+    host, _, port = address.rpartition(":")
+    if host != other_address.rpartition(":")[0] or not port.isdigit():
+        return 0
+    return int(port)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportedLimit:
     """What an endpoint has stated to the sender about the rate of requests that it takes.
@@ -106,6 +114,9 @@
         Endpoints that have said to the sender that they are leaving.
     protocol_version : int
         Version of the protocol between nodes that the sender speaks.
+    gatherers : tuple of int
+        Hashes of the ids of the nodes that gather this report; the first one sums up the sender's
+        work, so that others must not count it. Empty if the sender reports to all nodes.
     """
 
     node_id: str
@@ -126,3 +137,4 @@
     is_cut: bool = False
     leavings: tuple[ReportedLeaving, ...] = ()
     protocol_version: int = protocol.UNSTATED
+    gatherers: tuple[int, ...] = ()
--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from lynxlanding.handover import helper_choice
-from lynxlanding.peers import protocol
+from lynxlanding.peers import node_key, protocol
 
 # A node without a report for this long is not counted as live. Nodes send a report at least every
 # 0.4 s, and datagrams may be lost.
@@ -44,6 +44,10 @@
         Requests in flight from the node to endpoints.
     protocol_version : int
         Version of the protocol between nodes that the node speaks, as far as it has stated it.
+    state_sequence : int
+        Sequence number of the report, also one in a digest, that the state above is from.
+    incarnation_tag : int or None
+        Short form of the incarnation, as in digests; None before the first report.
     """
 
     node_id: str
@@ -59,6 +63,8 @@
     is_cut: bool = False
     requests: int = 0
     protocol_version: int = protocol.UNSTATED
+    state_sequence: int = 0
+    incarnation_tag: int | None = None
 
 
 class PeerTable:
@@ -73,6 +79,9 @@
     def __init__(self, node_id):
         self._node_id = node_id
         self._peers = {}
+        self._ids_by_key = {node_key.hash_node_id(node_id): node_id}
+        self._ambiguous_keys = set()
+        self._digests = {}
 
     @property
     def peers(self):
@@ -85,9 +94,7 @@
             return False
         peer = self._peers.get(node_id)
         if peer is None:
-            self._peers[node_id] = Peer(
-                node_id, address, last_listed_at=now, protocol_version=protocol_version
-            )
+            self._add(Peer(node_id, address, last_listed_at=now, protocol_version=protocol_version))
             return True
         peer.last_listed_at = now
         if peer.last_report_at is None or now - peer.last_report_at > LIVENESS_TIMEOUT_S:
@@ -103,7 +110,7 @@
         peer = self._peers.get(report.node_id)
         if peer is None:
             peer = Peer(report.node_id, report.address, last_listed_at=now)
-            self._peers[report.node_id] = peer
+            self._add(peer)
         is_silent = peer.last_report_at is None or now - peer.last_report_at > LIVENESS_TIMEOUT_S
         # Incarnations are taken from the sender's clock, which may have been set back before a
         # restart. A silent node is therefore accepted with a lower incarnation.
@@ -111,8 +118,16 @@
         is_newer = (report.incarnation, report.sequence) > (peer.incarnation, peer.sequence)
         if not is_newer and not is_restarted:
             return False
+        is_other_incarnation = report.incarnation != peer.incarnation
+        if is_other_incarnation:
+            peer.incarnation_tag = node_key.tag_incarnation(report.incarnation)
         peer.incarnation = report.incarnation
         peer.sequence = report.sequence
+        peer.last_report_at = max(now, peer.last_report_at or 0.0)
+        if report.sequence < peer.state_sequence and not is_other_incarnation:
+            # A digest has told the state of a later report.
+            return True
+        peer.state_sequence = report.sequence
         peer.address = report.address
         peer.configuration_version = report.configuration_version
         peer.is_store_unavailable = report.is_store_unavailable
@@ -121,14 +136,44 @@
         peer.is_cut = report.is_cut
         peer.requests = sum(report.loads.values())
         peer.protocol_version = report.protocol_version
-        peer.last_report_at = now
         return True
 
-    def live_node_ids(self, now):
-        """Return the ids of the live nodes, including this one."""
+    def record_digest(self, digest, now):
+        """Record a digest; return whether it is newer than the last one of its gatherer.
+
+        Nodes that are not known yet are left out, since a digest does not tell their addresses.
+        """
+        known = self._digests.get(digest.node_id)
+        version = (digest.incarnation, digest.sequence)
+        if known is not None and version <= known[0] and now - known[1] <= LIVENESS_TIMEOUT_S:
+            return False
+        self._digests[digest.node_id] = (version, now)
+        gatherer = self._peers.get(digest.node_id)
+        if gatherer is not None:
+            gatherer.last_report_at = now
+        for member in digest.members:
+            peer = self._record_heard(member.key, member.age_ms, now)
+            if peer is not None:
+                _update_state(peer, member)
+        for key, age_ms in digest.heard.items():
+            self._record_heard(key, age_ms, now)
+        return True
+
+    def find_node_id(self, key):
+        """Return the id of the node with a hash; None if it is not known, or not the only one."""
+        return None if key in self._ambiguous_keys else self._ids_by_key.get(key)
+
+    def has_ambiguous_key(self):
+        """Return whether another node has the hash of this one, so that digests name neither."""
+        return node_key.hash_node_id(self._node_id) in self._ambiguous_keys
+
+    def live_node_ids(self, now, min_version=protocol.UNSTATED):
+        """Return the ids of the live nodes of a protocol version or later, including this one."""
         nodes = [self._node_id]
         for peer in self._peers.values():
-            if peer.last_report_at is not None and now - peer.last_report_at <= LIVENESS_TIMEOUT_S:
+            if peer.last_report_at is None or now - peer.last_report_at > LIVENESS_TIMEOUT_S:
+                continue
+            if peer.protocol_version >= min_version:
                 nodes.append(peer.node_id)
         return nodes
 
@@ -178,13 +223,57 @@
                 )
         return found
 
-    def target_addresses(self, now):
-        """Return the addresses to send reports to; drop the peers that have expired."""
+    def target_addresses(self, now, min_version=protocol.UNSTATED, max_version=protocol.CURRENT):
+        """Return the addresses to send reports to; drop the peers that have expired.
+
+        Only peers whose protocol version is within the bounds are included; the versions after
+        this node's own count as its own.
+        """
         addresses = []
         for node_id, peer in list(self._peers.items()):
             last_activity_at = max(peer.last_listed_at, peer.last_report_at or 0.0)
             if now - last_activity_at > PEER_EXPIRY_S:
                 del self._peers[node_id]
+                self._forget_key(node_id)
                 continue
-            addresses.append(peer.address)
+            if min_version <= min(peer.protocol_version, protocol.CURRENT) <= max_version:
+                addresses.append(peer.address)
         return addresses
+
+    def _add(self, peer):
+        self._peers[peer.node_id] = peer
+        key = node_key.hash_node_id(peer.node_id)
+        if self._ids_by_key.setdefault(key, peer.node_id) != peer.node_id:
+            self._ambiguous_keys.add(key)
+
+    def _forget_key(self, node_id):
+        key = node_key.hash_node_id(node_id)
+        if key not in self._ambiguous_keys:
+            self._ids_by_key.pop(key, None)
+
+    def _record_heard(self, key, age_ms, now):
+        """Record that a gatherer has heard a node; return the ``Peer`` or None if not known."""
+        peer = self._peers.get(self.find_node_id(key))
+        if peer is not None:
+            peer.last_report_at = max(now - age_ms / 1000, peer.last_report_at or 0.0)
+        return peer
+
+
+def _update_state(peer, member):
+    """Take the state of a peer from its entry in a digest."""
+    is_known_incarnation = member.incarnation_tag == peer.incarnation_tag
+    if is_known_incarnation and member.sequence <= peer.state_sequence:
+        return
+    if not is_known_incarnation:
+        # The node has restarted, perhaps with its clock set back; its next report is accepted.
+        peer.incarnation = 0
+        peer.sequence = 0
+        peer.incarnation_tag = member.incarnation_tag
+    peer.state_sequence = member.sequence
+    peer.requests = member.requests
+    peer.is_store_unavailable = member.is_store_unavailable
+    peer.takes_requests = member.takes_requests
+    peer.is_cut = member.is_cut
+    if member.callers_port:
+        host = peer.address.rpartition(":")[0]
+        peer.callers_address = f"{host}:{member.callers_port}"
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -1,6 +1,6 @@
 """Combined view of the reports of the other nodes."""
 
-from lynxlanding.dispatch import limit_statement, stated_leavings
+from lynxlanding.dispatch import limit_statement, load_tracker, stated_leavings
 from lynxlanding.fleet import endpoint_key
 
 
@@ -20,6 +20,7 @@
         self._endpoint_ids_by_hash = {}
         self._busy_groups_by_node = {}
         self._loading_by_node = {}
+        self._digest_times = {}
         self._has_traffic = False
 
     @property
@@ -39,17 +40,79 @@
     def apply(self, report, now):
         """Apply a report; return the sender's requests in flight by endpoint id.
 
-        Hashes of unknown endpoints are ignored.
+        Hashes of unknown endpoints are ignored. Returns None if the sender's work is part of a
+        gatherer's digest.
         """
         self._has_traffic = self._has_traffic or report.has_traffic
+        for endpoint_id in self._resolve(report.stalled):
+            self._stall_tracker.record_peer_stall(endpoint_id, now)
+        if report.gatherers:
+            self._forget_work(report.node_id)
+            return None
         self._busy_groups_by_node[report.node_id] = report.busy_groups
         self._loading_by_node[report.node_id] = report.loading
-        for endpoint_hash in report.stalled:
+        return self._resolve_loads(report.loads)
+
+    def apply_digest(self, digest, member_ids, own, now):
+        """Apply a digest; return the members' requests in flight by endpoint id.
+
+        Parameters
+        ----------
+        digest : ReportDigest
+            The digest.
+        member_ids : list of str
+            Ids of the known nodes whose work is part of it.
+        own : OwnContribution
+            This node's own part, which is left out.
+        now : float
+            Arrival, in monotonic seconds.
+        """
+        self._has_traffic = self._has_traffic or digest.has_traffic
+        for endpoint_id in self._resolve(digest.stalled):
+            if endpoint_id not in own.stalled:
+                self._stall_tracker.record_peer_stall(endpoint_id, now)
+        for node_id in member_ids:
+            self._forget_work(node_id)
+        busy_groups = {}
+        for model, groups in digest.busy_groups.items():
+            busy_groups[model] = max(0.0, groups - own.busy_groups.get(model, 0.0))
+        source = _digest_source(digest.node_id)
+        self._busy_groups_by_node[source] = busy_groups
+        own_loading = {endpoint_key.hash_endpoint_id(endpoint_id) for endpoint_id in own.loading}
+        self._loading_by_node[source] = digest.loading - own_loading
+        self._digest_times[source] = now
+        loads = self._resolve_loads(digest.loads)
+        for endpoint_id, requests in own.loads.items():
+            remaining = loads.get(endpoint_id, 0) - requests
+            if remaining > 0:
+                loads[endpoint_id] = remaining
+            else:
+                loads.pop(endpoint_id, None)
+        return loads
+
+    def expire_digests(self, now):
+        """Forget the work in digests that are too old; their members may be in others by now."""
+        for source, received_at in list(self._digest_times.items()):
+            if now - received_at > load_tracker.PEER_REPORT_LIFETIME_S:
+                del self._digest_times[source]
+                self._forget_work(source)
+
+    def _forget_work(self, source):
+        self._busy_groups_by_node.pop(source, None)
+        self._loading_by_node.pop(source, None)
+
+    def _resolve(self, endpoint_hashes):
+        """Return the ids of the endpoints that are known."""
+        endpoint_ids = []
+        for endpoint_hash in endpoint_hashes:
             endpoint_id = self._endpoint_ids_by_hash.get(endpoint_hash)
             if endpoint_id is not None:
-                self._stall_tracker.record_peer_stall(endpoint_id, now)
+                endpoint_ids.append(endpoint_id)
+        return endpoint_ids
+
+    def _resolve_loads(self, requests_by_hash):
         loads = {}
-        for endpoint_hash, requests in report.loads.items():
+        for endpoint_hash, requests in requests_by_hash.items():
             endpoint_id = self._endpoint_ids_by_hash.get(endpoint_hash)
             if endpoint_id is not None:
                 loads[endpoint_id] = requests
@@ -120,14 +183,9 @@
             Ids of the live nodes; the reports of all others are dropped.
         """
         endpoint_ids = set()
-        for node_id, endpoint_hashes in list(self._loading_by_node.items()):
-            if node_id not in live_nodes:
-                del self._loading_by_node[node_id]
-                continue
-            for endpoint_hash in endpoint_hashes:
-                endpoint_id = self._endpoint_ids_by_hash.get(endpoint_hash)
-                if endpoint_id is not None:
-                    endpoint_ids.add(endpoint_id)
+        self._keep_live(self._loading_by_node, live_nodes)
+        for endpoint_hashes in self._loading_by_node.values():
+            endpoint_ids.update(self._resolve(endpoint_hashes))
         return endpoint_ids
 
     def total_busy_groups(self, own, live_nodes):
@@ -141,10 +199,20 @@
             Ids of the live nodes; the reports of all others are dropped.
         """
         total = dict(own)
-        for node_id, groups in list(self._busy_groups_by_node.items()):
-            if node_id not in live_nodes:
-                del self._busy_groups_by_node[node_id]
-                continue
+        self._keep_live(self._busy_groups_by_node, live_nodes)
+        for groups in self._busy_groups_by_node.values():
             for model, group_count in groups.items():
                 total[model] = total.get(model, 0.0) + group_count
         return total
+
+    def _keep_live(self, values_by_source, live_nodes):
+        """Drop the values of nodes that are not live; those of digests expire by time."""
+        live = set(live_nodes)
+        for source in list(values_by_source):
+            if source not in live and source not in self._digest_times:
+                del values_by_source[source]
+
+
+def _digest_source(gatherer_id):
+    """Return the key of what a digest sums up, which is no node id."""
+    return ("digest", gatherer_id)
--- a/src/lynxlanding/peers/protocol.py
+++ b/src/lynxlanding/peers/protocol.py
@@ -9,8 +9,10 @@
 UNSTATED = 0
 # Nodes that state their version, and skip datagrams of unknown kinds.
 STATED = 1
+# Nodes that report to gatherers in a large fleet, and understand digests.
+GATHERING = 2
 # Version of this node.
-CURRENT = STATED
+CURRENT = GATHERING
 
 # Start of all datagrams but reports; no packed report starts with it. The next byte is the kind.
 DATAGRAM_PREFIX = b"\xfflx"
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -8,8 +8,8 @@
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.peers import peer_report, prompt_codec
 
-# Size of the receive buffer. A datagram that IP does not fragment carries about 100 endpoints.
-MAX_DATAGRAM_BYTES = 8192
+# Size of the receive buffer. A digest of the work at 2,100 endpoints has some 25 KB.
+MAX_DATAGRAM_BYTES = 32768
 # Limit on the data read while decoding one report, in 8-byte words.
 _TRAVERSAL_LIMIT_WORDS = 1 << 16
 
@@ -34,31 +34,19 @@
         message.stalled = sorted(report.stalled)
         message.loading = sorted(report.loading)
         message.isStoreUnavailable = report.is_store_unavailable
-        work = message.init("work", len(report.busy_groups))
-        for index, (model, groups) in enumerate(report.busy_groups.items()):
-            work[index].model = model
-            work[index].groups = groups
-        limits = message.init("limits", len(report.limits))
-        for index, limit in enumerate(report.limits):
-            limits[index].key = limit.endpoint_hash
-            limits[index].startedMs = limit.started_ms
-            limits[index].hasEnded = limit.limit_per_s is None
-            limits[index].limitPerS = limit.limit_per_s or 0.0
-            limits[index].ageMs = limit.age_ms
+        encode_work(message, report.busy_groups)
+        encode_limits(message, report.limits)
         prompt_codec.encode(message, report.prompts)
-        host, _, port = report.callers_address.rpartition(":")
-        if host == report.address.rpartition(":")[0] and port.isdigit():
-            message.callersPort = int(port)
-        elif report.callers_address:
+        port = peer_report.port_at_same_host(report.callers_address, report.address)
+        if port:
+            message.callersPort = port
+        elif report.callers_address.rpartition(":")[2] != "0":
             message.callersAddress = report.callers_address
         message.takesRequests = report.takes_requests
         message.isCut = report.is_cut
         message.protocolVersion = report.protocol_version
-        leavings = message.init("leavings", len(report.leavings))
-        for index, leaving in enumerate(report.leavings):
-            leavings[index].key = leaving.endpoint_hash
-            leavings[index].startedMs = leaving.started_ms
-            leavings[index].ageMs = leaving.age_ms
+        encode_leavings(message, report.leavings)
+        message.gatherers = report.gatherers
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -89,24 +77,68 @@
                 loads,
                 message.hasTraffic,
                 frozenset(message.stalled),
-                {item.model: item.groups for item in message.work},
+                decode_work(message),
                 frozenset(message.loading),
                 message.isStoreUnavailable,
-                tuple(_decode_limit(item) for item in message.limits),
+                decode_limits(message),
                 prompt_codec.decode(message),
                 _decode_callers_address(message),
                 message.takesRequests,
                 message.isCut,
-                tuple(
-                    peer_report.ReportedLeaving(item.key, item.startedMs, item.ageMs)
-                    for item in message.leavings
-                ),
+                decode_leavings(message),
                 message.protocolVersion,
+                tuple(message.gatherers),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
 
 
+def encode_work(message, busy_groups):
+    """Write the numbers of busy groups by model into a message."""
+    work = message.init("work", len(busy_groups))
+    for index, (model, groups) in enumerate(busy_groups.items()):
+        work[index].model = model
+        work[index].groups = groups
+
+
+def decode_work(message):
+    """Return the numbers of busy groups by model."""
+    return {item.model: item.groups for item in message.work}
+
+
+def encode_limits(message, limits):
+    """Write ``ReportedLimit`` objects into a message."""
+    encoded = message.init("limits", len(limits))
+    for index, limit in enumerate(limits):
+        encoded[index].key = limit.endpoint_hash
+        encoded[index].startedMs = limit.started_ms
+        encoded[index].hasEnded = limit.limit_per_s is None
+        encoded[index].limitPerS = limit.limit_per_s or 0.0
+        encoded[index].ageMs = limit.age_ms
+
+
+def decode_limits(message):
+    """Return the ``ReportedLimit`` tuple of a message."""
+    return tuple(_decode_limit(item) for item in message.limits)
+
+
+def encode_leavings(message, leavings):
+    """Write ``ReportedLeaving`` objects into a message."""
+    encoded = message.init("leavings", len(leavings))
+    for index, leaving in enumerate(leavings):
+        encoded[index].key = leaving.endpoint_hash
+        encoded[index].startedMs = leaving.started_ms
+        encoded[index].ageMs = leaving.age_ms
+
+
+def decode_leavings(message):
+    """Return the ``ReportedLeaving`` tuple of a message."""
+    return tuple(
+        peer_report.ReportedLeaving(item.key, item.startedMs, item.ageMs)
+        for item in message.leavings
+    )
+
+
 def _decode_callers_address(message):
     if not message.callersPort:
         return message.callersAddress
--- /dev/null
+++ b/src/lynxlanding/peers/report_gatherer.py
@@ -0,0 +1,154 @@
+"""Sums up the reports of a gatherer's members."""
+
+import collections
+import dataclasses
+
+from lynxlanding.crashes import statements
+from lynxlanding.peers import node_key, peer_report, peer_table, report_digest
+
+# Bounds of a digest. What does not fit waits for the next one; urgent facts have reached all nodes
+# in reports of their own before.
+MAX_FORWARDED_BYTES = 4096
+MAX_STATEMENTS = 64
+MAX_WAITING_REPORTS = 128
+# Age that the encoding can hold.
+_MAX_AGE_MS = 0xFFFF
+
+_NO_PROMPTS = statements.PromptStatements()
+
+
+@dataclasses.dataclass(slots=True)
+class _Member:
+    report: peer_report.PeerReport
+    heard_at: float
+    is_summed_up: bool
+
+
+class ReportGatherer:
+    """Collects reports and builds digests of them; performs no I/O.
+
+    Parameters
+    ----------
+    identity : PeerIdentity
+        This node.
+    """
+
+    def __init__(self, identity):
+        self._identity = identity
+        self._members = {}
+        self._limits = {}
+        self._leavings = {}
+        self._waiting = collections.deque(maxlen=MAX_WAITING_REPORTS)
+
+    def has_members(self, now):
+        """Return whether nodes ask this one to gather their reports; forget those that left."""
+        for node_id, member in list(self._members.items()):
+            if now - member.heard_at > peer_table.LIVENESS_TIMEOUT_S:
+                del self._members[node_id]
+        return bool(self._members)
+
+    def record(self, report, data, now):
+        """Record a report whose sender asks this node to gather it.
+
+        Parameters
+        ----------
+        report : PeerReport
+            The report, decoded.
+        data : bytes
+            The same report as its sender has encoded it.
+        now : float
+            Arrival, in monotonic seconds.
+        """
+        is_summed_up = report.gatherers[0] == node_key.hash_node_id(self._identity.node_id)
+        self._members[report.node_id] = _Member(report, now, is_summed_up)
+        if not is_summed_up:
+            return
+        for limit in report.limits:
+            key = (limit.endpoint_hash, limit.started_ms)
+            known = self._limits.get(key)
+            if known is None or now - limit.age_ms / 1000 >= known[1] - known[0].age_ms / 1000:
+                self._limits[key] = (limit, now)
+        for leaving in report.leavings:
+            self._leavings[leaving.endpoint_hash, leaving.started_ms] = (leaving, now)
+        if report.prompts != _NO_PROMPTS:
+            self._waiting.append((data, now))
+
+    def build(self, sequence, now):
+        """Return the ``ReportDigest`` of what was recorded since the last one."""
+        members = []
+        heard = {}
+        loads = {}
+        busy_groups = {}
+        stalled = set()
+        loading = set()
+        has_traffic = False
+        for node_id, member in list(self._members.items()):
+            key = node_key.hash_node_id(node_id)
+            report = member.report
+            if not member.is_summed_up:
+                heard[key] = _age_ms(member.heard_at, now)
+                continue
+            members.append(_make_member_state(key, member, now))
+            has_traffic = has_traffic or report.has_traffic
+            stalled.update(report.stalled)
+            loading.update(report.loading)
+            for endpoint_hash, requests in report.loads.items():
+                loads[endpoint_hash] = loads.get(endpoint_hash, 0) + requests
+            for model, groups in report.busy_groups.items():
+                busy_groups[model] = busy_groups.get(model, 0.0) + groups
+        return report_digest.ReportDigest(
+            self._identity.node_id,
+            self._identity.incarnation,
+            sequence,
+            tuple(members),
+            heard,
+            loads,
+            busy_groups,
+            has_traffic,
+            frozenset(stalled),
+            frozenset(loading),
+            tuple(_take_statements(self._limits, now)),
+            tuple(_take_statements(self._leavings, now)),
+            tuple(self._take_forwarded(now)),
+        )
+
+    def _take_forwarded(self, now):
+        forwarded = []
+        total_bytes = 0
+        while self._waiting:
+            data, arrived_at = self._waiting[0]
+            total_bytes += len(data)
+            if forwarded and total_bytes > MAX_FORWARDED_BYTES:
+                break
+            self._waiting.popleft()
+            forwarded.append(report_digest.ForwardedReport(data, _age_ms(arrived_at, now)))
+        return forwarded
+
+
+def _take_statements(waiting, now):
+    """Remove the oldest statements and return them with their age as of ``now``."""
+    taken = []
+    for key in list(waiting)[:MAX_STATEMENTS]:
+        statement, arrived_at = waiting.pop(key)
+        age_ms = statement.age_ms + _age_ms(arrived_at, now)
+        taken.append(dataclasses.replace(statement, age_ms=age_ms))
+    return taken
+
+
+def _make_member_state(key, member, now):
+    report = member.report
+    return report_digest.MemberState(
+        key,
+        report.sequence,
+        node_key.tag_incarnation(report.incarnation),
+        _age_ms(member.heard_at, now),
+        sum(report.loads.values()),
+        peer_report.port_at_same_host(report.callers_address, report.address),
+        report.is_store_unavailable,
+        report.takes_requests,
+        report.is_cut,
+    )
+
+
+def _age_ms(at, now):
+    return min(peer_report.age_ms(at, now), _MAX_AGE_MS)
--- a/src/lynxlanding/peers/tests/test_earlier_formats.py
+++ b/src/lynxlanding/peers/tests/test_earlier_formats.py
@@ -99,6 +99,7 @@
         peer_table.PeerTable("n1"),
         lambda: None,
         lambda report, now: None,
+        lambda digest, own, now: None,
         lambda data, now: None,
     )
     for _ in range(3):
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -9,7 +9,7 @@
     peer_table,
     peer_view,
     report_codec,
-    report_transport,
+    report_exchange,
 )
 
 
@@ -145,7 +145,7 @@
     for number, (started_ms, stated_at) in enumerate([(1, 10.5), (-1, 9.0), (1 << 70, 9.0)]):
         statement = limit_statement.LimitStatement(started_ms, 1.0, stated_at)
         statements.append(limit_statement.EndpointStatement(f"e{number}", statement))
-    limits = report_transport.make_reported_limits(statements, 10.0)
+    limits = report_exchange.make_reported_limits(statements, 10.0)
     assert [(limit.started_ms, limit.age_ms) for limit in limits] == [(1, 0)]
     codec = report_codec.ReportCodec()
     assert codec.decode(codec.encode(make_report(limits=limits))).limits == limits
@@ -209,7 +209,7 @@
 
 def test_leavings_survive_encoding_and_name_known_endpoints():
     """Guards against endpoints that only the node that was told stops using."""
-    reported = report_transport.make_reported_leavings(
+    reported = report_exchange.make_reported_leavings(
         [
             stated_leavings.LeavingStatement("e0", 7, 9.5),
             stated_leavings.LeavingStatement("unknown", 7, 9.5),
