Recognise ends of engines whose port still accepts connections

Cause (issue "Ends of engines"): only a refused connection counted as an end. Where a supervisor or an address translation holds the port, connections are accepted and reset or closed, so no end was seen and no part was named.

Change: the check after a broken attempt also watches the new connection for two round trips (10 to 50 ms); one that is ended at once shows that nothing listens. The registration of another incarnation at the address shows it too, for engines that are back before the check. Requests sent after an end are not its cause. The log line of an end names its evidence.

Ruled out: a health check (priced, waits for a slot); taking each broken stream for an end (idle closes, cuts, stops of nodes).

--- a/src/lynxlanding/crashes/broken_attempt.py
+++ b/src/lynxlanding/crashes/broken_attempt.py
@@ -19,6 +19,8 @@
         When the request was sent, in monotonic seconds.
     ended_at : float
         When it broke off, in monotonic seconds.
+    address : str
+        Address that it was sent to.
     """
 
     endpoint_id: str
@@ -26,3 +28,4 @@
     prompt_parts: tuple[int, ...]
     sent_at: float
     ended_at: float
+    address: str = ""
--- a/src/lynxlanding/crashes/crash_evidence.py
+++ b/src/lynxlanding/crashes/crash_evidence.py
@@ -114,6 +114,9 @@
             if end.ended_at >= before:
                 continue
             for part, sent_at in end.sent_at_by_part.items():
+                if sent_at > end.ended_at + CLOCK_MARGIN_S:
+                    # It met whatever accepts connections in place of the endpoint.
+                    continue
                 harmless_at = self._harmless.get(part)
                 if harmless_at is None or harmless_at < end.ended_at:
                     ends_by_part.setdefault(part, {})[key] = (sent_at, end.ended_at)
--- a/src/lynxlanding/crashes/crash_monitor.py
+++ b/src/lynxlanding/crashes/crash_monitor.py
@@ -16,6 +16,10 @@
 
 ENDPOINT_ENDED = "lynxlanding:endpoint:ended"
 
+# What has shown the end of an endpoint.
+NOT_LISTENING = "not listening"
+RESTARTED = "restarted"
+
 # A part that crashes endpoints does so soon after they begin to write the answer. An answer that
 # has been written for this long is not the cause of a later end.
 HARMLESS_AFTER_S = 1.0
@@ -36,9 +40,10 @@
     guard : PartGuard
         Receives the evidence.
     on_ended : callable
-        Called with the record of an endpoint whose process has ended, and the time.
+        Called with what names an endpoint whose process has ended (``endpoint_id`` and
+        ``started_ms``), and the time.
     is_cut : callable
-        Returns whether this node reaches no endpoint, so that a refused connection tells nothing.
+        Returns whether this node reaches no endpoint, so that an address tells nothing.
     """
 
     def __init__(self, pool, guard, on_ended, is_cut=lambda: False):
@@ -74,7 +79,7 @@
             self._guard.record_harmless(prompt_parts, begun_at, now)
             prompt_parts = ()
         attempt = broken_attempt.BrokenAttempt(
-            record.endpoint_id, record.started_ms, prompt_parts, sent_at, now
+            record.endpoint_id, record.started_ms, prompt_parts, sent_at, now, record.address
         )
         ended = self._tracker.record_broken(attempt, now)
         if ended:
@@ -90,6 +95,13 @@
         """Record an answer that is complete, and when it began."""
         self._guard.record_harmless(prompt_parts, begun_at, time.monotonic())
 
+    def record_started(self, record):
+        """Record the registration of an incarnation, which shows that the one before it ended."""
+        now = time.monotonic()
+        attempts = self._tracker.record_started(record, now)
+        if attempts:
+            self._record_ended(attempts[0], attempts, now, evidence=RESTARTED)
+
     def _record_refused(self, record, now):
         if self._is_cut():
             return False
@@ -98,7 +110,7 @@
             self._record_ended(record, attempts, now)
         return bool(attempts)
 
-    def _record_ended(self, record, attempts, now):
+    def _record_ended(self, record, attempts, now, evidence=NOT_LISTENING):
         sent_at_by_part = {}
         # The cause has just begun, so the requests that were sent last come first.
         for attempt in sorted(attempts, key=lambda item: -item.sent_at):
@@ -110,6 +122,7 @@
             message_type=ENDPOINT_ENDED,
             endpoint=record.endpoint_id,
             born_ms=record.started_ms,
+            evidence=evidence,
             broken_attempts=len(attempts),
             prompt_parts=part_log.format_parts(sent_at_by_part),
             age_s=round(now - ended_at, 3),
--- a/src/lynxlanding/crashes/end_tracker.py
+++ b/src/lynxlanding/crashes/end_tracker.py
@@ -1,6 +1,7 @@
 """Tells endpoints that have ended from connections that broke for another reason."""
 
-# Broken attempts wait this long for a refused connection, which shows that the endpoint has ended.
+# Broken attempts wait this long for what shows that the endpoint has ended: an address at which it
+# does not listen, or the registration of its next incarnation.
 CONFIRMATION_S = 3.0
 # An endpoint is checked once within this time, however many of its attempts break.
 CHECK_INTERVAL_S = 1.0
@@ -12,7 +13,8 @@
     """Collects broken attempts until it is known whether their endpoint has ended.
 
     A connection may break because it was reset or cut, because the endpoint has closed it, or
-    because the endpoint has ended. Only in the last case does the address refuse connections.
+    because the endpoint has ended. Only in the last case does nothing listen at the address, or
+    another incarnation register there soon.
     Performs no I/O.
     """
 
@@ -41,12 +43,12 @@
         return True
 
     def record_refused(self, endpoint_id, started_ms, now):
-        """Record a refused connection; return the attempts that broke because of the end.
+        """Record that an endpoint does not listen; return the attempts that its end broke off.
 
         Parameters
         ----------
         endpoint_id : str
-            Endpoint whose address has refused a connection.
+            Endpoint at whose address nothing listens.
         started_ms : int
             Incarnation that was expected there.
         now : float
@@ -59,6 +61,28 @@
             self._ended_at[key] = now
         return attempts
 
+    def record_started(self, record, now):
+        """Record the registration of an incarnation; return the attempts at its predecessor.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The incarnation. Those before it at the same address have ended.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of BrokenAttempt
+            Attempts that broke because of the end, all at one incarnation.
+        """
+        self._expire(now)
+        for key, attempts in self._broken.items():
+            is_same = key == (record.endpoint_id, record.started_ms)
+            if attempts[0].address == record.address and not is_same:
+                return self.record_refused(*key, now)
+        return []
+
     def _expire(self, now):
         for key, attempts in list(self._broken.items()):
             recent = [item for item in attempts if now - item.ended_at <= CONFIRMATION_S]
--- a/src/lynxlanding/crashes/tests/test_part_guard.py
+++ b/src/lynxlanding/crashes/tests/test_part_guard.py
@@ -49,6 +49,21 @@
     assert not verdict.is_trial
 
 
+def test_requests_sent_after_an_end_are_not_its_cause():
+    """Guards against blaming sound parts for ends that other requests had caused before.
+
+    Pattern: an ended engine's port still accepts connections, so requests go on being sent there.
+    """
+    guard = make_guard()
+    for number in range(4):
+        at = 10.0 + 3 * number
+        guard.record_end(make_end(number, at, (BAD,)), at)
+        late = make_end(number, at + 0.25, (SOUND,), sent_s=0.05)
+        guard.apply_peer(statements.PromptStatements((late,)), "n1", at + 0.25)
+        guard.expire(never, at + part_guard.SETTLING_S + 0.01)
+    assert list(guard.quarantines) == [frozenset({BAD})]
+
+
 def test_sound_prompts_with_some_of_the_parts_pass_and_tell_the_bad_one():
     """Guards against refusing a caller's sound requests with the bad ones."""
     guard = make_guard(3)
--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -15,6 +15,9 @@
 CONNECT_TIMEOUT_S = 0.4
 # A request that may be sent to another endpoint waits for the check.
 CHECK_TIMEOUT_S = 0.1
+# How long a new connection is watched for being ended at once: two round trips within these bounds.
+MIN_OPEN_CHECK_S = 0.01
+MAX_OPEN_CHECK_S = 0.05
 # Several endpoints are asked at the same time, so one lost packet does not matter.
 REACHABILITY_TIMEOUT_S = 0.25
 # Endpoints close idle connections, some of them earlier than they announce.
@@ -73,12 +76,25 @@
         return self._connect(record, CONNECT_TIMEOUT_S), True
 
     def is_listening(self, record):
-        """Return whether the address of an endpoint accepts connections.
+        """Return whether an endpoint listens at its address.
 
-        It counts as listening unless it refuses: silence may be due to the network.
+        It counts as listening unless the address refuses connections, or something accepts them
+        only to end them at once, as a supervisor or an address translation does that holds the
+        port of an endpoint that has ended. Silence may be due to the network.
         """
-        error = self._try_connect(record, CHECK_TIMEOUT_S)
-        return not isinstance(error, endpoint_errors.NotListening)
+        begun_at = time.monotonic()
+        try:
+            connection = self._connect(record, CHECK_TIMEOUT_S)
+        except endpoint_errors.NotListening:
+            return False
+        except endpoint_errors.ConnectionRefused:
+            return True
+        round_trip_s = time.monotonic() - begun_at
+        wait_s = min(max(2 * round_trip_s, MIN_OPEN_CHECK_S), MAX_OPEN_CHECK_S)
+        # Nothing is sent, so an endpoint that listens has no reason to send or to close anything.
+        is_ended = wait.wait_for_read(connection.sock, timeout=wait_s)
+        connection.close()
+        return not is_ended
 
     def is_reachable(self, record):
         """Return whether a new connection to an endpoint can be established."""
--- a/src/lynxlanding/dispatch/tests/test_connection_pool.py
+++ b/src/lynxlanding/dispatch/tests/test_connection_pool.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import socket
+import struct
+import threading
 import time
 
 import pytest
@@ -80,6 +82,24 @@
         pool.acquire(make_record_at(port), fresh=True)
 
 
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_address_that_ends_new_connections_at_once_does_not_listen(is_reset):
+    """Pattern: a supervisor or an address translation holds the port of an ended endpoint."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def end_next():
+            accepted, _ = listener.accept()
+            if is_reset:
+                accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            accepted.close()
+
+        thread = threading.Thread(target=end_next)
+        thread.start()
+        pool = connection_pool.ConnectionPool([])
+        assert not pool.is_listening(make_record_at(listener.getsockname()[1]))
+        thread.join()
+
+
 def test_silent_address_counts_as_listening(monkeypatch):
     def connect(connection):
         raise urllib3.exceptions.ConnectTimeoutError(connection, "timed out")
--- a/src/lynxlanding/node/endpoint_handler.py
+++ b/src/lynxlanding/node/endpoint_handler.py
@@ -13,6 +13,8 @@
 # After these changes, no further requests are sent to the incarnation.
 _ENDINGS = frozenset({endpoint_change.LEAVING, endpoint_change.REMOVED, endpoint_change.RESTARTED})
 
+_STARTS = frozenset({endpoint_change.ADDED, endpoint_change.RESTARTED})
+
 
 class EndpointHandler:
     """``WatchHandler`` of the endpoints.
@@ -27,13 +29,16 @@
         Closes the connections to removed and restarted endpoints.
     on_change : callable
         Called without arguments after the registry has changed.
+    on_started : callable, optional
+        Called with the record of an incarnation that was not known before.
     """
 
-    def __init__(self, serving, node_status, pool, on_change):
+    def __init__(self, serving, node_status, pool, on_change, on_started=lambda record: None):
         self._serving = serving
         self._node_status = node_status
         self._pool = pool
         self._on_change = on_change
+        self._on_started = on_started
         self._ignored_total = 0
 
     @property
@@ -86,6 +91,8 @@
                 continue
             has_changed = True
             self._log_changed(change, unread_s)
+            if change.kind in _STARTS:
+                self._on_started(change.record)
             if change.kind in (endpoint_change.REMOVED, endpoint_change.RESTARTED):
                 self._pool.close_endpoint(change.record.endpoint_id)
         if has_changed:
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -175,7 +175,11 @@
             settings.groups,
         )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
-            self._serving, self._node_status, self._pool, self._on_endpoints_changed
+            self._serving,
+            self._node_status,
+            self._pool,
+            self._on_endpoints_changed,
+            self._crash_monitor.record_started,
         )
         self._confirmation_checker = confirmation_checker.ConfirmationChecker(
             self._serving,
--- a/src/lynxlanding_standins/port_server.py
+++ b/src/lynxlanding_standins/port_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import socket
+import struct
 
 import uvicorn
 
@@ -35,10 +36,14 @@
             timeout_graceful_shutdown=1,
             backlog=2048,
         )
+        # Loads the protocol class, which accepts connections to ports that are held.
+        config.load()
         super().__init__(config)
+        config.http_protocol_class = _make_protocol_class(config.http_protocol_class, self)
         self._addresses = [(host, port) for host in hosts for port in ports]
         self._closed = set()
         self._full_queues = {}
+        self._held_ports = {}
 
     def serve_ports(self):
         """Serve until the process is told to stop."""
@@ -59,6 +64,25 @@
                 self._closed.add(address)
                 self.servers[self._addresses.index(address)].close()
 
+    def hold_port(self, port, is_reset):
+        """Accept new connections to a port and end them at once, by a reset or by closing them."""
+        self._held_ports[port] = is_reset
+
+    def release_port(self, port):
+        """Serve new connections to a port that was held."""
+        self._held_ports.pop(port, None)
+
+    def end_if_held(self, transport):
+        """End a new connection if its port is held; return whether it is."""
+        sock = transport.get_extra_info("socket")
+        is_reset = self._held_ports.get(sock.getsockname()[1])
+        if is_reset is None:
+            return False
+        if is_reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        transport.abort()
+        return True
+
     def fill_port(self, port, host):
         """Let new connections to a port hang, as if their packets were lost."""
         self.close_port(port, host)
@@ -96,6 +120,24 @@
         return [item for item in self._addresses if item[1] == port and host in (None, item[0])]
 
 
+def _make_protocol_class(base, server):
+    class HeldPortProtocol(base):
+        """Ends connections to held ports before it reads from them."""
+
+        def connection_made(self, transport):
+            """Serve a connection unless its port is held."""
+            self._is_held = server.end_if_held(transport)
+            if not self._is_held:
+                super().connection_made(transport)
+
+        def connection_lost(self, exc):
+            """Forget a connection that was served."""
+            if not self._is_held:
+                super().connection_lost(exc)
+
+    return HeldPortProtocol
+
+
 def _listen(address):
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -13,6 +13,11 @@
 KEY = "secret-key"
 TENANT = "small"
 HOST_NAME = "site.example"
+# What meets new connections to an endpoint that has crashed. Nothing listens, so that they are
+# refused; or something else holds the port, and ends them as soon as it has accepted them.
+REFUSES = "refuses"
+RESETS = "resets"
+CLOSES = "closes"
 
 
 class Site:
@@ -58,6 +63,7 @@
         )
         self._beats = None
         self._restarts = set()
+        self._crash_kind = REFUSES
         self._configuration_version = 1
         self._store.put("config", "main", configuration(1))
         # An entry of another writer names no endpoint.
@@ -91,6 +97,7 @@
             self._cut(host, mode)
         for host in order.get("uncut", ()):
             await self._end_cut(host)
+        self._crash_kind = order.get("crash_kind", self._crash_kind)
         self._engines.crash_parts = order.get("crash_parts", self._engines.crash_parts)
         for endpoint in self._endpoints.values():
             self._control_endpoint(endpoint, order)
@@ -172,7 +179,10 @@
             return
         self._history.append(("crash", "", endpoint.endpoint_id, time.monotonic()))
         endpoint.crash()
-        self._server.close_port(endpoint.port)
+        if self._crash_kind == REFUSES:
+            self._server.close_port(endpoint.port)
+        else:
+            self._server.hold_port(endpoint.port, is_reset=self._crash_kind == RESETS)
         self._server.reset_connections(endpoint.port)
         loop = asyncio.get_running_loop()
         self._restarts.add(loop.create_task(self._restart_later(endpoint, down_s)))
@@ -199,6 +209,7 @@
         endpoint.start(int(time.time() * 1000))
         self._silent.pop(endpoint.endpoint_id, None)
         await self._server.open_port(endpoint.port)
+        self._server.release_port(endpoint.port)
         self._publish(endpoint)
         self._restarts.discard(asyncio.current_task())
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,6 +9,7 @@
 
 from lynxlanding_bench import processes
 from lynxlanding_bench.site_day import calling_installation, crash_checker
+from lynxlanding_standins.site import application
 
 # More nodes and engines than in CI are for runs by hand.
 NODE_COUNT = int(os.environ.get("LYNXLANDING_CRASH_TEST_NODES", "9"))
@@ -99,14 +100,17 @@
         installation.stop()
 
 
-def test_prompts_that_crash_engines_are_refused_and_sound_ones_served(site):
+@pytest.mark.parametrize(
+    "crash_kind", [application.REFUSES, application.RESETS, application.CLOSES]
+)
+def test_prompts_that_crash_engines_are_refused_and_sound_ones_served(site, crash_kind):
     """Guards against requests that end one engine after the other, at any of the nodes.
 
     Pattern: the users' incident, in which requests with one part in their prompts ended 51 engines.
     """
     site.start_callers(SOUND_CALLERS, SOUND_PER_S, sound_parts, site.sound, "sound")
     time.sleep(OBSERVED_BEFORE_S)
-    begun_at = site.control(crash_parts={BAD_PART: CRASHED_FOR_S})["time"]
+    begun_at = site.control(crash_kind=crash_kind, crash_parts={BAD_PART: CRASHED_FOR_S})["time"]
     site.start_callers(BAD_CALLERS, BAD_PER_S, bad_parts, site.bad, "bad")
     time.sleep(OBSERVED_S)
     crashes = site.crashes()
@@ -122,8 +126,8 @@
     before = crash_checker.served_share(site.sound, 0.0, begun_at)
     after = crash_checker.served_share(site.sound, since, until)
     print(
-        f"{len(NODES)} nodes, {ENGINES} engines: {len(crashes)} crashes, {len(late)} late requests,"
-        f" sound ones served {before:.3f} before and {after:.3f} from"
+        f"{crash_kind}, {len(NODES)} nodes, {ENGINES} engines: {len(crashes)} crashes,"
+        f" {len(late)} late requests, sound ones served {before:.3f} before and {after:.3f} from"
         f" {since - begun_at:.1f} s after the first bad request on"
     )
     assert len(late) <= crash_checker.ALLOWED_AFTER
