Replace nodes by another version under requests, forward and back

Cause (issue "Two versions at once"): that old and new nodes understand each other was shown by one trial only and by no test.

--- a/src/lynxlanding_bench/processes.py
+++ b/src/lynxlanding_bench/processes.py
@@ -15,7 +15,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 # Larger than any installation.
-PORT_BLOCK = 100
+PORT_BLOCK = 200
 # Installations of one test process that may exist at the same time.
 KEPT_MARKS = 8
 _MARKS = []
@@ -34,12 +34,25 @@
         self._directory = pathlib.Path(directory)
         self._running = {}
         self._commands = {}
+        self._sources = {}
 
     @property
     def directory(self):
         """Directory of logs and settings files."""
         return self._directory
 
+    def use_sources(self, name, path):
+        """Run the sources below ``path`` at the next start of a process, another version of them.
+
+        Parameters
+        ----------
+        name : str
+            Name of the process.
+        path : pathlib.Path or None
+            Directory of the packages; None for those of the calling process.
+        """
+        self._sources[name] = path
+
     def start(self, name, module, *arguments):
         """Start ``python -m module arguments`` under ``name``.
 
@@ -54,6 +67,9 @@
         """
         self._commands[name] = (module, arguments)
         environment = {**os.environ, "OPENBLAS_NUM_THREADS": "1"}
+        sources = self._sources.get(name)
+        if sources is not None:
+            environment["PYTHONPATH"] = str(sources)
         with open(self._directory / f"{name}.log", "ab") as log:
             self._running[name] = subprocess.Popen(
                 [sys.executable, "-m", module, *map(str, arguments)],
