--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -236,6 +236,7 @@
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         self._add_gauges()
+        self._add_peer_gauges()
         servers = self._create_servers()
         _start_garbage_collection()
         for server in servers:
@@ -543,19 +544,52 @@
             lambda: self._node_status.configuration_version or 0,
         )
         self._metrics.add_gauge(
-            "lynxlanding_nodes_of_other_protocol",
-            "Live nodes that speak another version of the protocol between nodes.",
-            self._count_nodes_of_other_protocol,
+            "lynxlanding_store_era",
+            "Era of the store; increases when it comes back from an older copy.",
+            lambda: self._store.era or 0,
+        )
+
+    def _add_peer_gauges(self):
+        transport = self._report_transport
+        self._metrics.add_gauge(
+            "lynxlanding_peer_datagrams_sent",
+            "Datagrams sent to other nodes since the start of the process.",
+            lambda: transport.sent.datagrams,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_peer_bytes_sent",
+            "Bytes of these datagrams.",
+            lambda: transport.sent.bytes,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_peer_datagrams_received",
+            "Datagrams received from other nodes since the start of the process.",
+            lambda: transport.received.datagrams,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_peer_bytes_received",
+            "Bytes of these datagrams.",
+            lambda: transport.received.bytes,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_peer_datagrams_malformed",
+            "Dropped reports and digests that could not be decoded.",
+            lambda: transport.malformed_total,
         )
         self._metrics.add_gauge(
             "lynxlanding_unknown_datagrams",
             "Skipped datagrams of kinds that this version does not know.",
-            lambda: self._report_transport.unknown_total,
+            lambda: transport.unknown_total,
         )
         self._metrics.add_gauge(
-            "lynxlanding_store_era",
-            "Era of the store; increases when it comes back from an older copy.",
-            lambda: self._store.era or 0,
+            "lynxlanding_gathered_nodes",
+            "Nodes whose reports this one gathers and passes on as digests.",
+            lambda: transport.member_count,
+        )
+        self._metrics.add_gauge(
+            "lynxlanding_nodes_of_other_protocol",
+            "Live nodes that speak another version of the protocol between nodes.",
+            self._count_nodes_of_other_protocol,
         )
 
     def _count_nodes_of_other_protocol(self):
--- a/src/lynxlanding/peers/report_exchange.py
+++ b/src/lynxlanding/peers/report_exchange.py
@@ -76,6 +76,11 @@
         """Node ids of the gatherers of this node; empty if it reports to all others."""
         return self._schedule.gatherers
 
+    @property
+    def member_count(self):
+        """Number of nodes whose reports this one gathers, as of the last digest."""
+        return self._gatherer.member_count
+
     def make_datagrams(self, state, now):
         """Return the ``OutgoingDatagram`` list that is due for a ``LocalState``."""
         outgoing = []
--- a/src/lynxlanding/peers/report_gatherer.py
+++ b/src/lynxlanding/peers/report_gatherer.py
@@ -40,6 +40,11 @@
         self._leavings = {}
         self._waiting = collections.deque(maxlen=MAX_WAITING_REPORTS)
 
+    @property
+    def member_count(self):
+        """Number of nodes that ask this one to gather their reports."""
+        return len(self._members)
+
     def has_members(self, now):
         """Return whether nodes ask this one to gather their reports; forget those that left."""
         for node_id, member in list(self._members.items()):
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -6,9 +6,12 @@
 import threading
 import time
 
+import eliot
+
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.observability import restarting_thread
 from lynxlanding.peers import (
+    datagram_counts,
     digest_codec,
     feed_codec,
     protocol,
@@ -20,6 +23,8 @@
 # Bounds the memory for senders whose datagrams of unknown kinds have been logged.
 MAX_LOGGED_UNKNOWN = 1000
 
+GATHERERS_CHANGED = "lynxlanding:peers:gatherers_changed"
+
 _logger = logging.getLogger(__name__)
 
 
@@ -56,6 +61,10 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._unknown_kinds = set()
         self._unknown_total = 0
+        self._malformed_total = 0
+        self._sent = datagram_counts.DatagramCounts()
+        self._received = datagram_counts.DatagramCounts()
+        self._gatherers = ()
         self._stop = threading.Event()
 
     @property
@@ -63,6 +72,26 @@
         """Number of skipped datagrams of kinds that this version does not know."""
         return self._unknown_total
 
+    @property
+    def malformed_total(self):
+        """Number of dropped reports and digests that could not be decoded."""
+        return self._malformed_total
+
+    @property
+    def sent(self):
+        """``DatagramCounts`` of what this node has sent to other nodes."""
+        return self._sent
+
+    @property
+    def received(self):
+        """``DatagramCounts`` of what this node has received from other nodes."""
+        return self._received
+
+    @property
+    def member_count(self):
+        """Number of nodes whose reports this one gathers."""
+        return self._exchange.member_count
+
     def start(self):
         """Bind the socket and start the threads that send and receive reports."""
         host, _, port = self._identity.address.rpartition(":")
@@ -76,6 +105,7 @@
 
     def send_datagram(self, data, address):
         """Send a datagram to ``host:port`` from the socket that also receives."""
+        self._sent.add(data)
         host, _, port = address.rpartition(":")
         try:
             self._socket.sendto(data, (host, int(port)))
@@ -84,6 +114,7 @@
 
     def receive(self, data, sender, now):
         """Process a datagram that a peer has sent."""
+        self._received.add(data)
         kind = protocol.get_kind(data)
         if kind == feed_codec.KIND:
             self._on_feed(data, now)
@@ -94,6 +125,7 @@
         try:
             self._exchange.receive(data, now)
         except membership_errors.MalformedMessage as e:
+            self._malformed_total += 1
             _logger.warning("dropped a malformed report from %s: %s", sender, e)
 
     def _report(self):
@@ -101,6 +133,16 @@
             for outgoing in self._exchange.make_datagrams(self._build_state(), time.monotonic()):
                 for address in outgoing.addresses:
                     self.send_datagram(outgoing.data, address)
+            self._log_gatherers()
+
+    def _log_gatherers(self):
+        gatherers = self._exchange.gatherers
+        if gatherers == self._gatherers:
+            return
+        eliot.log_message(
+            message_type=GATHERERS_CHANGED, gatherers=gatherers, previous=self._gatherers
+        )
+        self._gatherers = gatherers
 
     def _receive_all(self):
         while not self._stop.is_set():
