--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -6,6 +6,8 @@
     dispatch_decision,
     endpoint_health,
     first_event_offset,
+    head_comparison,
+    head_preference,
     load_tracker,
     retry_budget,
 )
@@ -33,8 +35,6 @@
 # A request is refused if its predicted time exceeds the target latency by this factor. With a
 # lower factor, refused callers would come back later than the queue would have served them.
 MAX_LATENESS_FACTOR = 2.2
-# Heads compared per decision; more of them take longer and hardly improve the result.
-MAX_COMPARED_HEADS = 16
 # Running requests release their slots within about this time.
 BUSY_RETRY_AFTER_S = 0.8
 # A Retry-After is extended by a random fraction of itself, up to this one.
@@ -81,6 +81,7 @@
         self._retry_budgets = {}
         self._demand_meter = demand_meter.DemandMeter()
         self._first_event_offset = first_event_offset.FirstEventOffset()
+        self._head_preference = head_preference.HeadPreference(data_centre, random_state)
         self._plain = {}
         self._heads = {}
 
@@ -136,6 +137,8 @@
                 continue
             for model in record.models:
                 self._heads.setdefault((record.service, model), []).append(record)
+        for key, heads in self._heads.items():
+            self._heads[key] = self._head_preference.arrange(heads)
 
     def record_request(self, service, model, work, now):
         """Record a request from a caller."""
@@ -204,17 +207,39 @@
         return self._choose_plain(query, now)
 
     def _choose_head(self, query, engine, now):
-        model = engine.models.get(query.model)
         all_heads = self._heads.get((query.service, query.model), ())
         heads = self._statement_gate.select_sendable(all_heads, now)
         if all_heads and not heads:
             return self._refuse_unsendable(query, all_heads, now)
+        comparison = head_comparison.HeadComparison(engine.slots)
+        first = self._head_preference.select(heads)
+        self._compare_heads(comparison, query, engine, first, now)
+        if not comparison.has_free_slot:
+            others = self._head_preference.sample_others(heads)
+            self._compare_heads(comparison, query, engine, others, now)
+        best = comparison.best
+        if best is None:
+            if not heads:
+                return self._refuse(query, "no open group of the model", NO_GROUP_RETRY_AFTER_S)
+            return self._refuse(
+                query, "every open group was tried or has stalled", NO_GROUP_RETRY_AFTER_S
+            )
+        max_predicted_s = query.route.target_latency_s * MAX_LATENESS_FACTOR
+        if best.load < engine.slots or best.predicted_s <= max_predicted_s:
+            return best
+        if not comparison.has_free_slot:
+            excess_s = best.predicted_s - query.route.target_latency_s
+            return self._refuse(
+                query, "the request would be late on every group", BUSY_RETRY_AFTER_S + excess_s
+            )
+        # A slow group with a free slot serves the request sooner than a refusal and a retry would.
+        return comparison.best_with_free_slot
+
+    def _compare_heads(self, comparison, query, engine, heads, now):
+        """Add the usable ones of some heads to a ``HeadComparison``."""
+        model = engine.models.get(query.model)
         offset_s = self._first_event_offset.get(query.service, query.model)
         stall_timeout_s = 0.0 if model is None else cost_model.stall_timeout(engine, model)
-        best = None
-        best_cost = 0.0
-        best_with_free_slot = None
-        cost_with_free_slot = 0.0
         for record in self._usable_heads(query, heads, stall_timeout_s, now):
             load = self._load_tracker.estimate(record.endpoint_id, now)
             expected_s = offset_s + cost_model.first_event_time(engine, model, query.work, load)
@@ -225,56 +250,29 @@
             if record.data_centre != self._data_centre:
                 cost += REMOTE_PENALTY_S
             cost *= 1.0 + HEAD_COST_JITTER * self._random_state.random()
-            is_best = best is None or cost < best_cost
-            has_free_slot = load < engine.slots
-            is_best_with_free_slot = has_free_slot and (
-                best_with_free_slot is None or cost < cost_with_free_slot
-            )
-            if not is_best and not is_best_with_free_slot:
+            if not comparison.is_better(load, cost):
                 continue
-            first_event_timeout_s = cost_model.first_event_timeout(engine, model, predicted_s)
             decision = dispatch_decision.Send(
                 record,
                 load,
                 expected_s,
                 predicted_s,
-                first_event_timeout_s,
+                cost_model.first_event_timeout(engine, model, predicted_s),
                 stall_timeout_s,
                 self._statement_gate.limits.limit_per_s(record.endpoint_id),
                 self._statement_gate.allowance.rate_per_s(record.endpoint_id, now),
             )
-            if is_best:
-                best = decision
-                best_cost = cost
-            if is_best_with_free_slot:
-                best_with_free_slot = decision
-                cost_with_free_slot = cost
-        if best is None:
-            if not heads:
-                return self._refuse(query, "no open group of the model", NO_GROUP_RETRY_AFTER_S)
-            return self._refuse(
-                query, "every open group was tried or has stalled", NO_GROUP_RETRY_AFTER_S
-            )
-        max_predicted_s = query.route.target_latency_s * MAX_LATENESS_FACTOR
-        if best.load < engine.slots or best.predicted_s <= max_predicted_s:
-            return best
-        if best_with_free_slot is None:
-            excess_s = best.predicted_s - query.route.target_latency_s
-            return self._refuse(
-                query, "the request would be late on every group", BUSY_RETRY_AFTER_S + excess_s
-            )
-        # A slow group with a free slot serves the request sooner than a refusal and a retry would.
-        return best_with_free_slot
+            comparison.add(decision, cost)
 
     def _usable_heads(self, query, heads, stall_timeout_s, now):
-        """Return the heads to compare.
+        """Return those of the heads that may be compared.
 
         Heads that have just failed are left out as long as there are others, even full ones: an
         attempt at an engine that is gone costs the caller more time than a short queue.
         """
         usable = []
         cooling_down = []
-        for record in self._sample_heads(heads):
+        for record in heads:
             if record.endpoint_id in query.excluded:
                 continue
             if self._stall_tracker.is_stalled(record.endpoint_id, stall_timeout_s, now):
@@ -285,12 +283,6 @@
             usable.append(record)
         return usable or cooling_down
 
-    def _sample_heads(self, heads):
-        """Return the heads to compare: all of them, or a random sample if there are many."""
-        if len(heads) <= MAX_COMPARED_HEADS:
-            return heads
-        return self._random_state.sample(heads, MAX_COMPARED_HEADS)
-
     def _choose_plain(self, query, now):
         all_candidates = self._plain.get(query.service, ())
         candidates = self._statement_gate.select_sendable(all_candidates, now)
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -156,6 +156,6 @@
             addresses.append(address)
         if not addresses:
             return
-        data = feed_codec.encode(message)
-        for address in addresses:
-            self._send(data, address)
+        for data in feed_codec.encode(message):
+            for address in addresses:
+                self._send(data, address)
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -12,17 +12,46 @@
 PREFIX = protocol.DATAGRAM_PREFIX + KIND
 # A larger datagram is fragmented by IP, and the loss of one fragment loses all of it.
 MAX_DATAGRAM_BYTES = 1400
+# A message is divided into at most so many datagrams, each of which goes to all subscribers.
+MAX_PARTS = 8
 # Limit on the data decoded from one datagram, in bytes.
 _MAX_DECODED_BYTES = 1 << 18
 
 
 def encode(message):
-    """Return the datagram of a message; without the changes if they do not fit into it."""
+    """Return the datagrams of a message, in the order of the changes.
+
+    Changes that fit into no few datagrams are left out, so that the receivers read them from the
+    store.
+    """
+    datagrams = _encode_parts(message)
+    if len(datagrams) <= MAX_PARTS and None not in datagrams:
+        return datagrams
+    notice = dataclasses.replace(message, puts=(), deletes=(), is_complete=False)
+    return [_compress(_to_document(notice))]
+
+
+def _encode_parts(message):
+    """Return the datagrams of a message, divided until each fits; None for one that cannot."""
     data = _compress(_to_document(message))
     if len(data) <= MAX_DATAGRAM_BYTES:
-        return data
-    notice = dataclasses.replace(message, puts=(), deletes=(), is_complete=False)
-    return _compress(_to_document(notice))
+        return [data]
+    middle = len(message.puts) // 2
+    if not message.is_complete or not _can_divide(message.puts, middle):
+        return [None]
+    # Removals are applied before the other changes, so they are in the first part.
+    first = dataclasses.replace(
+        message, version=message.puts[middle - 1].version, puts=message.puts[:middle]
+    )
+    second = dataclasses.replace(
+        message, after=first.version, puts=message.puts[middle:], deletes=(), was_outage=False
+    )
+    return _encode_parts(first) + _encode_parts(second)
+
+
+def _can_divide(puts, middle):
+    """Return whether the versions tell the changes before and after a position apart."""
+    return middle > 0 and puts[middle - 1].version < puts[middle].version
 
 
 def encode_subscription(subscription):
--- a/src/lynxlanding/peers/tests/test_change_feed.py
+++ b/src/lynxlanding/peers/tests/test_change_feed.py
@@ -143,6 +143,52 @@
     assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
 
 
+def make_puts(count):
+    random_state = random.Random(1)
+    puts = []
+    for revision in range(6, 6 + count):
+        value = {"address": f"{random_state.getrandbits(128):032x}"}
+        puts.append(stored(f"{random_state.getrandbits(128):032x}", revision, value))
+    return puts
+
+
+def test_many_changes_are_passed_on_in_several_datagrams(network):
+    """Pattern: a fabric domain changes at once, and every subscriber reads it from the store."""
+    puts = make_puts(60)
+    publish(network, 5, 90, puts, ["gone"], was_outage=True)
+    assert len(network.sent) > 1
+    assert all(len(data) <= feed_codec.MAX_DATAGRAM_BYTES for data in network.sent)
+    after = version(5)
+    received = []
+    outages = []
+    while after != version(90):
+        message = network.feeds["node"].watch(KIND, after, 0.0)
+        assert message.after == after
+        received.extend(message.puts)
+        outages.append(message.was_outage)
+        assert message.deletes == (("gone",) if after == version(5) else ())
+        after = message.version
+    assert received == puts
+    assert outages == [True] + [False] * (len(outages) - 1)
+
+
+def test_loss_of_one_part_shows_as_a_gap(network):
+    puts = make_puts(60)
+    message = feed_message.FeedMessage(KIND, version(5), version(90), tuple(puts))
+    parts = feed_codec.encode(message)
+    node = network.feeds["node"]
+    for data in [*parts[:1], *parts[2:]]:
+        node.receive(data, time.monotonic())
+    first = node.watch(KIND, version(5), 0.0)
+    assert node.watch(KIND, first.version, 0.0) is None
+
+
+def test_changes_for_too_many_datagrams_are_announced_only(network):
+    publish(network, 5, 2000, make_puts(1500))
+    assert len(network.sent) == 1
+    assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
+
+
 def test_a_list_is_announced_only(network):
     publish(network, None, 7)
     assert network.feeds["node"].watch(KIND, version(5), 0.0) is None
@@ -166,7 +212,7 @@
     for data in (
         b"",
         b"junk",
-        feed_codec.encode(feed_message.FeedMessage(KIND, version(1), version(1)))[:-4],
+        feed_codec.encode(feed_message.FeedMessage(KIND, version(1), version(1)))[0][:-4],
     ):
         with pytest.raises(membership_errors.MalformedMessage):
             feed_codec.decode(feed_codec.PREFIX + data[len(feed_codec.PREFIX) :])
