--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -9,10 +9,10 @@
 import eliot
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.membership import rendezvous
 from lynxlanding.observability import restarting_thread
 from lynxlanding.replicas import (
     demand,
+    domain_duty,
     domain_planner,
     engine_observer,
     group_plan,
@@ -94,7 +94,7 @@
         settings,
         random_state=None,
     ):
-        self._node_id = node_id
+        self._duty = domain_duty.DomainDuty(node_id)
         self._store = store
         self._read_fleet = read_fleet
         self._read_store_nodes = read_store_nodes
@@ -197,7 +197,7 @@
         self._observer.remove_gone(records, planned)
 
     def _is_responsible(self, key, store_nodes):
-        return rendezvous.choose(_object_name(key), store_nodes, 1) == [self._node_id]
+        return self._duty.is_responsible(_object_name(key), store_nodes)
 
     def _reconcile_domain(self, key, members, by_domain, now):
         domain = self._domains.get(key)
