Keep bad requests that met a held port from hiding the cause of an end

Its logs: 865 endpoint:ended lines, no part named; requests with the part were sent again to ended engines, and the later sending replaced the one before the end, which the rule "sent after the end" then left out. Parts are now selected when an end is recorded. That the new unit test fails without the change was not run.

--- a/src/lynxlanding/crashes/crash_evidence.py
+++ b/src/lynxlanding/crashes/crash_evidence.py
@@ -65,10 +65,13 @@
     def record_own_end(self, statement, now):
         """Record an end that this node has seen."""
         end = self._merge(statement)
+        sent_at_by_part = _select_sent_before(statement.sent_at_by_part, end.ended_at)
         if end.own is not None:
-            sent_at_by_part = dict(end.own.sent_at_by_part)
-            _keep_latest(sent_at_by_part, statement.sent_at_by_part, MAX_STATED_PARTS)
-            statement = dataclasses.replace(end.own, sent_at_by_part=sent_at_by_part)
+            known = dict(end.own.sent_at_by_part)
+            _keep_latest(known, sent_at_by_part, MAX_STATED_PARTS)
+            statement = end.own
+            sent_at_by_part = known
+        statement = dataclasses.replace(statement, sent_at_by_part=sent_at_by_part)
         end.own = statement
         end.own_changed_at = now
         self._changes += 1
@@ -115,7 +118,7 @@
                 continue
             for part, sent_at in end.sent_at_by_part.items():
                 if sent_at > end.ended_at + CLOCK_MARGIN_S:
-                    # It met whatever accepts connections in place of the endpoint.
+                    # A peer has seen the end earlier than the one that stated the part.
                     continue
                 harmless_at = self._harmless.get(part)
                 if harmless_at is None or harmless_at < end.ended_at:
@@ -165,7 +168,8 @@
         self._version += 1
         self._latest_end_at = max(self._latest_end_at, statement.ended_at)
         end.ended_at = min(end.ended_at, statement.ended_at)
-        _keep_latest(end.sent_at_by_part, statement.sent_at_by_part, MAX_PARTS_PER_END)
+        sent_at_by_part = _select_sent_before(statement.sent_at_by_part, end.ended_at)
+        _keep_latest(end.sent_at_by_part, sent_at_by_part, MAX_PARTS_PER_END)
         return end
 
     def _remember_harmless(self, part, begun_at):
@@ -183,6 +187,18 @@
         return any(part in end.sent_at_by_part for end in self._ends.values())
 
 
+def _select_sent_before(sent_at_by_part, ended_at):
+    """Return the parts of requests that were sent before an end.
+
+    Later ones have met whatever accepts connections in place of the endpoint.
+    """
+    selected = {}
+    for part, sent_at in sent_at_by_part.items():
+        if sent_at <= ended_at + CLOCK_MARGIN_S:
+            selected[part] = sent_at
+    return selected
+
+
 def _keep_latest(times, others, max_parts):
     """Merge ``others`` into ``times``, keeping the later time of at most ``max_parts`` parts."""
     for part, at in others.items():
--- a/src/lynxlanding/crashes/tests/test_part_guard.py
+++ b/src/lynxlanding/crashes/tests/test_part_guard.py
@@ -64,6 +64,17 @@
     assert list(guard.quarantines) == [frozenset({BAD})]
 
 
+def test_bad_requests_sent_after_an_end_do_not_hide_its_cause():
+    """Guards against a part that is never named because its requests go on to ended engines."""
+    guard = make_guard()
+    for number in range(3):
+        at = 10.0 + 3 * number
+        guard.record_end(make_end(number, at, (BAD,)), at)
+        guard.record_end(make_end(number, at + 1.0, (BAD,)), at + 1.0)
+        guard.expire(never, at + 1.0 + part_guard.SETTLING_S)
+    assert list(guard.quarantines) == [frozenset({BAD})]
+
+
 def test_sound_prompts_with_some_of_the_parts_pass_and_tell_the_bad_one():
     """Guards against refusing a caller's sound requests with the bad ones."""
     guard = make_guard(3)
