--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""An engine spoils a byte of some of its streams (``garble``); clients check the order of events."""
+"""An engine spoils a byte of some streams (``garble``); clients check the order of events."""
 
 import asyncio
 import pathlib
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -540,12 +540,6 @@
         path.write_text(path.read_text())
         return path
 
-    def touch_settings(self, name):
-        """Write a node's settings again, as the platform does when they change."""
-        path = pathlib.Path(self._temporary.name) / f"{name}.yaml"
-        path.write_text(path.read_text())
-        return path
-
     def port(self, name):
         """Return the port at which a node takes requests."""
         return self.nodes[name]["ports"][0]
