Refuse responses that break off inside their heads

Cause: http.client takes the end of a connection for the end of the headers, leaves out everything from an unreadable header on, takes an unreadable length for none, and a chunk size cut to zeros for the last chunk. What is left has no framing, so its body seems to end with its connection.

Why it works: the head is read and checked before http.client sees it, and one parser, with checked sizes and ends, reads chunks on all paths. The same connections serve orders, reports, health checks, the store, peers and the other daemon. A stream without framing needs at least one event.

--- a/src/lynxlanding/daemon/control_plane.py
+++ b/src/lynxlanding/daemon/control_plane.py
@@ -6,7 +6,6 @@
 
 import numpy as np
 import pykka
-import urllib3
 
 from lynxlanding.configuration import (
     change_service,
@@ -29,6 +28,7 @@
     node_info,
     rendezvous,
 )
+from lynxlanding.transport import strict_connection
 
 REGISTRATION_INTERVAL_S = 60.0
 DISCOVERY_INTERVAL_S = 300.0
@@ -71,7 +71,7 @@
             settings.region,
         )
         self._node_info = own_info
-        pool = urllib3.PoolManager(num_pools=MAX_PEER_CONNECTION_POOLS, maxsize=4)
+        pool = strict_connection.make_pool_manager(num_pools=MAX_PEER_CONNECTION_POOLS, maxsize=4)
         transport = http_transport.HttpTransport(pool)
         self._codec = capnp_codec.CapnpCodec()
         self._exchanger = exchanger.Exchanger(transport, self._codec)
--- a/src/lynxlanding/daemon/domain_wiring.py
+++ b/src/lynxlanding/daemon/domain_wiring.py
@@ -1,7 +1,6 @@
 """Factory for the part of a node that manages replica groups and leaving endpoints."""
 
 import numpy as np
-import urllib3
 
 from lynxlanding.daemon import clock_reader, domain_loop, evidence_relay
 from lynxlanding.groups import (
@@ -15,6 +14,7 @@
     weighted_policy,
 )
 from lynxlanding.store import vm_list, weight_store
+from lynxlanding.transport import strict_connection
 
 
 def make_domain_loop(settings, clock_id, store, router, membership=None):
@@ -46,7 +46,7 @@
         settings.place,
         groups.probe_interval_s,
     )
-    pool = urllib3.PoolManager(num_pools=4000, maxsize=2)
+    pool = strict_connection.make_pool_manager(num_pools=4000, maxsize=2)
     vm_list_client = None
     if settings.platform.vm_list is not None:
         vm_list_client = vm_list.HttpVmList(settings.platform.vm_list, pool)
--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -8,7 +8,6 @@
 
 import numpy as np
 import pykka
-import urllib3
 
 from lynxlanding.admission import admission_actor, admission_gate
 from lynxlanding.daemon import (
@@ -41,6 +40,7 @@
 from lynxlanding.retry import retry_actor
 from lynxlanding.routing import endpoint_poller, routing_actor
 from lynxlanding.store import http_store, vm_list
+from lynxlanding.transport import strict_connection
 
 DRAIN_POLL_INTERVAL_S = 0.05
 # If an outcome is not in the store when the process ends, repeats of its request get
@@ -66,7 +66,7 @@
         self._stop = threading.Event()
         self._state = node_state.NodeState()
         self._store = http_store.HttpObjectStore(
-            settings.platform.object_api, urllib3.PoolManager(maxsize=16)
+            settings.platform.object_api, strict_connection.make_pool_manager(maxsize=16)
         )
         self._random_state = np.random.default_rng(settings.seed)
         self._router = routing_actor.RoutingActor.start(
@@ -76,12 +76,14 @@
         ).proxy()
         self._endpoint_poller = endpoint_poller.EndpointPoller(
             self._router,
-            urllib3.PoolManager(num_pools=4000, maxsize=1),
+            strict_connection.make_pool_manager(num_pools=4000, maxsize=1),
             settings.routing.report_interval_s,
         )
         vm_list_client = None
         if settings.platform.vm_list is not None:
-            vm_list_client = vm_list.HttpVmList(settings.platform.vm_list, urllib3.PoolManager())
+            vm_list_client = vm_list.HttpVmList(
+                settings.platform.vm_list, strict_connection.make_pool_manager()
+            )
         self._control_plane = control_plane.ControlPlane(
             settings,
             self._store,
@@ -103,7 +105,7 @@
             num_pools=4000, maxsize=settings.requests.concurrency
         )
         self._owner_lookup = membership_owner_lookup.MembershipOwnerLookup(
-            owner_lookup.HttpOwnerLookup(urllib3.PoolManager(maxsize=16))
+            owner_lookup.HttpOwnerLookup(strict_connection.make_pool_manager(maxsize=16))
         )
         self._claim_manager = self._make_claim_manager(settings)
         self._attempt_monitor = attempt_monitor.AttemptMonitor()
@@ -211,7 +213,7 @@
             self._control_plane.configuration,
             self._router,
             node_rows.NodeRowSource(
-                self._control_plane, node_id, urllib3.PoolManager(num_pools=64)
+                self._control_plane, node_id, strict_connection.make_pool_manager(num_pools=64)
             ),
             vm_list_client,
             self._domain_loop,
--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -7,6 +7,7 @@
 
 from lynxlanding.dispatch import connection_pool
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.transport import strict_response
 
 READ_SIZE = 65536
 # A complete response makes progress with each of these many bytes. Single bytes may come from an
@@ -29,15 +30,18 @@
         The body. Raises ``errors.endpoint.AttemptError`` if it is truncated.
     record_progress : callable
         Called without arguments after each event of a stream.
+    ends_with_connection : bool
+        Whether the body has neither a length nor chunks.
     """
 
-    __slots__ = ("_chunks", "_headers", "_record_progress", "_status")
+    __slots__ = ("_chunks", "_ends_with_connection", "_headers", "_record_progress", "_status")
 
-    def __init__(self, status, headers, chunks, record_progress):
+    def __init__(self, status, headers, chunks, record_progress, ends_with_connection):
         self._status = status
         self._headers = headers
         self._chunks = chunks
         self._record_progress = record_progress
+        self._ends_with_connection = ends_with_connection
 
     @property
     def status(self):
@@ -54,6 +58,11 @@
         """Body as it arrives; closing the iterator cancels the request at the endpoint."""
         return self._chunks
 
+    @property
+    def ends_with_connection(self):
+        """Whether only the end of the connection tells the end of the body."""
+        return self._ends_with_connection
+
     def record_progress(self):
         """Record that a stream has made progress, which only its reader can tell."""
         self._record_progress()
@@ -148,7 +157,13 @@
             self._record_progress(record, attempt)
             connection.guard.allow(connection_pool.MAX_BODY_BYTES)
 
-        return EndpointResponse(response.status, received, chunks, record_progress), metadata
+        ends_with_connection = not response.chunked and response.length_remaining is None
+        return (
+            EndpointResponse(
+                response.status, received, chunks, record_progress, ends_with_connection
+            ),
+            metadata,
+        )
 
     def _record_progress(self, record, attempt):
         now = time.monotonic()
@@ -160,7 +175,7 @@
         unrecorded_bytes = 0
         try:
             yield b""
-            for chunk in _iterate_body(response):
+            for chunk in strict_response.iterate_body(response, READ_SIZE):
                 unrecorded_bytes += len(chunk)
                 if not is_stream and unrecorded_bytes >= MIN_PROGRESS_BYTES:
                     unrecorded_bytes = 0
@@ -206,17 +221,6 @@
     return True
 
 
-def _iterate_body(response):
-    if response.chunked:
-        yield from response.stream(READ_SIZE)
-        return
-    while True:
-        chunk = response.read1(READ_SIZE)
-        if not chunk:
-            return
-        yield chunk
-
-
 def _attempt_error(attempt, record, error, error_type):
     if attempt.reason is not None:
         return endpoint_errors.AttemptTimedOut(f"{record.address}: {attempt.reason}")
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -33,18 +33,22 @@
     Raises
     ------
     errors.endpoint.ResponseTruncated
-        If the stream ends inside an event.
+        If the stream ends inside an event, or its connection ends before the first one.
     """
     for events in read_events(response, buffer):
         return events
-    _check_end(buffer)
+    _check_end(response, buffer)
     return b""
 
 
-def _check_end(buffer):
-    """Raise ``ResponseTruncated`` if a stream has ended inside an event."""
+def _check_end(response, buffer):
+    """Raise ``ResponseTruncated`` unless a stream that has ended may be whole."""
     if not buffer.is_empty:
         raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
+    if response.ends_with_connection and not buffer.event_count:
+        # The end of the connection is the only sign of the end, and an endpoint that breaks off
+        # gives the same one.
+        raise endpoint_errors.ResponseTruncated("the connection ends before the first event")
 
 
 class StreamRelay:
@@ -96,7 +100,7 @@
         while True:
             try:
                 yield from read_events(self._response, self._buffer)
-                _check_end(self._buffer)
+                _check_end(self._response, self._buffer)
                 self._forwarder.complete_attempt()
                 self._release()
                 return
--- a/src/lynxlanding/dispatch/tests/test_endpoint_client.py
+++ b/src/lynxlanding/dispatch/tests/test_endpoint_client.py
@@ -181,6 +181,25 @@
     server.close()
 
 
+def test_response_cut_inside_its_head_raises_an_error(client):
+    """Guards against an answer that breaks off after its seal and is passed on as whole."""
+    for cut_at in range(1, RESPONSE.index(b"body")):
+        server = ScriptedServer([RESPONSE[:cut_at]])
+        with pytest.raises(endpoint_errors.ConnectionBroken):
+            call(client, server)
+        server.close()
+
+
+def test_last_chunk_needs_the_end_of_its_size_line(client):
+    """Guards against a size that is cut to zeros and taken for the end of the body."""
+    head = HEADERS + b"Transfer-Encoding: chunked\r\n\r\n04\r\nbody\r\n"
+    for end in (b"0", b"00", b"00\r"):
+        server = ScriptedServer([head + end])
+        with pytest.raises(endpoint_errors.ResponseTruncated):
+            call(client, server)
+        server.close()
+
+
 def test_response_without_length_ends_when_the_connection_closes(client):
     server = ScriptedServer([HEADERS + b"\r\nbody"])
     assert call(client, server)[1] == b"body"
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -64,6 +64,8 @@
 
 
 class FakeResponse:
+    ends_with_connection = False
+
     def __init__(self, status, chunks):
         self.status = status
         self.headers = [("X-Response-Seal", "s")]
--- a/src/lynxlanding/errors/endpoint.py
+++ b/src/lynxlanding/errors/endpoint.py
@@ -1,5 +1,7 @@
 """Errors of a single attempt to send a request to an endpoint."""
 
+import http.client
+
 from lynxlanding.errors import base
 
 
@@ -80,6 +82,15 @@
     type_name = "response_truncated"
 
 
+class TruncatedHead(ResponseTruncated, http.client.HTTPException):
+    """The response ended inside its status line or headers.
+
+    Libraries handle it like any other failure of the connection.
+    """
+
+    type_name = "truncated_head"
+
+
 class EventGap(AttemptError):
     """The event ids of a stream have a gap."""
 
@@ -92,6 +103,15 @@
     type_name = "malformed_response"
 
 
+class MalformedMessage(MalformedResponse, http.client.HTTPException):
+    """The head or the chunks of the response are not valid HTTP.
+
+    Libraries handle it like any other failure of the connection.
+    """
+
+    type_name = "malformed_message"
+
+
 class ResponseTooLarge(MalformedResponse, OSError):
     """More bytes arrived than a response may have.
 
--- a/src/lynxlanding/handover/tests/test_peer_forwarder.py
+++ b/src/lynxlanding/handover/tests/test_peer_forwarder.py
@@ -25,6 +25,8 @@
 
 
 class FakeResponse:
+    ends_with_connection = False
+
     def __init__(self, status, chunks, headers=()):
         self.status = status
         self.headers = list(headers)
--- a/src/lynxlanding/operators/_cli_support.py
+++ b/src/lynxlanding/operators/_cli_support.py
@@ -6,11 +6,11 @@
 
 import click
 import numpy
-import urllib3
 
 from lynxlanding.configuration import change_ids
 from lynxlanding.errors import operators as operator_errors
 from lynxlanding.operators import admin_client, exit_codes
+from lynxlanding.transport import strict_connection
 
 _EXIT_CODE_BY_STATUS = {
     400: exit_codes.INVALID,
@@ -39,7 +39,7 @@
     for node in options["nodes"]:
         if not node.startswith(("http://", "https://")):
             exit_with_error(exit_codes.USAGE, f"--node {node} is not a URL", f"write http://{node}")
-    return admin_client.AdminClient(options["nodes"], urllib3.PoolManager())
+    return admin_client.AdminClient(options["nodes"], strict_connection.make_pool_manager())
 
 
 def read_text(file):
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -102,8 +102,12 @@
                 raise platform_errors.StoreRolledBack(f"the list of {kind} spans two eras")
             for document in fields.require(page, "items", list):
                 items.append(_decode_object(kind, document, era))
-            if not fields.get(page, "has_more", bool, False) or not items:
+            if not fields.require(page, "has_more", bool):
                 return items, version
+            if not page["items"]:
+                raise platform_errors.MalformedPlatformResponse(
+                    f"the list of {kind} goes on after a page without objects"
+                )
             last_name = items[-1].name
 
     def create(self, kind, name, value):
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -87,6 +87,22 @@
     assert len(store.list("k3", may_be_stale=True)[0]) == site_store.PAGE + 7
 
 
+@pytest.mark.parametrize(
+    "page",
+    [
+        {"items": [], "current_rev": 3},
+        {"items": [], "has_more": True, "current_rev": 3},
+        {"has_more": False, "current_rev": 3},
+    ],
+)
+def test_list_that_ends_early_is_refused(monkeypatch, page):
+    """Guards against a short list, whose missing entries would count as removed."""
+    store = object_client.PlatformObjectStore("127.0.0.1:1")
+    monkeypatch.setattr(store, "_call", lambda *arguments: (page, 0))
+    with pytest.raises(platform_errors.PlatformError):
+        store.list("servers")
+
+
 def test_watch_returns_puts_and_deletes_since_a_version(store):
     first = store.create("k4", "a", {"n": 1})
     _, version = store.list("k4")
--- a/src/lynxlanding/requests/endpoint_client.py
+++ b/src/lynxlanding/requests/endpoint_client.py
@@ -6,6 +6,7 @@
 
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.requests import attempt_monitor, endpoint_response, monitored_connection
+from lynxlanding.transport import strict_response
 
 CONNECT_TIMEOUT_S = 1.0
 READ_SIZE_BYTES = 65536
@@ -119,7 +120,7 @@
     complete = False
     try:
         yield b""
-        for chunk in response.stream(READ_SIZE_BYTES):
+        for chunk in strict_response.iterate_body(response, READ_SIZE_BYTES):
             attempt.record_data(time.monotonic())
             yield chunk
         if attempt.reason is not None:
--- a/src/lynxlanding/requests/monitored_connection.py
+++ b/src/lynxlanding/requests/monitored_connection.py
@@ -4,10 +4,12 @@
 
 import urllib3
 
+from lynxlanding.transport import strict_connection
+
 _thread_state = threading.local()
 
 
-class MonitoredConnection(urllib3.connection.HTTPConnection):
+class MonitoredConnection(strict_connection.StrictConnection):
     """Reports its socket to a callback of the current thread as soon as the request is sent.
 
     urllib3 returns the connection only with the response. Without the callback, an attempt could
@@ -30,9 +32,7 @@
 
 def make_pool_manager(**options):
     """Return a ``urllib3.PoolManager`` of monitored connections."""
-    manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": MonitoredPool}
-    return manager
+    return strict_connection.make_pool_manager(MonitoredPool, **options)
 
 
 class SocketReporting:
--- a/src/lynxlanding/transport/guarded_connection.py
+++ b/src/lynxlanding/transport/guarded_connection.py
@@ -4,11 +4,11 @@
 
 import urllib3
 
-from lynxlanding.transport import guarded_response
+from lynxlanding.transport import guarded_response, response_head, strict_connection
 
 
-class GuardedConnection(urllib3.connection.HTTPConnection):
-    """Connection with a ``ReadGuard`` for each response.
+class GuardedConnection(strict_connection.StrictConnection):
+    """Strict connection with a ``ReadGuard`` for each response.
 
     The read timeout of the connection bounds the whole head of a response instead of each read.
     Without a read timeout there is no limit in time.
@@ -30,7 +30,7 @@
     def response_class(self, connection_socket, method=None):
         """Return the response that ``http.client`` reads, with a guard of its own."""
         deadline = None if self.timeout is None else time.monotonic() + self.timeout
-        self._guard = guarded_response.ReadGuard(guarded_response.MAX_HEAD_BYTES, deadline)
+        self._guard = guarded_response.ReadGuard(response_head.MAX_HEAD_BYTES, deadline)
         return guarded_response.GuardedResponse(
             connection_socket, self._guard, self.max_body_bytes, self.body_timeout_s, method
         )
@@ -57,6 +57,4 @@
 
     Connection.max_body_bytes = max_body_bytes
     Connection.body_timeout_s = body_timeout_s
-    manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": Pool}
-    return manager
+    return strict_connection.make_pool_manager(Pool, **options)
--- a/src/lynxlanding/transport/guarded_response.py
+++ b/src/lynxlanding/transport/guarded_response.py
@@ -1,13 +1,10 @@
 """HTTP responses that are bounded in size and time."""
 
-import http.client
 import io
 import time
 
 from lynxlanding.errors import endpoint as endpoint_errors
-
-# Status line and headers, including those of interim responses.
-MAX_HEAD_BYTES = 128 * 1024
+from lynxlanding.transport import strict_response
 
 
 class ReadGuard:
@@ -89,8 +86,8 @@
         super().close()
 
 
-class GuardedResponse(http.client.HTTPResponse):
-    """Response that keeps to limits of its head and body.
+class GuardedResponse(strict_response.StrictResponse):
+    """Strict response that keeps to limits of its head and body.
 
     Parameters
     ----------
