Do not give up groups with requests because engines pause

Cause: an engine counted as silent after two probes without an answer (0.8 s), also with requests in flight; its group was retired, and the orders to leave cut the streams on waking. Probes that had failed while all engines were paused counted as soon as the first engine answered again.

Three tests of test_group_controller.py failed before, one of them only for a setting that did not exist.

Why it works: a serving group with requests in flight is kept until its callers have left, 1.6 s after the first unanswered probe; without requests it is given up as soon as before. A probe counts only if some engine has answered while it was waiting. Cost: a dead group whose streams find no other engine is formed again up to 0.8 s later.

--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -166,6 +166,10 @@
         """Drop limits that have expired; return the ``LimitChange``s."""
         return self._statement_gate.limits.expire(self._registry.records, now)
 
+    def count_in_flight(self, endpoint_id, now):
+        """Return the requests of all nodes that the endpoint has not finished, as far as known."""
+        return self._dispatcher.load_tracker.estimate(endpoint_id, now)
+
     def record_reported_load(self, endpoint_id, load, now):
         """Record the running and waiting requests that an endpoint reports."""
         self._dispatcher.load_tracker.record_reported_load(endpoint_id, load, now)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -172,6 +172,7 @@
             self._get_busy_groups,
             self._get_engines_loading_elsewhere,
             self._limit_table.limit_per_s,
+            self._count_in_flight,
             settings.groups,
         )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
@@ -401,6 +402,9 @@
     def _get_stalled_endpoints(self):
         return self._stall_tracker.all_stalled(time.monotonic())
 
+    def _count_in_flight(self, endpoint_id):
+        return self._serving.count_in_flight(endpoint_id, time.monotonic()).get()
+
     def _get_busy_groups(self):
         now = time.monotonic()
         own_groups = self._serving.busy_groups(now).get()
--- a/src/lynxlanding/replicas/engine_observer.py
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -5,6 +5,10 @@
 # An engine whose registration is missing counts as present for this long without an answer to a
 # probe: two probes that time out take so long.
 UNDECIDED_S = 1.2
+# A sound engine may pause for more than a second, and its streams go on afterwards. A group with
+# requests in flight is not given up sooner than its callers give up: 2 s after the last event,
+# which is about 0.4 s before the first unanswered probe.
+MAX_PAUSE_S = 1.6
 # A head whose registration is missing gets no new requests. Its group stays for this long if it
 # still works on earlier ones, about the time of a long answer.
 HEAD_GRACE_S = 4.0
@@ -17,11 +21,14 @@
     ----------
     engine_client : EngineClient
         Fetches the reports.
+    count_in_flight : callable
+        Returns the unfinished requests of all nodes at an endpoint, given its id.
     random_state : random.Random
         Source of randomness for choosing engines for control probes.
     """
 
-    def __init__(self, engine_client, random_state):
+    def __init__(self, engine_client, count_in_flight, random_state):
+        self._count_in_flight = count_in_flight
         self._prober = member_prober.MemberProber(engine_client)
         self._random_state = random_state
         self._last_known_records = {}
@@ -85,8 +92,12 @@
 
     def _build_views(self, plan, members, now):
         views = {}
+        heads = {}
+        for group in plan.groups:
+            if group.phase == group_plan.SERVING:
+                heads.update(dict.fromkeys(group.members, group.head))
         for record in members:
-            is_silent = self._prober.is_silent(record.endpoint_id, now)
+            is_silent = self._has_failed(record.endpoint_id, heads, now)
             views[record.endpoint_id] = engine_view.EngineView(record, True, is_silent)
         for group in plan.groups:
             for endpoint_id in group.members:
@@ -98,6 +109,16 @@
                 views[endpoint_id] = engine_view.EngineView(record, is_present, False)
         return views
 
+    def _has_failed(self, endpoint_id, heads, now):
+        """Return whether a registered engine has been silent for too long."""
+        silent_since = self._prober.silent_since(endpoint_id, now)
+        if silent_since is None:
+            return False
+        head = heads.get(endpoint_id)
+        if head is None or now - silent_since > MAX_PAUSE_S:
+            return True
+        return not self._count_in_flight(head)
+
     def _is_present(self, record, is_head, now):
         """Return whether an engine without a registration still works for its group."""
         missing_s = now - self._missing_since.setdefault(record.endpoint_id, now)
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -73,6 +73,8 @@
         Returns the ids of the engines that load weights on the orders of other nodes.
     read_limit : callable
         Returns the requests a second that an endpoint takes, given its id; None without a limit.
+    count_in_flight : callable
+        Returns the unfinished requests of all nodes at an endpoint, given its id.
     settings : GroupSettings
         Settings of replica groups.
     random_state : random.Random, optional
@@ -91,6 +93,7 @@
         read_busy_groups,
         read_loading_elsewhere,
         read_limit,
+        count_in_flight,
         settings,
         random_state=None,
     ):
@@ -103,7 +106,7 @@
         self._read_busy_groups = read_busy_groups
         self._read_limit = read_limit
         self._observer = engine_observer.EngineObserver(
-            engine_client, random_state or random.Random()
+            engine_client, count_in_flight, random_state or random.Random()
         )
         self._engine_services = {}
         self._domains = {}
--- a/src/lynxlanding/replicas/member_prober.py
+++ b/src/lynxlanding/replicas/member_prober.py
@@ -13,6 +13,9 @@
 # Consecutive unanswered probes after which an engine counts as silent. A single probe can be lost
 # in the network, together with its retransmission.
 SILENT_AFTER_FAILURES = 2
+# Engines that answer do so within this time. A connection is refused sooner than that, so a probe
+# that fails waits for the answers of others.
+CONTROL_ANSWER_S = 0.1
 # Older probe results are ignored.
 RESULT_LIFETIME_S = 3.0
 # An engine without a registration counts as present for this long after answering a probe.
@@ -37,9 +40,9 @@
 class MemberProber:
     """Tracks which engines do not answer probes.
 
-    If no engine answers, the node itself may be disconnected or stalled, which says nothing about
-    the engines. An engine therefore counts as silent only if some engine has answered since its
-    first unanswered probe.
+    If no engine answers, the node itself may be disconnected or stalled, or all engines may be
+    paused, which says nothing about a single one. A probe therefore counts as unanswered only if
+    some engine has answered while it was waiting.
 
     Parameters
     ----------
@@ -69,12 +72,14 @@
 
     def is_silent(self, endpoint_id, now):
         """Return whether the engine has not answered its latest probes."""
+        return self.silent_since(endpoint_id, now) is not None
+
+    def silent_since(self, endpoint_id, now):
+        """Return when the first unanswered probe began, monotonic seconds; None if it answers."""
         state = self._states.get(endpoint_id)
         if state is None or now - state.probe_ended_at > RESULT_LIFETIME_S:
-            return False
-        if state.failures < SILENT_AFTER_FAILURES or self._last_answer_at is None:
-            return False
-        return self._last_answer_at > state.first_failure_at
+            return None
+        return state.first_failure_at if state.failures >= SILENT_AFTER_FAILURES else None
 
     def has_answered(self, record, now):
         """Return whether this incarnation of the engine has recently answered a probe."""
@@ -96,13 +101,7 @@
         try:
             report = self._client.fetch_report(record)
         except (endpoint_errors.AttemptTimedOut, endpoint_errors.ConnectionRefused) as e:
-            if state.failures == 0:
-                state.first_failure_at = started_at
-            state.failures += 1
-            if state.failures == SILENT_AFTER_FAILURES:
-                eliot.log_message(
-                    message_type=SILENT, endpoint=record.endpoint_id, detail=str(e)[:200]
-                )
+            self._record_failure(record, state, started_at, e)
         except endpoint_errors.AttemptError:
             # Any response, even an error, shows that a process is running there.
             self._record_answer(record, state)
@@ -115,6 +114,18 @@
             state.probe_ended_at = time.monotonic()
             state.is_running = False
 
+    def _record_failure(self, record, state, started_at, error):
+        time.sleep(max(0.0, started_at + CONTROL_ANSWER_S - time.monotonic()))
+        if self._last_answer_at is None or self._last_answer_at < started_at:
+            return
+        if state.failures == 0:
+            state.first_failure_at = started_at
+        state.failures += 1
+        if state.failures == SILENT_AFTER_FAILURES:
+            eliot.log_message(
+                message_type=SILENT, endpoint=record.endpoint_id, detail=str(error)[:200]
+            )
+
     def _record_answer(self, record, state):
         if state.failures >= SILENT_AFTER_FAILURES:
             eliot.log_message(message_type=ANSWERS_AGAIN, endpoint=record.endpoint_id)
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -8,6 +8,7 @@
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.membership import rendezvous
 from lynxlanding.replicas import (
+    engine_observer,
     engine_report,
     group_controller,
     group_plan,
@@ -52,6 +53,7 @@
         self.stalled_heads = frozenset()
         self.is_store_available = True
         self.limits = {}
+        self.in_flight = {}
         self.live_nodes = list(nodes)
         self.controllers = {name: self._make_controller(name) for name in nodes}
 
@@ -67,6 +69,7 @@
             dict,
             frozenset,
             self.limits.get,
+            lambda endpoint_id: self.in_flight.get(endpoint_id, 0),
             vm_settings.GroupSettings(),
         )
         services = {
@@ -161,6 +164,52 @@
     }
 
 
+def stall_group(cluster, rounds=12):
+    """Let one member of a group answer no probes, and return whether the group still serves."""
+    cluster.run(20)
+    group = cluster.plan().groups[0]
+    cluster.stalled_heads = frozenset({group.head})
+    cluster.client.answering = set(cluster.domain.engines) - {group.members[1]}
+    for _ in range(rounds):
+        cluster.run(1)
+        time.sleep(0.05)
+    assert group.members[1] in cluster.client.probed
+    return group in cluster.plan().groups
+
+
+def test_group_with_requests_is_not_given_up_because_a_member_pauses():
+    """Guards against answers that are cut because a sound engine is silent for a second."""
+    cluster = Cluster()
+    cluster.in_flight = dict.fromkeys(cluster.domain.engines, 1)
+    assert stall_group(cluster)
+
+
+def test_group_with_requests_is_given_up_once_its_callers_have_left(monkeypatch):
+    """Guards against a dead group that is kept for requests which it cannot finish."""
+    monkeypatch.setattr(engine_observer, "MAX_PAUSE_S", 0.3)
+    cluster = Cluster()
+    cluster.in_flight = dict.fromkeys(cluster.domain.engines, 1)
+    assert not stall_group(cluster)
+
+
+def test_engines_that_were_paused_together_do_not_count_as_silent_when_they_wake_up():
+    """Guards against groups that are given up since the first engine to wake up has answered."""
+    cluster = Cluster()
+    cluster.run(20)
+    before = cluster.plan()
+    cluster.stalled_heads = frozenset(group.head for group in before.groups)
+    for _ in range(12):
+        cluster.run(1)
+        time.sleep(0.05)
+    spare = set(cluster.domain.engines)
+    for group in before.groups:
+        spare -= set(group.members)
+    # The control probe is answered first.
+    cluster.client.answering = spare or {before.groups[0].members[-1]}
+    cluster.run(2)
+    assert cluster.plan() == before
+
+
 def test_domains_of_the_same_name_in_two_services_have_separate_plans():
     """Guards against two services that overwrite each other's plans."""
     first = group_controller._object_name(("chat", "d0"))
