Keep an attempt at a silent endpoint until another one has answered

Cause: the attempt at a silent endpoint was aborted before another endpoint had shown that it works. If that one was silent too, full, or none was found a moment later, the caller had lost its place and its last attempt.

Why it works: a second attempt runs beside the silent one and takes over at its first event; if the silent one goes on first, the second is cancelled, and if one fails, the other stays. It counts as a retry as before.

The stand-in site counts silent heartbeats in sequence, which it had not: an engine that paused three times lost its registration.

--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -2,7 +2,15 @@
 
 import time
 
-from lynxlanding.dispatch import dispatch_decision, event_buffer, reply, retry_rules, stream_relay
+from lynxlanding.dispatch import (
+    dispatch_decision,
+    event_buffer,
+    reply,
+    request_logger,
+    retry_rules,
+    standby_attempt,
+    stream_relay,
+)
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
 from lynxlanding.requests import attempt_monitor
@@ -15,6 +23,9 @@
 # caller gives up.
 QUARANTINE_RETRY_AFTER_S = 30.0
 
+# Answers of a second attempt from this status on are no better than to wait for the first one.
+MIN_ERROR_STATUS = 500
+
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -46,7 +57,7 @@
         Told of endpoints that could not be reached or stayed silent.
     peer_forwarder : PeerForwarder or None
         Hands requests over to other nodes; None if the request comes from one.
-    request_logger : RequestLogger
+    logger : RequestLogger
         Logs the decisions.
     """
 
@@ -62,7 +73,7 @@
         crash_monitor,
         reachability,
         peer_forwarder,
-        request_logger,
+        logger,
     ):
         self._request = request
         self._serving = serving
@@ -74,7 +85,7 @@
         self._crash_monitor = crash_monitor
         self._reachability = reachability
         self._peer_forwarder = peer_forwarder
-        self._request_logger = request_logger
+        self._request_logger = logger
         self._attempts = 0
         # Of the current attempt, in monotonic seconds.
         self._sent_at = 0.0
@@ -83,7 +94,16 @@
         self._is_trial = False
         self._may_have_run = 0
         self._excluded = set()
-        self._has_acquired_retry = False
+        # Of the current attempt: its monitored attempt, position and events.
+        self._attempt = None
+        self._resume_after = None
+        self._buffer = None
+        # Second attempt beside the current one, if its endpoint is silent.
+        self._standby = None
+        self._is_standby = False
+        self._is_aborted = False
+        self._inherited_attempts = 0
+        self._inherited_may_have_run = 0
 
     def forward(self):
         """Return the ``Reply`` for the caller.
@@ -93,11 +113,21 @@
         errors.request.RequestError
             If the request is refused or has failed.
         """
+        try:
+            return self._forward()
+        except BaseException:
+            self.cancel_standby()
+            raise
+
+    def _forward(self):
         while not self._should_hand_over():
             record, decision = self._choose()
             try:
                 return self._send_attempt(record, decision)
             except endpoint_errors.AttemptError as e:
+                taken_over = self._take_standby(record, e)
+                if taken_over is not None:
+                    return taken_over
                 try:
                     self._handle_failure(record, e)
                 except request_errors.RequestError as final_error:
@@ -106,6 +136,46 @@
                     break
         return self._hand_over()
 
+    def forward_once(self, resume_after):
+        """Return the ``Reply`` of one attempt, of which failures are recorded.
+
+        Parameters
+        ----------
+        resume_after : int or None
+            Id of the last event that the caller has received, if a stream is resumed.
+
+        Raises
+        ------
+        errors.request.RequestError
+            If the request is refused.
+        errors.endpoint.AttemptError
+            If the attempt fails.
+        """
+        record, decision = self._choose()
+        try:
+            answer = self._send_attempt(record, decision, resume_after)
+            self._check_can_take_over(answer, resume_after)
+        except endpoint_errors.AttemptError as e:
+            answer = self._take_standby(record, e)
+            if answer is None:
+                if not self._is_aborted:
+                    self._note_failure(record, e, will_retry=False)
+                raise
+        return answer
+
+    def _check_can_take_over(self, answer, resume_after):
+        """Raise ``MalformedResponse`` if the answer is worse than to wait for the silent one."""
+        is_error = answer.status >= MIN_ERROR_STATUS
+        if is_error or (resume_after is not None and answer.stream is None):
+            raise endpoint_errors.MalformedResponse(f"answered with status {answer.status}")
+
+    def abort(self):
+        """Abort the current attempt, which is not needed."""
+        self._is_aborted = True
+        self.cancel_standby()
+        if self._attempt is not None:
+            self._attempt.cancel()
+
     def _hand_over(self, resume_after=None):
         """Return the ``Reply`` of another node."""
         handed_over = self._peer_forwarder.begin(self._request, self._may_have_run)
@@ -179,11 +249,14 @@
             request.deadline,
             decision.first_event_timeout_s,
             request.has_caller_left,
-            lambda: self._may_abort(record),
+            lambda: self._has_replacement(record),
             lambda: self._stall_tracker.is_stalled(
                 record.endpoint_id, decision.stall_timeout_s, time.monotonic()
             ),
         )
+        self._attempt = attempt
+        self._resume_after = resume_after
+        self._buffer = None
         self._attempts += 1
         self._may_have_run += 1
         self._sent_at = started_at
@@ -225,10 +298,13 @@
                 self._serving.record_reported_load(record.endpoint_id, load, time.monotonic())
             self._check_response(response, metadata)
             if request.route.is_stream and response.status == 200:
-                return self._begin_stream(
+                answer = self._begin_stream(
                     record, decision, response, attempt, started_at, resume_after
                 )
-            return self._read_complete(record, response)
+            else:
+                answer = self._read_complete(record, response)
+            self.cancel_standby()
+            return answer
         except BaseException as e:
             if response is not None:
                 response.chunks.close()
@@ -242,6 +318,8 @@
 
         It may have left, or stated a limit that the selection did not know.
         """
+        if self._is_aborted:
+            raise endpoint_errors.EndpointWithdrawn("another attempt has answered")
         now = time.monotonic()
         delay_s = now - chosen_at
         if delay_s <= LATE_SEND_S:
@@ -289,6 +367,7 @@
         if last_id is None:
             last_id = self._request.metadata.last_event_id
         buffer = event_buffer.EventBuffer(last_id)
+        self._buffer = buffer
         first_events = stream_relay.read_first_events(response, buffer)
         now = time.monotonic()
         self._first_event_at = now
@@ -317,6 +396,14 @@
         errors.request.RequestError
             If the stream cannot be resumed.
         """
+        resumed = self._take_standby(record, error)
+        if resumed is None:
+            resumed = self._resume_after_failure(record, error, last_id)
+        if resumed.stream is None:
+            raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
+        return resumed
+
+    def _resume_after_failure(self, record, error, last_id):
         if last_id is None:
             self._record_failure(record, error)
             raise request_errors.EndpointFailed("the stream broke without a position to resume at")
@@ -329,8 +416,6 @@
                 raise
         if resumed is None:
             resumed = self._hand_over(last_id)
-        if resumed.stream is None:
-            raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
         return resumed
 
     def _resume_here(self, last_id):
@@ -340,22 +425,119 @@
             try:
                 return self._send_attempt(record, decision, resume_after=last_id)
             except endpoint_errors.AttemptError as e:
+                taken_over = self._take_standby(record, e)
+                if taken_over is not None:
+                    return taken_over
                 self._handle_failure(record, e)
         return None
 
-    def _may_abort(self, record):
-        """Return whether a stalled attempt may be aborted in favour of another one."""
+    def _has_replacement(self, record):
+        """Return whether a silent attempt may be aborted, as another one has answered.
+
+        Starts the other attempt if the rules on retries permit it.
+        """
         now = time.monotonic()
         if self._request.route.is_stream:
             self._stall_tracker.record_stall(record.endpoint_id, now)
+        if self._is_standby:
+            return False
+        if self._standby is not None and self._standby.has_failed:
+            self._drop_standby(request_logger.FAILED)
+        if self._standby is None:
+            self._try_start_standby(record, now)
+            return False
+        return self._standby.has_answered and self._standby.resume_after == self._position
+
+    @property
+    def _position(self):
+        """Id of the last event that the caller has received, if a stream is to be resumed."""
+        if self._buffer is None or not self._buffer.event_count:
+            return self._resume_after
+        return self._buffer.last_id
+
+    def _try_start_standby(self, record, now):
+        """Start a second attempt beside the current one, if there is an endpoint for it."""
         history = self._history(last_was_not_run=False)
         if not retry_rules.may_retry(self._request.route, history):
-            return False
+            return
         self._excluded.add(record.endpoint_id)
+        attempt = self._attempt
         if not self._serving.try_acquire_failover(self._make_query(now), now).get():
-            return False
-        self._has_acquired_retry = True
-        return True
+            return
+        if attempt.is_finished:
+            # It has ended during the selection.
+            return
+        forwarder = RequestForwarder(
+            self._request,
+            self._serving,
+            self._client,
+            self._codec,
+            self._stall_tracker,
+            self._statement_recorder,
+            self._part_guard,
+            self._crash_monitor,
+            self._reachability,
+            self._peer_forwarder,
+            self._request_logger,
+        )
+        forwarder._is_standby = True
+        forwarder._inherit_history(self)
+        self._standby = standby_attempt.StandbyAttempt(
+            forwarder, self._position, lambda: attempt.check(time.monotonic())
+        )
+        self._request_logger.log_standby_started(
+            self._request, record, self._position, self._attempts
+        )
+        self._standby.start()
+
+    def _inherit_history(self, other):
+        """Begin with what another forwarder of the same request has tried."""
+        self._attempts = self._inherited_attempts = other._attempts
+        self._may_have_run = self._inherited_may_have_run = other._may_have_run
+        self._excluded = set(other._excluded)
+
+    def _add_history(self, other):
+        """Add what the forwarder of a second attempt has tried."""
+        self._attempts += other._attempts - other._inherited_attempts
+        self._may_have_run += other._may_have_run - other._inherited_may_have_run
+        self._excluded |= other._excluded
+
+    def _take_standby(self, record, error):
+        """Return the ``Reply`` that replaces a failed attempt; None if there is no other one."""
+        standby = self._standby
+        if standby is None:
+            return None
+        if self._request.has_caller_left() or standby.resume_after != self._position:
+            self.cancel_standby()
+            return None
+        # The other attempt is under way already, so its answer comes sooner than a third one's.
+        # From now on, it may have a second attempt of its own.
+        standby.forwarder._is_standby = False
+        answer = standby.wait()
+        if answer is None:
+            self._drop_standby(request_logger.FAILED)
+            return None
+        self._note_failure(record, error, will_retry=True)
+        self._drop_standby(request_logger.TOOK_OVER)
+        return answer
+
+    def _drop_standby(self, outcome):
+        standby = self._standby
+        self._standby = None
+        self._add_history(standby.forwarder)
+        self._request_logger.log_standby_ended(self._request, standby.resume_after, outcome)
+
+    def cancel_standby(self):
+        """Cancel the second attempt, if there is one."""
+        standby = self._standby
+        if standby is not None:
+            self._drop_standby(request_logger.NOT_NEEDED)
+            standby.cancel()
+
+    def record_progress(self):
+        """Record that the current attempt has sent events."""
+        if self._standby is not None:
+            self.cancel_standby()
 
     def _handle_failure(self, record, error):
         """Return if the request may be retried; otherwise raise the final ``RequestError``."""
@@ -373,9 +555,8 @@
             may_retry = self._part_guard.may_repeat(request.metadata.prompt_parts)
         # An attempt that sent nothing did not reach the service, so its retry is not counted.
         uses_budget = not isinstance(error, _UNSENT_ERRORS)
-        if may_retry and uses_budget and not self._has_acquired_retry:
+        if may_retry and uses_budget:
             may_retry = self._serving.try_acquire_retry(request.service, now).get()
-        self._has_acquired_retry = False
         self._request_logger.log_attempt_failed(
             request, record, error, may_retry, history, self._writing_s(now)
         )
@@ -387,6 +568,17 @@
             raise request_errors.DeadlineExceeded("no response before the deadline") from error
         raise request_errors.EndpointFailed(str(error)) from error
 
+    def _note_failure(self, record, error, *, will_retry):
+        """Record and log a failed attempt whose consequences are settled."""
+        now = time.monotonic()
+        self._excluded.add(record.endpoint_id)
+        self._serving.record_failure(record.endpoint_id, type(error), now)
+        self._record_failure(record, error)
+        history = self._history(last_was_not_run=error.certainly_not_run)
+        self._request_logger.log_attempt_failed(
+            self._request, record, error, will_retry, history, self._writing_s(now)
+        )
+
     def _record_failure(self, record, error):
         """Record a failed attempt; return whether its endpoint has ended."""
         is_silent = isinstance(error, endpoint_errors.AttemptTimedOut) and not self._responded_at
@@ -416,6 +608,7 @@
 
     def complete_attempt(self):
         """Record that the current attempt's stream is complete."""
+        self.cancel_standby()
         self._record_answer()
 
     def finish_attempt(self, record):
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -11,6 +11,8 @@
 QUARANTINED = "lynxlanding:request:quarantined"
 TRIAL = "lynxlanding:request:trial"
 ACCEPTED = "lynxlanding:request:accepted_for_node"
+STANDBY_STARTED = "lynxlanding:request:standby_started"
+STANDBY_ENDED = "lynxlanding:request:standby_ended"
 SENT_LATE = "lynxlanding:request:sent_late"
 LIMIT_CHANGED = "lynxlanding:endpoint:limit_changed"
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
@@ -18,6 +20,11 @@
 REJECTED = "lynxlanding:endpoint:rejected"
 STATEMENT_MALFORMED = "lynxlanding:endpoint:statement_malformed"
 
+# Outcomes of second attempts.
+TOOK_OVER = "took over"
+NOT_NEEDED = "not needed"
+FAILED = "failed"
+
 # A caller may set the header that names the sending node.
 MAX_SENDER_CHARACTERS = 64
 # Keeps log lines short; prompts have a few parts.
@@ -94,6 +101,25 @@
             is_cut=is_cut,
         )
 
+    def log_standby_started(self, request, record, resume_after, attempts):
+        """Log that a second attempt begins beside one whose endpoint is silent."""
+        eliot.log_message(
+            message_type=STANDBY_STARTED,
+            request_id=request.metadata.request_id,
+            silent_endpoint=record.endpoint_id,
+            resume_after=resume_after,
+            attempts=attempts,
+        )
+
+    def log_standby_ended(self, request, resume_after, outcome):
+        """Log that a second attempt took over, was not needed or has failed."""
+        eliot.log_message(
+            message_type=STANDBY_ENDED,
+            request_id=request.metadata.request_id,
+            resume_after=resume_after,
+            outcome=outcome,
+        )
+
     def log_sent_late(self, request, record, delay_s):
         """Log that a connection was established long after the endpoint was selected."""
         eliot.log_message(
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -98,6 +98,7 @@
         """End the stream and cancel the request at the endpoint."""
         self._iterator.close()
         self._release()
+        self._forwarder.cancel_standby()
 
     @property
     def upstream(self):
@@ -114,7 +115,9 @@
             yield self._first_events
         while True:
             try:
-                yield from read_events(self._response, self._buffer)
+                for events in read_events(self._response, self._buffer):
+                    self._forwarder.record_progress()
+                    yield events
                 _check_end(self._response, self._buffer)
                 self._forwarder.complete_attempt()
                 self._release()
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -164,6 +164,16 @@
     def log_refused(self, request, decision, attempts):
         assert isinstance(decision, dispatch_decision.Refuse)
 
+    def log_standby_started(self, request, record, resume_after, attempts):
+        assert attempts > 0
+
+    def log_standby_ended(self, request, resume_after, outcome):
+        assert outcome in (
+            request_logger.TOOK_OVER,
+            request_logger.NOT_NEEDED,
+            request_logger.FAILED,
+        )
+
     def log_sent_late(self, request, record, delay_s):
         assert delay_s > request_forwarder.LATE_SEND_S
 
@@ -190,13 +200,14 @@
     yield from ()
 
 
-def make_forwarder(seed, route):
+def make_forwarder(seed, route, records=None):
     random_state = random.Random(seed)
     is_model = route.kind == traffic_route.STREAMING
-    records = [
-        dispatch_factories.make_head(i) if is_model else dispatch_factories.make_plain_endpoint(i)
-        for i in range(3)
-    ]
+    make_record = (
+        dispatch_factories.make_head if is_model else dispatch_factories.make_plain_endpoint
+    )
+    if records is None:
+        records = [make_record(number) for number in range(3)]
     dispatcher, _ = dispatch_factories.make_dispatcher(records, seed=seed)
     service = "model" if is_model else "app"
     for _ in range(50):
--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -16,6 +16,7 @@
 DEADLINE = "deadline"
 CALLER_LEFT = "caller left"
 STALLED = "stalled"
+CANCELLED = "cancelled"
 
 
 def _always():
@@ -81,6 +82,11 @@
         """Why the attempt was aborted, or None."""
         return self._reason
 
+    @property
+    def is_finished(self):
+        """Whether the attempt has ended."""
+        return self._is_finished
+
     @property
     def has_socket(self):
         """Whether the socket of the connection to the endpoint has been set."""
@@ -108,6 +114,10 @@
         with self._lock:
             self._is_finished = True
 
+    def cancel(self):
+        """Abort the attempt because another one has answered."""
+        self._abort(CANCELLED)
+
     def check(self, now):
         """Abort the attempt if necessary; ``reason`` then says why."""
         if self._reason is not None or self._socket is None:
@@ -136,6 +146,9 @@
                 # It has ended during the check.
                 return
             self._reason = reason
+            if self._socket is None:
+                # It is still connecting; nothing is sent once there is a reason.
+                return
             try:
                 self._socket.shutdown(socket.SHUT_RDWR)
             except OSError:
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -99,6 +99,8 @@
             await self._end_cut(host)
         self._crash_kind = order.get("crash_kind", self._crash_kind)
         self._engines.crash_parts = order.get("crash_parts", self._engines.crash_parts)
+        self._engines.capacity = order.get("capacity", self._engines.capacity)
+        self._engines.reading_s = order.get("reading_s", self._engines.reading_s)
         for endpoint in self._endpoints.values():
             self._control_endpoint(endpoint, order)
         if order.get("save_store"):
@@ -229,6 +231,7 @@
             self._store.put("config", "main", configuration(self._configuration_version))
             for endpoint in self._endpoints.values():
                 if endpoint.sends_heartbeats:
+                    self._silent.pop(endpoint.endpoint_id, None)
                     self._publish(endpoint)
                     continue
                 beats = self._silent.get(endpoint.endpoint_id, 0) + 1
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -156,6 +156,10 @@
         # Seconds for which an endpoint is down that writes an answer on a part of a prompt, by id
         # of the part.
         self.crash_parts = {}
+        # Streams that an engine takes at once, if there is a limit, and the seconds for which it
+        # reads a prompt before it writes.
+        self.capacity = None
+        self.reading_s = 0.0
         # Hosts whose callers get nothing more on the connections that they have.
         self.hung_hosts = set()
         self._by_id = {item.endpoint_id: item for item in endpoints.values()}
@@ -280,7 +284,9 @@
 
     async def _stream(self, endpoint, scope, send):
         group = endpoint.group
-        if group is None or group["state"] != "open" or endpoint.endpoint_id != group["members"][0]:
+        is_full = self.capacity is not None and endpoint.running >= self.capacity
+        is_open = group is not None and group["state"] == "open"
+        if is_full or not is_open or endpoint.endpoint_id != group["members"][0]:
             await asgi.send_json(send, 503, {}, [(b"x-not-executed", b"1")])
             return
         request_id = asgi.header(scope, b"x-request-id") or ""
@@ -296,6 +302,7 @@
         self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
         down_s = self._find_crash(scope)
         try:
+            await asyncio.sleep(self.reading_s)
             for number in range(first, EVENTS + 1):
                 if down_s is not None:
                     await asyncio.sleep(EVENT_S)
