Refuse unreadable entries of the store one by one

Operators saw (a report from elsewhere, reproduced here): one odd entry among those of the endpoints, and the nodes followed the list no more; nodes that started later were never ready.

Cause: a page of the list is decoded as a whole, and values that the decoder cannot represent (numbers of 5,000 digits, nesting beyond the recursion limit, bytes that are no text) raise errors before the entries are looked at. Ports such as a superscript digit passed the check and failed on use.

Why it works: values that cannot be read are marked instead of raising, and fail the checks of their own entry only; objects without a name are left out; a plan that cannot be read is recovered from what the engines report.

Ruled out: processes that end by themselves; threads restart.

--- a/src/lynxlanding/daemon/clock_reader.py
+++ b/src/lynxlanding/daemon/clock_reader.py
@@ -1,11 +1,10 @@
 """HTTP client that reads the monotonic clocks of other nodes."""
 
-import json
-
 import urllib3
 
 from lynxlanding.daemon import clock_handler
 from lynxlanding.errors import membership as membership_errors
+from lynxlanding.transport import json_document
 
 REQUEST_TIMEOUT_S = 1.0
 
@@ -42,7 +41,7 @@
         if response.status != 200:
             raise membership_errors.PeerUnreachable(f"{address}: status {response.status}")
         try:
-            document = json.loads(response.data)
+            document = json_document.decode(response.data)
             return str(document["clock"]), float(document["now"])
         except (KeyError, TypeError, ValueError) as e:
             raise membership_errors.PeerUnreachable(
--- a/src/lynxlanding/groups/http_engine_transport.py
+++ b/src/lynxlanding/groups/http_engine_transport.py
@@ -6,6 +6,7 @@
 
 from lynxlanding.errors import groups as groups_errors
 from lynxlanding.groups import engine_report
+from lynxlanding.transport import json_document
 
 PROBE_TIMEOUT_S = 1.0
 
@@ -41,7 +42,7 @@
         if response.status != 200:
             raise groups_errors.ProbeFailed(f"{address}: status {response.status}")
         try:
-            return engine_report.from_value(json.loads(response.data))
+            return engine_report.from_value(json_document.decode(response.data))
         except (AttributeError, KeyError, TypeError, ValueError) as e:
             raise groups_errors.ProbeFailed(f"{address}: malformed load report: {e!r}") from e
 
@@ -67,6 +68,6 @@
         if response.status >= 300:
             raise groups_errors.OrderFailed(f"{order.address}: status {response.status}")
         try:
-            return str(json.loads(response.data).get("instance", ""))
+            return str(json_document.decode(response.data).get("instance", ""))
         except (AttributeError, ValueError):
             return ""
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -7,6 +7,7 @@
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.peers import feed_message, protocol
 from lynxlanding.store import store_version, stored_object
+from lynxlanding.transport import json_document
 
 KIND = b"f"
 PREFIX = protocol.DATAGRAM_PREFIX + KIND
@@ -72,12 +73,14 @@
         text = inflater.decompress(data[len(PREFIX) :], _MAX_DECODED_BYTES)
         if not inflater.eof:
             raise membership_errors.MalformedMessage("feed message is truncated or too large")
-        document = json.loads(text)
+        document = json_document.decode(text)
         if "subscriber" in document:
             return feed_message.Subscription(str(document["subscriber"]))
         era = int(document["era"])
         kind = document["kind"]
         puts = []
+        if not json_document.is_readable(document):
+            raise membership_errors.MalformedMessage("feed message has unreadable values")
         for name, revision, value in document["puts"]:
             version = store_version.StoreVersion(era, int(revision))
             puts.append(stored_object.StoredObject(kind, name, version, value))
--- a/src/lynxlanding/peers/node_directory.py
+++ b/src/lynxlanding/peers/node_directory.py
@@ -8,6 +8,7 @@
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.observability import restarting_thread
 from lynxlanding.peers import protocol
+from lynxlanding.transport import address as transport_address
 
 KIND = "lynxlanding-nodes"
 # New nodes send reports to all others on their own; refreshing the list finds nodes that started
@@ -92,7 +93,8 @@
         for registration in registrations:
             value = registration.value if isinstance(registration.value, dict) else {}
             address = value.get("address")
-            if not isinstance(address, str):
+            if not isinstance(address, str) or not transport_address.is_valid(address):
+                # Written by something else, or by a node of a later version.
                 continue
             version = value.get("protocol")
             if not isinstance(version, int):
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -109,8 +109,9 @@
         host, _, port = address.rpartition(":")
         try:
             self._socket.sendto(data, (host, int(port)))
-        except OSError as e:
-            _logger.info("failed to send a datagram to %s: %s", address, e)
+        except (OSError, ValueError, OverflowError) as e:
+            # Another node may state an address that names no port.
+            _logger.info("failed to send a datagram to %.80s: %s", address, e)
 
     def receive(self, data, sender, now):
         """Process a datagram that a peer has sent."""
--- a/src/lynxlanding/platform/configuration_codec.py
+++ b/src/lynxlanding/platform/configuration_codec.py
@@ -33,6 +33,8 @@
             fields.require(document, "name", str), fields.get(document, "priority", int, None)
         )
         for key in fields.get(document, "api_keys", list, []):
+            if not isinstance(key, str):
+                raise platform_errors.MalformedEntry("field 'api_keys' must contain only strings")
             workspaces_by_api_key[key] = owner
     return traffic_configuration.TrafficConfiguration(
         version=fields.require(spec, "version", int),
--- a/src/lynxlanding/platform/endpoint_codec.py
+++ b/src/lynxlanding/platform/endpoint_codec.py
@@ -1,11 +1,20 @@
 """Decoding of endpoint registrations in the platform's store."""
 
+import re
+
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.fleet import endpoint_record, group_membership
 from lynxlanding.platform import fields
+from lynxlanding.transport import address as transport_address
 
 KIND = "servers"
 
+# An id goes into the head of each request to the endpoint.
+_ID = re.compile(r"[!-~]{1,128}")
+# Whole numbers that every JSON library represents exactly.
+_MAX_NUMBER = (1 << 53) - 1
+_MAX_SLOTS = 1_000_000
+
 _ENDPOINT_STATES = frozenset({"ready", "draining"})
 
 
@@ -30,19 +39,20 @@
     if state not in _ENDPOINT_STATES:
         raise platform_errors.MalformedEntry(f"unknown endpoint state {state!r}")
     address = fields.require(spec, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise platform_errors.MalformedEntry(f"address {address!r} is not of the form host:port")
+    if not transport_address.is_valid(address):
+        raise platform_errors.MalformedEntry(f"address {address[:80]!r} is no IP address and port")
+    if _ID.fullmatch(endpoint_id) is None:
+        raise platform_errors.MalformedEntry("the name cannot be sent in a header")
     return endpoint_record.EndpointRecord(
         endpoint_id=endpoint_id,
         service=fields.require(spec, "service", str),
         address=address,
         data_centre=fields.require(spec, "zone", str),
-        slots=fields.require(spec, "slots", int),
+        slots=fields.require_number(spec, "slots", _MAX_SLOTS),
         is_leaving=state == "draining",
-        started_ms=fields.require(spec, "born", int),
+        started_ms=fields.require_number(spec, "born", _MAX_NUMBER),
         # In reports of engines the same name counts accepted orders; here it counts heartbeats.
-        heartbeat_number=fields.require(spec, "seq_no", int),
+        heartbeat_number=fields.require_number(spec, "seq_no", _MAX_NUMBER),
         fabric_domain=fields.get(spec, "domain", str, None),
         models=_decode_loaded_models(spec),
         staged_models=decode_staged_models(spec),
@@ -78,7 +88,7 @@
         raise platform_errors.MalformedEntry(f"unknown group membership state {state!r}")
     return group_membership.GroupMembership(
         name=fields.require(group, "name", str),
-        epoch=fields.require(group, "epoch", int),
-        rank=fields.require(group, "rank", int),
+        epoch=fields.require_number(group, "epoch", _MAX_NUMBER),
+        rank=fields.require_number(group, "rank", _MAX_SLOTS),
         state=state,
     )
--- a/src/lynxlanding/platform/engine_client.py
+++ b/src/lynxlanding/platform/engine_client.py
@@ -8,7 +8,7 @@
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import endpoint_call, endpoint_codec, fields, request_headers, sockets
 from lynxlanding.replicas import engine_order, engine_report, order_outcome
-from lynxlanding.transport import guarded_connection
+from lynxlanding.transport import guarded_connection, json_document
 
 # Engines respond within a few milliseconds or not at all, and callers send unanswered orders again.
 ORDER_TIMEOUT_S = 0.8
@@ -83,7 +83,7 @@
         if response.status != 200:
             raise endpoint_errors.EndpointRefused(response.status)
         try:
-            return _decode_report(json.loads(response.data))
+            return _decode_report(json_document.decode(response.data))
         except (ValueError, platform_errors.MalformedEntry) as e:
             raise endpoint_errors.MalformedResponse(f"{record.address}: {e}") from e
 
--- a/src/lynxlanding/platform/fields.py
+++ b/src/lynxlanding/platform/fields.py
@@ -27,6 +27,20 @@
     return _check_type(document[name], name, accepted_types)
 
 
+def require_number(document, name, maximum):
+    """Return a required whole number from 0 to ``maximum``.
+
+    Raises
+    ------
+    errors.platform.MalformedEntry
+        If the field is missing, of another type or out of range.
+    """
+    value = require(document, name, int)
+    if not 0 <= value <= maximum:
+        raise platform_errors.MalformedEntry(f"field {name!r} is out of range")
+    return value
+
+
 def get(document, name, accepted_types, default):
     """Return an optional field, or ``default`` if it is missing or null.
 
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -2,6 +2,7 @@
 
 import json
 
+import eliot
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
@@ -13,7 +14,7 @@
     stored_object,
     watch_batch_builder,
 )
-from lynxlanding.transport import guarded_connection
+from lynxlanding.transport import guarded_connection, json_document
 
 # Connecting takes a few milliseconds; after a second the store is considered unavailable.
 CONNECT_TIMEOUT_S = 1.0
@@ -26,6 +27,8 @@
 # A large page takes longer than a response without one.
 BODY_TIMEOUT_S = 3.0
 
+OBJECT_SKIPPED = "lynxlanding:store:object_skipped"
+
 _ERA_HEADER = "Store-Era"
 
 _ERRORS_BY_STATUS = {
@@ -100,13 +103,16 @@
                 version = store_version.StoreVersion(era, revision)
             if era != version.era:
                 raise platform_errors.StoreRolledBack(f"the list of {kind} spans two eras")
+            names_before = len(items)
             for document in fields.require(page, "items", list):
-                items.append(_decode_object(kind, document, era))
+                item = _try_decode_object(kind, document, era)
+                if item is not None:
+                    items.append(item)
             if not fields.require(page, "has_more", bool):
                 return items, version
-            if not page["items"]:
+            if len(items) == names_before:
                 raise platform_errors.MalformedPlatformResponse(
-                    f"the list of {kind} goes on after a page without objects"
+                    f"the list of {kind} goes on after a page without readable objects"
                 )
             last_name = items[-1].name
 
@@ -140,7 +146,9 @@
         )
         builder = watch_batch_builder.WatchBatchBuilder()
         for event in fields.require(response, "events", list):
-            item = _decode_object(kind, fields.require(event, "object", dict), after.era)
+            item = _try_decode_object(kind, fields.get(event, "object", dict, None), after.era)
+            if item is None:
+                continue
             if fields.get(event, "tombstone", bool, False):
                 builder.delete(item.name)
                 continue
@@ -207,11 +215,25 @@
     return int(value) if value.isascii() and value.isdigit() else None
 
 
+def _try_decode_object(kind, document, era):
+    """Return an object of a list or an event; None if it does not say which one it is."""
+    try:
+        return _decode_object(kind, document, era)
+    except platform_errors.MalformedEntry as e:
+        eliot.log_message(message_type=OBJECT_SKIPPED, kind=kind, reason=str(e))
+        return None
+
+
 def _decode_object(kind, document, era):
+    """Return an object, without its value if this cannot be read."""
     metadata = fields.require(document, "metadata", dict)
+    name = fields.require(metadata, "name", str)
+    if not json_document.is_readable(name):
+        raise platform_errors.MalformedEntry("the name cannot be read")
+    value = document.get("spec")
     return stored_object.StoredObject(
         kind,
-        fields.require(metadata, "name", str),
+        name,
         store_version.StoreVersion(era, fields.require(metadata, "revision", int)),
-        document.get("spec"),
+        value if json_document.is_readable(value) else None,
     )
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -10,6 +10,7 @@
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import object_client
 from lynxlanding.store import era_tracker, memory_store, store_version
+from lynxlanding.transport import json_document
 from lynxlanding_standins.site import store as site_store
 
 HOST = "127.0.0.1"
@@ -103,6 +104,45 @@
         store.list("servers")
 
 
+def make_document(name, spec):
+    return {"metadata": {"name": name, "revision": 2}, "spec": spec}
+
+
+ODD_DOCUMENTS = [
+    None,
+    {"spec": {}},
+    {"metadata": {"name": 5, "revision": 2}},
+    {"metadata": {"name": "odd"}},
+    {"metadata": {"name": "\ud800", "revision": 2}},
+    {"metadata": {"name": "odd", "revision": json_document.UNREADABLE}},
+]
+
+
+@pytest.mark.parametrize("odd", ODD_DOCUMENTS)
+def test_object_that_cannot_be_named_leaves_the_others(monkeypatch, odd):
+    """Guards against a list or a watch that is lost with one of its objects."""
+    store = object_client.PlatformObjectStore("127.0.0.1:1")
+    sound = make_document("sound", {"a": 1})
+    page = {"items": [odd, sound], "has_more": False, "current_rev": 3}
+    monkeypatch.setattr(store, "_call", lambda *arguments, **options: (page, 0))
+    items, version = store.list("servers")
+    assert [(item.name, item.value) for item in items] == [("sound", {"a": 1})]
+    events = [{"object": odd}, {"object": sound}, {"tombstone": True}]
+    monkeypatch.setattr(
+        store, "_call", lambda *arguments, **options: ({"events": events, "current_rev": 4}, 0)
+    )
+    batch = store.watch("servers", version, 1.0)
+    assert [item.name for item in batch.puts] == ["sound"]
+
+
+def test_value_that_cannot_be_read_is_left_out(monkeypatch):
+    """Guards against values that no node can pass on to others."""
+    store = object_client.PlatformObjectStore("127.0.0.1:1")
+    odd = make_document("odd", {"slots": json_document.UNREADABLE})
+    monkeypatch.setattr(store, "_call", lambda *arguments, **options: (odd, 0))
+    assert store.get("servers", "odd").value is None
+
+
 def test_watch_returns_puts_and_deletes_since_a_version(store):
     first = store.create("k4", "a", {"n": 1})
     _, version = store.list("k4")
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -33,6 +33,7 @@
 
 PLAN_STORED = "lynxlanding:domain:plan_stored"
 PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
+PLAN_MALFORMED = "lynxlanding:domain:plan_malformed"
 DOMAIN_TAKEN = "lynxlanding:domain:taken"
 DOMAIN_LEFT = "lynxlanding:domain:left"
 DOMAIN_RECOVERED = "lynxlanding:domain:recovered"
@@ -244,18 +245,28 @@
     def _load_domain(self, key, members, now):
         plan = None
         version = None
+        is_malformed = False
         try:
             stored = self._store.get(group_plan.KIND, _object_name(key))
-            plan = group_plan.from_value(stored.value)
             version = stored.version
+            plan = group_plan.from_value(stored.value)
         except platform_errors.ObjectNotFound:
             # No plan has been stored for this domain yet, or the store has lost it.
             pass
+        except platform_errors.MalformedEntry as e:
+            # Something else has written it. The plan is made anew from what the engines report.
+            is_malformed = True
+            eliot.log_message(
+                message_type=PLAN_MALFORMED,
+                domain=key[1],
+                plan_version=str(version),
+                detail=str(e)[:200],
+            )
         era = self._store.era
         is_valid = plan is not None and plan.era == era
         if plan is None:
             plan = group_plan.DomainPlan(group_plan.first_epoch(era), (), era)
-            is_valid = all(record.membership is None for record in members)
+            is_valid = not is_malformed and all(record.membership is None for record in members)
         recover_at = None if is_valid else now + RECOVERY_DELAY_S
         eliot.log_message(
             message_type=DOMAIN_TAKEN,
--- a/src/lynxlanding/replicas/group_plan.py
+++ b/src/lynxlanding/replicas/group_plan.py
@@ -117,6 +117,16 @@
         return {"next_epoch": self.next_epoch, "groups": groups, "era": self.era}
 
 
+def _group_from_value(item):
+    members = tuple(item["members"])
+    texts = (item["name"], item["model"], *members)
+    if not members or not all(isinstance(text, str) for text in texts):
+        raise ValueError("a name is missing or no text")
+    if item["phase"] not in PHASES:
+        raise ValueError("unknown phase")
+    return GroupPlan(item["name"], int(item["epoch"]), item["model"], members, item["phase"])
+
+
 def from_value(value):
     """Return the plan decoded from a JSON value.
 
@@ -128,17 +138,9 @@
     try:
         groups = []
         for item in value["groups"]:
-            groups.append(
-                GroupPlan(
-                    item["name"],
-                    int(item["epoch"]),
-                    item["model"],
-                    tuple(item["members"]),
-                    item["phase"],
-                )
-            )
+            groups.append(_group_from_value(item))
         return DomainPlan(int(value["next_epoch"]), tuple(groups), value.get("era"))
-    except (AttributeError, KeyError, TypeError, ValueError) as e:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as e:
         raise platform_errors.MalformedEntry(
             f"cannot decode the stored plan of a domain: {e}"
         ) from e
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -140,6 +140,30 @@
     assert cluster.open_groups() == 0
 
 
+ODD_PLANS = [
+    None,
+    {"next_epoch": 3},
+    {"next_epoch": 3, "groups": [{"name": [], "epoch": 1, "model": "m", "members": []}]},
+    {"next_epoch": float("inf"), "groups": [], "era": 0},
+]
+
+
+@pytest.mark.parametrize("value", ODD_PLANS)
+def test_a_plan_that_another_writer_has_spoilt_is_made_anew(monkeypatch, value):
+    """Guards against domains that are planned no more because one plan cannot be read."""
+    monkeypatch.setattr(group_controller, "RECOVERY_DELAY_S", 0.1)
+    cluster = Cluster()
+    cluster.run(20)
+    groups = cluster.open_groups()
+    stored = cluster.store.get(group_plan.KIND, "model.d0")
+    cluster.store.update(group_plan.KIND, "model.d0", value, stored.version)
+    cluster.controllers["n1"]._domains.clear()
+    cluster.run(20)
+    assert cluster.plan().groups
+    assert cluster.open_groups() == groups
+    assert cluster.domain.violations == []
+
+
 def test_a_node_that_is_not_responsible_sends_no_orders():
     cluster = Cluster()
     cluster.live_nodes = ["n2"]
--- a/src/lynxlanding/requests/owner_lookup.py
+++ b/src/lynxlanding/requests/owner_lookup.py
@@ -1,11 +1,11 @@
 """Asks the node that owns a claim for its outcome."""
 
-import json
 from typing import Protocol
 
 import urllib3
 
 from lynxlanding.requests import claim_events, claim_record, node_identity, recorded_response
+from lynxlanding.transport import json_document
 
 CONNECT_TIMEOUT_S = 2.0
 # The owner responds this long before the asking node stops waiting, but at most a quarter of the
@@ -89,7 +89,7 @@
         Process that owned the claim.
     """
     try:
-        document = json.loads(body)
+        document = json_document.decode(body)
         if document["incarnation"] != owner.incarnation:
             # The node was restarted: the process that owned the claim has ended.
             return claim_events.OwnerAnswered(claim_events.DEAD)
--- a/src/lynxlanding/routing/endpoint_poller.py
+++ b/src/lynxlanding/routing/endpoint_poller.py
@@ -1,7 +1,6 @@
 """Polls the endpoints for load reports and cache events."""
 
 import concurrent.futures
-import json
 import logging
 import threading
 import time
@@ -9,6 +8,7 @@
 import urllib3
 
 from lynxlanding.routing import cache_report, load_report, poll_result, prefix
+from lynxlanding.transport import json_document
 
 REQUEST_TIMEOUT_S = 1.0
 POLL_THREADS = 16
@@ -132,7 +132,7 @@
         finally:
             response.release_conn()
         try:
-            return response.status, json.loads(body)
+            return response.status, json_document.decode(body)
         except ValueError:
             return response.status, None
 
--- a/src/lynxlanding/store/http_call.py
+++ b/src/lynxlanding/store/http_call.py
@@ -1,10 +1,9 @@
 """Sends single HTTP calls to a store and maps failures to exception types."""
 
-import json
-
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
+from lynxlanding.transport import json_document
 
 
 def send(
@@ -69,6 +68,6 @@
     if response.status == 204 or not response.data:
         return None
     try:
-        return json.loads(response.data)
+        return json_document.decode(response.data)
     except ValueError as e:
         raise platform_errors.MalformedPlatformResponse(f"{call}: {e}") from e
--- a/src/lynxlanding/store/vm_list.py
+++ b/src/lynxlanding/store/vm_list.py
@@ -1,12 +1,12 @@
 """Client of the platform's VM list."""
 
-import json
 from typing import Protocol
 
 import urllib3
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.store import vm
+from lynxlanding.transport import json_document
 
 TIMEOUT_S = 3.0
 
@@ -46,7 +46,7 @@
             raise platform_errors.StoreUnavailable(f"VM list: status {response.status}")
         vms = []
         try:
-            for entry in json.loads(response.data)["vms"]:
+            for entry in json_document.decode(response.data)["vms"]:
                 vms.append(
                     vm.Vm(
                         entry["name"],
--- a/src/lynxlanding_standins/asgi.py
+++ b/src/lynxlanding_standins/asgi.py
@@ -15,7 +15,11 @@
 
 async def send_json(send, status, document, headers=()):
     """Send a JSON response."""
-    body = json.dumps(document).encode()
+    await send_body(send, status, json.dumps(document).encode(), headers)
+
+
+async def send_body(send, status, body, headers=()):
+    """Send a response with a JSON body that is encoded already."""
     all_headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -101,6 +101,8 @@
         self._engines.crash_parts = order.get("crash_parts", self._engines.crash_parts)
         self._engines.capacity = order.get("capacity", self._engines.capacity)
         self._engines.reading_s = order.get("reading_s", self._engines.reading_s)
+        for name, (field, raw) in order.get("odd_entries", {}).items():
+            self._write_odd_entry(name, field, raw)
         for endpoint in self._endpoints.values():
             self._control_endpoint(endpoint, order)
         if order.get("save_store"):
@@ -127,6 +129,13 @@
         }
         await asgi.send_json(send, 200, document)
 
+    def _write_odd_entry(self, name, field, raw):
+        """Write the entry of the last endpoint under another name, with a field given as JSON."""
+        *_, last = self._endpoints.values()
+        mark = f"raw value of {name}"
+        self._store.raw_values[mark] = raw
+        self._store.put("servers", name, {**last.entry(), field: mark})
+
     def _control_endpoint(self, endpoint, order):
         """Carry out the parts of an order that name the endpoint, in the order of this method."""
         name = endpoint.endpoint_id
--- a/src/lynxlanding_standins/site/store.py
+++ b/src/lynxlanding_standins/site/store.py
@@ -20,6 +20,8 @@
         ``""``, ``"busy"`` (503) or ``"silent"`` (no answer).
     lost_answers : int
         Writes that are still to be carried out without an answer.
+    raw_values : dict of str to str
+        JSON texts by the string that stands for them in a value, for what cannot be encoded.
     """
 
     def __init__(self):
@@ -31,6 +33,7 @@
         self._copy = None
         self.fault = ""
         self.lost_answers = 0
+        self.raw_values = {}
         self.calls = 0
 
     def put(self, kind, name, spec, ignored_field=None):
@@ -86,7 +89,11 @@
             if self.lost_answers > 0 and status == 200:
                 self.lost_answers -= 1
                 await asyncio.sleep(60)
-        await asgi.send_json(send, status, document, self._headers())
+        text = json.dumps(document)
+        for mark, raw in self.raw_values.items():
+            text = text.replace(json.dumps(mark), raw)
+        body = text.encode("utf-8", "surrogateescape")
+        await asgi.send_body(send, status, body, self._headers())
 
     def _headers(self):
         return [(b"store-era", str(self._era).encode())]
