Resume streams with streams of events only

Operators saw (a report from elsewhere): after a stream had broken off, the text or head of the next engine's error inside it, or an end as if complete.

Evidence here, tests on: an empty 200 that is no event stream ended a resumed stream as whole (two of eleven cases); an event whose lines are an error's head was passed on (one); after a hand-over, any status but 200 ended in an AttributeError (two); a caller of HTTP/1.0 saw every broken stream end in order (one). All six failed before and pass now.

Cause: a 200 counted as a stream whatever its type, only the line with the id of an event was looked at, one of two ways to resume did not check that the answer is a stream, and responses that end with their connection were closed in order when they broke off.

Why it works: the relay checks for every way to resume; without events, the type must be that of event streams; every line must be a field or a comment; the connection of such a response is reset.

Ruled out: other statuses and texts that are no events, which were refused.

--- a/src/lynxlanding/dispatch/event_buffer.py
+++ b/src/lynxlanding/dispatch/event_buffer.py
@@ -10,6 +10,8 @@
 # 18 digits fit into 64 bits.
 _ID_LINE = re.compile(rb"id: ?(?P<id>\d{1,18})")
 _COMMENT_PREFIX = b":"
+# Any other line shows that the body is something else than events, or that the line is spoilt.
+_FIELD_LINE = re.compile(rb"[a-z][a-z0-9_-]*(?::[^\r]*)?")
 
 
 class EventBuffer:
@@ -87,7 +89,14 @@
 def _parse_id(event):
     """Return the id of an event, which must have exactly one."""
     _check_size(event)
-    id_lines = [line for line in event.split(b"\n") if line.startswith(_ID_PREFIX)]
+    id_lines = []
+    for line in event.split(b"\n"):
+        if line.startswith(_COMMENT_PREFIX):
+            continue
+        if _FIELD_LINE.fullmatch(line) is None:
+            raise endpoint_errors.MalformedResponse(f"no line of an event: {line[:80]!r}")
+        if line.startswith(_ID_PREFIX):
+            id_lines.append(line)
     if len(id_lines) != 1:
         raise endpoint_errors.MalformedResponse(f"event with {len(id_lines)} ids")
     match = _ID_LINE.fullmatch(id_lines[0])
--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -399,8 +399,6 @@
         resumed = self._take_standby(record, error)
         if resumed is None:
             resumed = self._resume_after_failure(record, error, last_id)
-        if resumed.stream is None:
-            raise request_errors.EndpointFailed(f"resuming was answered with {resumed.status}")
         return resumed
 
     def _resume_after_failure(self, record, error, last_id):
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -4,6 +4,8 @@
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import stream_aborted
 
+EVENT_STREAM = "text/event-stream"
+
 
 def read_events(response, buffer):
     """Iterate over the complete events of a stream and record its progress.
@@ -43,6 +45,8 @@
     ------
     errors.endpoint.ResponseTruncated
         If the stream ends inside an event, or its connection ends before the first one.
+    errors.endpoint.MalformedResponse
+        If an event is not valid, or the answer has no events and is of another type.
     """
     for events in read_events(response, buffer):
         return events
@@ -57,13 +61,24 @@
 
 
 def _check_end(response, buffer):
-    """Raise ``ResponseTruncated`` unless a stream that has ended may be whole."""
+    """Raise an ``AttemptError`` unless a stream that has ended may be whole."""
     if not buffer.is_empty:
         raise endpoint_errors.ResponseTruncated("the stream ends inside an event")
-    if response.ends_with_connection and not buffer.event_count:
+    if buffer.event_count:
+        return
+    if response.ends_with_connection:
         # The end of the connection is the only sign of the end, and an endpoint that breaks off
         # gives the same one.
         raise endpoint_errors.ResponseTruncated("the connection ends before the first event")
+    if not _is_event_stream(response):
+        raise endpoint_errors.MalformedResponse("the answer is no stream of events")
+
+
+def _is_event_stream(response):
+    for name, value in response.headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower() == EVENT_STREAM
+    return False
 
 
 class StreamRelay:
@@ -134,6 +149,8 @@
             reply = self._forwarder.resume(failed, error, self._buffer.last_id)
         except request_errors.RequestError as e:
             raise stream_aborted.StreamAborted(str(e)) from e
+        if reply.stream is None:
+            raise stream_aborted.StreamAborted(f"resuming was answered with status {reply.status}")
         self._forwarder, self._record, self._response, self._buffer = reply.stream.upstream
         return reply.stream.first_events
 
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -629,3 +629,67 @@
     assert reply.stream == "stream of another node"
     assert peers.handed_over == [1, 3]
     assert forwarder._client.runs == []
+
+
+class BreakingEndpoints:
+    """The first stream breaks off after two events; what follows is given."""
+
+    def __init__(self, status, headers, body):
+        self._status = status
+        self._headers = headers
+        self._body = body
+        self.sent = 0
+
+    def send(self, record, *arguments, before_sending, **options):
+        del record, arguments, options
+        before_sending()
+        self.sent += 1
+        metadata = dispatch_factories.make_response_metadata()
+        if self.sent == 1:
+            return FakeResponse(200, self._break_off()), metadata
+        response = FakeResponse(self._status, (part for part in [self._body]))
+        response.headers = self._headers
+        return response, metadata
+
+    def _break_off(self):
+        yield b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+        raise endpoint_errors.ResponseTruncated("cut")
+
+
+EVENT_STREAM = [("Content-Type", "text/event-stream")]
+ERROR_PAGES = [
+    (500, [], b"HTTP/1.1 500 Failed\r\n\r\n"),
+    (500, EVENT_STREAM, b"id: 3\ndata: error\n\n"),
+    (404, [], b"not found\n\n"),
+    (503, [], b"full\n\n"),
+    (204, [], b""),
+    (200, [("Content-Type", "application/json")], b'{"error": "full"}'),
+    (200, [("Content-Type", "text/html")], b"<p>failed</p>\n\n<p>id: 3</p>\n\n"),
+    (200, [("Content-Type", "text/html")], b""),
+    (200, [], b""),
+    (200, EVENT_STREAM, b"event: error\ndata: failed\n\n"),
+    (200, EVENT_STREAM, b"HTTP/1.1 500 Failed\r\n\r\nid: 3\ndata: x\n\n"),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "body"), ERROR_PAGES)
+def test_stream_is_not_resumed_with_an_error(status, headers, body):
+    """Guards against an error's text in a stream, and a stream that ends with it as if whole."""
+    forwarder, _, dispatcher = make_forwarder(1, dispatch_factories.make_route())
+    forwarder._client = BreakingEndpoints(status, headers, body)
+    answer = forwarder.forward()
+    received = b""
+    with pytest.raises(stream_aborted.StreamAborted):
+        for data in answer.stream:
+            received += data
+    answer.stream.close()
+    assert received == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+    assert forwarder._client.sent == 2
+    assert dispatcher.load_tracker.own_counts == {}
+
+
+def test_resuming_answer_may_have_no_events_left():
+    """Guards against a stream that is cut although all of its events have reached the caller."""
+    forwarder, _, _ = make_forwarder(1, dispatch_factories.make_route())
+    forwarder._client = BreakingEndpoints(200, EVENT_STREAM, b"")
+    assert b"".join(forwarder.forward().stream) == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
--- a/src/lynxlanding/dispatch/tests/test_stream_relay.py
+++ b/src/lynxlanding/dispatch/tests/test_stream_relay.py
@@ -17,6 +17,8 @@
 class ScriptedResponse:
     """Response whose reads are given; one that is an error breaks it off."""
 
+    headers = (("Content-Type", "text/event-stream; charset=utf-8"),)
+
     def __init__(self, *reads, ends_with_connection=False):
         self.ends_with_connection = ends_with_connection
         self.chunks = self._iterate(reads)
--- a/src/lynxlanding/gateway/http_server.py
+++ b/src/lynxlanding/gateway/http_server.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import struct
 import time
 
 import waitress
@@ -11,6 +12,8 @@
 
 # Bodies slightly above the limit still reach the application, whose error is more detailed.
 BODY_MARGIN_BYTES = 64 << 10
+# Unsent data is dropped, and the other side sees a reset.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class StreamingChannel(channel.HTTPChannel):
@@ -39,6 +42,10 @@
             super().write_soon(data[sent:])
         return len(data)
 
+    def reset_on_close(self):
+        """Let the connection end with a reset instead of in order."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
 
 class _StreamAbortedFilter(logging.Filter):
     """Drops the tracebacks of streams that were aborted on purpose."""
--- a/src/lynxlanding/gateway/strict_parser.py
+++ b/src/lynxlanding/gateway/strict_parser.py
@@ -47,6 +47,16 @@
         environ[RAW_HEADERS_KEY] = self.request.raw_headers
         return environ
 
+    def execute(self):
+        """Run the application; a response that breaks off must not look complete."""
+        try:
+            super().execute()
+        except Exception:
+            if self.wrote_header and not self.chunked_response and self.content_length is None:
+                # The end of the connection would be that of the response.
+                self.channel.reset_on_close()
+            raise
+
     def set_close_on_finish(self):
         """Close the connection after the response unless chunked encoding marks its end."""
         has_length = any(name == "Content-Length" for name, _ in self.response_headers)
--- a/src/lynxlanding/handover/tests/test_peer_forwarder.py
+++ b/src/lynxlanding/handover/tests/test_peer_forwarder.py
@@ -253,3 +253,14 @@
     peers, client = make_peers(1, sealed(200, EVENTS))
     forward(peers, request)
     assert client.calls[0][1]["Last-Event-Id"] == "1"
+
+
+@pytest.mark.parametrize(("status", "body"), [(200, b""), (500, b"error\n\n")])
+def test_stream_is_not_resumed_with_an_error(status, body):
+    """Guards against an endpoint's error in the middle of a stream that was handed over."""
+    peers, _ = make_peers(2, sealed(200, broken_after(1)), sealed(status, [body]))
+    answer = forward(peers, make_request(traffic_route.STREAMING))
+    received = []
+    with pytest.raises(stream_aborted.StreamAborted):
+        received.extend(answer.stream)
+    assert received == EVENTS[:1]
