Trust a refusal on a used connection only with the request's id

Operators saw (a report from elsewhere): "not run, try again" for requests that an engine had run or was running.

Here: requests that must not run twice have connections of their own. For those that may be repeated, a refusal without an id that arrived on a kept connection before the answer counted as the request's own: 503, "not run", or another attempt that did not count as a run.

Evidence: test_late_refusal_without_an_id_may_be_of_another_request and two cases of test_response_that_may_belong_to_another_request_is_not_used failed before.

Why it works: nothing earlier can arrive on a connection that was opened for the request; on any other, the id tells. Nodes that a request is handed over to repeat the id in every answer, so their answers need it too.

--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -1,5 +1,6 @@
 """HTTP client for single attempts at an endpoint."""
 
+import dataclasses
 import http.client
 import time
 
@@ -131,7 +132,7 @@
         errors.endpoint.AttemptError
             If no response arrives.
         """
-        connection, _ = self._pool.acquire(record, fresh=fresh)
+        connection, is_new = self._pool.acquire(record, fresh=fresh)
         attempt.set_socket(connection.sock)
         attempt.record_data(time.monotonic())
         self._monitor.add(attempt)
@@ -147,7 +148,9 @@
             raise
         attempt.record_data(time.monotonic())
         received = list(response.headers.iteritems())
-        metadata = self._codec.decode_response(received)
+        metadata = dataclasses.replace(
+            self._codec.decode_response(received), is_first_on_connection=is_new
+        )
         is_reusable = is_body_sent and not metadata.closes_connection
         chunks = self._read(record, connection, response, attempt, metadata, is_reusable, is_stream)
         # Closing a generator that has not started would not release the connection.
--- a/src/lynxlanding/dispatch/response_metadata.py
+++ b/src/lynxlanding/dispatch/response_metadata.py
@@ -36,6 +36,8 @@
         Time for which the endpoint keeps an idle connection open, in seconds.
     statements : EndpointStatements
         What the endpoint states about itself.
+    is_first_on_connection : bool
+        Whether nothing else was requested on the connection before.
     """
 
     request_id: str | None
@@ -46,13 +48,15 @@
     closes_connection: bool
     idle_timeout_s: float | None
     statements: endpoint_statements.EndpointStatements = endpoint_statements.EndpointStatements()
+    is_first_on_connection: bool = True
 
     def may_be_of_another_request(self, request_id, status):
         """Return whether the response may be a late second one to an earlier request.
 
-        Endpoints repeat the request's id in all that they run; refusals may lack it.
+        Endpoints repeat the request's id in all that they run. Refusals may lack it; on a
+        connection that is used again, one without it may be a copy of an earlier refusal.
         """
         if self.request_id is None:
             is_refusal = self.was_not_run or status == 421
-            return bool(request_id) and not is_refusal
+            return bool(request_id) and not (is_refusal and self.is_first_on_connection)
         return self.request_id != request_id
--- a/src/lynxlanding/dispatch/tests/test_endpoint_client.py
+++ b/src/lynxlanding/dispatch/tests/test_endpoint_client.py
@@ -148,6 +148,21 @@
     server.close()
 
 
+def test_late_refusal_without_an_id_may_be_of_another_request(client):
+    """Guards against an earlier refusal, written once more, that is taken for one of this request.
+
+    The endpoint runs the request meanwhile.
+    """
+    refusal = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    server = ScriptedServer([RESPONSE, refusal + RESPONSE])
+    metadata = call(client, server)[2]
+    assert not metadata.may_be_of_another_request("q", 200)
+    status, _, metadata = call(client, server)
+    assert (status, metadata.was_not_run, server.accepted) == (503, True, 1)
+    assert metadata.may_be_of_another_request("q", status)
+    server.close()
+
+
 def test_unsafe_requests_use_a_new_connection(client):
     server = ScriptedServer([RESPONSE, RESPONSE])
     call(client, server)
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -396,16 +396,41 @@
         (200, {"request_id": "another"}),
         (200, {"request_id": None}),
         (503, {"request_id": "another", "is_sealed": False, "was_not_run": True}),
+        (
+            503,
+            {
+                "request_id": None,
+                "is_sealed": False,
+                "was_not_run": True,
+                "is_first_on_connection": False,
+            },
+        ),
+        (421, {"request_id": None, "is_sealed": False, "is_first_on_connection": False}),
     ],
 )
 def test_response_that_may_belong_to_another_request_is_not_used(status, fields):
-    """Guards against the late second copy of an answer on a connection that is in use again."""
+    """Guards against the late second copy of an answer on a connection that is in use again.
+
+    If it is a refusal, the caller must not be told that its request has not run.
+    """
     route = dispatch_factories.make_route(traffic_route.SAFE, 1, service="app")
     forwarder, _, _ = make_forwarder(1, route)
     metadata = dataclasses.replace(dispatch_factories.make_response_metadata(), **fields)
     forwarder._client = OneResponse(status, metadata)
-    with pytest.raises(request_errors.EndpointFailed, match="another request"):
+    with pytest.raises(request_errors.EndpointFailed, match="another request") as failure:
+        forwarder.forward()
+    assert failure.value.executed == "unknown"
+
+
+def test_refusal_without_an_id_counts_on_a_new_connection():
+    """Guards against 502 for a request that its endpoint has refused."""
+    route = dispatch_factories.make_route(traffic_route.SAFE, 1, service="app")
+    forwarder, _, _ = make_forwarder(1, route)
+    metadata = dispatch_factories.make_response_metadata(request_id=None, was_not_run=True)
+    forwarder._client = OneResponse(503, dataclasses.replace(metadata, is_sealed=False))
+    with pytest.raises(request_errors.Overloaded) as refusal:
         forwarder.forward()
+    assert refusal.value.executed == "no"
 
 
 @pytest.mark.parametrize("fields", [{"is_encoded": True}, {"is_sealed": False}])
--- a/src/lynxlanding/handover/handed_over_request.py
+++ b/src/lynxlanding/handover/handed_over_request.py
@@ -146,9 +146,10 @@
         errors.request.RequestError
             If the helper has given it up.
         """
+        # Nodes repeat the id in all that they answer, and endpoints in all that is sealed.
+        if metadata.request_id != self._request.metadata.request_id:
+            raise endpoint_errors.ResponseMismatch("the response belongs to another request")
         if metadata.is_sealed:
-            if metadata.request_id != self._request.metadata.request_id:
-                raise endpoint_errors.ResponseMismatch("the response belongs to another request")
             return
         own_headers = {name.lower(): value for name, value in response.headers}
         executed = own_headers.get(EXECUTED)
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -173,7 +173,7 @@
             await asyncio.sleep(0.05)
         expected = asgi.header(scope, b"x-expect-instance")
         if expected is not None and expected != endpoint.endpoint_id:
-            await asgi.send_json(send, 421, {})
+            await asgi.send_json(send, 421, {}, [_echoed_id(scope)])
             return
         if scope["path"] in _CONTROL_PATHS:
             await self._control(endpoint, scope, body, send)
@@ -287,7 +287,8 @@
         is_full = self.capacity is not None and endpoint.running >= self.capacity
         is_open = group is not None and group["state"] == "open"
         if is_full or not is_open or endpoint.endpoint_id != group["members"][0]:
-            await asgi.send_json(send, 503, {}, [(b"x-not-executed", b"1")])
+            headers = [(b"x-not-executed", b"1"), _echoed_id(scope)]
+            await asgi.send_json(send, 503, {}, headers)
             return
         request_id = asgi.header(scope, b"x-request-id") or ""
         first = int(asgi.header(scope, b"last-event-id") or 0) + 1
@@ -334,3 +335,8 @@
             if down_s is not None:
                 return down_s
         return None
+
+
+def _echoed_id(scope):
+    """Return the header with the id of the request, which all answers repeat."""
+    return b"x-request-id", (asgi.header(scope, b"x-request-id") or "").encode()
