Recognise held ports whose reset comes while connecting

Cause: the reset can arrive before the library has set the socket up, which then raises ConnectionResetError.

The new test failed before.

--- a/src/lynxlanding/dispatch/connection_pool.py
+++ b/src/lynxlanding/dispatch/connection_pool.py
@@ -85,7 +85,7 @@
         begun_at = time.monotonic()
         try:
             connection = self._connect(record, CHECK_TIMEOUT_S)
-        except endpoint_errors.NotListening:
+        except (endpoint_errors.NotListening, endpoint_errors.ConnectionEndedAtOnce):
             return False
         except endpoint_errors.ConnectionRefused:
             return True
@@ -118,11 +118,7 @@
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as e:
             connection.close()
-            error_type = endpoint_errors.ConnectionRefused
-            if isinstance(e, ConnectionRefusedError) or isinstance(
-                e.__cause__, ConnectionRefusedError
-            ):
-                error_type = endpoint_errors.NotListening
+            error_type = _connect_error_type(e)
             raise error_type(f"{record.address}: {e}") from e
         self._on_connected()
         # AttemptMonitor enforces timeouts from here on. The connection's own timeout is cleared as
@@ -168,3 +164,13 @@
                 return idle.connection
             idle.connection.close()
         return None
+
+
+def _connect_error_type(error):
+    """Return the type of ``ConnectionRefused`` for an error of the library."""
+    causes = (error, error.__cause__)
+    if any(isinstance(cause, ConnectionRefusedError) for cause in causes):
+        return endpoint_errors.NotListening
+    if any(isinstance(cause, ConnectionResetError) for cause in causes):
+        return endpoint_errors.ConnectionEndedAtOnce
+    return endpoint_errors.ConnectionRefused
--- a/src/lynxlanding/dispatch/tests/test_connection_pool.py
+++ b/src/lynxlanding/dispatch/tests/test_connection_pool.py
@@ -100,6 +100,21 @@
         thread.join()
 
 
+def test_address_that_resets_connections_before_they_are_used_does_not_listen(monkeypatch):
+    """Guards against a held port that counts as listening if its reset comes very soon."""
+
+    def connect(connection):
+        raise urllib3.exceptions.NewConnectionError(connection, "reset") from ConnectionResetError()
+
+    monkeypatch.setattr(guarded_connection.GuardedConnection, "connect", connect)
+    pool = connection_pool.ConnectionPool([])
+    assert not pool.is_listening(make_record_at(1))
+    with pytest.raises(endpoint_errors.ConnectionRefused) as refusal:
+        pool.acquire(make_record_at(1), fresh=True)
+    # It may be a sound endpoint that has too many connections, so this alone does not end it.
+    assert not isinstance(refusal.value, endpoint_errors.NotListening)
+
+
 def test_silent_address_counts_as_listening(monkeypatch):
     def connect(connection):
         raise urllib3.exceptions.ConnectTimeoutError(connection, "timed out")
--- a/src/lynxlanding/errors/endpoint.py
+++ b/src/lynxlanding/errors/endpoint.py
@@ -31,6 +31,12 @@
     type_name = "not_listening"
 
 
+class ConnectionEndedAtOnce(ConnectionRefused):
+    """The connection was reset before it could be used."""
+
+    type_name = "connection_ended_at_once"
+
+
 class EndpointWithdrawn(AttemptError):
     """The endpoint left or restarted while the connection was established; nothing was sent."""
 
