Skip events and names of other writers that cannot be read

On related paths of the odd entries: an event whose object or mark of removal has another type was refused with the whole watch, and the name of the last entry of a page went into the next request's path as it is, so that a name with a line break ended each attempt to read the list. Both are cases of test_object_client.py that failed before; found by reading.

--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -1,6 +1,7 @@
 """``ObjectStore`` implementation over the HTTP object API of the platform's metadata store."""
 
 import json
+import urllib.parse
 
 import eliot
 import urllib3
@@ -94,7 +95,7 @@
                 parameters.append("allow_stale=1")
             if last_name is not None:
                 # Despite its name, the parameter takes the last object name of the previous page.
-                parameters.append(f"since_rev={last_name}")
+                parameters.append(f"since_rev={urllib.parse.quote(last_name, safe='')}")
             query_string = "?" + "&".join(parameters) if parameters else ""
             page, era = self._call("GET", f"/{kind}{query_string}")
             if version is None:
@@ -146,10 +147,11 @@
         )
         builder = watch_batch_builder.WatchBatchBuilder()
         for event in fields.require(response, "events", list):
-            item = _try_decode_object(kind, fields.get(event, "object", dict, None), after.era)
-            if item is None:
+            change = _try_decode_event(kind, event, after.era)
+            if change is None:
                 continue
-            if fields.get(event, "tombstone", bool, False):
+            item, is_deleted = change
+            if is_deleted:
                 builder.delete(item.name)
                 continue
             builder.put(item)
@@ -224,6 +226,16 @@
         return None
 
 
+def _try_decode_event(kind, event, era):
+    """Return the object of an event and whether it was deleted; None if it cannot be read."""
+    try:
+        item = _decode_object(kind, fields.require(event, "object", dict), era)
+        return item, fields.get(event, "tombstone", bool, False)
+    except platform_errors.MalformedEntry as e:
+        eliot.log_message(message_type=OBJECT_SKIPPED, kind=kind, reason=str(e))
+        return None
+
+
 def _decode_object(kind, document, era):
     """Return an object, without its value if this cannot be read."""
     metadata = fields.require(document, "metadata", dict)
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -127,7 +127,8 @@
     monkeypatch.setattr(store, "_call", lambda *arguments, **options: (page, 0))
     items, version = store.list("servers")
     assert [(item.name, item.value) for item in items] == [("sound", {"a": 1})]
-    events = [{"object": odd}, {"object": sound}, {"tombstone": True}]
+    events = [{"object": odd}, {"object": sound}, {"tombstone": True}, None, {"object": [odd]}]
+    events.append({"object": make_document("other", {}), "tombstone": "yes"})
     monkeypatch.setattr(
         store, "_call", lambda *arguments, **options: ({"events": events, "current_rev": 4}, 0)
     )
@@ -135,6 +136,26 @@
     assert [item.name for item in batch.puts] == ["sound"]
 
 
+def test_list_goes_on_after_a_name_of_any_characters(monkeypatch):
+    """Guards against a list that ends at an entry of another writer."""
+    store = object_client.PlatformObjectStore("127.0.0.1:1")
+    odd_name = "a&b c\r\n\u00fc"
+    pages = [
+        {"items": [make_document(odd_name, {})], "has_more": True, "current_rev": 3},
+        {"items": [make_document("sound", {})], "has_more": False, "current_rev": 3},
+    ]
+    paths = []
+
+    def call(method, path):
+        paths.append(path)
+        return pages[len(paths) - 1], 0
+
+    monkeypatch.setattr(store, "_call", call)
+    items, _ = store.list("servers")
+    assert [item.name for item in items] == [odd_name, "sound"]
+    assert paths[1] == "/servers?since_rev=a%26b%20c%0D%0A%C3%BC"
+
+
 def test_value_that_cannot_be_read_is_left_out(monkeypatch):
     """Guards against values that no node can pass on to others."""
     store = object_client.PlatformObjectStore("127.0.0.1:1")
