Take a second attempt over in one place, and find groups by their plan

Cleaning up after reading the whole change; behaviour is as before.

- Three loops of RequestForwarder asked for the second attempt after each failure.
`_send` does so for all of them.
- `record_progress` only called `cancel_standby`, which checks by itself; the relay calls that one, and the other forwarder has one method less.
- EngineObserver built a map from members to heads in every planning step; `DomainPlan.find` gives the group, and only for engines that are silent.
- The check for a line that is cut stood in the head and in the chunks.
- The private property stands before the methods.

--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -105,6 +105,13 @@
         self._inherited_attempts = 0
         self._inherited_may_have_run = 0
 
+    @property
+    def _position(self):
+        """Id of the last event that the caller has received, if a stream is to be resumed."""
+        if self._buffer is None or not self._buffer.event_count:
+            return self._resume_after
+        return self._buffer.last_id
+
     def forward(self):
         """Return the ``Reply`` for the caller.
 
@@ -123,11 +130,8 @@
         while not self._should_hand_over():
             record, decision = self._choose()
             try:
-                return self._send_attempt(record, decision)
+                return self._send(record, decision)
             except endpoint_errors.AttemptError as e:
-                taken_over = self._take_standby(record, e)
-                if taken_over is not None:
-                    return taken_over
                 try:
                     self._handle_failure(record, e)
                 except request_errors.RequestError as final_error:
@@ -153,14 +157,12 @@
         """
         record, decision = self._choose()
         try:
-            answer = self._send_attempt(record, decision, resume_after)
+            answer = self._send(record, decision, resume_after)
             self._check_can_take_over(answer, resume_after)
         except endpoint_errors.AttemptError as e:
-            answer = self._take_standby(record, e)
-            if answer is None:
-                if not self._is_aborted:
-                    self._note_failure(record, e, will_retry=False)
-                raise
+            if not self._is_aborted:
+                self._note_failure(record, e, will_retry=False)
+            raise
         return answer
 
     def _check_can_take_over(self, answer, resume_after):
@@ -241,7 +243,17 @@
             return request_errors.EndpointFailed(reason)
         return request_errors.Overloaded(reason, retry_after_s=retry_after_s)
 
-    def _send_attempt(self, record, decision, resume_after=None):
+    def _send(self, record, decision, resume_after=None):
+        """Return the ``Reply`` of an endpoint, or of the second attempt that has replaced it."""
+        try:
+            return self._send_attempt(record, decision, resume_after)
+        except endpoint_errors.AttemptError as e:
+            answer = self._take_standby(record, e)
+            if answer is None:
+                raise
+            return answer
+
+    def _send_attempt(self, record, decision, resume_after):
         """Send the request to an endpoint and return the ``Reply``."""
         request = self._request
         started_at = time.monotonic()
@@ -421,11 +433,8 @@
         while not self._should_hand_over():
             record, decision = self._choose()
             try:
-                return self._send_attempt(record, decision, resume_after=last_id)
+                return self._send(record, decision, last_id)
             except endpoint_errors.AttemptError as e:
-                taken_over = self._take_standby(record, e)
-                if taken_over is not None:
-                    return taken_over
                 self._handle_failure(record, e)
         return None
 
@@ -446,13 +455,6 @@
             return False
         return self._standby.has_answered and self._standby.resume_after == self._position
 
-    @property
-    def _position(self):
-        """Id of the last event that the caller has received, if a stream is to be resumed."""
-        if self._buffer is None or not self._buffer.event_count:
-            return self._resume_after
-        return self._buffer.last_id
-
     def _try_start_standby(self, record, now):
         """Start a second attempt beside the current one, if there is an endpoint for it."""
         history = self._history(last_was_not_run=False)
@@ -532,11 +534,6 @@
             self._drop_standby(request_logger.NOT_NEEDED)
             standby.cancel()
 
-    def record_progress(self):
-        """Record that the current attempt has sent events."""
-        if self._standby is not None:
-            self.cancel_standby()
-
     def _handle_failure(self, record, error):
         """Return if the request may be retried; otherwise raise the final ``RequestError``."""
         now = time.monotonic()
--- a/src/lynxlanding/dispatch/stream_relay.py
+++ b/src/lynxlanding/dispatch/stream_relay.py
@@ -131,7 +131,8 @@
         while True:
             try:
                 for events in read_events(self._response, self._buffer):
-                    self._forwarder.record_progress()
+                    # The endpoint goes on, so that nothing has to take over from it.
+                    self._forwarder.cancel_standby()
                     yield events
                 _check_end(self._response, self._buffer)
                 self._forwarder.complete_attempt()
--- a/src/lynxlanding/dispatch/tests/test_stream_relay.py
+++ b/src/lynxlanding/dispatch/tests/test_stream_relay.py
@@ -57,7 +57,7 @@
             relay = stream_relay.StreamRelay(self, record, response, buffer, first_events)
             return reply.Reply(200, [], stream=relay)
 
-    def record_progress(self):
+    def cancel_standby(self):
         pass
 
     def complete_attempt(self):
--- a/src/lynxlanding/handover/handed_over_request.py
+++ b/src/lynxlanding/handover/handed_over_request.py
@@ -80,9 +80,6 @@
         self._handle_failure(record.endpoint_id, error)
         return self.forward(last_id)
 
-    def record_progress(self):
-        """Do nothing: the helper looks after silent endpoints."""
-
     def cancel_standby(self):
         """Do nothing: the helper looks after silent endpoints."""
 
--- a/src/lynxlanding/replicas/engine_observer.py
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -92,12 +92,8 @@
 
     def _build_views(self, plan, members, now):
         views = {}
-        heads = {}
-        for group in plan.groups:
-            if group.phase == group_plan.SERVING:
-                heads.update(dict.fromkeys(group.members, group.head))
         for record in members:
-            is_silent = self._has_failed(record.endpoint_id, heads, now)
+            is_silent = self._has_failed(record.endpoint_id, plan, now)
             views[record.endpoint_id] = engine_view.EngineView(record, True, is_silent)
         for group in plan.groups:
             for endpoint_id in group.members:
@@ -109,15 +105,16 @@
                 views[endpoint_id] = engine_view.EngineView(record, is_present, False)
         return views
 
-    def _has_failed(self, endpoint_id, heads, now):
+    def _has_failed(self, endpoint_id, plan, now):
         """Return whether a registered engine has been silent for too long."""
         silent_since = self._prober.silent_since(endpoint_id, now)
         if silent_since is None:
             return False
-        head = heads.get(endpoint_id)
-        if head is None or now - silent_since > MAX_PAUSE_S:
+        group = plan.find(endpoint_id)
+        is_serving = group is not None and group.phase == group_plan.SERVING
+        if not is_serving or now - silent_since > MAX_PAUSE_S:
             return True
-        return not self._count_in_flight(head)
+        return not self._count_in_flight(group.head)
 
     def _is_present(self, record, is_head, now):
         """Return whether an engine without a registration still works for its group."""
--- a/src/lynxlanding/transport/response_head.py
+++ b/src/lynxlanding/transport/response_head.py
@@ -52,6 +52,11 @@
             raise endpoint_errors.MalformedMessage("status 101 without a request to upgrade")
 
 
+def is_cut(line):
+    """Return whether a line that was read ends with its stream instead of a line break."""
+    return not line.endswith(b"\n") and len(line) < MAX_LINE_BYTES
+
+
 def _read_head(stream, max_bytes):
     """Return a head and its status."""
     line = stream.readline(MAX_LINE_BYTES)
@@ -77,7 +82,7 @@
     match = pattern.fullmatch(line)
     if match is not None:
         return match
-    if not line.endswith(b"\n") and len(line) < MAX_LINE_BYTES:
+    if is_cut(line):
         raise endpoint_errors.TruncatedHead(f"the response ends inside its head: {line[:80]!r}")
     raise endpoint_errors.MalformedMessage(f"malformed {description}: {line[:80]!r}")
 
--- a/src/lynxlanding/transport/strict_response.py
+++ b/src/lynxlanding/transport/strict_response.py
@@ -45,7 +45,7 @@
         line = self.fp.readline(response_head.MAX_LINE_BYTES)
         match = _CHUNK_SIZE_LINE.fullmatch(line)
         if match is None:
-            if not line.endswith(b"\n") and len(line) < response_head.MAX_LINE_BYTES:
+            if response_head.is_cut(line):
                 raise http.client.IncompleteRead(b"")
             raise endpoint_errors.MalformedMessage(f"malformed chunk size: {line[:80]!r}")
         return int(match["size"], 16)
