Let the stand-in's closing heads finish their streams

A head that was ordered to close with pending work returned to ready at once, so the order to leave came 8 ms later and cut its streams.

No check changes: the site is as strict as the platform now.

--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -224,12 +224,20 @@
         elif kind == "open" and group["state"] == "ready":
             group["state"] = "open"
         elif kind == "close" and group["state"] == "open":
-            group["state"] = "ready"
+            group["state"] = "closing"
+            self._finish_closing(endpoint)
         elif kind == "open" and group["state"] != "open":
             return 409
         self._publish(endpoint)
         return 200
 
+    def _finish_closing(self, endpoint):
+        """Let a closing head return to ready once it has no streams."""
+        group = endpoint.group
+        if group is not None and group["state"] == "closing" and not endpoint.running:
+            group["state"] = "ready"
+            self._publish(endpoint)
+
     def _join(self, endpoint, order):
         if order["epoch"] < endpoint.seen_epoch:
             return 412
@@ -325,6 +333,7 @@
             await send({"type": "http.response.body", "body": b""})
         finally:
             endpoint.running -= 1
+            self._finish_closing(endpoint)
 
     def _find_crash(self, scope):
         """Return for how long a part of the prompt takes the engine down, or None."""
