Take groups over that work on after their members have paused

Cause: a group whose members are all silent is dissolved without orders, since none can be reached. If they had only paused, the head is open and registered, so nodes send requests to it; the planner finds members of a group that it does not know and orders them to leave at once.

Why it works: a group of an epoch that the plan has given out, with each rank present, answering and in no planned group, goes back into the plan by the same conditional update as any change; a closing one as retiring, so that its work ends first. Groups without work or with a member missing leave as before.

Reading reported groups moved out of plan_recovery, which has it as well.

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -11,6 +11,7 @@
     group_state,
     placement,
     regrouping,
+    reported_groups,
     staging,
 )
 
@@ -94,6 +95,7 @@
         groups = []
         for group in plan.groups:
             groups.extend(self._update_group(group, engine_spec, engines, reasons, now))
+        groups.extend(_take_over_groups(plan, engine_spec, engines, reasons))
         assigned_ids = set()
         planned = {}
         for group in groups:
@@ -225,6 +227,32 @@
         reasons.append(f"{group.name}: its engines are needed as spares or for another model")
 
 
+def _take_over_groups(plan, engine_spec, engines, reasons):
+    """Return the groups that work on although the plan no longer has them.
+
+    A group whose members were all silent is dissolved without orders. If they had only paused, it
+    serves again, and ordering its members to leave would cut its streams.
+    """
+    taken_over = []
+    for (name, epoch), members_by_rank in sorted(reported_groups.collect(engines).items()):
+        if epoch >= plan.next_epoch:
+            continue
+        model = group_plan.model_from_name(name)
+        members = reported_groups.complete_members(model, members_by_rank, engine_spec)
+        if members is None or any(plan.find(member) is not None for member in members):
+            continue
+        state = engines[members[0]].record.membership.state
+        if state not in (group_membership.OPEN, group_membership.CLOSING):
+            continue
+        phase = reported_groups.planned_phase(members, engines)
+        group = group_plan.GroupPlan(name, epoch, model, members, phase)
+        if not group_state.is_complete(group, engines):
+            continue
+        reasons.append(f"{name}: stands with all members, taken over")
+        taken_over.append(group)
+    return taken_over
+
+
 def _free_records(engines, assigned_ids):
     free = []
     for endpoint_id, view in sorted(engines.items()):
--- a/src/lynxlanding/replicas/plan_recovery.py
+++ b/src/lynxlanding/replicas/plan_recovery.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-from lynxlanding.fleet import group_membership
-from lynxlanding.replicas import group_plan
+from lynxlanding.replicas import group_plan, reported_groups
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,7 +45,7 @@
     used_epoch : int, optional
         Highest epoch of the domain that this node knows to be in use.
     """
-    reported = _collect_reported(engines)
+    reported = reported_groups.collect(engines)
     highest_epoch = max([used_epoch, *(epoch for _, epoch in reported)])
     groups = []
     kept = []
@@ -72,37 +71,12 @@
     )
 
 
-def _collect_reported(engines):
-    """Return the ids of the present members by (group name, epoch) and rank."""
-    reported = {}
-    for endpoint_id, view in sorted(engines.items()):
-        if view.record is None or not view.is_present or view.record.membership is None:
-            continue
-        membership = view.record.membership
-        members_by_rank = reported.setdefault((membership.name, membership.epoch), {})
-        members_by_rank.setdefault(membership.rank, []).append(endpoint_id)
-    return reported
-
-
-def _complete_members(model, members_by_rank, engine_spec):
-    """Return the members in the order of their ranks, or None unless each rank has exactly one."""
-    spec = engine_spec.models.get(model)
-    if spec is None or sorted(members_by_rank) != list(range(spec.engines_per_group)):
-        return None
-    members = []
-    for rank in range(spec.engines_per_group):
-        if len(members_by_rank[rank]) != 1:
-            return None
-        members.append(members_by_rank[rank][0])
-    return tuple(members)
-
-
 def _recover_planned(group, members_by_rank, engines, engine_spec):
     """Return a group of the stored plan in the phase in which it can go on."""
     if group.phase == group_plan.RETIRING:
         return group
-    if _complete_members(group.model, members_by_rank, engine_spec) == group.members:
-        return group.with_phase(_reported_phase(group.members, engines))
+    if reported_groups.complete_members(group.model, members_by_rank, engine_spec) == group.members:
+        return group.with_phase(reported_groups.planned_phase(group.members, engines))
     if group.phase == group_plan.SERVING and _is_consistent(group, members_by_rank, engines):
         return group
     return group.with_phase(group_plan.RETIRING)
@@ -123,21 +97,11 @@
 def _take_over(name, epoch, members_by_rank, engines, engine_spec):
     """Return the planned form of a group that only the engines report."""
     model = group_plan.model_from_name(name)
-    members = _complete_members(model, members_by_rank, engine_spec)
+    members = reported_groups.complete_members(model, members_by_rank, engine_spec)
     if members is not None:
-        phase = _reported_phase(members, engines)
+        phase = reported_groups.planned_phase(members, engines)
         return group_plan.GroupPlan(name, epoch, model, members, phase)
     members = []
     for rank in sorted(members_by_rank):
         members.extend(members_by_rank[rank])
     return group_plan.GroupPlan(name, epoch, model or "", tuple(members), group_plan.RETIRING)
-
-
-def _reported_phase(members, engines):
-    """Return the phase of a complete group from the states that its members report."""
-    states = {engines[member].record.membership.state for member in members}
-    if states & {group_membership.CLOSING, group_membership.BROKEN}:
-        return group_plan.RETIRING
-    if group_membership.JOINING in states:
-        return group_plan.FORMING
-    return group_plan.SERVING
--- a/src/lynxlanding/replicas/tests/test_domain_planner.py
+++ b/src/lynxlanding/replicas/tests/test_domain_planner.py
@@ -1,5 +1,8 @@
+import dataclasses
 import random
 
+import pytest
+
 from lynxlanding.fleet import group_membership
 from lynxlanding.replicas import domain_planner, engine_order, engine_view, group_plan, placement
 from lynxlanding.replicas.tests import simulated_domain
@@ -72,6 +75,77 @@
     ]
 
 
+STANDING = group_plan.GroupPlan(
+    group_plan.make_group_name("d0", 1, "small", ("e0", "e1")),
+    1,
+    "small",
+    ("e0", "e1"),
+    group_plan.SERVING,
+)
+
+
+def standing_views(state, **fields):
+    """Return the views of the members of a group that the plan lacks."""
+    views = {}
+    for rank, member in enumerate(STANDING.members):
+        membership = group_membership.GroupMembership(
+            STANDING.name, STANDING.epoch, rank, "ready" if rank else state
+        )
+        record = simulated_domain.engine_record(member, "small", ("large",), membership)
+        views[member] = engine_view.EngineView(record, True, False)
+    views["e1"] = dataclasses.replace(views["e1"], **fields)
+    return views
+
+
+@pytest.mark.parametrize(
+    ("state", "phase"), [("open", group_plan.SERVING), ("closing", group_plan.RETIRING)]
+)
+def test_a_group_that_works_on_unplanned_is_taken_over(state, phase):
+    """Guards against streams that are cut because all members of their group had paused."""
+    result = step(group_plan.DomainPlan(9, ()), standing_views(state))
+    assert result.plan.groups == (STANDING.with_phase(phase),)
+    assert result.plan.next_epoch == 9
+    assert result.orders == []
+    assert [item for item in step(result.plan, standing_views(state)).orders if item.group] == []
+
+
+@pytest.mark.parametrize(
+    "views",
+    [
+        standing_views("ready"),
+        standing_views("broken"),
+        standing_views("open", is_silent=True),
+        standing_views("open", is_present=False),
+        {"e0": standing_views("open")["e0"]},
+    ],
+    ids=["ready", "broken", "silent", "gone", "alone"],
+)
+def test_an_unplanned_group_without_work_or_a_member_is_not_taken_over(views):
+    """Guards against groups of old orders, and against a group that lacks a VM."""
+    result = step(group_plan.DomainPlan(9, ()), views)
+    assert result.plan is None
+    assert (engine_order.LEAVE, "e0") in [(item.kind, item.endpoint_id) for item in result.orders]
+
+
+def test_an_unplanned_group_of_another_plan_is_not_taken_over():
+    """Guards against a group whose epoch the plan has not given out."""
+    result = step(group_plan.DomainPlan(1, ()), standing_views("open"))
+    assert result.plan is None
+    assert [item.kind for item in result.orders] == [engine_order.LEAVE] * 2
+
+
+def test_a_group_whose_members_are_planned_elsewhere_is_not_taken_over():
+    """Guards against a VM in two planned groups."""
+    other = group_plan.GroupPlan("d0.2", 2, "small", ("e1", "e2"), group_plan.RETIRING)
+    views = standing_views("open")
+    views["e2"] = engine_view.EngineView(
+        simulated_domain.engine_record("e2", "small", ("large",)), True, False
+    )
+    result = step(group_plan.DomainPlan(9, (other,)), views)
+    planned = () if result.plan is None else result.plan.groups
+    assert STANDING not in planned
+
+
 def test_a_group_opens_only_after_the_serving_phase_is_stored():
     forming = group_plan.DomainPlan(2, (GROUP.with_phase(group_plan.FORMING),))
     views = {"e0": view(0, 0, "ready"), "e1": view(1, 1, "ready")}
