Probe silent engines until they answer

Cause: members are probed as long as the plan has their group.

test_silent_engine_is_probed_until_it_answers failed before. An engine that stays silent is probed until its registration lapses, at the usual interval.

--- a/src/lynxlanding/replicas/engine_observer.py
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -72,7 +72,7 @@
             self._prober.probe(self._random_state.choice(others), now)
 
     def _probe_suspects(self, plan, members, all_records, stalled_heads, now):
-        """Probe all members of stalled groups, and members without a registration."""
+        """Probe members of stalled groups or without a registration, and silent engines."""
         for record in members:
             self._last_known_records[record.endpoint_id] = record
             self._missing_since.pop(record.endpoint_id, None)
@@ -87,6 +87,11 @@
                 if record is not None:
                     self._prober.probe(record, now)
                     probed.add(endpoint_id)
+        for record in members:
+            # The only way to learn that an engine without a planned group has gone on.
+            if self._prober.is_silent(record.endpoint_id, now):
+                self._prober.probe(record, now)
+                probed.add(record.endpoint_id)
         if probed:
             self._probe_control(probed, all_records, now)
 
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -216,6 +216,32 @@
     assert not stall_group(cluster)
 
 
+def test_silent_engine_is_probed_until_it_answers(monkeypatch):
+    """Guards against a head that wakes up without its group and takes requests for seconds."""
+    monkeypatch.setattr(engine_observer, "MAX_PAUSE_S", 0.3)
+    cluster = Cluster()
+    assert not stall_group(cluster)
+    planned = set()
+    for group in cluster.plan().groups:
+        planned.update(group.members)
+    silent = set(cluster.domain.engines) - cluster.client.answering
+    assert not silent & planned
+    cluster.stalled_heads = frozenset()
+    cluster.client.probed.clear()
+    for _ in range(8):
+        cluster.run(1)
+        time.sleep(0.05)
+    assert silent <= set(cluster.client.probed)
+    cluster.client.answering = set(cluster.domain.engines)
+    for _ in range(8):
+        cluster.run(1)
+        time.sleep(0.05)
+    views = cluster.controllers["n1"]._observer.observe(
+        cluster.plan(), list(cluster._read_fleet()[0].values()), [], frozenset(), time.monotonic()
+    )
+    assert not any(views[endpoint_id].is_silent for endpoint_id in silent)
+
+
 def test_engines_that_were_paused_together_do_not_count_as_silent_when_they_wake_up():
     """Guards against groups that are given up since the first engine to wake up has answered."""
     cluster = Cluster()
