Send nothing to heads whose group a member has left

Nodes asked only whether the head says that it is open. The registry shows that a member reports another group or none, and that it has restarted.

A member without a registration does not count: it may only be cut from the store.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Selects the endpoint of each request."""
 
 from lynxlanding.dispatch import (
+    broken_groups,
     cost_model,
     demand_meter,
     dispatch_decision,
@@ -82,6 +83,7 @@
         self._demand_meter = demand_meter.DemandMeter()
         self._first_event_offset = first_event_offset.FirstEventOffset()
         self._head_preference = head_preference.HeadPreference(data_centre, random_state)
+        self._broken_groups = broken_groups.BrokenGroups()
         self._plain = {}
         self._heads = {}
 
@@ -125,6 +127,10 @@
                 self._load_tracker.forget(change.record.endpoint_id)
             if change.kind in (endpoint_change.ADDED, endpoint_change.RESTARTED):
                 self._statement_gate.keep_incarnation(change.record)
+            self._broken_groups.apply(change)
+        self._broken_groups.retain(
+            record for record in self._registry.records.values() if record.is_serving_head
+        )
         self._plain = {}
         self._heads = {}
         for record in self._registry.records.values():
@@ -133,7 +139,7 @@
             if not record.is_engine:
                 self._plain.setdefault(record.service, []).append(record)
                 continue
-            if not record.is_serving_head:
+            if not record.is_serving_head or self._broken_groups.is_broken(record):
                 continue
             for model in record.models:
                 self._heads.setdefault((record.service, model), []).append(record)
