Keep attempts for when full engines have room again

Cause: while an endpoint is silent, a second attempt that is refused was followed by the next one after 20 to 100 ms. Three full engines refused within 0.2 s, and the bound on attempts was reached with 1.4 s of the caller's patience left.

test_attempts_are_left_for_when_full_engines_have_room_again failed before: after a refusal the next second attempt waits for 0.4 s.

--- a/src/lynxlanding/dispatch/request_forwarder.py
+++ b/src/lynxlanding/dispatch/request_forwarder.py
@@ -23,6 +23,10 @@
 # caller gives up.
 QUARANTINE_RETRY_AFTER_S = 30.0
 
+# After a refusal of a second attempt, the next one waits until places may be free again. The bound
+# on attempts would be reached within milliseconds while the other endpoints are full.
+STANDBY_RETRY_DELAY_S = 0.4
+
 # Answers of a second attempt from this status on are no better than to wait for the first one.
 MIN_ERROR_STATUS = 500
 
@@ -100,6 +104,7 @@
         self._buffer = None
         # Second attempt beside the current one, if its endpoint is silent.
         self._standby = None
+        self._standby_refused_at = None
         self._is_standby = False
         self._is_aborted = False
         self._inherited_attempts = 0
@@ -457,6 +462,9 @@
 
     def _try_start_standby(self, record, now):
         """Start a second attempt beside the current one, if there is an endpoint for it."""
+        refused_at = self._standby_refused_at
+        if refused_at is not None and now - refused_at < STANDBY_RETRY_DELAY_S:
+            return
         history = self._history(last_was_not_run=False)
         if not retry_rules.may_retry(self._request.route, history):
             return
@@ -524,6 +532,7 @@
     def _drop_standby(self, outcome):
         standby = self._standby
         self._standby = None
+        self._standby_refused_at = standby.refused_at
         self._add_history(standby.forwarder)
         self._request_logger.log_standby_ended(self._request, standby.resume_after, outcome)
 
--- a/src/lynxlanding/dispatch/standby_attempt.py
+++ b/src/lynxlanding/dispatch/standby_attempt.py
@@ -2,8 +2,10 @@
 
 import logging
 import threading
+import time
 
 from lynxlanding.errors import base as base_errors
+from lynxlanding.errors import endpoint as endpoint_errors
 
 _logger = logging.getLogger(__name__)
 
@@ -29,6 +31,7 @@
         self._resume_after = resume_after
         self._on_answered = on_answered
         self._reply = None
+        self._refused_at = None
         self._has_ended = threading.Event()
         self._is_cancelled = False
 
@@ -47,6 +50,11 @@
         """Whether the attempt has ended without an answer."""
         return self._has_ended.is_set() and self._reply is None
 
+    @property
+    def refused_at(self):
+        """When the endpoint refused the request, monotonic seconds; None if it did not."""
+        return self._refused_at
+
     @property
     def has_answered(self):
         """Whether the attempt has an answer: its first events, or all of it if it is no stream."""
@@ -70,8 +78,10 @@
     def _run(self):
         try:
             self._reply = self._forwarder.forward_once(self._resume_after)
+        except endpoint_errors.EndpointRefused:
+            # The forwarder has logged it, also in the next case; the silent attempt goes on.
+            self._refused_at = time.monotonic()
         except base_errors.LynxlandingError:
-            # The forwarder has logged it; the silent attempt goes on.
             pass
         except Exception:
             _logger.exception("internal error in a standby attempt")
--- a/src/lynxlanding/dispatch/tests/test_standby_attempt.py
+++ b/src/lynxlanding/dispatch/tests/test_standby_attempt.py
@@ -56,13 +56,16 @@
         Event before which it ends the connection.
     refuses : bool, optional
         Whether it refuses all requests.
+    full_s : float, optional
+        Time from its start for which it refuses requests.
     """
 
-    def __init__(self, pause_before=0, pause_s=0.0, break_before=0, refuses=False):
+    def __init__(self, pause_before=0, pause_s=0.0, break_before=0, refuses=False, full_s=0.0):
         self._pause_before = pause_before
         self._pause_s = pause_s
         self._break_before = break_before
         self._refuses = refuses
+        self._free_at = time.monotonic() + full_s
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self.positions = []
@@ -89,7 +92,7 @@
             for line in head.split(b"\r\n"):
                 if line.lower().startswith(b"last-event-id:"):
                     position = int(line.partition(b":")[2])
-            if self._refuses:
+            if self._refuses or time.monotonic() < self._free_at:
                 connection.sendall(REFUSAL)
                 return
             self.positions.append(position)
@@ -275,6 +278,17 @@
     check_counts(caller)
 
 
+def test_attempts_are_left_for_when_full_engines_have_room_again(run_engines):
+    """Guards against a caller that waits at a dead engine since full ones took all attempts."""
+    full = [Engine(full_s=0.5) for _ in range(3)]
+    engines = run_engines(Engine(1, 5.0), *full)
+    caller = Caller(engines)
+    begun_at = time.monotonic()
+    assert caller.call() == WHOLE
+    assert time.monotonic() - begun_at < 2.0
+    check_counts(caller)
+
+
 def test_both_attempts_end_when_the_caller_leaves(run_engines):
     """Guards against engines that go on working for nobody."""
     first, second = run_engines(Engine(3, 1.0), Engine(3, 1.0))
