--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -65,7 +65,9 @@
         self._restarts = set()
         self._crash_kind = REFUSES
         self._configuration_version = 1
-        self._store.put("config", "main", configuration(1))
+        # Milliseconds by field, as in ``configuration``.
+        self._time_limits = {}
+        self._write_configuration()
         # An entry of another writer names no endpoint.
         self._store.put("servers", "foreign", {"state": 7})
 
@@ -114,7 +116,8 @@
         self._store.lost_answers = order.get("lost_answers", self._store.lost_answers)
         if "configuration" in order:
             self._configuration_version = order["configuration"]
-            self._store.put("config", "main", configuration(self._configuration_version))
+            self._time_limits |= order.get("time_limits", {})
+            self._write_configuration()
         groups = []
         for endpoint in self._endpoints.values():
             if endpoint.group is not None:
@@ -129,6 +132,10 @@
         }
         await asgi.send_json(send, 200, document)
 
+    def _write_configuration(self):
+        document = configuration(self._configuration_version, **self._time_limits)
+        self._store.put("config", "main", document)
+
     def _write_odd_entry(self, name, field, raw):
         """Write the entry of the last endpoint under another name, with a field given as JSON."""
         *_, last = self._endpoints.values()
@@ -237,7 +244,7 @@
     async def _beat(self):
         while True:
             # What the operator and the endpoints have written is written again after a roll-back.
-            self._store.put("config", "main", configuration(self._configuration_version))
+            self._write_configuration()
             for endpoint in self._endpoints.values():
                 if endpoint.sends_heartbeats:
                     self._silent.pop(endpoint.endpoint_id, None)
@@ -250,11 +257,11 @@
             await asyncio.sleep(self._heartbeat_s)
 
 
-def configuration(version):
+def configuration(version, timeout_ms=8000, idle_timeout_ms=15000):
     """Return a configuration document."""
     route = {
         "host": HOST_NAME,
-        "timeout_ms": 8000,
+        "timeout_ms": timeout_ms,
         "target_latency_ms": 400,
         "priority": 1,
         "max_attempts": 2,
@@ -314,6 +321,10 @@
             },
             {"name": "app", "max_conns": 110, "health_path": engine.HEALTH_PATH},
         ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "idle_timeout_ms": idle_timeout_ms,
+        },
         "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
     }
--- a/tests/test_silent_fleet.py
+++ b/tests/test_silent_fleet.py
@@ -27,6 +27,13 @@
 SAFE_PER_S = 10.0
 # Share of the engines, and seconds of silence.
 SILENCES = ((1.0, 1.2), (0.6, 1.1), (1.0, 1.3), (0.6, 1.0))
+# Time limits of the configuration that comes before each silence; the first one adds a route.
+CHANGES = (
+    {"idle_timeout_ms": 12000},
+    {"timeout_ms": 6000},
+    {"timeout_ms": 8000},
+    {"idle_timeout_ms": 15000},
+)
 PAUSE_S = 2.5
 # Callers leave after this long without an event or an answer.
 PATIENCE_S = 2.0
@@ -115,7 +122,7 @@
     """
     random_state = random.Random(SEED)
     for number, (share, silent_s) in enumerate(SILENCES):
-        site.control(configuration=2 + number)
+        site.control(configuration=2 + number, time_limits=CHANGES[number])
         time.sleep(0.5)
         site.silence(share, silent_s, random_state)
         time.sleep(PAUSE_S)
