--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -1,7 +1,6 @@
 """Selects the endpoint of each request."""
 
 from lynxlanding.dispatch import (
-    broken_groups,
     cost_model,
     demand_meter,
     dispatch_decision,
@@ -9,6 +8,7 @@
     first_event_offset,
     head_comparison,
     head_preference,
+    incomplete_groups,
     load_tracker,
     retry_budget,
 )
@@ -83,7 +83,7 @@
         self._demand_meter = demand_meter.DemandMeter()
         self._first_event_offset = first_event_offset.FirstEventOffset()
         self._head_preference = head_preference.HeadPreference(data_centre, random_state)
-        self._broken_groups = broken_groups.BrokenGroups()
+        self._incomplete_groups = incomplete_groups.IncompleteGroups()
         self._plain = {}
         self._heads = {}
 
@@ -127,8 +127,8 @@
                 self._load_tracker.forget(change.record.endpoint_id)
             if change.kind in (endpoint_change.ADDED, endpoint_change.RESTARTED):
                 self._statement_gate.keep_incarnation(change.record)
-            self._broken_groups.apply(change)
-        self._broken_groups.retain(
+            self._incomplete_groups.apply(change)
+        self._incomplete_groups.retain(
             record for record in self._registry.records.values() if record.is_serving_head
         )
         self._plain = {}
@@ -139,7 +139,7 @@
             if not record.is_engine:
                 self._plain.setdefault(record.service, []).append(record)
                 continue
-            if not record.is_serving_head or self._broken_groups.is_broken(record):
+            if not record.is_serving_head or self._incomplete_groups.is_incomplete(record):
                 continue
             for model in record.models:
                 self._heads.setdefault((record.service, model), []).append(record)
--- a/src/lynxlanding/dispatch/broken_groups.py
+++ b/src/lynxlanding/dispatch/incomplete_groups.py
@@ -5,7 +5,7 @@
 _MEMBERSHIP_CHANGES = frozenset({endpoint_change.REGROUPED, endpoint_change.RESTARTED})
 
 
-class BrokenGroups:
+class IncompleteGroups:
     """Tracks groups that lack a member according to the registry; performs no I/O.
 
     The head of such a group goes on accepting requests, but cannot work on them. A member without a
@@ -41,7 +41,7 @@
                 kept[key] = self._missing[key]
         self._missing = kept
 
-    def is_broken(self, head):
+    def is_incomplete(self, head):
         """Return whether the group of a head lacks a member."""
         return bool(self._missing.get(_group_key(head)))
 
--- a/src/lynxlanding/dispatch/tests/test_broken_groups.py
+++ b/src/lynxlanding/dispatch/tests/test_incomplete_groups.py
@@ -69,7 +69,7 @@
 
 
 def test_next_group_of_a_head_gets_requests():
-    """Guards against engines that stay out of use because their last group was broken."""
+    """Guards against engines that stay out of use because their last group was incomplete."""
     fleet = Fleet()
     fleet.change("e1", membership=None)
     fleet.change("e0", membership=group_membership.GroupMembership("g7", 2, 0, "open"))
