Build the plan of a standing group in one place

The planner and the recovery of plans each put a reported group together from its name, members and phase. reported_groups.find_standing does so for both; behaviour is as before.

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -237,15 +237,12 @@
     for (name, epoch), members_by_rank in sorted(reported_groups.collect(engines).items()):
         if epoch >= plan.next_epoch:
             continue
-        model = group_plan.model_from_name(name)
-        members = reported_groups.complete_members(model, members_by_rank, engine_spec)
-        if members is None or any(plan.find(member) is not None for member in members):
+        group = reported_groups.find_standing(name, epoch, members_by_rank, engines, engine_spec)
+        if group is None or any(plan.find(member) is not None for member in group.members):
             continue
-        state = engines[members[0]].record.membership.state
+        state = engines[group.head].record.membership.state
         if state not in (group_membership.OPEN, group_membership.CLOSING):
             continue
-        phase = reported_groups.planned_phase(members, engines)
-        group = group_plan.GroupPlan(name, epoch, model, members, phase)
         if not group_state.is_complete(group, engines):
             continue
         reasons.append(f"{name}: stands with all members, taken over")
--- a/src/lynxlanding/replicas/plan_recovery.py
+++ b/src/lynxlanding/replicas/plan_recovery.py
@@ -96,11 +96,10 @@
 
 def _take_over(name, epoch, members_by_rank, engines, engine_spec):
     """Return the planned form of a group that only the engines report."""
+    standing = reported_groups.find_standing(name, epoch, members_by_rank, engines, engine_spec)
+    if standing is not None:
+        return standing
     model = group_plan.model_from_name(name)
-    members = reported_groups.complete_members(model, members_by_rank, engine_spec)
-    if members is not None:
-        phase = reported_groups.planned_phase(members, engines)
-        return group_plan.GroupPlan(name, epoch, model, members, phase)
     members = []
     for rank in sorted(members_by_rank):
         members.extend(members_by_rank[rank])
--- a/src/lynxlanding/replicas/reported_groups.py
+++ b/src/lynxlanding/replicas/reported_groups.py
@@ -16,6 +16,15 @@
     return reported
 
 
+def find_standing(name, epoch, members_by_rank, engines, engine_spec):
+    """Return the ``GroupPlan`` of a reported group, or None if it lacks a member."""
+    model = group_plan.model_from_name(name)
+    members = complete_members(model, members_by_rank, engine_spec)
+    if members is None:
+        return None
+    return group_plan.GroupPlan(name, epoch, model, members, planned_phase(members, engines))
+
+
 def complete_members(model, members_by_rank, engine_spec):
     """Return the members in the order of their ranks, or None unless each rank has exactly one."""
     spec = engine_spec.models.get(model)
