Log the registry's version and the plan's version with plans and orders

The logs could not tell whether a planner compared the newest plan with an older registry, or sent orders of a plan that another node had replaced. The registry now keeps the version of the store up to which it is complete, and lines on plans name it, with its age and the version of the plan before. Lines on orders name the plan and the registration that they rely on, and a node that takes a domain names the nodes among which domains are divided. No decision is changed.

--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -3,6 +3,7 @@
 import pykka
 
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.fleet import fleet_snapshot
 
 # Failures that count against the endpoint's health.
 _HEALTH_FAILURES = (
@@ -39,15 +40,16 @@
         """Switch to a newer configuration."""
         self._dispatcher.use_configuration(configuration)
 
-    def apply_list(self, records, now, was_outage):
+    def apply_list(self, records, version, now, was_outage):
         """Replace the contents of the registry by a complete list; return the changes."""
         self._registry.on_store_available(now, was_outage)
-        return self._update_candidates(self._registry.apply_list(records, now))
+        return self._update_candidates(self._registry.apply_list(records, now, version))
 
-    def apply_changes(self, records, removed_ids, now, was_outage):
+    def apply_changes(self, records, removed_ids, version, now, was_outage):
         """Apply the events of a watch; return the changes."""
         self._registry.on_store_available(now, was_outage)
-        return self._update_candidates(self._registry.apply_changes(records, removed_ids, now))
+        changes = self._registry.apply_changes(records, removed_ids, now, version)
+        return self._update_candidates(changes)
 
     def on_store_rolled_back(self):
         """Record that the next list comes from an older copy of the store."""
@@ -74,9 +76,12 @@
         """Record that an incarnation says that it is leaving; return the registry's changes."""
         return self._update_candidates(self._registry.record_leaving(endpoint_id, started_ms))
 
-    def records(self):
-        """Return a copy of the records by endpoint id, and whether the store is available."""
-        return dict(self._registry.records), self._registry.is_store_available
+    def fleet_snapshot(self):
+        """Return a ``FleetSnapshot`` with a copy of the records."""
+        registry = self._registry
+        return fleet_snapshot.FleetSnapshot(
+            dict(registry.records), registry.is_store_available, registry.version, registry.read_at
+        )
 
     def own_load(self):
         """Return the node's requests in flight by endpoint id."""
--- a/src/lynxlanding/dispatch/tests/test_serving_actor.py
+++ b/src/lynxlanding/dispatch/tests/test_serving_actor.py
@@ -21,10 +21,10 @@
 def test_only_the_selected_incarnation_may_be_sent_to(serving):
     record = dispatch_factories.make_plain_endpoint(1)
     assert not serving.may_send(record, 0.0, is_counted=True).get()
-    serving.apply_list([record], 0.0, False).get()
+    serving.apply_list([record], 1, 0.0, False).get()
     assert serving.may_send(record, 0.0, is_counted=True).get()
     restarted = dataclasses.replace(record, started_ms=record.started_ms + 1)
-    serving.apply_changes([restarted], [], 1.0, False).get()
+    serving.apply_changes([restarted], [], 2, 1.0, False).get()
     assert not serving.may_send(record, 0.0, is_counted=True).get()
     serving.confirm(restarted.endpoint_id, restarted.started_ms).get()
     assert not serving.may_send(record, 0.0, is_counted=True).get()
@@ -34,14 +34,14 @@
 def test_a_leaving_or_unconfirmed_endpoint_may_not_be_sent_to(serving):
     """Guards against a request whose connection took longer than the news."""
     record = dispatch_factories.make_plain_endpoint(1)
-    serving.apply_list([record], 0.0, False).get()
-    serving.apply_changes([], [record.endpoint_id], 1.0, False).get()
-    serving.apply_changes([record], [], 1.5, False).get()
+    serving.apply_list([record], 1, 0.0, False).get()
+    serving.apply_changes([], [record.endpoint_id], 2, 1.0, False).get()
+    serving.apply_changes([record], [], 3, 1.5, False).get()
     assert not serving.may_send(record, 0.0, is_counted=True).get()
     serving.confirm(record.endpoint_id, record.started_ms).get()
     assert serving.may_send(record, 0.0, is_counted=True).get()
     leaving = dataclasses.replace(record, is_leaving=True)
-    serving.apply_changes([leaving], [], 2.0, False).get()
+    serving.apply_changes([leaving], [], 4, 2.0, False).get()
     assert not serving.may_send(record, 0.0, is_counted=True).get()
 
 
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -54,6 +54,7 @@
         self._is_store_available = False
         self._is_next_list_older = False
         self._read_at = None
+        self._version = None
 
     @property
     def records(self):
@@ -65,6 +66,16 @@
         """Whether the last call to the store succeeded."""
         return self._is_store_available
 
+    @property
+    def read_at(self):
+        """When the store last confirmed the registry, in monotonic seconds; None before that."""
+        return self._read_at
+
+    @property
+    def version(self):
+        """Version of the store up to which the registry is complete; None before the first list."""
+        return self._version
+
     def get(self, endpoint_id):
         """Return the record of an endpoint or None."""
         return self._records.get(endpoint_id)
@@ -116,7 +127,7 @@
         if was_outage:
             self._grace_period_end = now + LAPSE_GRACE_S
 
-    def apply_list(self, records, now):
+    def apply_list(self, records, now, version=None):
         """Replace the contents of the registry by a complete list; return the changes.
 
         Parameters
@@ -125,8 +136,11 @@
             All valid entries of the store.
         now : float
             Time at which the list was read, in monotonic seconds.
+        version : StoreVersion, optional
+            Version of the store that the list shows.
         """
         self._read_at = now
+        self._version = version
         changes = []
         listed_ids = set()
         is_older_list = self._is_next_list_older
@@ -148,9 +162,10 @@
             changes.extend(self._remove(endpoint_id, now))
         return changes
 
-    def apply_changes(self, records, removed_ids, now):
-        """Apply the events of a watch; return the changes."""
+    def apply_changes(self, records, removed_ids, now, version=None):
+        """Apply the events of a watch up to a version of the store; return the changes."""
         self._read_at = now
+        self._version = version
         changes = []
         for endpoint_id in removed_ids:
             changes.extend(self._remove(endpoint_id, now))
--- a/src/lynxlanding/node/configuration_handler.py
+++ b/src/lynxlanding/node/configuration_handler.py
@@ -32,9 +32,9 @@
         del version, now, was_outage
         self._activate_newer(objects)
 
-    def on_changes(self, puts, deletes, now, was_outage):
+    def on_changes(self, puts, deletes, version, now, was_outage):
         """Activate the newest configuration among the changes."""
-        del deletes, now, was_outage
+        del deletes, version, now, was_outage
         self._activate_newer(puts)
 
     def on_store_rolled_back(self):
--- a/src/lynxlanding/node/endpoint_handler.py
+++ b/src/lynxlanding/node/endpoint_handler.py
@@ -48,17 +48,16 @@
 
     def on_list(self, objects, version, now, was_outage):
         """Replace the registry by a complete list."""
-        del version
         records, _ = _decode_records(objects)
-        self.process_changes(self._serving.apply_list(records, now, was_outage).get(), now)
+        changes = self._serving.apply_list(records, version, now, was_outage).get()
+        self.process_changes(changes, now)
 
-    def on_changes(self, puts, deletes, now, was_outage):
+    def on_changes(self, puts, deletes, version, now, was_outage):
         """Apply changes; an endpoint whose entry is malformed counts as removed."""
         records, malformed_ids = _decode_records(puts)
         removed_ids = [*deletes, *malformed_ids]
-        self.process_changes(
-            self._serving.apply_changes(records, removed_ids, now, was_outage).get(), now
-        )
+        changes = self._serving.apply_changes(records, removed_ids, version, now, was_outage).get()
+        self.process_changes(changes, now)
 
     def on_store_rolled_back(self):
         """Record that the next list is older than what the registry knows."""
--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -110,7 +110,9 @@
         self._set_fed(False, version)
         batch = self._store.watch(self._kind, version, timeout_s)
         was_outage = self._mark_available()
-        self._handler.on_changes(batch.puts, batch.deletes, time.monotonic(), was_outage)
+        self._handler.on_changes(
+            batch.puts, batch.deletes, batch.version, time.monotonic(), was_outage
+        )
         self._publish(version, batch, was_outage)
         return batch.version
 
@@ -118,7 +120,9 @@
         """Apply what another node has read; return the version to continue from."""
         self._set_fed(True, message.version)
         was_outage = self._mark_available() or message.was_outage
-        self._handler.on_changes(message.puts, message.deletes, time.monotonic(), was_outage)
+        self._handler.on_changes(
+            message.puts, message.deletes, message.version, time.monotonic(), was_outage
+        )
         return message.version
 
     def _watch_timeout_s(self):
--- a/src/lynxlanding/node/tests/test_configuration_handler.py
+++ b/src/lynxlanding/node/tests/test_configuration_handler.py
@@ -34,9 +34,9 @@
 def test_older_configuration_is_ignored():
     """A list that is older than an outage must not restore removed routes and keys."""
     handler, serving, status, notified = make_handler()
-    handler.on_changes([make_stored(5)], [], 0.0, False)
+    handler.on_changes([make_stored(5)], [], 6, 0.0, False)
     handler.on_list([make_stored(4)], 9, 1.0, True)
-    handler.on_changes([make_stored(5)], [], 2.0, False)
+    handler.on_changes([make_stored(5)], [], 6, 2.0, False)
     assert status.configuration_version == 5
     assert serving.versions == [5]
     assert len(notified) == 1
@@ -45,9 +45,9 @@
 def test_malformed_version_keeps_active_configuration():
     handler, serving, status, _ = make_handler()
     handler.on_list([make_stored(5)], 1, 0.0, False)
-    handler.on_changes([make_stored(6, routes="none")], [], 1.0, False)
+    handler.on_changes([make_stored(6, routes="none")], [], 7, 1.0, False)
     assert status.configuration_version == 5
-    handler.on_changes([make_stored(7)], [], 2.0, False)
+    handler.on_changes([make_stored(7)], [], 8, 2.0, False)
     assert serving.versions == [5, 7]
 
 
--- a/src/lynxlanding/node/tests/test_endpoint_handler.py
+++ b/src/lynxlanding/node/tests/test_endpoint_handler.py
@@ -11,10 +11,10 @@
     def __init__(self):
         _, self.registry = dispatch_factories.make_dispatcher([])
 
-    def apply_list(self, records, now, was_outage):
+    def apply_list(self, records, version, now, was_outage):
         return dispatch_factories.CompletedFuture(self.registry.apply_list(records, now))
 
-    def apply_changes(self, records, removed_ids, now, was_outage):
+    def apply_changes(self, records, removed_ids, version, now, was_outage):
         return dispatch_factories.CompletedFuture(
             self.registry.apply_changes(records, removed_ids, now)
         )
@@ -58,7 +58,7 @@
     """The delay between the store's acknowledgement and the node must be visible afterwards."""
     handler, wakes = make_handler()
     handler.on_list([make_entry(7)], None, 10.0, False)
-    handler.on_changes([make_entry(9, state="draining", heartbeat=4)], [], 10.4, False)
+    handler.on_changes([make_entry(9, state="draining", heartbeat=4)], [], 10, 10.4, False)
     added, leaving = lines_of(log_messages, endpoint_handler.ENDPOINT_CHANGED)
     assert (added["change"], added["version"], added["unread_s"]) == ("added", "1.7", None)
     assert (leaving["change"], leaving["version"]) == ("leaving", "1.9")
@@ -71,7 +71,7 @@
     """A record that changes nothing must not vanish without a trace."""
     handler, wakes = make_handler()
     handler.on_list([make_entry(7, heartbeat=5)], None, 10.0, False)
-    handler.on_changes([make_entry(9, heartbeat=3)], [], 10.4, False)
+    handler.on_changes([make_entry(9, heartbeat=3)], [], 10, 10.4, False)
     (line,) = lines_of(log_messages, endpoint_handler.RECORD_IGNORED)
     assert (line["endpoint"], line["version"], line["heartbeat"]) == ("i-1", "1.9", 3)
     assert (line["known_version"], line["known_heartbeat"]) == ("1.7", 5)
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -40,7 +40,7 @@
     def on_list(self, objects, version, now, was_outage):
         self.events.append(("list", [stored.name for stored in objects], version, was_outage))
 
-    def on_changes(self, puts, deletes, now, was_outage):
+    def on_changes(self, puts, deletes, version, now, was_outage):
         self.events.append(("changes", [stored.name for stored in puts], deletes, was_outage))
 
     def on_store_rolled_back(self):
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -165,7 +165,7 @@
             settings.node_id,
             self._store,
             engine_client.PlatformEngineClient(),
-            self._get_endpoint_records,
+            self._get_fleet,
             self._get_planning_nodes,
             self._has_traffic,
             self._get_stalled_endpoints,
@@ -345,11 +345,11 @@
             return REGROUPING_WATCH_PAUSE_S
         return RELAY_WATCH_PAUSE_S if self._change_feed.has_subscribers else WATCH_PAUSE_S
 
-    def _get_endpoint_records(self):
-        return self._serving.records().get()
+    def _get_fleet(self):
+        return self._serving.fleet_snapshot().get()
 
     def _get_usable_endpoints(self):
-        records, _ = self._serving.records().get()
+        records = self._get_fleet().records
         return [record for record in records.values() if record.accepts_requests]
 
     def _on_reachability_changed(self, change):
@@ -465,7 +465,7 @@
             self._confirmation_checker.check_all()
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
-            records, _ = self._serving.records().get()
+            records = self._get_fleet().records
             self._peer_view.set_endpoint_ids(records)
             self._stated_leavings.expire(records)
             self._rejections.expire(now)
--- a/src/lynxlanding/node/watch_handler.py
+++ b/src/lynxlanding/node/watch_handler.py
@@ -8,8 +8,9 @@
 class WatchHandler(Protocol):
     """Receives the objects of one kind and their changes.
 
-    ``now`` is the time of the store's response, in monotonic seconds. ``was_outage`` tells whether
-    the store was unavailable before this response for long enough to count as an outage.
+    ``version`` is the version of the store that the objects or changes lead to. ``now`` is the time
+    of the store's response, in monotonic seconds. ``was_outage`` tells whether the store was
+    unavailable before this response for long enough to count as an outage.
     """
 
     def on_list(
@@ -22,6 +23,7 @@
         self,
         puts: list[stored_object.StoredObject],
         deletes: list[str],
+        version: int,
         now: float,
         was_outage: bool,
     ) -> None:
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -60,7 +60,7 @@
     engine_client : EngineClient
         Sends orders and probes to engines.
     read_fleet : callable
-        Returns the records of the registry by endpoint id and whether the store is available.
+        Returns the ``FleetSnapshot`` of the registry.
     read_store_nodes : callable
         Returns the ids of the live nodes that the store answers, among which the domains are
         divided.
@@ -169,7 +169,8 @@
                 )
 
     def _reconcile(self, now):
-        records, is_store_available = self._read_fleet()
+        fleet = self._read_fleet()
+        records = fleet.records
         if self._store.era != self._era:
             # The plans in memory and their versions are of an era that has ended.
             self._domains = {}
@@ -187,11 +188,11 @@
                     message_type=DOMAIN_LEFT, domain=key[1], store_nodes=len(store_nodes)
                 )
         self._remove_gone_engines(records)
-        if not is_store_available:
+        if not fleet.is_store_available:
             return
         for key, members in by_domain.items():
             if self._is_responsible(key, store_nodes):
-                self._reconcile_domain(key, members, by_domain, now)
+                self._reconcile_domain(key, members, by_domain, fleet, now)
 
     def _remove_gone_engines(self, records):
         planned = set()
@@ -203,10 +204,10 @@
     def _is_responsible(self, key, store_nodes):
         return self._duty.is_responsible(_object_name(key), store_nodes)
 
-    def _reconcile_domain(self, key, members, by_domain, now):
+    def _reconcile_domain(self, key, members, by_domain, fleet, now):
         domain = self._domains.get(key)
         if domain is None:
-            domain = self._load_domain(key, members, now)
+            domain = self._load_domain(key, members, fleet, now)
             self._domains[key] = domain
         engine_spec = self._engine_services[key[0]]
         all_records = [record for records in by_domain.values() for record in records]
@@ -216,11 +217,11 @@
         fleet_state = self._build_fleet_state(key, engine_spec, members, by_domain)
         if domain.recover_at is not None:
             if now >= domain.recover_at:
-                self._recover_plan(key, domain, engine_spec, views, fleet_state)
+                self._recover_plan(key, domain, engine_spec, views, fleet_state, fleet)
             return
         step = domain.planner.step(domain.plan, engine_spec, views, fleet_state, now)
         if step.plan is not None:
-            if not self._store_plan(key, domain, step, fleet_state):
+            if not self._store_plan(key, domain, step, fleet_state, fleet):
                 return
             step = domain.planner.step(domain.plan, engine_spec, views, fleet_state, now)
         load_limit_share = 1.0 / max(1, len(by_domain))
@@ -229,7 +230,12 @@
         for order in step.orders:
             record = views[order.endpoint_id].record
             self._order_sender.send(
-                order, record, engine_spec, load_limit_share, has_traffic=has_traffic
+                order,
+                record,
+                engine_spec,
+                load_limit_share,
+                has_traffic=has_traffic,
+                plan_version=domain.version,
             )
         for order in step.background_orders:
             record = views[order.endpoint_id].record
@@ -239,10 +245,11 @@
                 engine_spec,
                 load_limit_share,
                 has_traffic=has_traffic,
+                plan_version=domain.version,
                 is_background=True,
             )
 
-    def _load_domain(self, key, members, now):
+    def _load_domain(self, key, members, fleet, now):
         plan = None
         version = None
         is_malformed = False
@@ -277,11 +284,13 @@
             is_recovery_needed=not is_valid,
             groups=len(plan.groups),
             next_epoch=plan.next_epoch,
+            store_nodes=sorted(self._read_store_nodes()),
+            **_describe_fleet(fleet),
         )
         planner = domain_planner.DomainPlanner(key[1])
         return _Domain(planner, plan, version, recover_at)
 
-    def _recover_plan(self, key, domain, engine_spec, views, fleet_state):
+    def _recover_plan(self, key, domain, engine_spec, views, fleet_state, fleet):
         """Store the plan that fits the groups which the engines report in the present era."""
         recovered = plan_recovery.recover(
             domain.plan, engine_spec, views, self._era, self._used_epochs.get(key, 0)
@@ -289,7 +298,7 @@
         previous = domain.plan
         reasons = [f"recovered in era {self._era} from a plan of era {previous.era}"]
         step = domain_planner.PlanningStep(recovered.plan, [], [], reasons)
-        if not self._store_plan(key, domain, step, fleet_state):
+        if not self._store_plan(key, domain, step, fleet_state, fleet):
             return
         domain.recover_at = None
         eliot.log_message(
@@ -303,7 +312,7 @@
             next_epoch=recovered.plan.next_epoch,
         )
 
-    def _store_plan(self, key, domain, step, fleet_state):
+    def _store_plan(self, key, domain, step, fleet_state, fleet):
         """Store the plan of a step; return whether the update is confirmed."""
         value = step.plan.to_value()
         try:
@@ -324,8 +333,10 @@
                 reasons=step.reasons,
                 error=e.type_name,
                 detail=str(e)[:200],
+                **_describe_fleet(fleet),
             )
             return False
+        based_on = domain.version
         domain.plan = step.plan
         domain.version = stored.version
         self._used_epochs[key] = max(self._used_epochs.get(key, 0), step.plan.next_epoch - 1)
@@ -333,10 +344,12 @@
             message_type=PLAN_STORED,
             domain=key[1],
             plan_version=str(stored.version),
+            based_on=str(based_on),
             reasons=step.reasons,
             groups=len(step.plan.groups),
             needed=_round_values(fleet_state.needed),
             elsewhere=fleet_state.groups_elsewhere,
+            **_describe_fleet(fleet),
         )
         return True
 
@@ -387,6 +400,12 @@
         return missing
 
 
+def _describe_fleet(fleet):
+    """Return the fields of log lines that tell how recent the registry is."""
+    age_s = None if fleet.read_at is None else round(time.monotonic() - fleet.read_at, 3)
+    return {"fleet_version": str(fleet.version), "fleet_age_s": age_s}
+
+
 def _round_values(numbers):
     return {name: round(number, 2) for name, number in numbers.items()}
 
--- a/src/lynxlanding/replicas/order_sender.py
+++ b/src/lynxlanding/replicas/order_sender.py
@@ -55,7 +55,15 @@
         self._loads.remove_finished(records, now)
 
     def send(
-        self, order, record, engine_spec, load_limit_share, *, has_traffic, is_background=False
+        self,
+        order,
+        record,
+        engine_spec,
+        load_limit_share,
+        *,
+        has_traffic,
+        plan_version=None,
+        is_background=False,
     ):
         """Send an order from a separate thread, unless a limit delays it.
 
@@ -71,6 +79,8 @@
             Share of the fleet's limit on started loads available to this node.
         has_traffic : bool
             Whether requests have arrived, from when on loads are slow and limited.
+        plan_version : StoreVersion, optional
+            Version of the stored plan that the order follows from.
         is_background : bool, optional
             Whether the order only prepares the engine for an additional model.
         """
@@ -93,7 +103,9 @@
                 load_s *= order_rate_limiter.LOAD_TIME_SHARE_BEFORE_TRAFFIC
             self._loads.start(record, order.model, load_s, now)
         self._rate_limiter.record_sent(order, is_load, now)
-        threading.Thread(target=self._deliver, args=(order, record, load_s), daemon=True).start()
+        threading.Thread(
+            target=self._deliver, args=(order, record, load_s, plan_version), daemon=True
+        ).start()
 
     def _can_start_load(self, engine_spec, load_limit_share, now, *, is_background):
         in_progress = len(self.fleet_loads())
@@ -103,7 +115,7 @@
             return False
         return self._rate_limiter.allows_load(engine_spec.loads_per_s, load_limit_share, now)
 
-    def _deliver(self, order, record, load_s):
+    def _deliver(self, order, record, load_s, plan_version=None):
         started_at = time.monotonic()
         outcome = self._client.send_order(record, order)
         eliot.log_message(
@@ -113,6 +125,8 @@
             group=order.group,
             epoch=order.epoch,
             model=order.model,
+            plan_version=str(plan_version),
+            record_version=str(record.version),
             outcome=outcome,
             duration_s=round(time.monotonic() - started_at, 4),
         )
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.fleet import fleet_snapshot
 from lynxlanding.membership import rendezvous
 from lynxlanding.replicas import (
     engine_observer,
@@ -87,7 +88,7 @@
         for endpoint_id, view in self.domain.views().items():
             if endpoint_id not in self.client.silent:
                 records[endpoint_id] = view.record
-        return records, self.is_store_available
+        return fleet_snapshot.FleetSnapshot(records, self.is_store_available)
 
     def run(self, rounds):
         for _ in range(rounds):
@@ -237,7 +238,11 @@
         cluster.run(1)
         time.sleep(0.05)
     views = cluster.controllers["n1"]._observer.observe(
-        cluster.plan(), list(cluster._read_fleet()[0].values()), [], frozenset(), time.monotonic()
+        cluster.plan(),
+        list(cluster._read_fleet().records.values()),
+        [],
+        frozenset(),
+        time.monotonic(),
     )
     assert not any(views[endpoint_id].is_silent for endpoint_id in silent)
 
@@ -332,7 +337,7 @@
     """Guards against groups that are planned as whole while their head takes few requests."""
     cluster = Cluster()
     cluster.run(20)
-    heads = [record for record in cluster._read_fleet()[0].values() if record.is_serving_head]
+    heads = [record for record in cluster._read_fleet().records.values() if record.is_serving_head]
     controller = cluster.controllers["n1"]
     spec = simulated_domain.make_engine_spec()
     by_domain = {("model", "d0"): heads, ("other", "d0"): heads}
