Reproduce groups that a planner with an older registry dissolves

One node's registry stays at a version of before the plan, as after a freeze; it takes the domain, dissolves the open groups of the plan and lets their engines join others.

--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -53,6 +53,8 @@
         self.client = SimulatedEngineClient(self.domain)
         self.stalled_heads = frozenset()
         self.is_store_available = True
+        # Registries that no longer follow the store, by node.
+        self.frozen_fleets = {}
         self.limits = {}
         self.in_flight = {}
         self.live_nodes = list(nodes)
@@ -63,7 +65,7 @@
             name,
             self.store,
             self.client,
-            self._read_fleet,
+            lambda: self.frozen_fleets.get(name) or self._read_fleet(),
             lambda: self.live_nodes,
             lambda: True,
             lambda: self.stalled_heads,
@@ -88,12 +90,17 @@
         for endpoint_id, view in self.domain.views().items():
             if endpoint_id not in self.client.silent:
                 records[endpoint_id] = view.record
-        return fleet_snapshot.FleetSnapshot(records, self.is_store_available)
+        _, version = self.store.list(group_plan.KIND)
+        return fleet_snapshot.FleetSnapshot(records, self.is_store_available, version)
 
-    def run(self, rounds):
+    def freeze_fleet(self, name):
+        """Let a node's registry stay as it is now."""
+        self.frozen_fleets[name] = self._read_fleet()
+
+    def run(self, rounds, nodes=None):
         for _ in range(rounds):
-            for controller in self.controllers.values():
-                controller._reconcile(time.monotonic())
+            for name in nodes or self.controllers:
+                self.controllers[name]._reconcile(time.monotonic())
             # Orders are sent from separate threads.
             time.sleep(0.03)
             self.domain.advance(0.3)
@@ -126,6 +133,42 @@
     assert len(members) == len(set(members))
 
 
+def test_groups_that_are_newer_than_the_registry_are_not_dissolved():
+    """Guards against engines in two groups: a frozen node wakes up and reads the newest plan."""
+    cluster = Cluster(("n1", "n2"))
+    for name, controller in cluster.controllers.items():
+        controller._read_store_nodes = lambda name=name: [name]
+    cluster.freeze_fleet("n2")
+    cluster.run(20, ["n1"])
+    before = cluster.plan()
+    open_groups = cluster.open_groups()
+    assert open_groups >= 3
+    cluster.run(5, ["n2"])
+    assert cluster.domain.violations == []
+    assert cluster.plan() == before
+    del cluster.frozen_fleets["n2"]
+    cluster.run(5, ["n2"])
+    assert cluster.domain.violations == []
+    assert cluster.plan() == before
+    assert cluster.open_groups() == open_groups
+
+
+def test_a_node_plans_once_its_registry_has_reached_the_plan():
+    """Guards against domains that are planned no more after a freeze."""
+    cluster = Cluster(("n1", "n2"))
+    for name, controller in cluster.controllers.items():
+        controller._read_store_nodes = lambda name=name: [name]
+    cluster.freeze_fleet("n2")
+    cluster.run(20, ["n1"])
+    cluster.run(2, ["n2"])
+    del cluster.frozen_fleets["n2"]
+    gone = cluster.plan().groups[0]
+    cluster.domain.engines[gone.head].is_alive = False
+    cluster.run(20, ["n2"])
+    assert gone.name not in {group.name for group in cluster.plan().groups}
+    assert cluster.domain.violations == []
+
+
 def test_the_plan_is_read_again_after_a_lost_store_response():
     cluster = Cluster()
     cluster.store.responses_to_lose = 1
