Plan a domain only with a registry that has reached the plan's version

Callers lost their streams: a planner that was frozen for 5.2 s read the newest plan and compared it with its registry of before the freeze. Groups that were formed meanwhile seemed to have lost their members; they were dissolved at once, and their engines took a join of another group while their head was open (TWO).

The registry's age was 0.03 s, so an age would not have shown it.

A node now waits until the registry has reached the version at which the plan was read. The store numbers all changes by one counter, and a group is stored as serving only after its members have registered as ready, so that registry shows them. Own changes need no wait: a change by another node makes the conditional update fail, and the plan is read again.

--- a/src/lynxlanding/fleet/fleet_snapshot.py
+++ b/src/lynxlanding/fleet/fleet_snapshot.py
@@ -26,3 +26,12 @@
     is_store_available: bool
     version: store_version.StoreVersion | None = None
     read_at: float | None = None
+
+    def covers(self, version):
+        """Return whether the records are complete up to a version of the store.
+
+        Versions of another era cannot be compared, so records of another era do not cover it.
+        """
+        if self.version is None or self.version.era != version.era:
+            return False
+        return self.version >= version
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -37,6 +37,7 @@
 DOMAIN_TAKEN = "lynxlanding:domain:taken"
 DOMAIN_LEFT = "lynxlanding:domain:left"
 DOMAIN_RECOVERED = "lynxlanding:domain:recovered"
+REGISTRY_OUTDATED = "lynxlanding:domain:registry_outdated"
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +45,10 @@
     planner: domain_planner.DomainPlanner
     plan: group_plan.DomainPlan
     version: Any
+    # Version at which the plan was read from the store; None if there was none. Later versions are
+    # this node's own, which other nodes' changes would have prevented.
+    read_version: Any = None
+    is_registry_outdated: bool = False
     # When the plan, which is of an earlier era of the store, is recovered; None if it is valid.
     recover_at: float | None = None
 
@@ -209,6 +214,8 @@
         if domain is None:
             domain = self._load_domain(key, members, fleet, now)
             self._domains[key] = domain
+        if not _has_reached_plan(key, domain, fleet):
+            return
         engine_spec = self._engine_services[key[0]]
         all_records = [record for records in by_domain.values() for record in records]
         views = self._observer.observe(
@@ -288,7 +295,7 @@
             **_describe_fleet(fleet),
         )
         planner = domain_planner.DomainPlanner(key[1])
-        return _Domain(planner, plan, version, recover_at)
+        return _Domain(planner, plan, version, read_version=version, recover_at=recover_at)
 
     def _recover_plan(self, key, domain, engine_spec, views, fleet_state, fleet):
         """Store the plan that fits the groups which the engines report in the present era."""
@@ -400,6 +407,23 @@
         return missing
 
 
+def _has_reached_plan(key, domain, fleet):
+    """Return whether the registry is at least as recent as the plan that was read.
+
+    In an older one, groups that were formed meanwhile seem to have lost their members.
+    """
+    is_outdated = domain.read_version is not None and not fleet.covers(domain.read_version)
+    if is_outdated and not domain.is_registry_outdated:
+        eliot.log_message(
+            message_type=REGISTRY_OUTDATED,
+            domain=key[1],
+            plan_version=str(domain.read_version),
+            **_describe_fleet(fleet),
+        )
+    domain.is_registry_outdated = is_outdated
+    return not is_outdated
+
+
 def _describe_fleet(fleet):
     """Return the fields of log lines that tell how recent the registry is."""
     age_s = None if fleet.read_at is None else round(time.monotonic() - fleet.read_at, 3)
