Tie orders to join to the engine's own report

A join relied on the engine's registration alone. That can be a late write, which a node that has just started cannot tell from the latest one, and a join without an answer is sent again, so that the first one may take effect after the engine has left and joined another group.

A node now asks the engine for its report before the join. It sends nothing if the report names another group, and otherwise adds the number of orders that the engine has accepted by then, which the engine compares. Since the engine decides, this rests neither on timing nor on the store, and holds whatever the planner believes.

Tests of the group controller: engines now answer reports unless a test says otherwise, since one that cannot be asked is not ordered to join. Where tests count probes, the list is emptied first, so joins do not count as probes.

--- a/src/lynxlanding/platform/configuration_codec.py
+++ b/src/lynxlanding/platform/configuration_codec.py
@@ -133,4 +133,5 @@
         mean_prompt_tokens=fields.get(mean_token_counts, "prompt", _NUMBER_TYPES, 1000),
         mean_answer_tokens=fields.get(mean_token_counts, "answer", _NUMBER_TYPES, 150),
         models=models,
+        report_lag_s=fields.get(document, "report_lag_ms", _NUMBER_TYPES, 0) * _SECONDS_PER_MS,
     )
--- a/src/lynxlanding/platform/engine_client.py
+++ b/src/lynxlanding/platform/engine_client.py
@@ -95,6 +95,8 @@
     if order.kind == engine_order.JOIN:
         document["model"] = order.model
         document["members"] = list(order.members)
+    if order.expected_orders is not None:
+        document["expected"] = order.expected_orders
     if order.kind == engine_order.CLOSE:
         document["close_mode"] = "aborted" if order.aborts_work else "pending"
     return document
@@ -108,4 +110,6 @@
         running=fields.get(document, "running", int, 0),
         waiting=fields.get(document, "waiting", int, 0),
         slowdown=fields.get(document, "pace", _NUMBER_TYPES, 1.0),
+        # In registrations the same name counts heartbeats; here it counts accepted orders.
+        accepted_orders=fields.get(document, "seq_no", int, None),
     )
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -1,7 +1,10 @@
+import dataclasses
+
 import pytest
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import configuration_codec, endpoint_codec, engine_client, fields
+from lynxlanding.replicas import engine_order
 from lynxlanding.traffic import route
 
 
@@ -151,3 +154,16 @@
         engine_client._decode_report(document)
     with pytest.raises(platform_errors.MalformedEntry):
         fields.get(document, "pace", int, 0)
+
+
+def test_a_join_carries_the_number_of_accepted_orders_that_the_engine_has_reported():
+    """Guards against a check of the engine that compares nothing."""
+    report = engine_client._decode_report({"born": 5, "seq_no": 7})
+    assert report.accepted_orders == 7
+    order = engine_order.EngineOrder(
+        engine_order.JOIN, "e0", "g", 3, "m", ("e0",), expected_orders=report.accepted_orders
+    )
+    document = engine_client._encode_order(order)
+    assert document["expected"] == 7
+    unbound = dataclasses.replace(order, expected_orders=None)
+    assert "expected" not in engine_client._encode_order(unbound)
--- a/src/lynxlanding/replicas/engine_order.py
+++ b/src/lynxlanding/replicas/engine_order.py
@@ -29,6 +29,9 @@
         Endpoint ids of the group's members for ``JOIN``, head first.
     aborts_work : bool
         Whether ``CLOSE`` aborts the requests in progress.
+    expected_orders : int or None
+        Number of orders that the engine must have accepted before; it refuses the order if it has
+        accepted others. None if that does not matter.
     """
 
     kind: str
@@ -38,3 +41,4 @@
     model: str = ""
     members: tuple[str, ...] = ()
     aborts_work: bool = False
+    expected_orders: int | None = None
--- a/src/lynxlanding/replicas/engine_report.py
+++ b/src/lynxlanding/replicas/engine_report.py
@@ -21,6 +21,8 @@
         Number of running and waiting requests; a few hundred milliseconds old.
     slowdown : float
         Slowdown factor of the engine; 1 is normal speed.
+    accepted_orders : int or None
+        Number of orders that the incarnation has accepted; None if the report does not say.
     """
 
     started_ms: int
@@ -29,3 +31,4 @@
     running: int
     waiting: int
     slowdown: float
+    accepted_orders: int | None = None
--- a/src/lynxlanding/replicas/order_sender.py
+++ b/src/lynxlanding/replicas/order_sender.py
@@ -5,15 +5,22 @@
 
 import eliot
 
+from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.replicas import (
     engine_order,
+    join_condition,
     order_outcome,
     order_rate_limiter,
     placement,
     weight_load_tracker,
 )
 
+# Added to the age of reports before an engine that has accepted an order is asked to join a group.
+# Until its report shows the order, the engine refuses a join that is tied to the report.
+REPORT_MARGIN_S = 0.02
+
 ORDER_SENT = "lynxlanding:order:sent"
+REPORT_MISSING = "lynxlanding:order:report_missing"
 
 
 class OrderSender:
@@ -37,6 +44,8 @@
         self._on_accepted = on_accepted
         self._rate_limiter = order_rate_limiter.OrderRateLimiter(load_window_s)
         self._loads = weight_load_tracker.WeightLoadTracker()
+        # When engines accepted the latest order of this node, by endpoint id.
+        self._accepted_at = {}
 
     @property
     def loading_engines(self):
@@ -53,6 +62,9 @@
         """Remove old orders, and loads that have finished according to the registrations."""
         self._rate_limiter.remove_expired(now)
         self._loads.remove_finished(records, now)
+        for endpoint_id in list(self._accepted_at):
+            if endpoint_id not in records:
+                self._accepted_at.pop(endpoint_id, None)
 
     def send(
         self,
@@ -104,7 +116,9 @@
             self._loads.start(record, order.model, load_s, now)
         self._rate_limiter.record_sent(order, is_load, now)
         threading.Thread(
-            target=self._deliver, args=(order, record, load_s, plan_version), daemon=True
+            target=self._deliver,
+            args=(order, record, load_s, engine_spec.report_lag_s, plan_version),
+            daemon=True,
         ).start()
 
     def _can_start_load(self, engine_spec, load_limit_share, now, *, is_background):
@@ -115,9 +129,16 @@
             return False
         return self._rate_limiter.allows_load(engine_spec.loads_per_s, load_limit_share, now)
 
-    def _deliver(self, order, record, load_s, plan_version=None):
+    def _deliver(self, order, record, load_s, report_lag_s=0.0, plan_version=None):
         started_at = time.monotonic()
-        outcome = self._client.send_order(record, order)
+        expected_orders = None
+        reported_group = None
+        if order.kind == engine_order.JOIN:
+            outcome, expected_orders, reported_group = self._deliver_join(
+                order, record, report_lag_s + REPORT_MARGIN_S
+            )
+        else:
+            outcome = self._client.send_order(record, order)
         eliot.log_message(
             message_type=ORDER_SENT,
             order=order.kind,
@@ -127,6 +148,8 @@
             model=order.model,
             plan_version=str(plan_version),
             record_version=str(record.version),
+            expected_orders=expected_orders,
+            reported_group=reported_group,
             outcome=outcome,
             duration_s=round(time.monotonic() - started_at, 4),
         )
@@ -136,8 +159,44 @@
         elif load_s and outcome not in (order_outcome.BEGUN, order_outcome.UNKNOWN):
             self._loads.cancel(order.endpoint_id)
         if outcome in (order_outcome.BEGUN, order_outcome.ALREADY_DONE):
+            self._accepted_at[order.endpoint_id] = time.monotonic()
             self._on_accepted()
 
+    def _deliver_join(self, order, record, report_age_s):
+        """Send a join, once more if the report was too old to show the latest order.
+
+        Returns the outcome, the number of orders that the engine has accepted and the name of the
+        group that it has reported.
+        """
+        accepted_at = self._accepted_at.get(order.endpoint_id)
+        if accepted_at is not None:
+            time.sleep(max(0.0, accepted_at + report_age_s - time.monotonic()))
+        result = self._try_join(order, record)
+        if result[0] in (order_outcome.CONFLICT, order_outcome.WITHHELD):
+            # Another node may have ordered something just before.
+            time.sleep(report_age_s)
+            result = self._try_join(order, record)
+        return result
+
+    def _try_join(self, order, record):
+        """Send a join that the engine refuses if it has accepted an order since its report."""
+        try:
+            report = self._client.fetch_report(record)
+        except endpoint_errors.AttemptError as e:
+            eliot.log_message(
+                message_type=REPORT_MISSING,
+                endpoint=record.endpoint_id,
+                group=order.group,
+                error=e.type_name,
+                detail=str(e)[:200],
+            )
+            return order_outcome.UNREACHABLE, None, None
+        reported_group = None if report.membership is None else report.membership.name
+        join, outcome = join_condition.prepare(order, report)
+        if join is not None:
+            outcome = self._client.send_order(record, join)
+        return outcome, report.accepted_orders, reported_group
+
 
 def _resend_interval(order, engine_spec, has_traffic):
     """Return the seconds after which an order without an effect is sent again."""
--- a/src/lynxlanding/replicas/tests/simulated_domain.py
+++ b/src/lynxlanding/replicas/tests/simulated_domain.py
@@ -6,6 +6,7 @@
 from lynxlanding.replicas import (
     domain_planner,
     engine_order,
+    engine_report,
     engine_view,
     group_controller,
     group_plan,
@@ -85,6 +86,8 @@
         Name, epoch and members of the engine's group.
     seen_epoch : int
         Highest epoch that this incarnation has joined.
+    accepted_orders : int
+        Number of orders that this incarnation has accepted.
     """
 
     endpoint_id: str
@@ -97,6 +100,7 @@
     last_model: str | None = None
     ready_at: float = 0.0
     seen_epoch: int = 0
+    accepted_orders: int = 0
 
 
 class SimulatedDomain:
@@ -140,6 +144,8 @@
         engine = self.engines[order.endpoint_id]
         if not engine.is_alive:
             return
+        if order.expected_orders not in (None, engine.accepted_orders):
+            return
         if order.kind == engine_order.JOIN:
             self._join(engine, order)
         elif engine.group is not None and engine.group[:2] == (order.group, order.epoch):
@@ -163,29 +169,42 @@
         engine = self.engines[endpoint_id]
         self.engines[endpoint_id] = SimulatedEngine(endpoint_id, started_ms=engine.started_ms + 1)
 
+    def membership(self, endpoint_id):
+        """Return the membership that an engine reports, or None."""
+        engine = self.engines[endpoint_id]
+        if engine.group is None:
+            return None
+        name, epoch, members = engine.group
+        rank = members.index(endpoint_id)
+        return group_membership.GroupMembership(name, epoch, rank, engine.state)
+
+    def report(self, endpoint_id):
+        """Return the report of an engine."""
+        engine = self.engines[endpoint_id]
+        return engine_report.EngineReport(
+            engine.started_ms,
+            self.membership(endpoint_id),
+            ("large", "small"),
+            0,
+            0,
+            1.0,
+            engine.accepted_orders,
+        )
+
     def views(self):
         """Return the registered engines as a planner sees them."""
         views = {}
         for endpoint_id, engine in self.engines.items():
             if not engine.is_alive or engine.is_partitioned:
                 continue
-            membership = None
-            if engine.group is not None:
-                name, epoch, members = engine.group
-                membership = group_membership.GroupMembership(
-                    name, epoch, members.index(endpoint_id), engine.state
-                )
-            views[endpoint_id] = engine_view.EngineView(
-                engine_record(
-                    endpoint_id,
-                    engine.last_model,
-                    ("large", "small"),
-                    membership,
-                    started_ms=engine.started_ms,
-                ),
-                True,
-                False,
+            record = engine_record(
+                endpoint_id,
+                engine.last_model,
+                ("large", "small"),
+                self.membership(endpoint_id),
+                started_ms=engine.started_ms,
             )
+            views[endpoint_id] = engine_view.EngineView(record, True, False)
         return views
 
     def add_missing_members(self, views, plan):
@@ -228,6 +247,7 @@
         members = self._members_by_group.setdefault((order.group, order.epoch), order.members)
         if members != order.members:
             self.violations.append(f"{order.group} was given out twice with different members")
+        engine.accepted_orders += 1
         engine.seen_epoch = order.epoch
         engine.group = target
         engine.model = order.model
@@ -236,15 +256,18 @@
 
     def _change_state(self, engine, order):
         if order.kind == engine_order.LEAVE:
+            engine.accepted_orders += 1
             engine.group = None
             engine.state = ""
         elif order.kind == engine_order.OPEN and engine.state == group_membership.READY:
+            engine.accepted_orders += 1
             engine.state = group_membership.OPEN
             self.opened_groups += 1
             for member in engine.group[2]:
                 if (member, engine.group) not in self.ready_members:
                     self.violations.append(f"{order.group} opens before {member} is ready")
         elif order.kind == engine_order.CLOSE and engine.state == group_membership.OPEN:
+            engine.accepted_orders += 1
             engine.state = group_membership.READY
 
 
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -1,5 +1,6 @@
 """Tests of group control with an in-memory store and simulated engines."""
 
+import dataclasses
 import random
 import time
 
@@ -10,7 +11,6 @@
 from lynxlanding.membership import rendezvous
 from lynxlanding.replicas import (
     engine_observer,
-    engine_report,
     group_controller,
     group_plan,
     order_outcome,
@@ -28,7 +28,8 @@
         self._domain = domain
         self.silent = set()
         self.probed = []
-        self.answering = set()
+        # Engines that answer reports.
+        self.answering = set(domain.engines)
         self.running = 0
 
     def send_order(self, record, order):
@@ -42,7 +43,8 @@
         # The answer comes after the planning step that has sent the probe.
         time.sleep(0.01)
         if record.endpoint_id in self.answering:
-            return engine_report.EngineReport(record.started_ms, None, (), self.running, 0, 1.0)
+            report = self._domain.report(record.endpoint_id)
+            return dataclasses.replace(report, running=self.running)
         raise endpoint_errors.AttemptTimedOut("no response")
 
 
@@ -97,6 +99,11 @@
         """Let a node's registry stay as it is now."""
         self.frozen_fleets[name] = self._read_fleet()
 
+    def answer_only(self, engines):
+        """Let no other engines answer reports, and forget which were asked."""
+        self.client.answering = set(engines)
+        self.client.probed.clear()
+
     def run(self, rounds, nodes=None):
         for _ in range(rounds):
             for name in nodes or self.controllers:
@@ -222,7 +229,7 @@
     cluster.run(20)
     group = cluster.plan().groups[0]
     cluster.stalled_heads = frozenset({group.head})
-    cluster.client.answering = set(cluster.domain.engines) - {group.members[1]}
+    cluster.answer_only(set(cluster.domain.engines) - {group.members[1]})
     for _ in range(12):
         cluster.run(1)
         time.sleep(0.05)
@@ -237,7 +244,7 @@
     cluster.run(20)
     group = cluster.plan().groups[0]
     cluster.stalled_heads = frozenset({group.head})
-    cluster.client.answering = set(cluster.domain.engines) - {group.members[1]}
+    cluster.answer_only(set(cluster.domain.engines) - {group.members[1]})
     for _ in range(rounds):
         cluster.run(1)
         time.sleep(0.05)
@@ -296,6 +303,7 @@
     cluster.run(20)
     before = cluster.plan()
     cluster.stalled_heads = frozenset(group.head for group in before.groups)
+    cluster.answer_only(())
     for _ in range(12):
         cluster.run(1)
         time.sleep(0.05)
@@ -321,6 +329,7 @@
     before = cluster.plan()
     heads = [group.head for group in before.groups]
     cluster.stalled_heads = frozenset(heads)
+    cluster.answer_only(())
     for _ in range(12):
         cluster.run(1)
         time.sleep(0.05)
@@ -417,7 +426,7 @@
     cluster = Cluster()
     cluster.run(20)
     group = cluster.plan().groups[0]
-    cluster.client.answering = set(cluster.domain.engines) - {group.members[rank]}
+    cluster.answer_only(set(cluster.domain.engines) - {group.members[rank]})
     cluster.client.silent = {group.members[rank]}
     for _ in range(12):
         cluster.run(1)
--- a/src/lynxlanding/replicas/tests/test_order_sender.py
+++ b/src/lynxlanding/replicas/tests/test_order_sender.py
@@ -1,10 +1,13 @@
 """Tests of order limits: engines are added while others fail and several nodes order loads."""
 
+import dataclasses
 import threading
 
 import pytest
 
-from lynxlanding.replicas import engine_order, order_outcome, order_sender
+from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.fleet import group_membership
+from lynxlanding.replicas import engine_order, engine_report, order_outcome, order_sender
 from lynxlanding.replicas.tests import simulated_domain
 
 LOAD_WINDOW_S = 5.0
@@ -16,14 +19,22 @@
 
     def __init__(self):
         self.outcome = order_outcome.BEGUN
+        # Outcomes of the next orders, in place of ``outcome``.
+        self.outcomes = []
         self.sent = []
+        self.report = engine_report.EngineReport(1, None, (), 0, 0, 1.0, 3)
         self.answered = threading.Event()
 
     def send_order(self, record, order):
         assert record.endpoint_id == order.endpoint_id
         self.sent.append(order)
         self.answered.set()
-        return self.outcome
+        return self.outcomes.pop(0) if self.outcomes else self.outcome
+
+    def fetch_report(self, record):
+        if self.report is None:
+            raise endpoint_errors.AttemptTimedOut("no response")
+        return self.report
 
 
 class Harness:
@@ -103,3 +114,68 @@
     harness.sender._loads.start(record, "large", 16.0, 0.0)
     harness.sender._deliver(order, record, 16.0)
     assert harness.sender.fleet_loads() == loads
+
+
+JOIN = engine_order.EngineOrder(engine_order.JOIN, "e0", "d0.5.small", 5, "small", ("e0", "e1"))
+
+
+def deliver_join(harness):
+    """Deliver the join to an engine whose registration shows no group."""
+    harness.sender._loads.start(simulated_domain.engine_record("e0"), "small", 16.0, 0.0)
+    harness.sender._deliver(JOIN, simulated_domain.engine_record("e0"), 16.0)
+    return harness.client.sent
+
+
+def test_a_join_is_refused_by_an_engine_that_has_accepted_another_order_since_its_report(harness):
+    """Guards against engines in two groups: a join that takes effect after another one."""
+    (sent,) = deliver_join(harness)
+    assert sent == dataclasses.replace(JOIN, expected_orders=3)
+
+
+def test_a_join_is_sent_again_after_a_report_that_did_not_show_the_latest_order(
+    harness, monkeypatch
+):
+    """Guards against groups that form late because a model was staged just before."""
+    monkeypatch.setattr(order_sender, "REPORT_MARGIN_S", 0.0)
+    reports = [harness.client.report, dataclasses.replace(harness.client.report, accepted_orders=4)]
+    harness.client.fetch_report = lambda record: reports.pop(0)
+    harness.client.outcomes = [order_outcome.CONFLICT, order_outcome.BEGUN]
+    sent = deliver_join(harness)
+    assert [order.expected_orders for order in sent] == [3, 4]
+    assert harness.sender.fleet_loads() == {"e0": "small"}
+
+
+def test_an_engine_that_has_just_left_is_asked_once_its_report_can_show_it(harness):
+    """Guards against groups that form late because a member still reports its last group."""
+    left = harness.client.report
+    membership = group_membership.GroupMembership("d0.4.large", 4, 0, group_membership.READY)
+    harness.client.report = dataclasses.replace(left, membership=membership)
+    leave = engine_order.EngineOrder(engine_order.LEAVE, "e0", "d0.4.large", 4)
+    record = simulated_domain.engine_record("e0")
+    harness.sender._deliver(leave, record, 0.0, 0.1)
+    timer = threading.Timer(0.1, setattr, (harness.client, "report", left))
+    timer.start()
+    harness.sender._deliver(JOIN, record, 0.0, 0.1)
+    timer.join()
+    assert [order.kind for order in harness.client.sent] == [engine_order.LEAVE, engine_order.JOIN]
+
+
+def test_no_engine_is_ordered_to_join_while_it_reports_another_group(harness):
+    """Guards against engines in two groups: a registration that is a late write."""
+    membership = group_membership.GroupMembership("d0.4.large", 4, 0, group_membership.OPEN)
+    harness.client.report = dataclasses.replace(harness.client.report, membership=membership)
+    assert deliver_join(harness) == []
+    assert harness.sender.fleet_loads() == {}
+
+
+def test_a_member_is_not_ordered_to_join_its_group_again(harness):
+    membership = group_membership.GroupMembership(JOIN.group, 5, 0, group_membership.JOINING)
+    harness.client.report = dataclasses.replace(harness.client.report, membership=membership)
+    assert deliver_join(harness) == []
+    assert harness.accepted.is_set()
+
+
+def test_no_engine_that_cannot_be_asked_is_ordered_to_join(harness):
+    harness.client.report = None
+    assert deliver_join(harness) == []
+    assert harness.sender.fleet_loads() == {}
--- a/src/lynxlanding/traffic/service_spec.py
+++ b/src/lynxlanding/traffic/service_spec.py
@@ -61,6 +61,8 @@
         Mean prompt and answer length of the service's requests.
     models : dict of str to ModelSpec
         Models by name.
+    report_lag_s : float
+        Age of the state that engines report.
     """
 
     slots: int
@@ -79,6 +81,7 @@
     mean_prompt_tokens: float
     mean_answer_tokens: float
     models: dict[str, ModelSpec]
+    report_lag_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -37,6 +37,8 @@
         ``Retry-After`` of the responses with which the endpoint rejects all requests, if it does.
     heartbeats : int
         Number of heartbeats of the incarnation.
+    accepted_orders : int
+        Number of orders that the incarnation has accepted.
     group : dict or None
         ``name``, ``epoch``, ``members`` and ``state``.
     """
@@ -60,6 +62,7 @@
     staged: list = dataclasses.field(default_factory=list)
     running: int = 0
     seen_epoch: int = 0
+    accepted_orders: int = 0
 
     @property
     def port(self):
@@ -86,6 +89,7 @@
         self.born = born
         self.heartbeats = 0
         self.seen_epoch = 0
+        self.accepted_orders = 0
 
     def entry(self):
         """Return what the endpoint registers in the store."""
@@ -191,10 +195,15 @@
     async def _control(self, endpoint, scope, body, send):
         """Serve an order or a report, which the endpoint does whatever it states."""
         if scope["path"] == ORDER_PATH:
-            status = await self._order(endpoint, json.loads(body))
+            status = self._accept_order(endpoint, json.loads(body))
             await asgi.send_json(send, status, {})
             return
-        report = {**endpoint.state(), "born": endpoint.born, "running": endpoint.running}
+        report = {
+            **endpoint.state(),
+            "born": endpoint.born,
+            "running": endpoint.running,
+            "seq_no": endpoint.accepted_orders,
+        }
         await asgi.send_json(send, 200, report)
 
     async def _reject(self, endpoint, scope, send):
@@ -207,7 +216,15 @@
         ]
         await asgi.send_json(send, 503, {}, headers)
 
-    async def _order(self, endpoint, order):
+    def _accept_order(self, endpoint, order):
+        if order.get("expected", endpoint.accepted_orders) != endpoint.accepted_orders:
+            return 409
+        status = self._order(endpoint, order)
+        if status == 202:
+            endpoint.accepted_orders += 1
+        return status
+
+    def _order(self, endpoint, order):
         kind = order["operation"]
         if kind == "stage":
             endpoint.staged = [order["model"]]
@@ -228,8 +245,10 @@
             self._finish_closing(endpoint)
         elif kind == "open" and group["state"] != "open":
             return 409
+        else:
+            return 200
         self._publish(endpoint)
-        return 200
+        return 202
 
     def _finish_closing(self, endpoint):
         """Let a closing head return to ready once it has no streams."""
