Read the plan again when an engine is in a group planned after it

A node that goes on with an earlier plan, after a freeze or because nodes differ in who plans a domain, saw engines in groups that its plan does not have and ordered them to leave. Callers lost the streams of these groups, until a change of that plan was refused by the store: steps that change nothing are not checked.

Epochs rise with every group of a domain, and engines report theirs. An epoch that the plan has not given out shows that another node has planned since; the plan is read again, once for each such epoch, before anything is ordered. If the newest plan does not have it either, the engine is ordered to leave as before.

test_members_of_groups_that_another_node_has_planned_are_not_ordered_to_leave failed before.

--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -19,6 +19,7 @@
     order_sender,
     placement,
     plan_recovery,
+    reported_groups,
 )
 
 # A node that has just started considers itself the only live one until it has heard from others, so
@@ -33,6 +34,7 @@
 
 PLAN_STORED = "lynxlanding:domain:plan_stored"
 PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
+PLAN_OUTDATED = "lynxlanding:domain:plan_outdated"
 PLAN_MALFORMED = "lynxlanding:domain:plan_malformed"
 DOMAIN_TAKEN = "lynxlanding:domain:taken"
 DOMAIN_LEFT = "lynxlanding:domain:left"
@@ -119,6 +121,8 @@
         self._era = None
         # Highest epoch that this node has seen in use, by domain.
         self._used_epochs = {}
+        # Highest epoch reported by an engine for which the plan was read again, by domain.
+        self._checked_epochs = {}
         self._wake = threading.Event()
         self._order_sender = order_sender.OrderSender(
             engine_client, settings.load_window_s, read_loading_elsewhere, self._wake.set
@@ -226,6 +230,11 @@
             if now >= domain.recover_at:
                 self._recover_plan(key, domain, engine_spec, views, fleet_state, fleet)
             return
+        if self._is_plan_outdated(key, domain, views):
+            # The plan is read again in the next pass.
+            del self._domains[key]
+            self._wake.set()
+            return
         step = domain.planner.step(domain.plan, engine_spec, views, fleet_state, now)
         if step.plan is not None:
             if not self._store_plan(key, domain, step, fleet_state, fleet):
@@ -256,6 +265,24 @@
                 is_background=True,
             )
 
+    def _is_plan_outdated(self, key, domain, views):
+        """Return whether an engine is in a group that was planned after the plan was read.
+
+        Each epoch counts once: if the newest plan does not have it either, no planner does.
+        """
+        reported_epoch = reported_groups.highest_epoch(views)
+        if reported_epoch <= max(domain.plan.next_epoch - 1, self._checked_epochs.get(key, 0)):
+            return False
+        self._checked_epochs[key] = reported_epoch
+        eliot.log_message(
+            message_type=PLAN_OUTDATED,
+            domain=key[1],
+            plan_version=str(domain.version),
+            next_epoch=domain.plan.next_epoch,
+            reported_epoch=reported_epoch,
+        )
+        return True
+
     def _load_domain(self, key, members, fleet, now):
         plan = None
         version = None
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -176,6 +176,40 @@
     assert cluster.domain.violations == []
 
 
+def test_members_of_groups_that_another_node_has_planned_are_not_ordered_to_leave():
+    """Guards against cut streams: a node that was replaced goes on with its earlier plan."""
+    cluster = Cluster(("n1", "n2"))
+    for name, controller in cluster.controllers.items():
+        controller._read_store_nodes = lambda name=name: [name]
+    late = ["e8", "e9"]
+    for endpoint_id in late:
+        cluster.domain.engines[endpoint_id].is_alive = False
+    cluster.run(20, ["n1"])
+    cluster.run(1, ["n2"])
+    cluster.controllers["n1"]._read_busy_groups = lambda: {"small": 9.0}
+    for endpoint_id in late:
+        cluster.domain.engines[endpoint_id].is_alive = True
+    cluster.run(20, ["n1"])
+    groups = {endpoint_id: cluster.domain.engines[endpoint_id].group for endpoint_id in late}
+    assert None not in groups.values()
+    cluster.run(3, ["n2"])
+    for endpoint_id in late:
+        assert cluster.domain.engines[endpoint_id].group == groups[endpoint_id]
+
+
+def test_a_group_that_no_plan_has_is_left_after_the_plan_was_read_again():
+    """Guards against engines that stay in a group of an unknown epoch for good."""
+    cluster = Cluster()
+    cluster.run(20)
+    name = "e9"
+    cluster.domain.engines[name].group = ("other", 1000, (name,))
+    cluster.domain.engines[name].state = "ready"
+    reads = cluster.store.call_counts["get"]
+    cluster.run(5)
+    assert cluster.domain.engines[name].group != ("other", 1000, (name,))
+    assert cluster.store.call_counts["get"] == reads + 1
+
+
 def test_the_plan_is_read_again_after_a_lost_store_response():
     cluster = Cluster()
     cluster.store.responses_to_lose = 1
