Compare each reported epoch with the plan, not only the highest one

One engine in a stray group of a high epoch hid that later groups were planned after the plan in memory, and their members were ordered to leave again. Found by review; the new test failed before.

--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -121,8 +121,8 @@
         self._era = None
         # Highest epoch that this node has seen in use, by domain.
         self._used_epochs = {}
-        # Highest epoch reported by an engine for which the plan was read again, by domain.
-        self._checked_epochs = {}
+        # Epochs that engines report and the newest plan did not have when it was read, by domain.
+        self._unplanned_epochs = {}
         self._wake = threading.Event()
         self._order_sender = order_sender.OrderSender(
             engine_client, settings.load_window_s, read_loading_elsewhere, self._wake.set
@@ -270,16 +270,20 @@
 
         Each epoch counts once: if the newest plan does not have it either, no planner does.
         """
-        reported_epoch = reported_groups.highest_epoch(views)
-        if reported_epoch <= max(domain.plan.next_epoch - 1, self._checked_epochs.get(key, 0)):
+        unplanned = set()
+        for _, epoch in reported_groups.collect(views):
+            if epoch >= domain.plan.next_epoch:
+                unplanned.add(epoch)
+        unknown = unplanned - self._unplanned_epochs.get(key, set())
+        self._unplanned_epochs[key] = unplanned
+        if not unknown:
             return False
-        self._checked_epochs[key] = reported_epoch
         eliot.log_message(
             message_type=PLAN_OUTDATED,
             domain=key[1],
             plan_version=str(domain.version),
             next_epoch=domain.plan.next_epoch,
-            reported_epoch=reported_epoch,
+            reported_epochs=sorted(unknown),
         )
         return True
 
--- a/src/lynxlanding/replicas/reported_groups.py
+++ b/src/lynxlanding/replicas/reported_groups.py
@@ -16,11 +16,6 @@
     return reported
 
 
-def highest_epoch(engines):
-    """Return the highest epoch that a present engine reports; 0 without one."""
-    return max((epoch for _, epoch in collect(engines)), default=0)
-
-
 def find_standing(name, epoch, members_by_rank, engines, engine_spec):
     """Return the ``GroupPlan`` of a reported group, or None if it lacks a member."""
     model = group_plan.model_from_name(name)
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -210,6 +210,29 @@
     assert cluster.store.call_counts["get"] == reads + 1
 
 
+def test_a_group_of_an_unknown_epoch_does_not_hide_that_a_plan_is_outdated():
+    """Guards against cut streams: an engine in a stray group beside groups of a newer plan."""
+    cluster = Cluster(("n1", "n2"))
+    for name, controller in cluster.controllers.items():
+        controller._read_store_nodes = lambda name=name: [name]
+    late = ["e7", "e8", "e9"]
+    for endpoint_id in late:
+        cluster.domain.engines[endpoint_id].is_alive = False
+    cluster.run(20, ["n1"])
+    stray = cluster.domain.engines["e7"]
+    stray.is_alive = True
+    stray.group = ("other", 1000, ("e7",))
+    stray.state = "ready"
+    cluster.run(2, ["n2"])
+    cluster.controllers["n1"]._read_busy_groups = lambda: {"small": 9.0}
+    for endpoint_id in late:
+        cluster.domain.engines[endpoint_id].is_alive = True
+    cluster.run(20, ["n1"])
+    groups = {name: item.group for name, item in cluster.domain.engines.items()}
+    cluster.run(3, ["n2"])
+    assert {name: item.group for name, item in cluster.domain.engines.items()} == groups
+
+
 def test_the_plan_is_read_again_after_a_lost_store_response():
     cluster = Cluster()
     cluster.store.responses_to_lose = 1
