--- a/src/lynxlanding/replicas/join_condition.py
+++ b/src/lynxlanding/replicas/join_condition.py
@@ -28,6 +28,9 @@
         Why nothing is sent, one of the constants of ``order_outcome``.
     """
     membership = report.membership
+    if report.accepted_orders is None:
+        # Nothing would make the engine refuse the join.
+        return None, order_outcome.WITHHELD
     if membership is None:
         return dataclasses.replace(order, expected_orders=report.accepted_orders), None
     if membership.belongs_to(order.group, order.epoch):
--- a/src/lynxlanding/replicas/order_outcome.py
+++ b/src/lynxlanding/replicas/order_outcome.py
@@ -14,5 +14,5 @@
 UNKNOWN = "unknown"
 # No connection could be opened, so the order was not delivered.
 UNREACHABLE = "unreachable"
-# Not sent, because the engine reports that it belongs to another group.
+# Not sent, because the engine reports another group, or not how many orders it has accepted.
 WITHHELD = "withheld"
--- a/src/lynxlanding/replicas/tests/test_order_sender.py
+++ b/src/lynxlanding/replicas/tests/test_order_sender.py
@@ -175,6 +175,12 @@
     assert harness.accepted.is_set()
 
 
+def test_no_engine_is_ordered_to_join_that_does_not_tell_how_many_orders_it_has_accepted(harness):
+    """Guards against a join that the engine cannot refuse."""
+    harness.client.report = dataclasses.replace(harness.client.report, accepted_orders=None)
+    assert deliver_join(harness) == []
+
+
 def test_no_engine_that_cannot_be_asked_is_ordered_to_join(harness):
     harness.client.report = None
     assert deliver_join(harness) == []
