Probe engines that send no report before they are to join a group

An engine that takes orders but answers no report was planned into one group after the other, and its group mates waited for it up to the forming timeout, 52 s for the large model. Such an engine is now probed as members of stalled groups are; if it is silent, its group retires, and it is not planned until it answers. Found by review; the new test failed before.

--- a/src/lynxlanding/replicas/engine_observer.py
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -1,5 +1,7 @@
 """Observes the engines of fabric domains through registrations and probes."""
 
+import time
+
 from lynxlanding.replicas import engine_view, group_plan, member_prober
 
 # An engine whose registration is missing counts as present for this long without an answer to a
@@ -12,6 +14,9 @@
 # A head whose registration is missing gets no new requests. Its group stays for this long if it
 # still works on earlier ones, about the time of a long answer.
 HEAD_GRACE_S = 4.0
+# An engine that has sent no report is probed for this long, enough for the probes that show whether
+# it is silent.
+SUSPICION_S = 2.0
 
 
 class EngineObserver:
@@ -34,6 +39,8 @@
         self._last_known_records = {}
         # When the registration of an engine was first missing, by endpoint id.
         self._missing_since = {}
+        # Until when engines are probed that have sent no report, by endpoint id.
+        self._suspected_until = {}
 
     def observe(self, plan, members, all_records, stalled_heads, now):
         """Return the ``EngineView`` of each engine of a domain by id, and start probes.
@@ -54,12 +61,17 @@
         self._probe_suspects(plan, members, all_records, stalled_heads, now)
         return self._build_views(plan, members, now)
 
+    def suspect(self, endpoint_id):
+        """Probe an engine from now on, since it has sent no report."""
+        self._suspected_until[endpoint_id] = time.monotonic() + SUSPICION_S
+
     def remove_gone(self, records, planned):
         """Forget engines that are neither registered nor planned."""
         for endpoint_id in list(self._last_known_records):
             if endpoint_id not in records and endpoint_id not in planned:
                 del self._last_known_records[endpoint_id]
                 self._missing_since.pop(endpoint_id, None)
+                self._suspected_until.pop(endpoint_id, None)
                 self._prober.remove(endpoint_id)
 
     def _probe_control(self, probed, all_records, now):
@@ -88,8 +100,9 @@
                     self._prober.probe(record, now)
                     probed.add(endpoint_id)
         for record in members:
+            is_suspected = now < self._suspected_until.get(record.endpoint_id, now)
             # The only way to learn that an engine without a planned group has gone on.
-            if self._prober.is_silent(record.endpoint_id, now):
+            if is_suspected or self._prober.is_silent(record.endpoint_id, now):
                 self._prober.probe(record, now)
                 probed.add(record.endpoint_id)
         if probed:
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -125,7 +125,11 @@
         self._unplanned_epochs = {}
         self._wake = threading.Event()
         self._order_sender = order_sender.OrderSender(
-            engine_client, settings.load_window_s, read_loading_elsewhere, self._wake.set
+            engine_client,
+            settings.load_window_s,
+            read_loading_elsewhere,
+            self._wake.set,
+            self._observer.suspect,
         )
         self._stop = threading.Event()
 
--- a/src/lynxlanding/replicas/order_sender.py
+++ b/src/lynxlanding/replicas/order_sender.py
@@ -36,12 +36,22 @@
         Returns the ids of the engines that load weights on the orders of other nodes.
     on_accepted : callable
         Called without arguments when an engine has accepted an order.
+    on_report_missing : callable, optional
+        Called with the id of an engine that has sent no report before it was to join a group.
     """
 
-    def __init__(self, engine_client, load_window_s, read_loading_elsewhere, on_accepted):
+    def __init__(
+        self,
+        engine_client,
+        load_window_s,
+        read_loading_elsewhere,
+        on_accepted,
+        on_report_missing=lambda endpoint_id: None,
+    ):
         self._client = engine_client
         self._read_loading_elsewhere = read_loading_elsewhere
         self._on_accepted = on_accepted
+        self._on_report_missing = on_report_missing
         self._rate_limiter = order_rate_limiter.OrderRateLimiter(load_window_s)
         self._loads = weight_load_tracker.WeightLoadTracker()
         # When engines accepted the latest order of this node, by endpoint id.
@@ -190,6 +200,7 @@
                 error=e.type_name,
                 detail=str(e)[:200],
             )
+            self._on_report_missing(record.endpoint_id)
             return order_outcome.UNREACHABLE, None, None
         reported_group = None if report.membership is None else report.membership.name
         join, outcome = join_condition.prepare(order, report)
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -354,6 +354,20 @@
     assert not any(views[endpoint_id].is_silent for endpoint_id in silent)
 
 
+def test_engines_that_send_no_report_are_not_planned_again_and_again():
+    """Guards against groups that wait in turn for an engine which cannot be asked to join."""
+    cluster = Cluster()
+    cluster.answer_only(set(cluster.domain.engines) - {"e0"})
+    for _ in range(40):
+        cluster.run(1)
+        time.sleep(0.03)
+    planned = set()
+    for group in cluster.plan().groups:
+        planned.update(group.members)
+    assert "e0" not in planned
+    assert cluster.open_groups() >= 2
+
+
 def test_engines_that_were_paused_together_do_not_count_as_silent_when_they_wake_up():
     """Guards against groups that are given up since the first engine to wake up has answered."""
     cluster = Cluster()
