Test the way of the registry's version, log how long a domain waited for it

Mutants that dropped the version between store, watcher and registry passed all tests (found by review); with them, domains would have been planned no more. The end of a wait is logged with its length.

--- a/src/lynxlanding/node/tests/test_endpoint_handler.py
+++ b/src/lynxlanding/node/tests/test_endpoint_handler.py
@@ -12,11 +12,11 @@
         _, self.registry = dispatch_factories.make_dispatcher([])
 
     def apply_list(self, records, version, now, was_outage):
-        return dispatch_factories.CompletedFuture(self.registry.apply_list(records, now))
+        return dispatch_factories.CompletedFuture(self.registry.apply_list(records, now, version))
 
     def apply_changes(self, records, removed_ids, version, now, was_outage):
         return dispatch_factories.CompletedFuture(
-            self.registry.apply_changes(records, removed_ids, now)
+            self.registry.apply_changes(records, removed_ids, now, version)
         )
 
     def own_load(self):
@@ -67,6 +67,15 @@
     assert len(wakes) == 2
 
 
+def test_the_registry_takes_over_the_version_of_lists_and_changes():
+    """Guards against domains that are planned no more, since the registry seems too old."""
+    handler, _ = make_handler()
+    handler.on_list([make_entry(7)], 8, 10.0, False)
+    assert handler._serving.registry.version == 8
+    handler.on_changes([], [], 11, 10.4, False)
+    assert handler._serving.registry.version == 11
+
+
 def test_an_ignored_record_is_logged_beside_the_known_one(log_messages):
     """A record that changes nothing must not vanish without a trace."""
     handler, wakes = make_handler()
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -36,11 +36,13 @@
 class RecordingHandler:
     def __init__(self):
         self.events = []
+        self.versions = []
 
     def on_list(self, objects, version, now, was_outage):
         self.events.append(("list", [stored.name for stored in objects], version, was_outage))
 
     def on_changes(self, puts, deletes, version, now, was_outage):
+        self.versions.append(version)
         self.events.append(("changes", [stored.name for stored in puts], deletes, was_outage))
 
     def on_store_rolled_back(self):
@@ -78,6 +80,7 @@
         ("watch", 9, store_watcher.WATCH_TIMEOUT_S),
     ]
     assert handler.events[:2] == [("list", ["a"], 7, False), ("changes", ["b"], ["a"], False)]
+    assert handler.versions[:2] == [9, 9]
 
 
 def test_lists_again_after_the_history_has_expired(monkeypatch):
@@ -149,6 +152,7 @@
     watcher.start()
     assert store.done.wait(5.0)
     assert handler.events[1:3] == [("changes", ["b"], (), False), ("changes", [], ("a",), False)]
+    assert handler.versions[:3] == [8, 9, 12]
     # After the feed has ended, the first watch is short, since the store may not respond.
     assert store.calls[1] == ("watch", 9, store_watcher.RECOVERY_WATCH_TIMEOUT_S)
     assert feed.published == [(None, 7), (9, 12)]
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -40,6 +40,7 @@
 DOMAIN_LEFT = "lynxlanding:domain:left"
 DOMAIN_RECOVERED = "lynxlanding:domain:recovered"
 REGISTRY_OUTDATED = "lynxlanding:domain:registry_outdated"
+REGISTRY_CURRENT = "lynxlanding:domain:registry_current"
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +51,8 @@
     # Version at which the plan was read from the store; None if there was none. Later versions are
     # this node's own, which other nodes' changes would have prevented.
     read_version: Any = None
-    is_registry_outdated: bool = False
+    # Since when the registry has been older than the plan; None if it is not.
+    outdated_since: float | None = None
     # When the plan, which is of an earlier era of the store, is recovered; None if it is valid.
     recover_at: float | None = None
 
@@ -222,7 +224,7 @@
         if domain is None:
             domain = self._load_domain(key, members, fleet, now)
             self._domains[key] = domain
-        if not _has_reached_plan(key, domain, fleet):
+        if not _has_reached_plan(key, domain, fleet, now):
             return
         engine_spec = self._engine_services[key[0]]
         all_records = [record for records in by_domain.values() for record in records]
@@ -442,21 +444,24 @@
         return missing
 
 
-def _has_reached_plan(key, domain, fleet):
+def _has_reached_plan(key, domain, fleet, now):
     """Return whether the registry is at least as recent as the plan that was read.
 
     In an older one, groups that were formed meanwhile seem to have lost their members.
     """
-    is_outdated = domain.read_version is not None and not fleet.covers(domain.read_version)
-    if is_outdated and not domain.is_registry_outdated:
-        eliot.log_message(
-            message_type=REGISTRY_OUTDATED,
-            domain=key[1],
-            plan_version=str(domain.read_version),
-            **_describe_fleet(fleet),
-        )
-    domain.is_registry_outdated = is_outdated
-    return not is_outdated
+    is_current = domain.read_version is None or fleet.covers(domain.read_version)
+    if is_current == (domain.outdated_since is None):
+        return is_current
+    waited_s = 0.0 if domain.outdated_since is None else now - domain.outdated_since
+    eliot.log_message(
+        message_type=REGISTRY_CURRENT if is_current else REGISTRY_OUTDATED,
+        domain=key[1],
+        plan_version=str(domain.read_version),
+        waited_s=round(waited_s, 3),
+        **_describe_fleet(fleet),
+    )
+    domain.outdated_since = None if is_current else now
+    return is_current
 
 
 def _describe_fleet(fleet):
