Measure absences anew after the planner itself has stood still

A member whose registration was missing just before a freeze of the planner counted as gone right after it, although it was back in the store: the time of its absence ran on while the planner stood still. Its group was given up, and callers lost their streams. Found by review with a test, which failed before.

--- a/src/lynxlanding/replicas/engine_observer.py
+++ b/src/lynxlanding/replicas/engine_observer.py
@@ -65,6 +65,13 @@
         """Probe an engine from now on, since it has sent no report."""
         self._suspected_until[endpoint_id] = time.monotonic() + SUSPICION_S
 
+    def restart_absences(self):
+        """Measure from now on for how long engines are missing.
+
+        While the node itself stood still, nothing showed that they were.
+        """
+        self._missing_since.clear()
+
     def remove_gone(self, records, planned):
         """Forget engines that are neither registered nor planned."""
         for endpoint_id in list(self._last_known_records):
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -32,12 +32,17 @@
 # copy. Before that, the registrations do not show which groups stand.
 RECOVERY_DELAY_S = 2.0
 
+# A pass that comes later than this after the one before shows that the node has stood still: passes
+# wait for 0.1 s at most, and for a store that does not respond.
+MAX_PASS_GAP_S = 1.0
+
 PLAN_STORED = "lynxlanding:domain:plan_stored"
 PLAN_NOT_STORED = "lynxlanding:domain:plan_not_stored"
 PLAN_OUTDATED = "lynxlanding:domain:plan_outdated"
 PLAN_MALFORMED = "lynxlanding:domain:plan_malformed"
 DOMAIN_TAKEN = "lynxlanding:domain:taken"
 DOMAIN_LEFT = "lynxlanding:domain:left"
+NODE_STOOD_STILL = "lynxlanding:domain:node_stood_still"
 DOMAIN_RECOVERED = "lynxlanding:domain:recovered"
 REGISTRY_OUTDATED = "lynxlanding:domain:registry_outdated"
 REGISTRY_CURRENT = "lynxlanding:domain:registry_current"
@@ -125,6 +130,7 @@
         self._used_epochs = {}
         # Epochs that engines report and the newest plan did not have when it was read, by domain.
         self._unplanned_epochs = {}
+        self._passed_at = None
         self._wake = threading.Event()
         self._order_sender = order_sender.OrderSender(
             engine_client,
@@ -184,6 +190,7 @@
                 )
 
     def _reconcile(self, now):
+        self._forget_after_pause(now)
         fleet = self._read_fleet()
         records = fleet.records
         if self._store.era != self._era:
@@ -209,6 +216,22 @@
             if self._is_responsible(key, store_nodes):
                 self._reconcile_domain(key, members, by_domain, fleet, now)
 
+    def _forget_after_pause(self, now):
+        """Measure anew how long engines and groups are missing if the node has stood still.
+
+        Engines may have come back meanwhile, and nothing showed it.
+        """
+        gap_s = 0.0 if self._passed_at is None else now - self._passed_at
+        self._passed_at = now
+        if gap_s <= MAX_PASS_GAP_S:
+            return
+        eliot.log_message(
+            message_type=NODE_STOOD_STILL, gap_s=round(gap_s, 3), domains=len(self._domains)
+        )
+        for key, domain in self._domains.items():
+            domain.planner = domain_planner.DomainPlanner(key[1])
+        self._observer.restart_absences()
+
     def _remove_gone_engines(self, records):
         planned = set()
         for domain in self._domains.values():
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -160,6 +160,24 @@
     assert cluster.open_groups() == open_groups
 
 
+def test_engines_are_not_taken_for_gone_because_the_planner_stood_still():
+    """Guards against cut streams: an engine that was missing just before a freeze is back."""
+    cluster = Cluster()
+    cluster.run(20)
+    before = cluster.plan()
+    cluster.client.silent = {before.groups[0].members[1]}
+    cluster.run(2)
+    assert cluster.plan() == before
+    cluster.freeze_fleet("n1")
+    cluster.client.silent = set()
+    time.sleep(1.5)
+    cluster.run(2)
+    assert cluster.plan() == before
+    del cluster.frozen_fleets["n1"]
+    cluster.run(5)
+    assert cluster.plan() == before
+
+
 def test_a_node_plans_once_its_registry_has_reached_the_plan():
     """Guards against domains that are planned no more after a freeze."""
     cluster = Cluster(("n1", "n2"))
