Let the stand-in site record joins of a second group

A head that stands still counts as open until it is broken, and a head that has crashed is in no group.

The site now also plays what the protocol says and it did not have: engines that leave orders unanswered and carry them out late, against the state of that time; reports that are some hundred ms old (--report-lag-s, also stated in the configuration); watches that get no answer, for single callers; and a number of domains. These are off by default. A group is identified by its name and epoch, no longer by its name alone, and a join of the same group and epoch with other members is refused.

--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -33,14 +33,26 @@
         Names of the nodes, which are in the data centres in turn.
     has_own_hosts : bool, optional
         Whether each node reaches the site at an address of its own, so that it can be cut off.
+    site_options : sequence, optional
+        Further options of the stand-in's command.
     """
 
-    def __init__(self, running, engines, plain, heartbeat_s, node_names=NODES, has_own_hosts=False):
+    def __init__(
+        self,
+        running,
+        engines,
+        plain,
+        heartbeat_s,
+        node_names=NODES,
+        has_own_hosts=False,
+        site_options=(),
+    ):
         self.running = running
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
         self.store_port = ports[0]
         options = ["--engines", engines, "--plain", plain, "--heartbeat-s", heartbeat_s]
+        options += site_options
         self.hosts = dict.fromkeys(node_names, "127.0.0.1")
         if has_own_hosts:
             options += ["--hosts", len(node_names)]
--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -110,10 +110,12 @@
 @click.option("--plain", type=int, default=2, help="Endpoints of the plain service.")
 @click.option("--heartbeat-s", type=float, default=0.3, help="Between heartbeats of an endpoint.")
 @click.option("--hosts", type=int, default=0, help="Further addresses, from 127.0.1.1 on.")
-def run_site(port, engines, plain, heartbeat_s, hosts):
+@click.option("--domains", type=int, default=2, help="Fabric domains of the engines.")
+@click.option("--report-lag-s", type=float, default=0.0, help="Age of what engines report.")
+def run_site(port, engines, plain, heartbeat_s, hosts, domains, report_lag_s):
     """Serve the users' platform: its store, engines that form groups, and a plain service."""
     ports = list(range(port, port + 1 + engines + plain))
-    site = application.Site(ports, engines, heartbeat_s)
+    site = application.Site(ports, engines, heartbeat_s, domains, report_lag_s)
     addresses = [port_server.HOST, *(f"127.0.1.{number + 1}" for number in range(hosts))]
     server = port_server.PortServer(site, ports, addresses)
     site.use_server(server)
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -31,12 +31,16 @@
     ports : list of int
         Ports.
     engines : int
-        Number of engines; each fabric domain has half of them.
+        Number of engines.
     heartbeat_s : float
         Seconds between heartbeats of an endpoint.
+    domains : int, optional
+        Number of fabric domains, among which the engines are divided evenly.
+    report_lag_s : float, optional
+        Age of the values that engines report, also stated in the configuration.
     """
 
-    def __init__(self, ports, engines, heartbeat_s):
+    def __init__(self, ports, engines, heartbeat_s, domains=2, report_lag_s=0.0):
         self._store_port = ports[0]
         self._heartbeat_s = heartbeat_s
         self._store = store.SiteStore()
@@ -47,7 +51,7 @@
         endpoints = {}
         for index, port in enumerate(ports[1:]):
             is_engine = index < engines
-            domain = f"d{index * 2 // engines}" if is_engine else None
+            domain = f"d{index * domains // engines}" if is_engine else None
             endpoints[port] = engine.SiteEndpoint(
                 endpoint_id=f"i-{index:03d}",
                 service="model" if is_engine else "app",
@@ -59,14 +63,14 @@
         self._endpoints = endpoints
         self._server = None
         self._engines = engine.SiteEngines(
-            endpoints, self._publish, self._history, self._crash_endpoint
+            endpoints, self._publish, self._history, self._crash_endpoint, report_lag_s
         )
         self._beats = None
         self._restarts = set()
         self._crash_kind = REFUSES
         self._configuration_version = 1
         # Milliseconds by field, as in ``configuration``.
-        self._time_limits = {}
+        self._time_limits = {"report_lag_ms": report_lag_s * 1000}
         self._write_configuration()
         # An entry of another writer names no endpoint.
         self._store.put("servers", "foreign", {"state": 7})
@@ -111,6 +115,8 @@
             self._store.save_copy()
         if order.get("roll_back_store"):
             self._store.roll_back()
+        self._store.silent_watch_hosts.update(order.get("silent_watches", ()))
+        self._store.silent_watch_hosts.difference_update(order.get("answered_watches", ()))
         if "store" in order:
             self._store.fault = order["store"]
         self._store.lost_answers = order.get("lost_answers", self._store.lost_answers)
@@ -127,6 +133,8 @@
         document = {
             "history": self._history,
             "groups": groups,
+            "second_joins": self._engines.second_joins,
+            "down": [item.endpoint_id for item in self._endpoints.values() if item.is_down],
             "calls": self._store.calls,
             "time": time.monotonic(),
         }
@@ -161,6 +169,8 @@
             self._crash_endpoint(endpoint, order["crash"][name])
         if name in order.get("reset", ()):
             self._server.reset_connections(endpoint.port)
+        if name in order.get("late_orders", {}):
+            endpoint.order_delay_s = order["late_orders"][name]
         if name in order.get("limits", {}):
             endpoint.limit_per_s = order["limits"][name]
         if name in order.get("states_leaving", ()):
@@ -257,7 +267,7 @@
             await asyncio.sleep(self._heartbeat_s)
 
 
-def configuration(version, timeout_ms=8000, idle_timeout_ms=15000):
+def configuration(version, timeout_ms=8000, idle_timeout_ms=15000, report_lag_ms=0):
     """Return a configuration document."""
     route = {
         "host": HOST_NAME,
@@ -286,6 +296,7 @@
         "usual": {"prompt": 979, "answer": 154},
         "retain_count": 1,
         "form_ms": 50,
+        "report_lag_ms": report_lag_ms,
     }
     routes = [
         {
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -12,6 +12,8 @@
 EVENTS = 12
 EVENT_S = 0.03
 SEAL = (b"x-response-seal", b"seal")
+# Time for which an order that is carried out late has no answer; callers give up earlier.
+UNANSWERED_S = 60.0
 HEALTH_PATH = "/healthz"
 ORDER_PATH = "/v1/order"
 _CONTROL_PATHS = (ORDER_PATH, "/v1/report")
@@ -39,6 +41,10 @@
         Number of heartbeats of the incarnation.
     accepted_orders : int
         Number of orders that the incarnation has accepted.
+    order_delay_s : float or None
+        Seconds after which orders are carried out, without an answer; None if they are answered.
+    reports : list of (float, dict)
+        Monotonic times of changes, and what the reports say from then on.
     group : dict or None
         ``name``, ``epoch``, ``members`` and ``state``.
     """
@@ -63,6 +69,8 @@
     running: int = 0
     seen_epoch: int = 0
     accepted_orders: int = 0
+    order_delay_s: float | None = None
+    reports: list = dataclasses.field(default_factory=list)
 
     @property
     def port(self):
@@ -90,6 +98,27 @@
         self.heartbeats = 0
         self.seen_epoch = 0
         self.accepted_orders = 0
+        self.reports = []
+
+    def is_in(self, group):
+        """Return whether the engine is in a group, which its name and epoch identify."""
+        known = self.group
+        if known is None or group is None:
+            return False
+        return (known["name"], known["epoch"]) == (group["name"], group["epoch"])
+
+    def note_report(self, now):
+        """Keep what reports say from now on."""
+        report = {**self.state(), "born": self.born, "seq_no": self.accepted_orders}
+        self.reports.append((now, report))
+
+    def report(self, at):
+        """Return the report as of a time; reports of before are forgotten."""
+        while len(self.reports) > 1 and self.reports[1][0] <= at:
+            self.reports.pop(0)
+        if not self.reports:
+            self.note_report(at)
+        return self.reports[0][1]
 
     def entry(self):
         """Return what the endpoint registers in the store."""
@@ -150,11 +179,22 @@
         Receives ``(event, request id, endpoint id, monotonic time)`` for each run and rejection.
     crash : callable
         Called with an endpoint that ends, and the seconds until it starts again.
+    report_lag_s : float, optional
+        Age of the values that reports have.
+
+    Attributes
+    ----------
+    second_joins : list of dict
+        Joins that engines have taken while the head of another group of theirs was open or
+        closing: ``engine``, ``group`` and ``joined`` (name and epoch), ``head``, ``state`` of the
+        head, and monotonic ``time``. A head that stands still counts as open until it is broken.
     """
 
-    def __init__(self, endpoints, publish, history, crash):
+    def __init__(self, endpoints, publish, history, crash, report_lag_s=0.0):
         self._endpoints = endpoints
-        self._publish = publish
+        self._publish_entry = publish
+        self._report_lag_s = report_lag_s
+        self.second_joins = []
         self._history = history
         self._crash = crash
         # Seconds for which an endpoint is down that writes an answer on a part of a prompt, by id
@@ -195,16 +235,26 @@
     async def _control(self, endpoint, scope, body, send):
         """Serve an order or a report, which the endpoint does whatever it states."""
         if scope["path"] == ORDER_PATH:
-            status = self._accept_order(endpoint, json.loads(body))
+            order = json.loads(body)
+            if endpoint.order_delay_s is not None:
+                await self._accept_late(endpoint, order)
+                return
+            status = self._accept_order(endpoint, order)
             await asgi.send_json(send, status, {})
             return
-        report = {
-            **endpoint.state(),
-            "born": endpoint.born,
-            "running": endpoint.running,
-            "seq_no": endpoint.accepted_orders,
-        }
-        await asgi.send_json(send, 200, report)
+        report = endpoint.report(time.monotonic() - self._report_lag_s)
+        await asgi.send_json(send, 200, {**report, "running": endpoint.running})
+
+    async def _accept_late(self, endpoint, order):
+        """Carry an order out late, and never answer it.
+
+        The order must fit the engine's state at that time. A restart meanwhile discards it.
+        """
+        born = endpoint.born
+        await asyncio.sleep(endpoint.order_delay_s)
+        if endpoint.born == born and not endpoint.is_down:
+            self._accept_order(endpoint, order)
+        await asyncio.sleep(UNANSWERED_S)
 
     async def _reject(self, endpoint, scope, send):
         request_id = asgi.header(scope, b"x-request-id") or ""
@@ -222,8 +272,13 @@
         status = self._order(endpoint, order)
         if status == 202:
             endpoint.accepted_orders += 1
+            endpoint.note_report(time.monotonic())
         return status
 
+    def _publish(self, endpoint):
+        endpoint.note_report(time.monotonic())
+        self._publish_entry(endpoint)
+
     def _order(self, endpoint, order):
         kind = order["operation"]
         if kind == "stage":
@@ -260,15 +315,16 @@
     def _join(self, endpoint, order):
         if order["epoch"] < endpoint.seen_epoch:
             return 412
-        endpoint.seen_epoch = order["epoch"]
         group = {
             "name": order["group"],
             "epoch": order["epoch"],
             "members": order["members"],
             "state": "joining",
         }
-        if endpoint.group is not None and endpoint.group["name"] == group["name"]:
-            return 200
+        if endpoint.is_in(group):
+            return 200 if endpoint.group["members"] == group["members"] else 412
+        endpoint.seen_epoch = order["epoch"]
+        self._check_second_join(endpoint, group)
         endpoint.group = group
         self._publish(endpoint)
         asyncio.get_running_loop().call_later(
@@ -276,6 +332,24 @@
         )
         return 202
 
+    def _check_second_join(self, endpoint, joined):
+        """Record a join of an engine that is in another group whose head is not broken."""
+        if endpoint.group is None:
+            return
+        head = self._by_id[endpoint.group["members"][0]]
+        if not head.is_in(endpoint.group) or head.group["state"] not in ("open", "closing"):
+            return
+        self.second_joins.append(
+            {
+                "engine": endpoint.endpoint_id,
+                "group": (endpoint.group["name"], endpoint.group["epoch"]),
+                "joined": (joined["name"], joined["epoch"]),
+                "head": head.endpoint_id,
+                "state": head.group["state"],
+                "time": time.monotonic(),
+            }
+        )
+
     def _finish_join(self, endpoint, group, model):
         if endpoint.group is not group:
             return
@@ -287,12 +361,7 @@
     def _is_whole(self, endpoint):
         for member in endpoint.group["members"]:
             other = self._by_id[member]
-            if (
-                other.is_dark
-                or other.is_down
-                or other.group is None
-                or other.group["name"] != endpoint.group["name"]
-            ):
+            if other.is_dark or other.is_down or not other.is_in(endpoint.group):
                 return False
         return True
 
@@ -340,6 +409,8 @@
                 stalled_at = time.monotonic()
                 while endpoint.is_dark or not self._is_whole(endpoint):
                     await asyncio.sleep(0.02)
+                    if endpoint.group is not group:
+                        return
                     if time.monotonic() - stalled_at > STALL_S:
                         group["state"] = "broken"
                         self._publish(endpoint)
--- a/src/lynxlanding_standins/site/store.py
+++ b/src/lynxlanding_standins/site/store.py
@@ -20,6 +20,8 @@
         ``""``, ``"busy"`` (503) or ``"silent"`` (no answer).
     lost_answers : int
         Writes that are still to be carried out without an answer.
+    silent_watch_hosts : set of str
+        Hosts whose callers get no answers to watches, as on connections that have gone silent.
     raw_values : dict of str to str
         JSON texts by the string that stands for them in a value, for what cannot be encoded.
     """
@@ -33,6 +35,7 @@
         self._copy = None
         self.fault = ""
         self.lost_answers = 0
+        self.silent_watch_hosts = set()
         self.raw_values = {}
         self.calls = 0
 
@@ -83,6 +86,8 @@
         method = scope["method"]
         if method == "GET":
             status, document = await self._read(kind, name, query)
+            if "watch" in query and scope["server"][0] in self.silent_watch_hosts:
+                await asyncio.sleep(60)
         else:
             document = json.loads(body) if body else {}
             status, document = self._change(method, kind, name, document, query)
