Log a digest of requests that is the same when they come again

No line identified a request that its caller sends again under another id, so the ends of engines under one request could not be counted. Bodies are read whole before a request is forwarded, so it is known before the first attempt. No decision uses it yet.

--- a/src/lynxlanding/crashes/part_log.py
+++ b/src/lynxlanding/crashes/part_log.py
@@ -2,6 +2,8 @@
 
 import eliot
 
+from lynxlanding.crashes import request_digest
+
 QUARANTINE_BEGUN = "lynxlanding:prompt:quarantine_begun"
 QUARANTINE_ENDED = "lynxlanding:prompt:quarantine_ended"
 
@@ -11,6 +13,11 @@
     return [f"{part:x}" for part in parts]
 
 
+def format_requests(keys):
+    """Return the digests in keys of requests."""
+    return [f"{request_digest.to_digest(key):016x}" for key in keys]
+
+
 def log_quarantine_change(change, now):
     """Log a ``QuarantineChange``."""
     statement = change.statement
--- a/src/lynxlanding/dispatch/forward_request.py
+++ b/src/lynxlanding/dispatch/forward_request.py
@@ -37,6 +37,8 @@
         Monotonic time in seconds.
     has_caller_left : callable
         Returns whether the caller has closed its connection.
+    key : int or None, optional
+        Key by which nodes recognise the request when it comes again.
     """
 
     metadata: request_metadata.RequestMetadata
@@ -53,3 +55,10 @@
     received_at: float
     deadline: float
     has_caller_left: Callable[[], bool]
+    key: int | None = None
+
+    @property
+    def crash_keys(self):
+        """Keys of what may crash the endpoints that run the request: itself and its parts."""
+        parts = self.metadata.prompt_parts
+        return parts if self.key is None else (self.key, *parts)
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -63,6 +63,7 @@
             predicted_s=round(decision.predicted_s, 4),
             registry_age_s=self._node_status.registry_age_s,
             configuration_version=self._node_status.configuration_version,
+            request_digest=_format_digest(request),
         )
 
     def log_refused(self, request, decision, attempts):
@@ -147,9 +148,15 @@
             time_left_s=round(history.time_left_s, 3),
             writing_s=None if writing_s is None else round(writing_s, 3),
             prompt_parts=part_log.format_parts(request.metadata.prompt_parts[:MAX_LOGGED_PARTS]),
+            request_digest=_format_digest(request),
         )
 
 
+def _format_digest(request):
+    """Return the digest by which a request is recognised; None if it has none."""
+    return None if request.key is None else part_log.format_requests([request.key])[0]
+
+
 def log_limit_changed(change, request_id=None):
     """Log a ``LimitChange``, with the request whose response has stated the limit."""
     eliot.log_message(
--- a/src/lynxlanding/node/request_reader.py
+++ b/src/lynxlanding/node/request_reader.py
@@ -1,5 +1,6 @@
 """Reads a request from a WSGI environment and matches it with a route."""
 
+from lynxlanding.crashes import request_digest
 from lynxlanding.dispatch import cost_model, forward_request
 from lynxlanding.errors import request as request_errors
 from lynxlanding.gateway import strict_parser
@@ -76,21 +77,24 @@
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         service = self._select_service(route)
+        workspace_name = None if workspace is None else workspace.name
+        method = environ["REQUEST_METHOD"]
         return forward_request.ForwardRequest(
             metadata=decoded_headers,
-            method=environ["REQUEST_METHOD"],
+            method=method,
             target=target,
             headers=environ[strict_parser.RAW_HEADERS_KEY],
             body=body,
             route=route,
             service=service,
-            workspace=None if workspace is None else workspace.name,
+            workspace=workspace_name,
             priority=priority,
             urgency=max(MIN_URGENCY, min(MAX_URGENCY, priority)) if route.is_stream else None,
             work=_estimate_work(decoded_headers, configuration.services.get(service)),
             received_at=received_at,
             deadline=received_at + timeout_s,
             has_caller_left=environ["waitress.client_disconnected"],
+            key=request_digest.compute_key(method, target, workspace_name, body),
         )
 
     def _select_service(self, route):
