Reproduce requests that crash one engine after the other

Nine nodes as processes against the stand-in site: four bodies crash each engine that runs them and come again at any node, 3 a second, beside 20 sound requests a second, a quarter of which have one body. Counted by body: what engines begin later than 3 s after the third crash by it.

--- a/src/lynxlanding_bench/site_day/crash_checker.py
+++ b/src/lynxlanding_bench/site_day/crash_checker.py
@@ -4,6 +4,8 @@
 
 # Engines that have ended before nodes have to know the part.
 CRASHES = 5
+# The same for a request that comes again.
+CRASHES_BY_REQUEST = 3
 # Requests that are allowed to reach engines after that.
 ALLOWED_AFTER = 3
 # From this long after the crash on.
@@ -69,3 +71,19 @@
     if not counted:
         return None
     return sum(item.is_whole for item in counted) / len(counted)
+
+
+def late_retries(runs, crashes):
+    """Return the requests that count against one that crashes engines.
+
+    Parameters
+    ----------
+    runs : list of Run
+        The request and its retries, as engines have begun them.
+    crashes : list of float
+        Times of the ends of engines under them.
+    """
+    ordered = sorted(crashes)
+    if len(ordered) < CRASHES_BY_REQUEST:
+        return []
+    return [run for run in runs if run.at > ordered[CRASHES_BY_REQUEST - 1] + STABLE_S]
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -101,6 +101,8 @@
             await self._end_cut(host)
         self._crash_kind = order.get("crash_kind", self._crash_kind)
         self._engines.crash_parts = order.get("crash_parts", self._engines.crash_parts)
+        self._engines.crash_bodies = order.get("crash_bodies", self._engines.crash_bodies)
+        self._engines.crash_moment = order.get("crash_moment", self._engines.crash_moment)
         self._engines.capacity = order.get("capacity", self._engines.capacity)
         self._engines.reading_s = order.get("reading_s", self._engines.reading_s)
         for name, (field, raw) in order.get("odd_entries", {}).items():
@@ -191,11 +193,11 @@
         """Let a paused endpoint go on with what it was doing."""
         endpoint.is_dark = False
 
-    def _crash_endpoint(self, endpoint, down_s):
+    def _crash_endpoint(self, endpoint, down_s, request_id=""):
         """End an endpoint without notice; it starts again ``down_s`` later."""
         if endpoint.is_down:
             return
-        self._history.append(("crash", "", endpoint.endpoint_id, time.monotonic()))
+        self._history.append(("crash", request_id, endpoint.endpoint_id, time.monotonic()))
         endpoint.crash()
         if self._crash_kind == REFUSES:
             self._server.close_port(endpoint.port)
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -15,6 +15,9 @@
 HEALTH_PATH = "/healthz"
 ORDER_PATH = "/v1/order"
 _CONTROL_PATHS = (ORDER_PATH, "/v1/report")
+# When an endpoint ends under a body that crashes it.
+BEFORE_RESPONSE = "before the response"
+AFTER_FIRST_EVENT = "after the first event"
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,7 +152,8 @@
     history : list
         Receives ``(event, request id, endpoint id, monotonic time)`` for each run and rejection.
     crash : callable
-        Called with an endpoint that ends, and the seconds until it starts again.
+        Called with an endpoint that ends, the seconds until it starts again, and the id of the
+        request that ends it.
     """
 
     def __init__(self, endpoints, publish, history, crash):
@@ -160,6 +164,9 @@
         # Seconds for which an endpoint is down that writes an answer on a part of a prompt, by id
         # of the part.
         self.crash_parts = {}
+        # The same by body of a request, and when the endpoint ends.
+        self.crash_bodies = {}
+        self.crash_moment = AFTER_FIRST_EVENT
         # Streams that an engine takes at once, if there is a limit, and the seconds for which it
         # reads a prompt before it writes.
         self.capacity = None
@@ -190,7 +197,7 @@
         elif endpoint.domain is None:
             await self._answer(endpoint, scope, body, send)
         else:
-            await self._stream(endpoint, scope, send)
+            await self._stream(endpoint, scope, body, send)
 
     async def _control(self, endpoint, scope, body, send):
         """Serve an order or a report, which the endpoint does whatever it states."""
@@ -300,6 +307,10 @@
         request_id = asgi.header(scope, b"x-request-id") or ""
         self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
         await asyncio.sleep(EVENT_S)
+        body_down_s = self._find_crash_by_body(body)
+        if body_down_s is not None:
+            self._crash(endpoint, body_down_s, request_id)
+            return
         document = {
             "target": scope["raw_path"].decode() + "?" + scope["query_string"].decode(),
             "body": body.decode("latin-1"),
@@ -309,7 +320,7 @@
         headers = [SEAL, (b"x-request-id", request_id.encode()), *endpoint.statement_headers()]
         await asgi.send_json(send, 200, document, headers)
 
-    async def _stream(self, endpoint, scope, send):
+    async def _stream(self, endpoint, scope, body, send):
         group = endpoint.group
         is_full = self.capacity is not None and endpoint.running >= self.capacity
         is_open = group is not None and group["state"] == "open"
@@ -325,16 +336,23 @@
             SEAL,
             *endpoint.statement_headers(),
         ]
+        self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
+        body_down_s = self._find_crash_by_body(body)
+        if body_down_s is not None and self.crash_moment == BEFORE_RESPONSE:
+            await asyncio.sleep(EVENT_S)
+            self._crash(endpoint, body_down_s, request_id)
+            return
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         endpoint.running += 1
-        self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
         down_s = self._find_crash(scope)
         try:
             await asyncio.sleep(self.reading_s)
             for number in range(first, EVENTS + 1):
                 if down_s is not None:
                     await asyncio.sleep(EVENT_S)
-                    self._crash(endpoint, down_s)
+                    self._crash(endpoint, down_s, request_id)
+                if body_down_s is not None and number > first:
+                    self._crash(endpoint, body_down_s, request_id)
                 if endpoint.group is not group:
                     return
                 stalled_at = time.monotonic()
@@ -354,6 +372,10 @@
             endpoint.running -= 1
             self._finish_closing(endpoint)
 
+    def _find_crash_by_body(self, body):
+        """Return for how long a body takes the endpoint down, or None."""
+        return self.crash_bodies.get(body.decode("latin-1"))
+
     def _find_crash(self, scope):
         """Return for how long a part of the prompt takes the engine down, or None."""
         entries = (asgi.header(scope, b"x-prompt-prefix") or "").split(",")
