--- a/src/lynxlanding/crashes/part_log.py
+++ b/src/lynxlanding/crashes/part_log.py
@@ -1,7 +1,9 @@
-"""Log lines about parts of prompts."""
+"""Log lines about requests and parts of prompts that end endpoints."""
 
 import eliot
 
+from lynxlanding.crashes import request_digest
+
 QUARANTINE_BEGUN = "lynxlanding:prompt:quarantine_begun"
 QUARANTINE_ENDED = "lynxlanding:prompt:quarantine_ended"
 
@@ -11,12 +13,19 @@
     return [f"{part:x}" for part in parts]
 
 
+def format_requests(keys):
+    """Return the digests in keys of requests."""
+    return [f"{request_digest.to_digest(key):016x}" for key in keys]
+
+
 def log_quarantine_change(change, now):
     """Log a ``QuarantineChange``."""
     statement = change.statement
+    parts, requests = request_digest.split(sorted(statement.parts))
     eliot.log_message(
         message_type=QUARANTINE_BEGUN if change.ended_because is None else QUARANTINE_ENDED,
-        prompt_parts=format_parts(sorted(statement.parts)),
+        prompt_parts=format_parts(parts),
+        request_digests=format_requests(requests),
         source=change.source,
         reason=change.ended_because,
         named_age_s=round(now - statement.named_at, 3),
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -2,7 +2,7 @@
 
 import eliot
 
-from lynxlanding.crashes import part_log
+from lynxlanding.crashes import part_log, request_digest
 
 CHOSEN = "lynxlanding:request:chosen"
 REFUSED = "lynxlanding:request:refused"
@@ -63,6 +63,7 @@
             predicted_s=round(decision.predicted_s, 4),
             registry_age_s=self._node_status.registry_age_s,
             configuration_version=self._node_status.configuration_version,
+            request_digest=_format_digest(request),
         )
 
     def log_refused(self, request, decision, attempts):
@@ -80,14 +81,16 @@
         )
 
     def log_quarantined(self, request, verdict, attempts, now):
-        """Log that a request is refused for its prompt, or sent to find out about it."""
+        """Log that a request is refused for itself or its prompt, or sent to find out about it."""
+        parts, requests = request_digest.split(sorted(verdict.parts))
         eliot.log_message(
             message_type=TRIAL if verdict.is_trial else QUARANTINED,
             request_id=request.metadata.request_id,
             route=request.route.name,
             service=request.service,
             model=request.metadata.model,
-            prompt_parts=part_log.format_parts(sorted(verdict.parts)),
+            prompt_parts=part_log.format_parts(parts),
+            request_digests=part_log.format_requests(requests),
             named_age_s=round(now - verdict.named_at, 3),
             attempts=attempts,
         )
@@ -147,9 +150,15 @@
             time_left_s=round(history.time_left_s, 3),
             writing_s=None if writing_s is None else round(writing_s, 3),
             prompt_parts=part_log.format_parts(request.metadata.prompt_parts[:MAX_LOGGED_PARTS]),
+            request_digest=_format_digest(request),
         )
 
 
+def _format_digest(request):
+    """Return the digest by which a request is recognised; None if it has none."""
+    return None if request.key is None else part_log.format_requests([request.key])[0]
+
+
 def log_limit_changed(change, request_id=None):
     """Log a ``LimitChange``, with the request whose response has stated the limit."""
     eliot.log_message(
