Allocate memory for a response only as it arrives

Callers saw nothing directly: a health check, report, order or call of the store that was answered with a huge length or chunk size ended its thread with MemoryError or OverflowError, which no caller of these clients handles, so the check had no result and the loop of orders was restarted.

Cause: http.client asks the buffered reader for the stated number of bytes at once, and the reader allocates them before it reads. The limits on what is read come later.

Evidence: six cases of test_endless_responses.py (endless_chunk and endless_known_length at health checks, reports and orders, and the store) failed before with these errors. Ruled out: the path of requests, which reads parts of 64 KB.

Fix: bodies are read in parts of 64 KB, so that the limit in bytes applies first.

--- a/src/lynxlanding/platform/tests/test_endless_responses.py
+++ b/src/lynxlanding/platform/tests/test_endless_responses.py
@@ -46,6 +46,7 @@
 
 @pytest.mark.parametrize("respond", endless_server.ALL, ids=lambda item: item.__name__)
 def test_health_checks_end(respond):
+    """Guards against a check that reads without end or ends its thread, as for a huge length."""
     with endless_server.EndlessServer(respond) as server:
         client = health_client.PlatformHealthClient()
         record = make_record(server)
@@ -55,6 +56,7 @@
 
 @pytest.mark.parametrize("respond", endless_server.ALL, ids=lambda item: item.__name__)
 def test_reports_and_orders_end(respond):
+    """Guards against a call that reads without end or ends its thread, as for a huge length."""
     order = engine_order.EngineOrder("leave", "p1", group="g", epoch=1)
     with endless_server.EndlessServer(respond) as server:
         client = engine_client.PlatformEngineClient()
@@ -67,6 +69,7 @@
 
 @pytest.mark.parametrize("respond", endless_server.ALL, ids=lambda item: item.__name__)
 def test_calls_of_the_store_end(respond):
+    """Guards against a call that reads without end or ends its thread, as for a huge length."""
     with endless_server.EndlessServer(respond) as server:
         store = object_client.PlatformObjectStore(f"127.0.0.1:{server.port}")
         result = run_with_limit(lambda: store.list("servers"), STORE_LIMIT_S)
--- a/src/lynxlanding/transport/strict_response.py
+++ b/src/lynxlanding/transport/strict_response.py
@@ -10,6 +10,8 @@
 # As in RFC 9112, section 7.1.
 _CHUNK_SIZE_LINE = re.compile(rb"(?P<size>[0-9A-Fa-f]{1,16})[\t ]*(?:;[^\r\n]*)?\r\n")
 _CHUNK_END = b"\r\n"
+# A reader allocates what is asked of it at once, and the other side states any length.
+_MAX_ALLOCATED_BYTES = 64 * 1024
 
 
 class StrictResponse(http.client.HTTPResponse):
@@ -29,6 +31,18 @@
         finally:
             self.fp = stream
 
+    def _safe_read(self, amt):
+        """Read exactly ``amt`` bytes; memory is used only for what arrives."""
+        parts = []
+        remaining_bytes = amt
+        while remaining_bytes:
+            part = self.fp.read(min(remaining_bytes, _MAX_ALLOCATED_BYTES))
+            if not part:
+                raise http.client.IncompleteRead(b"".join(parts), remaining_bytes)
+            parts.append(part)
+            remaining_bytes -= len(part)
+        return b"".join(parts)
+
     def _get_chunk_left(self):
         """Return the unread bytes of the current or next chunk; None after the last one."""
         if self.chunk_left:
--- a/src/lynxlanding/transport/tests/endless_server.py
+++ b/src/lynxlanding/transport/tests/endless_server.py
@@ -9,6 +9,10 @@
 BLOCK = b"x" * 65536
 TRICKLE_INTERVAL_S = 0.1
 OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+# The largest length that is accepted, and the largest size of a chunk.
+MAX_LENGTH = b"9" * 18
+MAX_CHUNK_SIZE = b"F" * 16
 
 
 def endless_body(connection):
@@ -26,14 +30,14 @@
 
 def endless_chunk_size(connection):
     """Send a chunk whose size never ends."""
-    connection.sendall(OK + b"Transfer-Encoding: chunked\r\n\r\n")
+    connection.sendall(CHUNKED)
     while True:
         connection.sendall(b"0" * 65536)
 
 
 def endless_trailers(connection):
     """Send trailers after the last chunk."""
-    connection.sendall(OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n")
+    connection.sendall(CHUNKED + b"0\r\n")
     while True:
         connection.sendall(b"A: b\r\n" * 1000)
 
@@ -57,6 +61,65 @@
         connection.sendall(b"A: " + b"x" * 60000 + b"\r\n")
 
 
+def endless_status_line(connection):
+    """Send bytes that are no head, without a line break."""
+    while True:
+        connection.sendall(BLOCK)
+
+
+def endless_header_line(connection):
+    """Send a header without end."""
+    connection.sendall(OK + b"A: ")
+    while True:
+        connection.sendall(BLOCK)
+
+
+def endless_small_headers(connection):
+    """Send headers of a few bytes without end."""
+    connection.sendall(OK)
+    while True:
+        connection.sendall(b"A:\r\n" * 10000)
+
+
+def endless_small_chunks(connection):
+    """Send chunks of one byte without end."""
+    connection.sendall(CHUNKED)
+    while True:
+        connection.sendall(b"1\r\nx\r\n" * 10000)
+
+
+def endless_chunk_extension(connection):
+    """Send a chunk whose extension never ends."""
+    connection.sendall(CHUNKED + b"1;")
+    while True:
+        connection.sendall(BLOCK)
+
+
+def endless_chunk(connection):
+    """Send a chunk of the largest size."""
+    connection.sendall(CHUNKED + MAX_CHUNK_SIZE + b"\r\n")
+    while True:
+        connection.sendall(BLOCK)
+
+
+def endless_known_length(connection):
+    """Send a body of the largest length."""
+    connection.sendall(OK + b"Content-Length: " + MAX_LENGTH + b"\r\n\r\n")
+    while True:
+        connection.sendall(BLOCK)
+
+
+def trickled_interim_responses(connection):
+    """Send interim responses one after the other, but no final one."""
+    _trickle(connection, b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def trickled_trailers(connection):
+    """Send trailers one after the other."""
+    connection.sendall(CHUNKED + b"0\r\n")
+    _trickle(connection, b"A: b\r\n")
+
+
 ALL = (
     endless_body,
     trickled_body,
@@ -65,6 +128,15 @@
     endless_interim_responses,
     trickled_head,
     endless_headers,
+    endless_status_line,
+    endless_header_line,
+    endless_small_headers,
+    endless_small_chunks,
+    endless_chunk_extension,
+    endless_chunk,
+    endless_known_length,
+    trickled_interim_responses,
+    trickled_trailers,
 )
 
 
