Leave the bodies of responses compressed

Cause: the clients for health checks, reports, orders and the store left decompression to urllib3, which takes place after the limit on bytes. A body of 256 KB could become some 250 MB, with nested codings more. No client asks for an encoding, and the path of requests refuses encoded answers.

Evidence: test_body_is_not_decompressed failed before (10 MB of zeros came out of 10 KB). Not seen in a running system.

Fix: strict connections never decompress. An encoded document then fails to decode as JSON, which its callers handle.

--- a/src/lynxlanding/transport/strict_connection.py
+++ b/src/lynxlanding/transport/strict_connection.py
@@ -10,6 +10,11 @@
 
     response_class = strict_response.StrictResponse
 
+    def request(self, method, url, **options):
+        """Send a request; the body of its response is not decompressed, so its size is bounded."""
+        options["decode_content"] = False
+        super().request(method, url, **options)
+
 
 class StrictPool(urllib3.HTTPConnectionPool):
     """Pool of strict connections."""
--- a/src/lynxlanding/transport/tests/test_strict_response.py
+++ b/src/lynxlanding/transport/tests/test_strict_response.py
@@ -1,5 +1,6 @@
 """Tests what is taken for a whole response when a connection ends early or carries wrong bytes."""
 
+import gzip
 import threading
 
 import pytest
@@ -99,6 +100,13 @@
         fetch(START + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
 
 
+def test_body_is_not_decompressed():
+    """Guards against a body within its limit that fills the memory once it is decompressed."""
+    body = gzip.compress(bytes(10_000_000))
+    head = START + b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
+    assert fetch(head + body).data == body
+
+
 def test_spoilt_head_writes_no_traceback(caplog):
     """Guards against a traceback for each spoilt response, which nothing bounds."""
     with pytest.raises(urllib3.exceptions.HTTPError):
