Let other requests run while an answer without end is read

Callers saw their requests on a node stop for seconds while it read one answer of a faulty engine, past the deadline of that request as well.

Cause: threads are cooperative, and the reader of a socket that always has data never waits. A response may have 8 MB; in chunks of one byte these take 12 s to parse, and trailers 0.6 s.

Ruled out: heads without end, which 128 KB bound; a pause of zero seconds, which lets no timer run (trial).

Fix: the guard pauses after each 16 KB, counts 1 KB for a chunk, and the limits of heads apply to trailers and to the number of headers.

--- a/src/lynxlanding/transport/guarded_response.py
+++ b/src/lynxlanding/transport/guarded_response.py
@@ -6,6 +6,15 @@
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.transport import strict_response
 
+# Threads are cooperative (gevent), and the reader of a socket that always has data never waits. It
+# pauses after these many bytes, so that other threads run.
+MAX_BYTES_IN_A_TURN = 16 * 1024
+# After a pause of zero seconds, gevent runs no thread that waits for a socket or a timer.
+TURN_PAUSE_S = 0.0001
+# To read a chunk takes about as long as to copy some ten thousand bytes. Complete responses, and
+# single events of a stream, have some thousand chunks at most.
+CHUNK_COST_BYTES = 1024
+
 
 class ReadGuard:
     """Limits what may still be read from a connection.
@@ -18,11 +27,12 @@
         Monotonic seconds until which they must have been read; None if there is no limit.
     """
 
-    __slots__ = ("_deadline", "_remaining_bytes")
+    __slots__ = ("_bytes_in_this_turn", "_deadline", "_remaining_bytes")
 
     def __init__(self, max_bytes, deadline):
         self._remaining_bytes = max_bytes
         self._deadline = deadline
+        self._bytes_in_this_turn = 0
 
     @property
     def deadline(self):
@@ -36,10 +46,17 @@
             self._deadline += extra_s
 
     def count(self, received):
-        """Count received bytes; raises ``ResponseTooLarge`` if there are more than allowed."""
+        """Count received bytes, and pause now and then to let other threads run.
+
+        Raises ``ResponseTooLarge`` if there are more than allowed.
+        """
         self._remaining_bytes -= received
         if self._remaining_bytes < 0:
             raise endpoint_errors.ResponseTooLarge("the response exceeds its limit")
+        self._bytes_in_this_turn += received
+        if self._bytes_in_this_turn >= MAX_BYTES_IN_A_TURN:
+            self._bytes_in_this_turn = 0
+            time.sleep(TURN_PAUSE_S)
 
 
 class GuardedReader(io.RawIOBase):
@@ -115,3 +132,7 @@
         """Read status line and headers."""
         super().begin()
         self._guard.allow(self._max_body_bytes, self._body_timeout_s)
+
+    def _read_next_chunk_size(self):
+        self._guard.count(CHUNK_COST_BYTES)
+        return super()._read_next_chunk_size()
--- a/src/lynxlanding/transport/response_head.py
+++ b/src/lynxlanding/transport/response_head.py
@@ -8,13 +8,15 @@
 # Status line and headers, including those of interim responses.
 MAX_HEAD_BYTES = 128 * 1024
 MAX_LINE_BYTES = 64 * 1024
+# ``http.client`` refuses more, but only once it has all of them.
+MAX_HEADERS = 100
 
 # Lines as in RFC 9112, sections 4 and 5. Line folding is obsolete.
 _STATUS_LINE = re.compile(rb"HTTP/1\.\d (?P<status>[1-9]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n")
 _HEADER_LINE = re.compile(
     rb"(?P<name>[!#$%&'*+\-.^_`|~0-9A-Za-z]+):[\t ]*(?P<value>[\t\x20-\x7e\x80-\xff]*?)[\t ]*\r?\n"
 )
-_EMPTY_LINES = (b"\r\n", b"\n")
+EMPTY_LINES = (b"\r\n", b"\n")
 # 18 digits fit into 64 bits.
 _LENGTH = re.compile(rb"\d{1,18}")
 _SWITCHING_PROTOCOLS = 101
@@ -70,10 +72,12 @@
         head += line
         if len(head) > max_bytes:
             raise endpoint_errors.MalformedMessage("the head is too large")
-        if line in _EMPTY_LINES:
+        if line in EMPTY_LINES:
             break
         header = _match_line(_HEADER_LINE, line, "header")
         headers.append((header["name"].lower(), header["value"]))
+        if len(headers) > MAX_HEADERS:
+            raise endpoint_errors.MalformedMessage("the head has too many headers")
     _check_framing(headers)
     return head, int(status_line["status"])
 
--- a/src/lynxlanding/transport/strict_response.py
+++ b/src/lynxlanding/transport/strict_response.py
@@ -43,6 +43,17 @@
             remaining_bytes -= len(part)
         return b"".join(parts)
 
+    def _read_and_discard_trailer(self):
+        """Read what follows the last chunk, whose limit is that of a head."""
+        remaining_bytes = response_head.MAX_HEAD_BYTES
+        while True:
+            line = self.fp.readline(response_head.MAX_LINE_BYTES)
+            if not line or line in response_head.EMPTY_LINES:
+                return
+            remaining_bytes -= len(line)
+            if remaining_bytes < 0:
+                raise endpoint_errors.MalformedMessage("the trailers are too large")
+
     def _get_chunk_left(self):
         """Return the unread bytes of the current or next chunk; None after the last one."""
         if self.chunk_left:
