Bound the memory of all bodies that a node reads

Cause: each body was bounded by 8 MB, all of them together by nothing. A faulty engine that sends bodies without end to many requests at a time filled the memory of the node, and all requests on it ended.

Fix: bodies that are being read share 64 MB. Beyond that, those with more than an equal share are given up, so that small answers of sound engines are read. Events of streams count until they are passed on.

--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -6,11 +6,13 @@
 
 import urllib3
 
-from lynxlanding.dispatch import connection_pool
+from lynxlanding.dispatch import body_memory, connection_pool
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.transport import strict_response
 
 READ_SIZE = 65536
+# Bodies that are being read, a quarter of the memory that a node has.
+MAX_HELD_BYTES = 64 << 20
 # A complete response makes progress with each of these many bytes. Single bytes may come from an
 # endpoint that has stalled.
 MIN_PROGRESS_BYTES = 512
@@ -89,6 +91,7 @@
         self._monitor = monitor
         self._codec = codec
         self._stall_tracker = stall_tracker
+        self._body_memory = body_memory.BodyMemory(MAX_HELD_BYTES)
 
     def send(
         self,
@@ -152,13 +155,17 @@
             self._codec.decode_response(received), is_first_on_connection=is_new
         )
         is_reusable = is_body_sent and not metadata.closes_connection
-        chunks = self._read(record, connection, response, attempt, metadata, is_reusable, is_stream)
+        share = self._body_memory.begin()
+        chunks = self._read(
+            record, connection, response, attempt, metadata, is_reusable, is_stream, share
+        )
         # Closing a generator that has not started would not release the connection.
         next(chunks)
 
         def record_progress():
             self._record_progress(record, attempt)
             connection.guard.allow(connection_pool.MAX_BODY_BYTES)
+            share.release()
 
         ends_with_connection = not response.chunked and response.length_remaining is None
         return (
@@ -173,12 +180,13 @@
         attempt.record_data(now)
         self._stall_tracker.record_event(record.endpoint_id, now)
 
-    def _read(self, record, connection, response, attempt, metadata, is_reusable, is_stream):
+    def _read(self, record, connection, response, attempt, metadata, is_reusable, is_stream, share):
         is_complete = False
         unrecorded_bytes = 0
         try:
             yield b""
             for chunk in strict_response.iterate_body(response, READ_SIZE):
+                share.add(len(chunk))
                 unrecorded_bytes += len(chunk)
                 if not is_stream and unrecorded_bytes >= MIN_PROGRESS_BYTES:
                     unrecorded_bytes = 0
@@ -190,6 +198,7 @@
         except _TRANSPORT_ERRORS as e:
             raise _attempt_error(attempt, record, e, endpoint_errors.ResponseTruncated) from e
         finally:
+            share.end()
             self._monitor.discard(attempt)
             if is_complete and is_reusable and connection.sock is not None:
                 self._pool.release(record, connection, metadata.idle_timeout_s)
