Accept requests during a stop for a third of the grace period at most

Callers would see requests cut off that were taken just before the exit, on deployments with a short grace period. Not seen in a running system: the deployments of the kit have 8 s.

Cause: requests were accepted for 2.7 s whatever the grace period. With 3 s the node accepted them until it exited.

Evidence: test_short_grace_period_leaves_time_for_answers failed before (requests accepted 1.1 s into a grace period of 3 s). With 8 s the window becomes 2.67 s instead of 2.7 s.

Fix: the window is a third of the grace period, if that is shorter.

--- a/src/lynxlanding/node/stop_plan.py
+++ b/src/lynxlanding/node/stop_plan.py
@@ -5,6 +5,8 @@
 # stream takes longer than the rest of the grace period, and only requests that arrive within 3 s of
 # the signal may be cut off when the period ends.
 ACCEPT_WINDOW_S = 2.7
+# Share of the grace period, if that is short; the rest is for the answers.
+MAX_ACCEPT_SHARE = 1 / 3
 # The process exits no sooner than this after it has begun to refuse requests. A request that was
 # accepted just before shows up as unfinished by then.
 REFUSAL_S = 0.1
@@ -26,10 +28,11 @@
     def __init__(self, started_at, grace_s):
         self._started_at = started_at
         self._exit_at = started_at + grace_s - EXIT_MARGIN_S
+        self._accept_s = min(ACCEPT_WINDOW_S, grace_s * MAX_ACCEPT_SHARE)
 
     def accepts_requests(self, now):
         """Return whether new requests are still served."""
-        return now - self._started_at < ACCEPT_WINDOW_S
+        return now - self._started_at < self._accept_s
 
     def should_exit(self, now, unfinished):
         """Return whether the process should exit.
@@ -43,4 +46,4 @@
         """
         if now >= self._exit_at:
             return True
-        return not unfinished and now - self._started_at >= ACCEPT_WINDOW_S + REFUSAL_S
+        return not unfinished and now - self._started_at >= self._accept_s + REFUSAL_S
--- a/src/lynxlanding/node/tests/test_stop_plan.py
+++ b/src/lynxlanding/node/tests/test_stop_plan.py
@@ -18,6 +18,14 @@
     assert not plan.should_exit(107.0, 1)
 
 
+def test_short_grace_period_leaves_time_for_answers():
+    """Guards against requests that are accepted until the exit if the grace period is short."""
+    plan = stop_plan.StopPlan(100.0, 3.0)
+    assert plan.accepts_requests(100.5)
+    assert not plan.accepts_requests(101.1)
+    assert plan.should_exit(102.5, 1)
+
+
 def test_exits_before_it_is_killed():
     plan = stop_plan.StopPlan(100.0, GRACE_S)
     assert plan.should_exit(107.9, 5)
