Answer the requests that outlast a planned stop

Callers saw their connections closed without an answer 7.5 s after the SIGTERM of a node, also for requests that must not be repeated, if the engines took longer than that.

Cause: the exit ended the process while requests waited; they kept the deadlines of their callers, which were later.

Fix: deadlines of all requests and attempts end 0.2 s before the exit. The callers get 504 as at any deadline, nothing is sent to another engine, and a request whose answer is expected later is refused as not run.

The stand-in delays an answer if the request says so. The field deadline of ForwardRequest is now caller_deadline, so two tests name it so.

--- a/src/lynxlanding/dispatch/forward_request.py
+++ b/src/lynxlanding/dispatch/forward_request.py
@@ -1,12 +1,17 @@
 """A caller's request to be forwarded to an endpoint."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 
 from lynxlanding.dispatch import cost_model, request_metadata
 from lynxlanding.traffic import route as traffic_route
 
 
+def _never():
+    return math.inf
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ForwardRequest:
     """A request that was read completely and matched with a route.
@@ -33,10 +38,14 @@
         Rank in an endpoint's queue; 0 is the most urgent.
     work : Work
         Estimated size.
-    received_at, deadline : float
+    received_at : float
         Monotonic time in seconds.
+    caller_deadline : float
+        Until when the caller waits, monotonic seconds.
     has_caller_left : callable
         Returns whether the caller has closed its connection.
+    get_answer_by : callable, optional
+        Returns until when this node can answer, monotonic seconds.
     """
 
     metadata: request_metadata.RequestMetadata
@@ -51,5 +60,11 @@
     urgency: int | None
     work: cost_model.Work
     received_at: float
-    deadline: float
+    caller_deadline: float
     has_caller_left: Callable[[], bool]
+    get_answer_by: Callable[[], float] = _never
+
+    @property
+    def deadline(self):
+        """Until when the request must be answered, monotonic seconds."""
+        return min(self.caller_deadline, self.get_answer_by())
--- a/src/lynxlanding/dispatch/tests/test_request_forwarder.py
+++ b/src/lynxlanding/dispatch/tests/test_request_forwarder.py
@@ -227,7 +227,7 @@
         urgency=1,
         work=dispatch_factories.make_query().work,
         received_at=now,
-        deadline=now + 6.0,
+        caller_deadline=now + 6.0,
         has_caller_left=lambda: False,
     )
     forwarder = request_forwarder.RequestForwarder(
--- a/src/lynxlanding/handover/tests/test_peer_forwarder.py
+++ b/src/lynxlanding/handover/tests/test_peer_forwarder.py
@@ -111,7 +111,7 @@
         urgency=None,
         work=dispatch_factories.make_query().work,
         received_at=now,
-        deadline=now + time_left_s,
+        caller_deadline=now + time_left_s,
         has_caller_left=has_caller_left,
     )
 
--- a/src/lynxlanding/node/node_status.py
+++ b/src/lynxlanding/node/node_status.py
@@ -1,5 +1,6 @@
 """State that the components of a node share: active configuration, readiness and request count."""
 
+import math
 import threading
 import time
 
@@ -17,6 +18,7 @@
         self._started_at = time.monotonic()
         self._initial_sync_done = threading.Event()
         self._is_stopping = False
+        self._answer_by = math.inf
         self._refuses_requests = False
         self._in_flight = 0
         self._has_traffic = False
@@ -84,9 +86,14 @@
             max(0.0, self._started_at + INITIAL_SYNC_TIMEOUT_S - time.monotonic())
         )
 
-    def begin_stop(self):
-        """Fail the readiness check from now on."""
+    def get_answer_by(self):
+        """Return until when this process can answer, monotonic seconds."""
+        return self._answer_by
+
+    def begin_stop(self, answer_by):
+        """Fail the readiness check from now on; requests are answered until ``answer_by``."""
         self._is_stopping = True
+        self._answer_by = answer_by
 
     def refuse_requests(self):
         """Refuse new requests from now on."""
--- a/src/lynxlanding/node/request_reader.py
+++ b/src/lynxlanding/node/request_reader.py
@@ -89,8 +89,9 @@
             urgency=max(MIN_URGENCY, min(MAX_URGENCY, priority)) if route.is_stream else None,
             work=_estimate_work(decoded_headers, configuration.services.get(service)),
             received_at=received_at,
-            deadline=received_at + timeout_s,
+            caller_deadline=received_at + timeout_s,
             has_caller_left=environ["waitress.client_disconnected"],
+            get_answer_by=self._node_status.get_answer_by,
         )
 
     def _select_service(self, route):
--- a/src/lynxlanding/node/stop_plan.py
+++ b/src/lynxlanding/node/stop_plan.py
@@ -12,6 +12,9 @@
 REFUSAL_S = 0.1
 # The process exits this long before it would be killed.
 EXIT_MARGIN_S = 0.5
+# Requests that are unfinished this long before the exit get an error, which takes some turns of the
+# threads to send.
+ANSWER_MARGIN_S = 0.2
 
 
 class StopPlan:
@@ -30,6 +33,11 @@
         self._exit_at = started_at + grace_s - EXIT_MARGIN_S
         self._accept_s = min(ACCEPT_WINDOW_S, grace_s * MAX_ACCEPT_SHARE)
 
+    @property
+    def answer_by(self):
+        """Until when requests may wait for their answers, monotonic seconds."""
+        return self._exit_at - ANSWER_MARGIN_S
+
     def accepts_requests(self, now):
         """Return whether new requests are still served."""
         return now - self._started_at < self._accept_s
--- a/src/lynxlanding/node/tests/test_stop_plan.py
+++ b/src/lynxlanding/node/tests/test_stop_plan.py
@@ -23,6 +23,7 @@
     plan = stop_plan.StopPlan(100.0, 3.0)
     assert plan.accepts_requests(100.5)
     assert not plan.accepts_requests(101.1)
+    assert plan.answer_by < 102.5
     assert plan.should_exit(102.5, 1)
 
 
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -615,11 +615,13 @@
     def _shut_down(self, servers):
         started_at = time.monotonic()
         plan = stop_plan.StopPlan(started_at, self._settings.stop.grace_s)
-        self._node_status.begin_stop()
+        self._node_status.begin_stop(plan.answer_by)
         eliot.log_message(message_type=NODE_STOPPING, in_flight=self._node_status.in_flight)
         self._group_controller.stop()
         while True:
             now = time.monotonic()
+            # Includes attempts that were still connecting at the last time.
+            self._monitor.shorten_deadlines(plan.answer_by)
             if not plan.accepts_requests(now):
                 self._node_status.refuse_requests()
             unfinished = max(
--- a/src/lynxlanding/requests/attempt_monitor.py
+++ b/src/lynxlanding/requests/attempt_monitor.py
@@ -101,6 +101,10 @@
         """Set the socket that is shut down to abort the attempt."""
         self._socket = connection_socket
 
+    def shorten_deadline(self, deadline):
+        """Set an earlier deadline, in seconds of the monotonic clock."""
+        self._deadline = min(self._deadline, deadline)
+
     def record_data(self, now):
         """Record that data arrived at the monotonic time ``now``."""
         self._last_data_at = now
@@ -185,6 +189,11 @@
         self._attempts.discard(attempt)
         attempt.finish()
 
+    def shorten_deadlines(self, deadline):
+        """Set an earlier deadline for every attempt."""
+        for attempt in list(self._attempts):
+            attempt.shorten_deadline(deadline)
+
     def check_all(self, now):
         """Check every attempt at the monotonic time ``now``."""
         for attempt in list(self._attempts):
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -14,6 +14,7 @@
 SEAL = (b"x-response-seal", b"seal")
 HEALTH_PATH = "/healthz"
 ORDER_PATH = "/v1/order"
+DELAY_HEADER = b"x-delay-s"
 _CONTROL_PATHS = (ORDER_PATH, "/v1/report")
 
 
@@ -299,7 +300,7 @@
     async def _answer(self, endpoint, scope, body, send):
         request_id = asgi.header(scope, b"x-request-id") or ""
         self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
-        await asyncio.sleep(EVENT_S)
+        await asyncio.sleep(EVENT_S + _requested_delay_s(scope))
         document = {
             "target": scope["raw_path"].decode() + "?" + scope["query_string"].decode(),
             "body": body.decode("latin-1"),
@@ -330,7 +331,7 @@
         self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
         down_s = self._find_crash(scope)
         try:
-            await asyncio.sleep(self.reading_s)
+            await asyncio.sleep(self.reading_s + _requested_delay_s(scope))
             for number in range(first, EVENTS + 1):
                 if down_s is not None:
                     await asyncio.sleep(EVENT_S)
@@ -365,6 +366,11 @@
         return None
 
 
+def _requested_delay_s(scope):
+    """Return how much longer than usual the caller wants the answer to take, in seconds."""
+    return float(asgi.header(scope, DELAY_HEADER) or 0)
+
+
 def _echoed_id(scope):
     """Return the header with the id of the request, which all answers repeat."""
     return b"x-request-id", (asgi.header(scope, b"x-request-id") or "").encode()
