--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -16,6 +16,7 @@
 UNANSWERED_S = 60.0
 HEALTH_PATH = "/healthz"
 ORDER_PATH = "/v1/order"
+DELAY_HEADER = b"x-delay-s"
 _CONTROL_PATHS = (ORDER_PATH, "/v1/report")
 # When an endpoint ends under a body that crashes it.
 BEFORE_RESPONSE = "before the response"
@@ -375,7 +376,7 @@
     async def _answer(self, endpoint, scope, body, send):
         request_id = asgi.header(scope, b"x-request-id") or ""
         self._history.append(("run", request_id, endpoint.endpoint_id, time.monotonic()))
-        await asyncio.sleep(EVENT_S)
+        await asyncio.sleep(EVENT_S + _requested_delay_s(scope))
         body_down_s = self._find_crash_by_body(body)
         if body_down_s is not None:
             self._crash(endpoint, body_down_s, request_id)
@@ -415,7 +416,7 @@
         endpoint.running += 1
         down_s = self._find_crash(scope)
         try:
-            await asyncio.sleep(self.reading_s)
+            await asyncio.sleep(self.reading_s + _requested_delay_s(scope))
             for number in range(first, EVENTS + 1):
                 if down_s is not None:
                     await asyncio.sleep(EVENT_S)
@@ -458,6 +459,11 @@
         return None
 
 
+def _requested_delay_s(scope):
+    """Return how much longer than usual the caller wants the answer to take, in seconds."""
+    return float(asgi.header(scope, DELAY_HEADER) or 0)
+
+
 def _echoed_id(scope):
     """Return the header with the id of the request, which all answers repeat."""
     return b"x-request-id", (asgi.header(scope, b"x-request-id") or "").encode()
