Let handed-over requests take part in recording progress

Streams that a cut node hands over ended with an AttributeError after the merge of the evidence that a long stream gives; the tests of the handover failed.

--- a/src/lynxlanding/handover/handed_over_request.py
+++ b/src/lynxlanding/handover/handed_over_request.py
@@ -83,6 +83,9 @@
     def cancel_standby(self):
         """Do nothing: the helper looks after silent endpoints."""
 
+    def record_progress(self):
+        """Do nothing: the helper keeps the evidence on the answer."""
+
     def complete_attempt(self):
         """Do nothing: the helper keeps the evidence on the answer."""
 
