Measure pauses of the planner between its passes, not within them

With a slow store a pass may take over a second, which counted as a pause of the node: absences and shortages were measured anew with each pass, so that groups would have been formed late for as long as the store was slow. Found by reading again; the new test failed before.

--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -32,8 +32,8 @@
 # copy. Before that, the registrations do not show which groups stand.
 RECOVERY_DELAY_S = 2.0
 
-# A pass that comes later than this after the one before shows that the node has stood still: passes
-# wait for 0.1 s at most, and for a store that does not respond.
+# A pass that begins later than this after the end of the one before shows that the node has stood
+# still, since the wait between them is 0.1 s at most. A pass itself may take long: a slow store.
 MAX_PASS_GAP_S = 1.0
 
 PLAN_STORED = "lynxlanding:domain:plan_stored"
@@ -191,6 +191,12 @@
 
     def _reconcile(self, now):
         self._forget_after_pause(now)
+        try:
+            self._reconcile_domains(now)
+        finally:
+            self._passed_at = time.monotonic()
+
+    def _reconcile_domains(self, now):
         fleet = self._read_fleet()
         records = fleet.records
         if self._store.era != self._era:
@@ -222,7 +228,6 @@
         Engines may have come back meanwhile, and nothing showed it.
         """
         gap_s = 0.0 if self._passed_at is None else now - self._passed_at
-        self._passed_at = now
         if gap_s <= MAX_PASS_GAP_S:
             return
         eliot.log_message(
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -178,6 +178,25 @@
     assert cluster.plan() == before
 
 
+def test_a_slow_store_is_no_pause_of_the_planner(monkeypatch):
+    """Guards against shortages that are not acted upon while calls to the store take long."""
+    monkeypatch.setattr(group_controller, "MAX_PASS_GAP_S", 0.15)
+    cluster = Cluster()
+    controller = cluster.controllers["n1"]
+    controller._reconcile(time.monotonic())
+    (domain,) = controller._domains.values()
+    planner = domain.planner
+    read_fleet = controller._read_fleet
+
+    def read_slowly():
+        time.sleep(0.2)
+        return read_fleet()
+
+    controller._read_fleet = read_slowly
+    cluster.run(3)
+    assert domain.planner is planner
+
+
 def test_a_node_plans_once_its_registry_has_reached_the_plan():
     """Guards against domains that are planned no more after a freeze."""
     cluster = Cluster(("n1", "n2"))
