--- a/src/lynxlanding/crashes/suspicion.py
+++ b/src/lynxlanding/crashes/suspicion.py
@@ -25,13 +25,18 @@
         When the last request with the part was sent to the endpoint, and when the endpoint ended,
         in seconds.
     """
-    count = 0
+    return len(_find_sequence(ends))
+
+
+def _find_sequence(ends):
+    """Return the times of the ends that followed each other."""
+    times = []
     last_ended_at = float("-inf")
     for sent_at, ended_at in sorted(ends, key=lambda item: item[1]):
         if sent_at > last_ended_at:
-            count += 1
+            times.append(ended_at)
             last_ended_at = ended_at
-    return count
+    return times
 
 
 def find_suspects(ends_by_key, harmless, ends_to_name):
@@ -148,15 +153,8 @@
 
 def _find_named_at(ends, ends_to_name):
     """Return the time of the end that completes the sequence; None if it is too short."""
-    count = 0
-    last_ended_at = float("-inf")
-    for sent_at, ended_at in sorted(ends, key=lambda item: item[1]):
-        if sent_at > last_ended_at:
-            count += 1
-            last_ended_at = ended_at
-            if count == ends_to_name:
-                return ended_at
-    return None
+    times = _find_sequence(ends)
+    return times[ends_to_name - 1] if len(times) >= ends_to_name else None
 
 
 def _find_equal_suspects(ends_by_part, ends_to_name):
