--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -277,27 +277,17 @@
         load_limit_share = 1.0 / max(1, len(by_domain))
         load_limit_share *= len(self._domains)
         has_traffic = not fleet_state.is_before_traffic
-        for order in step.orders:
-            record = views[order.endpoint_id].record
-            self._order_sender.send(
-                order,
-                record,
-                engine_spec,
-                load_limit_share,
-                has_traffic=has_traffic,
-                plan_version=domain.version,
-            )
-        for order in step.background_orders:
-            record = views[order.endpoint_id].record
-            self._order_sender.send(
-                order,
-                record,
-                engine_spec,
-                load_limit_share,
-                has_traffic=has_traffic,
-                plan_version=domain.version,
-                is_background=True,
-            )
+        for orders, is_background in ((step.orders, False), (step.background_orders, True)):
+            for order in orders:
+                self._order_sender.send(
+                    order,
+                    views[order.endpoint_id].record,
+                    engine_spec,
+                    load_limit_share,
+                    has_traffic=has_traffic,
+                    plan_version=domain.version,
+                    is_background=is_background,
+                )
 
     def _is_plan_outdated(self, key, domain, views):
         """Return whether an engine is in a group that was planned after the plan was read.
