--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -2,7 +2,6 @@
 
 import gc
 import logging
-import math
 import os
 import random
 import signal
@@ -37,6 +36,7 @@
     confirmation_checker,
     endpoint_handler,
     monitoring_apps,
+    node_gauges,
     node_status,
     peer_report_handler,
     proxy_app,
@@ -234,8 +234,18 @@
         signal.signal(signal.SIGTERM, self._on_stop_signal)
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
-        self._add_gauges()
-        self._add_peer_gauges()
+        node_gauges.add_node_gauges(
+            self._metrics,
+            self._node_status,
+            self._log,
+            self._endpoint_handler,
+            self._limit_table,
+            self._reachability,
+            self._peer_forwarder,
+            self._part_guard,
+            self._store,
+        )
+        node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
         servers = self._create_servers()
         _start_garbage_collection()
         for server in servers:
@@ -499,114 +509,6 @@
             (requests.repeat_ratio, requests.repeat_slack, requests.repeat_window_s)
         )
 
-    def _add_gauges(self):
-        self._metrics.add_gauge(
-            "lynxlanding_requests_in_flight",
-            "Requests in progress.",
-            lambda: self._node_status.in_flight,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_log_lines_dropped",
-            "Log lines dropped to bound their volume.",
-            lambda: self._log.dropped_total,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_endpoint_records_ignored",
-            "Registrations of endpoints that did not replace the known ones.",
-            lambda: self._endpoint_handler.ignored_total,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_limited_endpoints",
-            "Endpoints that state how many requests a second they take.",
-            lambda: len(self._limit_table.limited_ids),
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_endpoints_unreachable",
-            "1 while this node reaches no endpoint.",
-            lambda: int(self._reachability.is_cut),
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_requests_handed_over",
-            "Requests that other nodes were asked to serve, since the start of the process.",
-            lambda: self._peer_forwarder.total,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_prompt_quarantines",
-            "Sets of parts of prompts that are refused because engines have crashed under them.",
-            lambda: len(self._part_guard.quarantines) - self._part_guard.count_requests(),
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_request_quarantines",
-            "Requests that are refused because engines have crashed under them.",
-            self._part_guard.count_requests,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_registry_age_seconds",
-            "Time since the store last confirmed the endpoints.",
-            self._get_registry_age_s,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_configuration_version",
-            "Version of the configuration in force.",
-            lambda: self._node_status.configuration_version or 0,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_store_era",
-            "Era of the store; increases when it comes back from an older copy.",
-            lambda: self._store.era or 0,
-        )
-
-    def _add_peer_gauges(self):
-        transport = self._report_transport
-        self._metrics.add_gauge(
-            "lynxlanding_peer_datagrams_sent",
-            "Datagrams sent to other nodes since the start of the process.",
-            lambda: transport.sent.datagrams,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_peer_bytes_sent",
-            "Bytes of these datagrams.",
-            lambda: transport.sent.bytes,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_peer_datagrams_received",
-            "Datagrams received from other nodes since the start of the process.",
-            lambda: transport.received.datagrams,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_peer_bytes_received",
-            "Bytes of these datagrams.",
-            lambda: transport.received.bytes,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_peer_datagrams_malformed",
-            "Dropped reports and digests that could not be decoded.",
-            lambda: transport.malformed_total,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_unknown_datagrams",
-            "Skipped datagrams of kinds that this version does not know.",
-            lambda: transport.unknown_total,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_gathered_nodes",
-            "Nodes whose reports this one gathers and passes on as digests.",
-            lambda: transport.member_count,
-        )
-        self._metrics.add_gauge(
-            "lynxlanding_nodes_of_other_protocol",
-            "Live nodes that speak another version of the protocol between nodes.",
-            self._count_nodes_of_other_protocol,
-        )
-
-    def _count_nodes_of_other_protocol(self):
-        counts = self._peer_table.count_live_by_version(time.monotonic())
-        return sum(counts.values()) - counts[protocol.CURRENT]
-
-    def _get_registry_age_s(self):
-        age_s = self._node_status.registry_age_s
-        return math.nan if age_s is None else age_s
-
     def _on_stop_signal(self, signal_number, frame):
         del signal_number, frame
         self._stop_requested.set()
