Tell other nodes which engines are cold

Cause: a node that the store does not answer cannot read that an engine has just started, and would send it requests at the usual rate. Change: reports and digests have a list of cold engines with their start, the time for which they are cold and the age of the statement. Earlier versions skip the new field, and its default says nothing. PeerTable tells which nodes may be live although they are not heard.

--- a/src/lynxlanding/peers/digest_codec.py
+++ b/src/lynxlanding/peers/digest_codec.py
@@ -55,6 +55,7 @@
         report_codec.encode_work(message, digest.busy_groups)
         report_codec.encode_limits(message, digest.limits)
         report_codec.encode_leavings(message, digest.leavings)
+        report_codec.encode_cold(message, digest.cold)
         forwarded = message.init("forwarded", len(digest.forwarded))
         for index, item in enumerate(digest.forwarded):
             forwarded[index].report = item.data
@@ -90,6 +91,7 @@
                     report_digest.ForwardedReport(bytes(item.report), item.ageMs)
                     for item in message.forwarded
                 ),
+                report_codec.decode_cold(message),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(f"digest: {e}") from e
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from lynxlanding.crashes import statements
-from lynxlanding.dispatch import limit_statement, stated_leavings
+from lynxlanding.dispatch import cold_statement, limit_statement, stated_leavings
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,6 +44,10 @@
         Endpoints that have said to this node in responses that they are leaving.
     leaving_changes : int
         Number of such endpoints so far, of which peers should hear at once.
+    cold : list of ColdStatement
+        Endpoints that are cold as far as this node itself can tell.
+    cold_changes : int
+        Number of such endpoints so far that only this node can know of.
     """
 
     loads: dict[str, int]
@@ -62,3 +66,5 @@
     is_cut: bool
     leavings: list[stated_leavings.LeavingStatement]
     leaving_changes: int
+    cold: list[cold_statement.ColdStatement] = dataclasses.field(default_factory=list)
+    cold_changes: int = 0
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -35,6 +35,17 @@
   ageMs @2 :UInt64;
 }
 
+struct ColdEndpoint {
+  # xxHash64 of the endpoint id.
+  key @0 :UInt64;
+  # Start of the endpoint's incarnation, in Unix milliseconds.
+  startedMs @1 :Int64;
+  # For how long the endpoint is cold from the time of the statement on, in milliseconds.
+  coldMs @2 :UInt32;
+  # Time since the statement, in milliseconds.
+  ageMs @3 :UInt64;
+}
+
 struct PartTime {
   # Key of a part of prompts.
   part @0 :UInt64;
@@ -118,4 +129,6 @@
   # Digests of requests on which the sender has got answers lately, in the place of keys of parts.
   harmlessRequests @22 :List(PartTime);
   requestQuarantines @23 :List(RequestQuarantine);
+  # Endpoints that are cold as far as the sender itself can tell.
+  cold @24 :List(ColdEndpoint);
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -71,6 +71,28 @@
     age_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportedCold:
+    """An endpoint that is cold as far as the sender itself can tell.
+
+    Parameters
+    ----------
+    endpoint_hash : int
+        Hash of the endpoint id.
+    started_ms : int
+        Start of the endpoint's incarnation, in Unix milliseconds.
+    cold_ms : int
+        For how long it is cold from the time of the statement on, in milliseconds.
+    age_ms : int
+        Time since the statement, in milliseconds.
+    """
+
+    endpoint_hash: int
+    started_ms: int
+    cold_ms: int
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReport:
     """Load report of one node.
@@ -117,6 +139,8 @@
     gatherers : tuple of int
         Hashes of the ids of the nodes that gather this report; the first one sums up the sender's
         work, so that others must not count it. Empty if the sender reports to all nodes.
+    cold : tuple of ReportedCold
+        Endpoints that are cold as far as the sender itself can tell.
     """
 
     node_id: str
@@ -138,3 +162,4 @@
     leavings: tuple[ReportedLeaving, ...] = ()
     protocol_version: int = protocol.UNSTATED
     gatherers: tuple[int, ...] = ()
+    cold: tuple[ReportedCold, ...] = ()
--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -177,6 +177,13 @@
                 nodes.append(peer.node_id)
         return nodes
 
+    def known_node_ids(self):
+        """Return the ids of all nodes that may be live, including this one.
+
+        Nodes that have not been heard, or only listed in the store, count until they expire.
+        """
+        return [self._node_id, *list(self._peers)]
+
     def count_live_by_version(self, now):
         """Return the number of live nodes, including this one, by protocol version."""
         counts = {protocol.CURRENT: 1}
--- a/src/lynxlanding/peers/peer_view.py
+++ b/src/lynxlanding/peers/peer_view.py
@@ -1,6 +1,6 @@
 """Combined view of the reports of the other nodes."""
 
-from lynxlanding.dispatch import limit_statement, load_tracker, stated_leavings
+from lynxlanding.dispatch import cold_statement, limit_statement, load_tracker, stated_leavings
 from lynxlanding.fleet import endpoint_key
 
 
@@ -151,6 +151,24 @@
             )
         return statements
 
+    def resolve_cold(self, report, now):
+        """Return the ``ColdStatement``s of a report, with times by this node's clock.
+
+        Hashes of unknown endpoints are ignored; reports repeat them.
+        """
+        statements = []
+        for cold in report.cold:
+            endpoint_id = self._endpoint_ids_by_hash.get(cold.endpoint_hash)
+            if endpoint_id is None:
+                continue
+            stated_at = now - cold.age_ms / 1000
+            statements.append(
+                cold_statement.ColdStatement(
+                    endpoint_id, cold.started_ms, stated_at + cold.cold_ms / 1000, stated_at
+                )
+            )
+        return statements
+
     def resolve_ends(self, prompts):
         """Return endpoint id and start of the endpoints whose end a report states.
 
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -12,6 +12,7 @@
 MAX_DATAGRAM_BYTES = 32768
 # Limit on the data read while decoding one report, in 8-byte words.
 _TRAVERSAL_LIMIT_WORDS = 1 << 16
+_MAX_COLD_MS = 0xFFFFFFFF
 
 
 class ReportCodec:
@@ -46,6 +47,7 @@
         message.isCut = report.is_cut
         message.protocolVersion = report.protocol_version
         encode_leavings(message, report.leavings)
+        encode_cold(message, report.cold)
         message.gatherers = report.gatherers
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
@@ -88,6 +90,7 @@
                 decode_leavings(message),
                 message.protocolVersion,
                 tuple(message.gatherers),
+                decode_cold(message),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
@@ -139,6 +142,24 @@
     )
 
 
+def encode_cold(message, cold):
+    """Write ``ReportedCold`` objects into a message."""
+    encoded = message.init("cold", len(cold))
+    for index, item in enumerate(cold):
+        encoded[index].key = item.endpoint_hash
+        encoded[index].startedMs = item.started_ms
+        encoded[index].coldMs = min(item.cold_ms, _MAX_COLD_MS)
+        encoded[index].ageMs = item.age_ms
+
+
+def decode_cold(message):
+    """Return the ``ReportedCold`` tuple of a message."""
+    return tuple(
+        peer_report.ReportedCold(item.key, item.startedMs, item.coldMs, item.ageMs)
+        for item in message.cold
+    )
+
+
 def _decode_callers_address(message):
     if not message.callersPort:
         return message.callersAddress
--- a/src/lynxlanding/peers/report_digest.capnp
+++ b/src/lynxlanding/peers/report_digest.capnp
@@ -56,4 +56,7 @@
 
   # Port at which most nodes take callers' requests; zeros do not take space in the lists.
   callersPort @21 :UInt16;
+
+  # Union over the members.
+  cold @22 :List(Report.ColdEndpoint);
 }
--- a/src/lynxlanding/peers/report_digest.py
+++ b/src/lynxlanding/peers/report_digest.py
@@ -85,6 +85,8 @@
         Endpoints that have said to a member that they are leaving.
     forwarded : tuple of ForwardedReport
         Reports with statements on prompts.
+    cold : tuple of ReportedCold
+        Endpoints that are cold as far as a member itself can tell.
     """
 
     node_id: str
@@ -100,3 +102,4 @@
     limits: tuple[peer_report.ReportedLimit, ...] = ()
     leavings: tuple[peer_report.ReportedLeaving, ...] = ()
     forwarded: tuple[ForwardedReport, ...] = ()
+    cold: tuple[peer_report.ReportedCold, ...] = ()
--- a/src/lynxlanding/peers/report_exchange.py
+++ b/src/lynxlanding/peers/report_exchange.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.fleet import endpoint_key
@@ -142,6 +143,7 @@
             make_reported_leavings(state.leavings, now),
             protocol.CURRENT,
             tuple(node_key.hash_node_id(node_id) for node_id in plan.gatherers),
+            make_reported_cold(state.cold, now),
         )
         data = self._codec.encode(report)
         if plan.gatherers:
@@ -209,6 +211,27 @@
     return tuple(leavings)
 
 
+def make_reported_cold(statements, now):
+    """Return the ``ReportedCold`` tuple of a report from a list of ``ColdStatement``.
+
+    Statements whose start time cannot be encoded are left out. Times are rounded so that the
+    receiver's belief does not end before this node's.
+    """
+    cold = []
+    for statement in statements:
+        if not peer_report.is_encodable_start(statement.started_ms):
+            continue
+        cold.append(
+            peer_report.ReportedCold(
+                endpoint_key.hash_endpoint_id(statement.endpoint_id),
+                statement.started_ms,
+                max(0, math.ceil((statement.until - statement.stated_at) * 1000)),
+                peer_report.age_ms(statement.stated_at, now),
+            )
+        )
+    return tuple(cold)
+
+
 def make_reported_limits(statements, now):
     """Return the ``ReportedLimit`` tuple of a report from a list of ``EndpointStatement``.
 
--- a/src/lynxlanding/peers/report_gatherer.py
+++ b/src/lynxlanding/peers/report_gatherer.py
@@ -38,6 +38,7 @@
         self._members = {}
         self._limits = {}
         self._leavings = {}
+        self._cold = {}
         self._waiting = collections.deque(maxlen=MAX_WAITING_REPORTS)
 
     @property
@@ -75,6 +76,11 @@
                 self._limits[key] = (limit, now)
         for leaving in report.leavings:
             self._leavings[leaving.endpoint_hash, leaving.started_ms] = (leaving, now)
+        for cold in report.cold:
+            key = (cold.endpoint_hash, cold.started_ms)
+            known = self._cold.get(key)
+            if known is None or _cold_until(cold, now) >= _cold_until(*known):
+                self._cold[key] = (cold, now)
         if report.prompts != _NO_PROMPTS:
             self._waiting.append((data, now))
 
@@ -115,6 +121,7 @@
             tuple(_take_statements(self._limits, now)),
             tuple(_take_statements(self._leavings, now)),
             tuple(self._take_forwarded(now)),
+            tuple(_take_statements(self._cold, now)),
         )
 
     def _take_forwarded(self, now):
@@ -140,6 +147,11 @@
     return taken
 
 
+def _cold_until(cold, arrived_at):
+    """Return until when an endpoint is cold by a report that arrived then."""
+    return arrived_at + (cold.cold_ms - cold.age_ms) / 1000
+
+
 def _make_member_state(key, member, now):
     report = member.report
     return report_digest.MemberState(
--- a/src/lynxlanding/peers/tests/exchange_simulation.py
+++ b/src/lynxlanding/peers/tests/exchange_simulation.py
@@ -50,6 +50,10 @@
         self.end = None
         self.is_cut = False
         self.ends_heard = {}
+        self.cold = []
+        self.cold_changes = 0
+        # Until when endpoints are cold by the reports of others, by id and start.
+        self.cold_heard = {}
         self.is_stopped = False
         self.sent = 0
         self.sent_bytes = 0
@@ -91,11 +95,17 @@
             self.tracker.replace_peer_counts(report.node_id, loads, now)
         for end in report.prompts.ends:
             self.ends_heard.setdefault(end.endpoint_key, self.network.now)
+        self.hear_cold(report, now)
 
     def on_digest(self, digest, own, now):
         member_ids = [self.table.find_node_id(member.key) for member in digest.members]
         loads = self.view.apply_digest(digest, member_ids, own, now)
         self.tracker.replace_digest_counts(digest.node_id, member_ids, loads, now)
+        self.hear_cold(digest, now)
+
+    def hear_cold(self, source, now):
+        for statement in self.view.resolve_cold(source, now):
+            self.cold_heard[statement.endpoint_id, statement.started_ms] = statement.until
 
     def make_state(self):
         prompts = statements.PromptStatements()
@@ -118,6 +128,8 @@
             self.is_cut,
             [],
             0,
+            self.cold,
+            self.cold_changes,
         )
 
     def others_load(self):
--- a/src/lynxlanding/peers/tests/test_earlier_formats.py
+++ b/src/lynxlanding/peers/tests/test_earlier_formats.py
@@ -4,6 +4,7 @@
 reject makes old and new nodes misunderstand each other while both run.
 """
 
+import dataclasses
 import pathlib
 
 import capnp
@@ -82,6 +83,17 @@
     assert feed_codec.decode(UNSTATED_SUBSCRIPTION) == subscription
 
 
+def test_earlier_versions_skip_the_fields_of_cold_engines():
+    """Guards against a node that is not replaced yet and drops the reports of those that are."""
+    report = dataclasses.replace(REPORT, cold=(peer_report.ReportedCold(51, 52, 3000, 54),))
+    current = report_codec.ReportCodec()
+    assert current.decode(current.encode(report)) == report
+    schema = capnp.load(str(FORMATS / "peer_report_unstated.capnp")).PeerReport
+    known = schema.from_bytes_packed(UNSTATED_REPORT).to_dict()
+    sent = schema.from_bytes_packed(current.encode(report)).to_dict()
+    assert {name: sent[name] for name in known} == known
+
+
 @pytest.mark.parametrize("schema_file", sorted(FORMATS.glob("*.capnp")), ids=lambda path: path.stem)
 def test_earlier_versions_read_what_this_one_sends(schema_file):
     """Guards against a field that changes its number or meaning."""
--- a/src/lynxlanding/peers/tests/test_gathered_reports.py
+++ b/src/lynxlanding/peers/tests/test_gathered_reports.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lynxlanding.crashes import statements
+from lynxlanding.dispatch import cold_statement
 from lynxlanding.peers import gathering, node_key, peer_table, protocol
 from lynxlanding.peers.tests import exchange_simulation
 
@@ -238,3 +239,16 @@
     table = peer_table.PeerTable("n0")
     table.record_registration("n1", "10.0.0.1:1", 0.0, protocol.CURRENT + 5)
     assert table.target_addresses(0.0, min_version=protocol.GATHERING) == ["10.0.0.1:1"]
+
+
+def test_cold_engines_reach_all_nodes_through_digests():
+    """Guards against nodes of a large fleet that do not learn which engines are cold."""
+    network = exchange_simulation.Network(3, 62)
+    network.run(3.0)
+    first, *others = network.running()
+    first.cold = [cold_statement.ColdStatement("e7", 5, network.now + 3.0, network.now)]
+    first.cold_changes += 1
+    network.run(1.3)
+    until = first.cold[0].until
+    for node in others:
+        assert until <= node.cold_heard["e7", 5] <= until + 0.1, node.node_id
--- a/src/lynxlanding/peers/tests/test_peers.py
+++ b/src/lynxlanding/peers/tests/test_peers.py
@@ -1,7 +1,12 @@
 import pytest
 
 from lynxlanding.crashes import statements
-from lynxlanding.dispatch import limit_statement, stall_tracker, stated_leavings
+from lynxlanding.dispatch import (
+    cold_statement,
+    limit_statement,
+    stall_tracker,
+    stated_leavings,
+)
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.fleet import endpoint_key
 from lynxlanding.peers import (
@@ -225,3 +230,32 @@
     assert view.resolve_leavings(received, 20.0) == [
         stated_leavings.LeavingStatement("e0", 7, 19.5)
     ]
+
+
+def test_cold_engines_survive_encoding_and_do_not_get_warm_on_the_way():
+    """Guards against a receiver whose belief ends before the sender's."""
+    codec = report_codec.ReportCodec()
+    reported = report_exchange.make_reported_cold(
+        [
+            cold_statement.ColdStatement("e0", 7, 11.5, 9.5),
+            cold_statement.ColdStatement("unknown", 7, 11.5, 9.5),
+            cold_statement.ColdStatement("e0", -1, 11.5, 9.5),
+        ],
+        10.0,
+    )
+    received = codec.decode(codec.encode(make_report(cold=reported)))
+    assert len(received.cold) == 2
+    view = peer_view.PeerView(stall_tracker.StallTracker())
+    view.set_endpoint_ids(["e0"])
+    assert view.resolve_cold(received, 20.0) == [cold_statement.ColdStatement("e0", 7, 21.5, 19.5)]
+
+
+def test_nodes_that_are_silent_or_only_listed_are_known():
+    """Guards against a part of a fleet that takes itself for the whole one."""
+    table = peer_table.PeerTable("n1")
+    table.record_report(make_report("n2"), 0.0)
+    table.record_registration("n3", "127.0.0.1:7", 5.0)
+    assert table.live_node_ids(5.0) == ["n1"]
+    assert table.known_node_ids() == ["n1", "n2", "n3"]
+    table.target_addresses(32.0)
+    assert table.known_node_ids() == ["n1", "n3"]
