Limit the requests of all nodes to engines that are cold

Cause: an engine that has just started crashes if it gets much more than cold_per_s requests a second, and nothing read the signals that it is cold. Requests that were delayed before they are sent, and health checks, count. The planner of groups goes on to use stated limits only.

--- a/src/lynxlanding/dispatch/limit_table.py
+++ b/src/lynxlanding/dispatch/limit_table.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lynxlanding.dispatch import limit_statement, report_turns
+from lynxlanding.dispatch import cold_engines, limit_statement, report_turns
 
 # A limit that only a peer has heard is dropped if no peer has confirmed it for this long, because
 # the peer may be gone. Peers repeat what they have heard within seconds.
@@ -52,14 +52,19 @@
     requests whose responses would confirm it. It ends with a response that does not state it, and
     with the incarnation of the endpoint.
 
+    Cold engines state no limit, but bear few requests as well; the lower limit is in force.
+
     Parameters
     ----------
     node_id : str
         Id of this node.
+    cold : ColdEngines, optional
+        Engines that are cold, and their limits.
     """
 
-    def __init__(self, node_id):
+    def __init__(self, node_id, cold=None):
         self._node_id = node_id
+        self._cold = cold or cold_engines.ColdEngines(node_id)
         self._entries = {}
         # Start of the incarnation that the registry knows, by endpoint id.
         self._known_started_ms = {}
@@ -72,16 +77,40 @@
         """Number of changes that peers should hear of at once."""
         return self._own_changes
 
+    @property
+    def cold_engines(self):
+        """``ColdEngines`` whose limits are in force as well."""
+        return self._cold
+
     @property
     def limited_ids(self):
-        """Ids of the endpoints with a limit."""
+        """Ids of the endpoints with a limit, stated or because they are cold."""
+        cold_ids = self._cold.cold_ids
+        return self._limited | cold_ids if cold_ids else self._limited
+
+    @property
+    def stated_ids(self):
+        """Ids of the endpoints that state a limit."""
         return self._limited
 
     def limit_per_s(self, endpoint_id):
-        """Return the requests a second that the endpoint takes; None if it states no limit."""
+        """Return the requests a second that the endpoint takes; None if it has no limit."""
+        stated_per_s = self.stated_limit_per_s(endpoint_id)
+        cold = self._cold.limit(endpoint_id)
+        if cold is None:
+            return stated_per_s
+        return cold.rate_per_s if stated_per_s is None else min(stated_per_s, cold.rate_per_s)
+
+    def stated_limit_per_s(self, endpoint_id):
+        """Return the requests a second that the endpoint says it takes; None if it does not."""
         entry = self._entries.get(endpoint_id)
         return None if entry is None else entry.limit_per_s
 
+    def max_sharing_nodes(self, endpoint_id):
+        """Return how many nodes may share a cold engine; None if the endpoint is not cold."""
+        cold = self._cold.limit(endpoint_id)
+        return None if cold is None else cold.max_nodes
+
     def record_response(self, record, limit_per_s, sent_at, now):
         """Record the limit in a response of an endpoint, or that it states none.
 
--- a/src/lynxlanding/dispatch/request_allowance.py
+++ b/src/lynxlanding/dispatch/request_allowance.py
@@ -21,6 +21,8 @@
 @dataclasses.dataclass(slots=True)
 class _Share:
     limit_per_s: float
+    # Bound on the nodes that share it, if the endpoint is cold.
+    max_nodes: int | None
     generation: int
     rate_per_s: float
     updated_at: float
@@ -42,7 +44,8 @@
     rate_per_s : float
         Requests a second that this node may send; 0 if the limit is left to other nodes.
     live_nodes : int
-        Number of live nodes as this node knows them.
+        Number of nodes that the limit is divided among, as this node knows them: the live ones, or
+        all known ones if the endpoint is cold.
     starts_in_s : float
         Time until this part is in force, in seconds.
     """
@@ -61,6 +64,11 @@
     get an equal and constant part of the rate of each endpoint, and the sum keeps to the limit
     without any message about single requests.
 
+    What a cold engine gets is bounded in each second, also while nodes do not hear each other. So
+    its limit is divided among all nodes that are known to exist, and among few of them. A node that
+    is among the first few of all known ones is so among any of them that send, so no more nodes
+    than these send, however much their views differ beyond that.
+
     Parameters
     ----------
     node_id : str
@@ -76,15 +84,31 @@
         self._limit_table = limit_table
         self._settled_at = now + INCREASE_DELAY_S
         self._live_nodes = (node_id,)
+        self._known_nodes = (node_id,)
+        # Times at which known nodes went missing, by id.
+        self._missing_since = {}
         self._generation = 0
         self._shares = {}
         self._changes = []
 
-    def use_live_nodes(self, node_ids, now):
-        """Set the live nodes, which share the limits; return the list of ``AllowanceChange``."""
+    def use_live_nodes(self, node_ids, now, known_ids=()):
+        """Set the nodes that share the limits; return the list of ``AllowanceChange``.
+
+        Parameters
+        ----------
+        node_ids : iterable of str
+            Live nodes, which share the limits that endpoints state.
+        now : float
+            Monotonic seconds.
+        known_ids : iterable of str
+            Further nodes that may be live although this node does not hear them. They share the
+            limits of cold engines as well.
+        """
         live_nodes = tuple(sorted(node_ids))
-        if live_nodes != self._live_nodes:
+        known_nodes = self._keep_missing({*live_nodes, *known_ids}, now)
+        if (live_nodes, known_nodes) != (self._live_nodes, self._known_nodes):
             self._live_nodes = live_nodes
+            self._known_nodes = known_nodes
             self._generation += 1
         for endpoint_id in list(self._shares):
             self._share(endpoint_id, now)
@@ -92,6 +116,23 @@
         self._changes = []
         return changes
 
+    def _keep_missing(self, known_ids, now):
+        """Return the known nodes and those that were known until a short time ago.
+
+        A node that was frozen has missed all reports and knows nobody until the next ones arrive.
+        """
+        known_nodes = set(known_ids)
+        for node_id in self._known_nodes:
+            if node_id in known_ids:
+                continue
+            missing_since = self._missing_since.setdefault(node_id, now)
+            if now - missing_since <= INCREASE_DELAY_S:
+                known_nodes.add(node_id)
+        for node_id in list(self._missing_since):
+            if node_id in known_ids or node_id not in known_nodes:
+                del self._missing_since[node_id]
+        return tuple(sorted(known_nodes))
+
     def wait_s(self, endpoint_id, now):
         """Return the time until this node may send a request to the endpoint, in seconds.
 
@@ -107,7 +148,7 @@
         return math.inf
 
     def rate_per_s(self, endpoint_id, now):
-        """Return this node's part of the limit; None if the endpoint states none."""
+        """Return this node's part of the limit; None if the endpoint has none."""
         share = self._share(endpoint_id, now)
         return None if share is None else share.rate_per_s
 
@@ -125,20 +166,26 @@
         return True
 
     def _share(self, endpoint_id, now):
-        """Return the up-to-date share; None if the endpoint states no limit."""
+        """Return the up-to-date share; None if the endpoint has no limit."""
         limit_per_s = self._limit_table.limit_per_s(endpoint_id)
         if limit_per_s is None:
             self._shares.pop(endpoint_id, None)
             return None
+        max_nodes = self._limit_table.max_sharing_nodes(endpoint_id)
         share = self._shares.get(endpoint_id)
         if share is None:
-            share = _Share(limit_per_s, self._generation, 0.0, now)
+            share = _Share(limit_per_s, max_nodes, self._generation, 0.0, now)
             self._shares[endpoint_id] = share
             self._plan_rate(endpoint_id, share, max(now, self._settled_at), now)
             if now >= self._settled_at:
-                share.tokens = self._initial_tokens(endpoint_id, limit_per_s)
-        elif (share.limit_per_s, share.generation) != (limit_per_s, self._generation):
+                share.tokens = self._initial_tokens(endpoint_id, share)
+        elif (share.limit_per_s, share.max_nodes, share.generation) != (
+            limit_per_s,
+            max_nodes,
+            self._generation,
+        ):
             share.limit_per_s = limit_per_s
+            share.max_nodes = max_nodes
             share.generation = self._generation
             self._plan_rate(endpoint_id, share, now + INCREASE_DELAY_S, now)
         _accrue(share, now)
@@ -146,7 +193,7 @@
 
     def _plan_rate(self, endpoint_id, share, increase_at, now):
         """Decrease the rate at once, or plan its increase."""
-        rate_per_s = self._divide(endpoint_id, share.limit_per_s)
+        rate_per_s = self._divide(endpoint_id, share)
         if rate_per_s == share.next_rate_per_s:
             return
         _accrue(share, now)
@@ -164,28 +211,33 @@
                 endpoint_id,
                 share.limit_per_s,
                 rate_per_s,
-                len(self._live_nodes),
+                len(self._candidates(share)),
                 increase_at - now,
             )
         )
 
-    def _divide(self, endpoint_id, limit_per_s):
+    def _divide(self, endpoint_id, share):
         """Return this node's part of a limit."""
-        nodes = self._sharing_nodes(endpoint_id, limit_per_s)
+        nodes = self._sharing_nodes(endpoint_id, share)
         if self._node_id not in nodes:
             return 0.0
-        return max(limit_per_s, MIN_RATE_PER_S) / len(nodes)
+        return max(share.limit_per_s, MIN_RATE_PER_S) / len(nodes)
 
-    def _initial_tokens(self, endpoint_id, limit_per_s):
+    def _initial_tokens(self, endpoint_id, share):
         """Return a fraction of a request, so that the nodes send their first ones in turn."""
-        nodes = self._sharing_nodes(endpoint_id, limit_per_s)
+        nodes = self._sharing_nodes(endpoint_id, share)
         if self._node_id not in nodes:
             return 0.0
         return nodes.index(self._node_id) / len(nodes)
 
-    def _sharing_nodes(self, endpoint_id, limit_per_s):
-        nodes = self._live_nodes
-        count = MIN_SHARING_NODES + int(min(limit_per_s, len(nodes)))
+    def _candidates(self, share):
+        return self._live_nodes if share.max_nodes is None else self._known_nodes
+
+    def _sharing_nodes(self, endpoint_id, share):
+        nodes = self._candidates(share)
+        count = MIN_SHARING_NODES + int(min(share.limit_per_s, len(nodes)))
+        if share.max_nodes is not None:
+            count = min(count, share.max_nodes)
         if count >= len(nodes):
             return nodes
         return rendezvous.choose(f"limit-{endpoint_id}", nodes, count)
--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -18,6 +18,7 @@
 ALLOWANCE_CHANGED = "lynxlanding:endpoint:allowance_changed"
 LEAVING_STATED = "lynxlanding:endpoint:leaving_stated"
 REJECTED = "lynxlanding:endpoint:rejected"
+COLD_CHANGED = "lynxlanding:endpoint:cold_changed"
 STATEMENT_MALFORMED = "lynxlanding:endpoint:statement_malformed"
 
 # Outcomes of second attempts.
@@ -209,6 +210,22 @@
     )
 
 
+def log_cold_changed(change, now):
+    """Log a ``ColdChange``; it may have been noted some time before."""
+    belief = change.belief
+    eliot.log_message(
+        message_type=COLD_CHANGED,
+        endpoint=belief.endpoint_id,
+        born_ms=belief.started_ms,
+        is_cold=change.is_cold,
+        remaining_s=round(belief.until - change.noted_at, 3),
+        source=belief.source,
+        source_node=belief.node_id,
+        age_s=round(change.noted_at - belief.stated_at, 3),
+        noted_s=round(now - change.noted_at, 3),
+    )
+
+
 def log_malformed_statement(record, name, request_id):
     """Log that a statement in a response cannot be read; what was known before stays."""
     eliot.log_message(
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -3,7 +3,7 @@
 import pykka
 
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.fleet import fleet_snapshot
+from lynxlanding.fleet import endpoint_change, fleet_snapshot
 
 # Failures that count against the endpoint's health.
 _HEALTH_FAILURES = (
@@ -13,6 +13,7 @@
     endpoint_errors.EndpointRefused,
     endpoint_errors.ResponseTruncated,
 )
+_STARTS = frozenset({endpoint_change.ADDED, endpoint_change.RESTARTED})
 
 
 class ServingActor(pykka.ThreadingActor):
@@ -39,16 +40,21 @@
     def use_configuration(self, configuration):
         """Switch to a newer configuration."""
         self._dispatcher.use_configuration(configuration)
+        self._statement_gate.limits.cold_engines.use_services(configuration.services)
 
     def apply_list(self, records, version, now, was_outage):
         """Replace the contents of the registry by a complete list; return the changes."""
+        is_first_list = self._registry.read_at is None
         self._registry.on_store_available(now, was_outage)
-        return self._update_candidates(self._registry.apply_list(records, now, version))
+        changes = self._registry.apply_list(records, now, version)
+        self._update_cold_engines(changes, records, now, is_first_list)
+        return self._update_candidates(changes)
 
     def apply_changes(self, records, removed_ids, version, now, was_outage):
         """Apply the events of a watch; return the changes."""
         self._registry.on_store_available(now, was_outage)
         changes = self._registry.apply_changes(records, removed_ids, now, version)
+        self._update_cold_engines(changes, records, now)
         return self._update_candidates(changes)
 
     def on_store_rolled_back(self):
@@ -62,7 +68,9 @@
     def expire(self, now):
         """Remove expired endpoints and peer counts; return the changes of the registry."""
         self._dispatcher.load_tracker.expire_peers(now)
-        return self._update_candidates(self._registry.expire(now))
+        changes = self._registry.expire(now)
+        self._update_cold_engines(changes, (), now)
+        return self._update_candidates(changes)
 
     def records_to_check(self):
         """Return the records of endpoints whose requests depend on a health check."""
@@ -141,9 +149,13 @@
         """Count a health check, which reaches the endpoint like a request; return if allowed."""
         return self._statement_gate.may_send(record, now)
 
-    def use_live_nodes(self, node_ids, now):
-        """Set the nodes that share the limits of endpoints; return the ``AllowanceChange``s."""
-        return self._statement_gate.allowance.use_live_nodes(node_ids, now)
+    def use_live_nodes(self, node_ids, known_ids, now):
+        """Set the nodes that share the limits of endpoints; return the ``AllowanceChange``s.
+
+        Limits that endpoints state are shared by the live nodes, those of cold engines by all known
+        ones.
+        """
+        return self._statement_gate.allowance.use_live_nodes(node_ids, now, known_ids)
 
     def apply_peer_statements(self, peer_id, statements, now):
         """Record what endpoints have stated to a peer; return the ``LimitChange``s.
@@ -208,6 +220,19 @@
         """Forget failures of endpoints that were due to this node's own connections."""
         self._dispatcher.health.clear()
 
+    def _update_cold_engines(self, changes, records, now, is_first_list=False):
+        """Record new incarnations, and what the registrations that the registry keeps state."""
+        cold = self._statement_gate.limits.cold_engines
+        for change in changes:
+            if change.kind in _STARTS:
+                cold.record_incarnation(change.record, now, is_first_list=is_first_list)
+        for record in records:
+            known = self._registry.get(record.endpoint_id)
+            if known is None or known.started_ms != record.started_ms:
+                continue
+            if known.heartbeat_number == record.heartbeat_number:
+                cold.record_registration(record, now)
+
     def _update_candidates(self, changes):
         self._dispatcher.apply(changes)
         return changes
--- a/src/lynxlanding/dispatch/statement_gate.py
+++ b/src/lynxlanding/dispatch/statement_gate.py
@@ -40,10 +40,13 @@
     def may_send(self, record, now, *, is_counted=False):
         """Return whether this node may send a request to the endpoint, and count it.
 
-        ``is_counted`` says whether the request is already counted in the allowance.
+        ``is_counted`` says whether the request is already counted in the allowance. A cold engine
+        counts requests when they arrive, so one that was delayed before it is sent counts again.
         """
         if self._rejections.remaining_s(record, now) > 0:
             return False
+        if record.endpoint_id in self._limits.cold_engines.cold_ids:
+            is_counted = False
         return is_counted or self._allowance.try_consume(record.endpoint_id, now)
 
     def select_accepting(self, records, now):
--- a/src/lynxlanding/dispatch/statement_recorder.py
+++ b/src/lynxlanding/dispatch/statement_recorder.py
@@ -80,6 +80,8 @@
                 record.endpoint_id, record.started_ms, self._node_id, 0.0, request_id
             )
             self._on_leaving(record)
+        if statements.cold_s:
+            self._limit_table.cold_engines.record_response(record, statements.cold_s, now)
         if status != REJECTING_STATUS or statements.retry_after_s is None:
             return
         rejection = self._rejections.record_response(record, statements.retry_after_s, now)
--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -129,14 +129,14 @@
     )
 
 
-def make_dispatcher(records, tracker=None, seed=1, limits=None, rejections=None):
+def make_dispatcher(records, tracker=None, seed=1, limits=None, rejections=None, gate=None):
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
         endpoint_registry,
         RETRY_LIMITS,
         tracker or stall_tracker.StallTracker(),
-        make_statement_gate(limits, rejections),
+        gate or make_statement_gate(limits, rejections),
         random.Random(seed),
     )
     new_dispatcher.use_configuration(make_configuration())
--- a/src/lynxlanding/fleet/endpoint_record.py
+++ b/src/lynxlanding/fleet/endpoint_record.py
@@ -46,6 +46,9 @@
     is_unconfirmed : bool
         Whether the registration may be a late write of an incarnation that is gone. The registry
         sets it.
+    cold_remaining_s : float or None
+        For how long the engine will be slow and fragile from the writing of the registration on, in
+        seconds; None if the registration does not state it.
     """
 
     endpoint_id: str
@@ -63,6 +66,7 @@
     last_model: str | None = None
     version: store_version.StoreVersion | None = None
     is_unconfirmed: bool = False
+    cold_remaining_s: float | None = None
 
     @property
     def is_engine(self):
--- a/src/lynxlanding/fleet/endpoint_statements.py
+++ b/src/lynxlanding/fleet/endpoint_statements.py
@@ -6,6 +6,7 @@
 LIMIT = "limit"
 LEAVING = "leaving"
 RETRY_AFTER = "retry_after"
+COLD = "cold"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -21,6 +22,8 @@
     retry_after_s : float or None
         Time for which the endpoint wants no requests from the node, in seconds, if the response
         rejects one.
+    cold_s : float or None
+        Time for which the endpoint will be slow and fragile, in seconds.
     malformed : tuple of str
         Names of the fields whose statement is there but cannot be read.
     """
@@ -28,4 +31,5 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    cold_s: float | None = None
     malformed: tuple[str, ...] = ()
--- a/src/lynxlanding/node/node_gauges.py
+++ b/src/lynxlanding/node/node_gauges.py
@@ -12,6 +12,7 @@
     log,
     endpoint_handler,
     limit_table,
+    cold_engines,
     reachability,
     peer_forwarder,
     part_guard,
@@ -36,7 +37,12 @@
     metrics.add_gauge(
         "lynxlanding_limited_endpoints",
         "Endpoints that state how many requests a second they take.",
-        lambda: len(limit_table.limited_ids),
+        lambda: len(limit_table.stated_ids),
+    )
+    metrics.add_gauge(
+        "lynxlanding_cold_engines",
+        "Engines that get few requests because they have just started or were evacuated.",
+        lambda: len(cold_engines.cold_ids),
     )
     metrics.add_gauge(
         "lynxlanding_endpoints_unreachable",
--- a/src/lynxlanding/node/peer_report_handler.py
+++ b/src/lynxlanding/node/peer_report_handler.py
@@ -18,18 +18,21 @@
         Receives what peers state about parts of prompts.
     leavings : StatedLeavings
         Endpoints that are leaving by their own responses.
+    cold : ColdEngines
+        Receives what peers know about cold engines.
     on_leaving : callable
         Called with id and start time of an endpoint that is leaving.
     on_stalled : callable
         Called without arguments after a peer has reported stalled endpoints.
     """
 
-    def __init__(self, serving, table, view, part_guard, leavings, on_leaving, on_stalled):
+    def __init__(self, serving, table, view, part_guard, leavings, cold, on_leaving, on_stalled):
         self._serving = serving
         self._table = table
         self._view = view
         self._part_guard = part_guard
         self._leavings = leavings
+        self._cold = cold
         self._on_leaving = on_leaving
         self._on_stalled = on_stalled
 
@@ -64,6 +67,8 @@
             changes = self._serving.apply_peer_statements(source.node_id, statements, now).get()
             for change in changes:
                 request_logger.log_limit_changed(change)
+        for statement in self._view.resolve_cold(source, now):
+            self._cold.record_peer(statement, source.node_id, now)
         for leaving in self._view.resolve_leavings(source, now):
             if not self._leavings.record_peer(leaving):
                 continue
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -14,6 +14,7 @@
 
 from lynxlanding.crashes import crash_monitor, part_guard, part_log
 from lynxlanding.dispatch import (
+    cold_engines,
     connection_pool,
     dispatcher,
     endpoint_client,
@@ -119,7 +120,10 @@
         )
         self._monitor = attempt_monitor.AttemptMonitor(ATTEMPT_CHECK_INTERVAL_S)
         self._stall_tracker = stall_tracker.StallTracker()
-        self._limit_table = limit_table.LimitTable(settings.node_id)
+        self._cold_engines = cold_engines.ColdEngines(
+            settings.node_id, settings.endpoints.cold_over, settings.endpoints.cold_slack
+        )
+        self._limit_table = limit_table.LimitTable(settings.node_id, self._cold_engines)
         self._rejections = rejection_table.RejectionTable()
         self._stated_leavings = stated_leavings.StatedLeavings()
         self._statement_recorder = statement_recorder.StatementRecorder(
@@ -169,7 +173,8 @@
             self._get_stalled_endpoints,
             self._get_busy_groups,
             self._get_engines_loading_elsewhere,
-            self._limit_table.limit_per_s,
+            # An engine is cold for too short a time to plan groups in its place.
+            self._limit_table.stated_limit_per_s,
             self._count_in_flight,
             settings.groups,
         )
@@ -200,6 +205,7 @@
             self._peer_view,
             self._part_guard,
             self._stated_leavings,
+            self._cold_engines,
             self._record_leaving,
             self._group_controller.wake,
         )
@@ -240,6 +246,7 @@
             self._log,
             self._endpoint_handler,
             self._limit_table,
+            self._cold_engines,
             self._reachability,
             self._peer_forwarder,
             self._part_guard,
@@ -443,12 +450,19 @@
             is_cut,
             self._stated_leavings.statements_to_report(now),
             self._stated_leavings.changes,
+            self._cold_engines.statements_to_report(now),
+            self._cold_engines.own_changes,
         )
 
     def _update_allowances(self, now):
         self._log_limit_changes(self._serving.expire_limits(now).get())
+        if self._has_traffic():
+            self._cold_engines.note_traffic()
+        for change in self._cold_engines.expire(now):
+            request_logger.log_cold_changed(change, now)
         live_nodes = self._peer_table.live_node_ids(now)
-        for change in self._serving.use_live_nodes(live_nodes, now).get():
+        known_nodes = self._peer_table.known_node_ids()
+        for change in self._serving.use_live_nodes(live_nodes, known_nodes, now).get():
             request_logger.log_allowance_changed(change)
 
     def _update_quarantines(self, now):
@@ -503,6 +517,7 @@
             return
         eliot.log_message(message_type=NODE_RELOADED, is_changed=settings != self._settings)
         self._settings = settings
+        self._cold_engines.use_bounds(settings.endpoints.cold_over, settings.endpoints.cold_slack)
         requests = settings.requests
         self._part_guard.use_exempt_parts(requests.exempt_keys)
         self._serving.use_retry_limits(
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -16,6 +16,7 @@
         "endpoint:ended",
         "endpoint:allowance_changed",
         "endpoint:limit_changed",
+        "endpoint:cold_changed",
         "endpoint:leaving_stated",
         "endpoint:rejected",
         "endpoint:statement_malformed",
--- a/src/lynxlanding/platform/configuration_codec.py
+++ b/src/lynxlanding/platform/configuration_codec.py
@@ -96,6 +96,8 @@
         max_connections=fields.get(document, "max_conns", int, 0),
         engine=None if engine is None else _decode_engine(engine),
         health_path=fields.get(document, "health_path", str, None),
+        cold_start_s=fields.get(document, "cold_start_s", _NUMBER_TYPES, 0.0),
+        cold_per_s=fields.get(document, "cold_per_s", _NUMBER_TYPES, 0.0),
     )
 
 
--- a/src/lynxlanding/platform/endpoint_codec.py
+++ b/src/lynxlanding/platform/endpoint_codec.py
@@ -14,6 +14,8 @@
 # Whole numbers that every JSON library represents exactly.
 _MAX_NUMBER = (1 << 53) - 1
 _MAX_SLOTS = 1_000_000
+_SECONDS_PER_MS = 1e-3
+_NUMBER_TYPES = (int, float)
 
 _ENDPOINT_STATES = frozenset({"ready", "draining"})
 
@@ -58,9 +60,19 @@
         staged_models=decode_staged_models(spec),
         membership=decode_membership(spec),
         version=version,
+        cold_remaining_s=_decode_cold_remaining(spec),
     )
 
 
+def _decode_cold_remaining(document):
+    """Return for how long the engine will be cold, in seconds; None if that is not stated."""
+    remaining_ms = fields.get(document, "cold_remaining_ms", _NUMBER_TYPES, None)
+    if remaining_ms is None:
+        return None
+    # An engine whose clock is behind that of its supervisor may state a negative time.
+    return remaining_ms * _SECONDS_PER_MS if remaining_ms > 0 else 0.0
+
+
 def _decode_loaded_models(document):
     names = []
     for model in fields.get(document, "models", list, []):
--- a/src/lynxlanding/platform/request_headers.py
+++ b/src/lynxlanding/platform/request_headers.py
@@ -20,6 +20,7 @@
 _LIMIT = "Server-Limit"
 _LEAVING = "Server-Leaving"
 _RETRY_AFTER = "Retry-After"
+_COLD = "X-Cold-Ms"
 # Longer than each of the three formats of HTTP.
 _MAX_DATE_CHARACTERS = 64
 _LEAVING_VALUES = {"0": False, "1": True}
@@ -237,6 +238,7 @@
             _RETRY_AFTER,
             functools.partial(_parse_retry_after, headers),
         ),
+        (endpoint_statements.COLD, _COLD, _parse_ms),
     ):
         texts = _find_values(headers, header)
         stated[name] = [value for value in map(parse, texts) if value is not None]
@@ -247,6 +249,7 @@
         min(stated[endpoint_statements.LIMIT], default=None),
         any(stated[endpoint_statements.LEAVING]),
         max(stated[endpoint_statements.RETRY_AFTER], default=None),
+        max(stated[endpoint_statements.COLD], default=None),
         tuple(malformed),
     )
 
@@ -255,6 +258,12 @@
     return _LEAVING_VALUES.get(text.strip())
 
 
+def _parse_ms(text):
+    """Return the seconds that a number of milliseconds states; None if it is no number."""
+    duration_ms = _parse_float(text)
+    return None if duration_ms is None else duration_ms / 1000
+
+
 def _decode_idle_timeout(text):
     """Return the ``timeout`` parameter of a ``Keep-Alive`` header, in seconds, or None."""
     for parameter in (text or "").split(","):
--- a/src/lynxlanding/platform/tests/test_boundary.py
+++ b/src/lynxlanding/platform/tests/test_boundary.py
@@ -19,9 +19,9 @@
 )
 # Platform headers, fields, paths and terms that mean something else or nothing elsewhere.
 PLATFORM_NAMES = re.compile(
-    r"X-Expect-Instance|X-Not-Executed|X-Response-Seal|X-Instance-Load|X-Instance-Id|At-Server"
+    r"X-Expect-Instance|X-Cold-Ms|X-Not-Executed|X-Response-Seal|X-Instance-Load|X-Instance-Id|At-Server"
     r"|X-Token-Counts|X-Length-Hint|X-Request-Urgency|X-Tenant|X-Deadline-Ms"
-    r"|\bseq_no\b|\btombstone\b|\bsince_rev\b|\bcurrent_rev\b|\ballow_stale\b|\bhas_more\b"
+    r"|\bseq_no\b|\bcold_remaining_ms\b|\btombstone\b|\bsince_rev\b|\bcurrent_rev\b|\ballow_stale\b|\bhas_more\b"
     r"|\bclose_mode\b|\bper_seq_ms\b|\bcontext_per_k\b|\bpairs_per_m\b|\bretain_count\b"
     r"|\btraffic_split\b|\bapi_keys\b|\btenants?\b|\bback end\b|/v1/(objects|order|report|ready)",
 )
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -167,3 +167,31 @@
     assert document["expected"] == 7
     unbound = dataclasses.replace(order, expected_orders=None)
     assert "expected" not in engine_client._encode_order(unbound)
+
+
+@pytest.mark.parametrize(
+    ("changes", "cold_remaining_s"),
+    [
+        ({}, 0.0),
+        ({"cold_remaining_ms": 1500}, 1.5),
+        ({"cold_remaining_ms": 12.5}, 0.0125),
+        ({"cold_remaining_ms": -3}, 0.0),
+        ({"cold_remaining_ms": None}, None),
+    ],
+)
+def test_decodes_for_how_long_a_registered_engine_is_cold(changes, cold_remaining_s):
+    """Guards against registrations without the field that are taken for malformed ones."""
+    record = endpoint_codec.decode("i-1", endpoint_entry(**changes))
+    assert record.cold_remaining_s == cold_remaining_s
+    spec = endpoint_entry()
+    del spec["cold_remaining_ms"]
+    assert endpoint_codec.decode("i-1", spec).cold_remaining_s is None
+
+
+def test_decodes_the_limits_of_cold_engines():
+    (service,) = configuration_codec.decode(configuration_document()).services.values()
+    assert (service.cold_start_s, service.cold_per_s) == (0.0, 0.0)
+    document = configuration_document()
+    document["services"][0].update(cold_start_s=3, cold_per_s=14)
+    (service,) = configuration_codec.decode(document).services.values()
+    assert (service.cold_start_s, service.cold_per_s) == (3, 14)
--- a/src/lynxlanding/platform/tests/test_request_headers.py
+++ b/src/lynxlanding/platform/tests/test_request_headers.py
@@ -112,6 +112,24 @@
     assert metadata.statements.malformed == (("limit",) if is_malformed else ())
 
 
+@pytest.mark.parametrize(
+    ("values", "cold_s", "is_malformed"),
+    [
+        ([], None, False),
+        (["0"], 0.0, False),
+        (["1500"], 1.5, False),
+        (["200", "1500"], 1.5, False),
+        (["-1"], None, True),
+        (["nan"], None, True),
+        (["soon"], None, True),
+    ],
+)
+def test_decodes_for_how_long_an_engine_is_cold(values, cold_s, is_malformed):
+    metadata = request_headers.decode_response([("X-Cold-Ms", value) for value in values])
+    assert metadata.statements.cold_s == cold_s
+    assert metadata.statements.malformed == (("cold",) if is_malformed else ())
+
+
 @pytest.mark.parametrize(
     ("values", "retry_after_s", "is_malformed"),
     [
--- a/src/lynxlanding/settings/tests/test_vm_settings.py
+++ b/src/lynxlanding/settings/tests/test_vm_settings.py
@@ -38,3 +38,14 @@
     with pytest.raises(settings_errors.SettingsError) as caught:
         load(tmp_path, VALID_SETTINGS + f'requests: {{exempt_prompt_parts: ["{part_id}"]}}')
     assert caught.value.path.startswith("requests.exempt_prompt_parts")
+
+
+def test_bounds_of_cold_engines_have_defaults_where_the_template_has_none(tmp_path):
+    """Guards against a node that does not start because a field of the template is missing."""
+    rendered = "endpoints:\n  cold_over: \n  cold_slack: \n"
+    endpoints = load(tmp_path, VALID_SETTINGS + rendered).endpoints
+    assert (endpoints.cold_over, endpoints.cold_slack) == (1.5, 5.0)
+    endpoints = load(
+        tmp_path, VALID_SETTINGS + "endpoints: {cold_over: 2, cold_slack: 0}"
+    ).endpoints
+    assert (endpoints.cold_over, endpoints.cold_slack) == (2.0, 0.0)
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -126,9 +126,14 @@
     ----------
     heartbeat_interval_ms : float
         Interval at which endpoints write their registrations.
+    cold_over, cold_slack : float
+        In any second, all nodes together may send an engine that has just started ``cold_over``
+        times the rate that it takes, and ``cold_slack`` requests.
     """
 
     heartbeat_interval_ms: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1200.0
+    cold_over: Ratio = 1.5
+    cold_slack: NonNegative = 5.0
 
 
 class StopSettings(VmSection):
--- a/src/lynxlanding/traffic/service_spec.py
+++ b/src/lynxlanding/traffic/service_spec.py
@@ -98,9 +98,15 @@
         Specification of the model engines; None for a plain service.
     health_path : str or None
         Path of the health check of the service's endpoints.
+    cold_start_s : float
+        Time for which an endpoint is slow and fragile after its start; 0 if none is.
+    cold_per_s : float
+        Requests a second that such an endpoint takes from all nodes together; 0 for no limit.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
     health_path: str | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
