--- a/src/lynxlanding_bench/site_day/command.py
+++ b/src/lynxlanding_bench/site_day/command.py
@@ -23,6 +23,8 @@
 HEARTBEAT_S = 1.2
 # With fewer, the fabric domains have no groups of the small model, which the load asks for.
 MIN_ENGINES = 16
+# Time for which engines are cold after a start, if they are at all.
+COLD_START_S = 3.0
 # Time for the requests that are under way when the load ends.
 TAIL_S = 1.0
 
@@ -35,8 +37,9 @@
 @click.option("--plain", type=click.IntRange(1), default=20)
 @click.option("--rate", type=click.FloatRange(0, min_open=True), default=60.0, help="Requests/s.")
 @click.option("--duration-s", type=click.FloatRange(1), default=60.0)
+@click.option("--cold-per-s", type=click.FloatRange(0), default=0.0, help="At cold engines.")
 @click.option("--output", type=click.Path(file_okay=False), default="results")
-def command(faults, seed, nodes, engines, plain, rate, duration_s, output):
+def command(faults, seed, nodes, engines, plain, rate, duration_s, cold_per_s, output):
     """Play the FAULTS file against nodes as processes under load; report the rules."""
     node_names = [f"n{number}" for number in range(nodes)]
     targets = make_targets(engines, plain, node_names)
@@ -50,12 +53,18 @@
     logs.mkdir(parents=True)
     with processes.Processes(logs) as running:
         installation = calling_installation.CallingInstallation(
-            running, engines, plain, HEARTBEAT_S, node_names, has_own_hosts=True
+            running,
+            engines,
+            plain,
+            HEARTBEAT_S,
+            node_names,
+            has_own_hosts=True,
+            site_options=("--cold-per-s", cold_per_s, "--cold-start-s", COLD_START_S),
         )
         installation.wait_ready()
         installation.wait_for_small_groups(1)
         installation.restart_nodes()
-        record, skipped = play(installation, read, rate, seed, duration_s)
+        record, skipped = play(installation, read, rate, seed, duration_s, cold_per_s)
         paths = [logs / f"{name}.log" for name in node_names]
         report = day_report.summarize(record, day_report.count_refusals(paths))
     report.update(
@@ -77,7 +86,7 @@
     return fault_file.Targets(zones, names[:engines], node_names)
 
 
-def play(installation, faults, rate, seed, duration_s):
+def play(installation, faults, rate, seed, duration_s, cold_per_s=0.0):
     """Play faults under load.
 
     Parameters
@@ -92,6 +101,8 @@
         Seed of the arrivals.
     duration_s : float
         Duration of the load, in seconds.
+    cold_per_s : float, optional
+        Requests a second that cold engines of the site bear.
 
     Returns
     -------
@@ -111,9 +122,16 @@
     player.finish()
     load.finish()
     time.sleep(TAIL_S)
-    events = [day_record.SiteEvent(*item) for item in installation.control()["history"]]
+    seen = installation.control()
     record = day_record.DayRecord(
-        tuple(installation.nodes), started_at, ended_at, load.responses, events, player.played
+        tuple(installation.nodes),
+        started_at,
+        ended_at,
+        load.responses,
+        [day_record.SiteEvent(*item) for item in seen["history"]],
+        player.played,
+        [tuple(item) for item in seen["cold_arrivals"]],
+        cold_per_s,
     )
     skipped = player.skipped
     if load.late:
--- a/src/lynxlanding_bench/site_day/day_record.py
+++ b/src/lynxlanding_bench/site_day/day_record.py
@@ -81,6 +81,10 @@
         What endpoints recorded.
     faults : list of PlayedFault
         What was played.
+    cold_arrivals : list of (str, float)
+        Endpoint id and monotonic time of the requests at cold engines.
+    cold_per_s : float
+        Requests a second that cold engines bear; 0 if no engine is ever cold.
     """
 
     nodes: tuple[str, ...]
@@ -89,6 +93,8 @@
     responses: list[Response]
     events: list[SiteEvent]
     faults: list[PlayedFault]
+    cold_arrivals: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    cold_per_s: float = 0.0
 
     def faults_of(self, kind):
         """Return the faults of a kind."""
--- a/src/lynxlanding_bench/site_day/fault.py
+++ b/src/lynxlanding_bench/site_day/fault.py
@@ -40,6 +40,7 @@
     "leave_unannounced": FaultKind(ENDPOINTS),
     "state_leaving": FaultKind(ENDPOINTS),
     "state_limit": FaultKind(ENDPOINTS, needs_duration=True, value_type=float),
+    "cold": FaultKind(ENDPOINTS, needs_duration=True),
     "reject": FaultKind(ENDPOINTS, needs_duration=True, value_type=float),
     # Nodes.
     "cut": FaultKind(
--- a/src/lynxlanding_bench/site_day/fault_player.py
+++ b/src/lynxlanding_bench/site_day/fault_player.py
@@ -38,6 +38,7 @@
 _BEGIN_ORDERS = {
     "pause": _for_each("paused"),
     "crash": _for_each("crash"),
+    "cold": _for_each("cold"),
     "reset": _list("reset"),
     "no_heartbeats": _list("silent"),
     "leave": _list("leaving"),
--- a/src/lynxlanding_bench/site_day/rules.py
+++ b/src/lynxlanding_bench/site_day/rules.py
@@ -2,6 +2,7 @@
 
 from lynxlanding_bench.site_day import (
     answer_checker,
+    cold_checker,
     crash_checker,
     cut_checker,
     day_record,
@@ -154,6 +155,22 @@
     return problems
 
 
+def check_cold_engines(record):
+    """Return the cold engines that got more requests than they bear."""
+    if not record.cold_per_s:
+        return []
+    cold_since = {}
+    for played in record.faults_of("cold"):
+        for endpoint_id in played.fault.targets:
+            cold_since.setdefault(endpoint_id, []).append(played.begun_at)
+    allowed = cold_checker.allowed_requests(record.cold_per_s)
+    problems = []
+    for endpoint_id, worst in cold_checker.worst_windows(record.cold_arrivals, cold_since).items():
+        if worst > allowed:
+            problems.append(f"{worst} requests in a second at {endpoint_id}, allowed {allowed}")
+    return problems
+
+
 RULES = {
     "unsafe requests run once, refused ones never": check_runs,
     "answers are whole": check_answers,
@@ -162,6 +179,7 @@
     "endpoints that state their leaving are left": check_leavings,
     "limits that endpoints state are kept": check_limits,
     "endpoints that reject requests are left alone": check_rejections,
+    "cold engines get few requests": check_cold_engines,
 }
 
 
--- a/src/lynxlanding_bench/site_day/tests/test_fault_player.py
+++ b/src/lynxlanding_bench/site_day/tests/test_fault_player.py
@@ -16,6 +16,7 @@
 @pytest.mark.parametrize(
     ("kind", "value", "begin", "end"),
     [
+        ("cold", None, {"cold": {"i-0": 2.0, "i-1": 2.0}}, None),
         ("pause", None, {"paused": {"i-0": 2.0, "i-1": 2.0}}, None),
         (
             "reject",
@@ -53,3 +54,5 @@
 def test_sample_day_is_valid():
     targets = command.make_targets(40, 20, [f"n{number}" for number in range(9)])
     assert len(fault_file.load(str(command.SAMPLE), targets, random.Random(1))) > 5
+    cold = command.SAMPLE.with_name("cold.yaml")
+    assert len(fault_file.load(str(cold), targets, random.Random(1))) > 5
--- a/src/lynxlanding_bench/site_day/tests/test_rules.py
+++ b/src/lynxlanding_bench/site_day/tests/test_rules.py
@@ -93,6 +93,12 @@
     )
 
 
+def breach_cold_engines():
+    arrivals = [("e0", 12.0 + number / 30) for number in range(30)]
+    record = make_record([], [], [played("cold")])
+    return dataclasses.replace(record, cold_arrivals=arrivals, cold_per_s=14.0)
+
+
 BREACHES = {
     breach_runs: rules.check_runs,
     breach_answers: rules.check_answers,
@@ -102,6 +108,7 @@
     breach_leavings: rules.check_leavings,
     breach_limits: rules.check_limits,
     breach_rejections: rules.check_rejections,
+    breach_cold_engines: rules.check_cold_engines,
 }
 
 
@@ -126,6 +133,12 @@
     assert {name: [] for name in rules.RULES} == rules.check(record)
 
 
+def test_requests_before_nodes_can_know_that_a_running_engine_is_cold_do_not_count():
+    record = breach_cold_engines()
+    told = dataclasses.replace(record, faults=[played("cold", 11.5, 15.0)])
+    assert rules.check_cold_engines(told) == []
+
+
 def test_requests_of_other_endpoints_and_times_do_not_count():
     """Guards against a limit that is judged outside of its time."""
     record = breach_limits()
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -38,9 +38,21 @@
         Number of fabric domains, among which the engines are divided evenly.
     report_lag_s : float, optional
         Age of the values that engines report, also stated in the configuration.
+    cold_start_s, cold_per_s : float, optional
+        Time for which engines that have started are cold, and requests a second that they bear
+        then, as in the configuration. The engines are not cold when the site starts.
     """
 
-    def __init__(self, ports, engines, heartbeat_s, domains=2, report_lag_s=0.0):
+    def __init__(
+        self,
+        ports,
+        engines,
+        heartbeat_s,
+        domains=2,
+        report_lag_s=0.0,
+        cold_start_s=0.0,
+        cold_per_s=0.0,
+    ):
         self._store_port = ports[0]
         self._heartbeat_s = heartbeat_s
         self._store = store.SiteStore()
@@ -63,8 +75,15 @@
         self._endpoints = endpoints
         self._server = None
         self._engines = engine.SiteEngines(
-            endpoints, self._publish, self._history, self._crash_endpoint, report_lag_s
+            endpoints,
+            self._publish,
+            self._history,
+            self._crash_endpoint,
+            report_lag_s,
+            cold_per_s,
         )
+        self._cold_start_s = cold_start_s
+        self._cold_per_s = cold_per_s
         self._beats = None
         self._restarts = set()
         self._crash_kind = REFUSES
@@ -136,6 +155,7 @@
             "history": self._history,
             "groups": groups,
             "second_joins": self._engines.second_joins,
+            "cold_arrivals": self._engines.cold_arrivals,
             "down": [item.endpoint_id for item in self._endpoints.values() if item.is_down],
             "calls": self._store.calls,
             "time": time.monotonic(),
@@ -144,6 +164,10 @@
 
     def _write_configuration(self):
         document = configuration(self._configuration_version, **self._time_limits)
+        if self._cold_per_s:
+            document["services"][0].update(
+                cold_start_s=self._cold_start_s, cold_per_s=self._cold_per_s
+            )
         self._store.put("config", "main", document)
 
     def _write_odd_entry(self, name, field, raw):
@@ -173,6 +197,9 @@
             self._server.reset_connections(endpoint.port)
         if name in order.get("late_orders", {}):
             endpoint.order_delay_s = order["late_orders"][name]
+        if name in order.get("cold", {}):
+            endpoint.cold_until = time.monotonic() + order["cold"][name]
+            self._publish(endpoint)
         if name in order.get("limits", {}):
             endpoint.limit_per_s = order["limits"][name]
         if name in order.get("states_leaving", ()):
@@ -187,6 +214,7 @@
             endpoint.heartbeats = 0
             endpoint.is_leaving = False
             endpoint.states_leaving = False
+            endpoint.cold_until = time.monotonic() + self._cold_s(endpoint)
             self._publish(endpoint)
         if name in order.get("leaving", ()):
             endpoint.is_leaving = True
@@ -199,6 +227,10 @@
             self._silent[name] = 0
             self._put_entry(name, self._held.pop(name))
 
+    def _cold_s(self, endpoint):
+        """Return for how long an endpoint is cold after its start."""
+        return self._cold_start_s if endpoint.domain is not None else 0.0
+
     def _resume(self, endpoint):
         """Let a paused endpoint go on with what it was doing."""
         endpoint.is_dark = False
@@ -236,7 +268,7 @@
 
     async def _restart_later(self, endpoint, down_s):
         await asyncio.sleep(down_s)
-        endpoint.start(int(time.time() * 1000))
+        endpoint.start(int(time.time() * 1000), self._cold_s(endpoint))
         self._silent.pop(endpoint.endpoint_id, None)
         await self._server.open_port(endpoint.port)
         self._server.release_port(endpoint.port)
--- a/src/lynxlanding_standins/site/engine.py
+++ b/src/lynxlanding_standins/site/engine.py
@@ -1,6 +1,7 @@
 """Engines that form replica groups, and a plain service."""
 
 import asyncio
+import collections
 import dataclasses
 import json
 import time
@@ -18,6 +19,10 @@
 ORDER_PATH = "/v1/order"
 DELAY_HEADER = b"x-delay-s"
 _CONTROL_PATHS = (ORDER_PATH, "/v1/report")
+# A cold engine crashes if it gets this multiple of its rate in a second, and is down for a time.
+COLD_CRASH_FACTOR = 2.0
+COLD_CRASH_DOWN_S = 2.0
+COLD_WINDOW_S = 1.0
 # When an endpoint ends under a body that crashes it.
 BEFORE_RESPONSE = "before the response"
 AFTER_FIRST_EVENT = "after the first event"
@@ -41,6 +46,8 @@
         Whether the endpoint says in its responses that it is leaving; its registration may not.
     retry_after : str or None
         ``Retry-After`` of the responses with which the endpoint rejects all requests, if it does.
+    cold_until : float
+        Until when the engine is slow and fragile, in monotonic seconds.
     heartbeats : int
         Number of heartbeats of the incarnation.
     accepted_orders : int
@@ -66,6 +73,7 @@
     limit_per_s: float | None = None
     states_leaving: bool = False
     retry_after: str | None = None
+    cold_until: float = 0.0
     heartbeats: int = 0
     group: dict | None = None
     model: str | None = None
@@ -92,8 +100,14 @@
         self.group = None
         self.model = None
 
-    def start(self, born):
-        """Begin another incarnation."""
+    @property
+    def cold_remaining_ms(self):
+        """Milliseconds for which the engine will be cold."""
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
+    def start(self, born, cold_s=0.0):
+        """Begin another incarnation, which is cold for a time."""
+        self.cold_until = time.monotonic() + cold_s
         self.is_down = False
         self.is_leaving = False
         self.states_leaving = False
@@ -133,7 +147,7 @@
             "version": "v1",
             "slots": 9,
             "state": "draining" if self.is_leaving else "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_remaining_ms,
             "seq_no": self.heartbeats,
             "born": self.born,
         }
@@ -186,17 +200,24 @@
         request that ends it.
     report_lag_s : float, optional
         Age of the values that reports have.
+    cold_per_s : float, optional
+        Requests a second that a cold engine bears; 0 if no engine is ever cold.
 
     Attributes
     ----------
+    cold_arrivals : list
+        ``(endpoint id, monotonic time)`` of all requests and health checks at cold engines.
     second_joins : list of dict
         Joins that engines have taken while the head of another group of theirs was open or
         closing: ``engine``, ``group`` and ``joined`` (name and epoch), ``head``, ``state`` of the
         head, and monotonic ``time``. A head that stands still counts as open until it is broken.
     """
 
-    def __init__(self, endpoints, publish, history, crash, report_lag_s=0.0):
+    def __init__(self, endpoints, publish, history, crash, report_lag_s=0.0, cold_per_s=0.0):
         self._endpoints = endpoints
+        self._cold_per_s = cold_per_s
+        self._recent_arrivals = collections.defaultdict(collections.deque)
+        self.cold_arrivals = []
         self._publish_entry = publish
         self._report_lag_s = report_lag_s
         self.second_joins = []
@@ -229,17 +250,34 @@
             return
         if scope["path"] in _CONTROL_PATHS:
             await self._control(endpoint, scope, body, send)
-        elif endpoint.retry_after is not None:
+            return
+        if self._is_too_much(endpoint, time.monotonic()):
+            self._crash(endpoint, COLD_CRASH_DOWN_S, asgi.header(scope, b"x-request-id") or "")
+            return
+        if endpoint.retry_after is not None:
             await self._reject(endpoint, scope, send)
         elif scope["path"] == HEALTH_PATH:
             status = 503 if endpoint.is_leaving or endpoint.states_leaving else 200
-            instance = [(b"x-instance-id", endpoint.endpoint_id.encode())]
-            await asgi.send_json(send, status, {}, instance)
+            headers = [(b"x-instance-id", endpoint.endpoint_id.encode())]
+            if self._cold_per_s and endpoint.domain is not None:
+                headers.append((b"x-cold-ms", b"%d" % endpoint.cold_remaining_ms))
+            await asgi.send_json(send, status, {}, headers)
         elif endpoint.domain is None:
             await self._answer(endpoint, scope, body, send)
         else:
             await self._stream(endpoint, scope, body, send)
 
+    def _is_too_much(self, endpoint, now):
+        """Count a request; return whether a cold engine crashes under it."""
+        if not self._cold_per_s or now >= endpoint.cold_until:
+            return False
+        self.cold_arrivals.append((endpoint.endpoint_id, now))
+        recent = self._recent_arrivals[endpoint.endpoint_id]
+        recent.append(now)
+        while recent[0] <= now - COLD_WINDOW_S:
+            recent.popleft()
+        return len(recent) > COLD_CRASH_FACTOR * self._cold_per_s
+
     async def _control(self, endpoint, scope, body, send):
         """Serve an order or a report, which the endpoint does whatever it states."""
         if scope["path"] == ORDER_PATH:
