--- a/src/lynxlanding/dispatch/cold_engines.py
+++ b/src/lynxlanding/dispatch/cold_engines.py
@@ -30,8 +30,11 @@
 MAX_BOUND = 1e6
 # Incarnations that are remembered; enough for several days of replacements.
 MAX_REMEMBERED = 5000
-# Repeated statements shift the end of a belief by their delays; only longer shifts are logged.
-LOGGED_EXTENSION_S = 0.5
+# Repeated statements shift the end of a belief by their delays, which is no news.
+NEWS_S = 0.5
+# News are part of the reports for this long. All nodes that the store answers have the same news,
+# so that those it does not answer hear of it even if most reports are lost.
+REPORTED_S = 1.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -285,15 +288,16 @@
     def statements_to_report(self, now):
         """Return what this node's next report says: a list of ``ColdStatement``.
 
-        Only first-hand beliefs are reported, so they do not circulate among nodes. If there are
-        more than a report holds, they take turns.
+        Only first-hand news are reported, so they do not circulate among nodes. If there are more
+        than a report holds, they take turns.
         """
         if not self._beliefs:
             return []
         with self._lock:
             own = []
             for belief in self._beliefs.values():
-                if belief.node_id == self._node_id and belief.until > now:
+                is_news = now - belief.stated_at <= REPORTED_S and belief.until > now
+                if is_news and belief.node_id == self._node_id:
                     own.append(belief)
             count = min(report_turns.MAX_REPORTED, len(own))
             first = self._next_reported
@@ -330,6 +334,9 @@
         known = self._beliefs.get(endpoint_id)
         if known is not None and until <= known.until:
             return
+        if known is not None and until - known.until <= NEWS_S:
+            self._beliefs[endpoint_id] = dataclasses.replace(known, until=until)
+            return
         belief = ColdBelief(
             endpoint_id,
             started_ms,
@@ -339,8 +346,7 @@
             now if stated_at is None else stated_at,
         )
         self._beliefs[endpoint_id] = belief
-        if known is None or until - known.until > LOGGED_EXTENSION_S:
-            self._changes.append(ColdChange(belief, True, now))
+        self._changes.append(ColdChange(belief, True, now))
         self._update_cold_ids()
 
     def _update_limits(self):
--- a/src/lynxlanding/dispatch/dispatch_decision.py
+++ b/src/lynxlanding/dispatch/dispatch_decision.py
@@ -6,6 +6,10 @@
 from lynxlanding.fleet import endpoint_record
 from lynxlanding.traffic import route as traffic_route
 
+# Reasons of refusals where every endpoint has a limit and this node's part of it is used up.
+ALL_LIMITED = "every endpoint has reached its limit"
+ALL_LIMITED_SOME_COLD = "every endpoint has reached its limit, some of them since they are cold"
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DispatchQuery:
--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -341,7 +341,7 @@
     def _refuse_limited(self, query, records):
         """Refuse a request for which no endpoint takes another one from this node."""
         retry_after_s = max(BUSY_RETRY_AFTER_S, self._statement_gate.retry_after_s(records))
-        return self._refuse(query, "every endpoint has reached its limit", retry_after_s)
+        return self._refuse(query, self._statement_gate.describe_limits(records), retry_after_s)
 
     def _refuse(self, query, reason, retry_after_s):
         """Return a refusal with a Retry-After at which the request is likely to be served.
--- a/src/lynxlanding/dispatch/request_allowance.py
+++ b/src/lynxlanding/dispatch/request_allowance.py
@@ -87,7 +87,8 @@
         self._known_nodes = (node_id,)
         # Times at which known nodes went missing, by id.
         self._missing_since = {}
-        self._generation = 0
+        self._live_generation = 0
+        self._known_generation = 0
         self._shares = {}
         self._changes = []
 
@@ -105,11 +106,13 @@
             limits of cold engines as well.
         """
         live_nodes = tuple(sorted(node_ids))
-        known_nodes = self._keep_missing({*live_nodes, *known_ids}, now)
-        if (live_nodes, known_nodes) != (self._live_nodes, self._known_nodes):
+        if live_nodes != self._live_nodes:
             self._live_nodes = live_nodes
+            self._live_generation += 1
+        known_nodes = self._keep_missing({*live_nodes, *known_ids}, now)
+        if known_nodes != self._known_nodes:
             self._known_nodes = known_nodes
-            self._generation += 1
+            self._known_generation += 1
         for endpoint_id in list(self._shares):
             self._share(endpoint_id, now)
         changes = self._changes
@@ -172,9 +175,10 @@
             self._shares.pop(endpoint_id, None)
             return None
         max_nodes = self._limit_table.max_sharing_nodes(endpoint_id)
+        generation = self._live_generation if max_nodes is None else self._known_generation
         share = self._shares.get(endpoint_id)
         if share is None:
-            share = _Share(limit_per_s, max_nodes, self._generation, 0.0, now)
+            share = _Share(limit_per_s, max_nodes, generation, 0.0, now)
             self._shares[endpoint_id] = share
             self._plan_rate(endpoint_id, share, max(now, self._settled_at), now)
             if now >= self._settled_at:
@@ -182,11 +186,11 @@
         elif (share.limit_per_s, share.max_nodes, share.generation) != (
             limit_per_s,
             max_nodes,
-            self._generation,
+            generation,
         ):
             share.limit_per_s = limit_per_s
             share.max_nodes = max_nodes
-            share.generation = self._generation
+            share.generation = generation
             self._plan_rate(endpoint_id, share, now + INCREASE_DELAY_S, now)
         _accrue(share, now)
         return share
--- a/src/lynxlanding/dispatch/statement_gate.py
+++ b/src/lynxlanding/dispatch/statement_gate.py
@@ -1,6 +1,6 @@
 """Keeps the requests of a node to what endpoints state about themselves."""
 
-from lynxlanding.dispatch import request_allowance, urgency_gate
+from lynxlanding.dispatch import dispatch_decision, request_allowance, urgency_gate
 
 
 class StatementGate:
@@ -97,6 +97,13 @@
         key = (query.service, query.model)
         return self._urgency_gate.admits(key, query.priority, supply_per_s, now)
 
+    def describe_limits(self, records):
+        """Return the reason of a refusal if none of the endpoints takes another request."""
+        cold_ids = self._limits.cold_engines.cold_ids
+        if any(record.endpoint_id in cold_ids for record in records):
+            return dispatch_decision.ALL_LIMITED_SOME_COLD
+        return dispatch_decision.ALL_LIMITED
+
     def retry_after_s(self, records):
         """Return the time until any node may send a request to one of the endpoints, in seconds.
 
--- a/src/lynxlanding/dispatch/tests/test_cold_engines.py
+++ b/src/lynxlanding/dispatch/tests/test_cold_engines.py
@@ -147,6 +147,21 @@
     assert len(reported) == 40
 
 
+def test_small_shifts_of_the_end_are_no_news():
+    """Guards against log lines and reports at each heartbeat of a cold engine."""
+    cold = make_cold_engines()
+    cold.record_incarnation(HEAD, 10.0, is_first_list=False)
+    assert len(cold.expire(10.1)) == 1
+    later = dataclasses.replace(HEAD, heartbeat_number=1, cold_remaining_s=1.9)
+    cold.record_registration(later, 11.2)
+    assert cold.get("e0").until == pytest.approx(13.1)
+    assert cold.expire(11.3) == []
+    assert cold.statements_to_report(11.6) == []
+    cold.record_response(HEAD, 3.0, 11.7)
+    assert [change.belief.source for change in cold.expire(11.8)] == [cold_engines.RESPONSE]
+    assert len(cold.statements_to_report(11.8)) == 1
+
+
 def test_lower_one_of_both_limits_is_in_force():
     cold = make_cold_engines()
     table = limit_table.LimitTable("n0", cold)
@@ -210,7 +225,7 @@
     actor.use_live_nodes(["n0"], [f"n{number}" for number in range(1, 3)], 11.0)
     decisions = [actor.choose(dispatch_factories.make_query(), 11.5) for _ in range(6)]
     assert isinstance(decisions[-1], dispatch_decision.Refuse)
-    assert decisions[-1].reason == "every endpoint has reached its limit"
+    assert decisions[-1].reason == dispatch_decision.ALL_LIMITED_SOME_COLD
     assert 0 < decisions[-1].retry_after_s < 2.0
 
 
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -3,11 +3,15 @@
 import dataclasses
 import json
 
+from lynxlanding.dispatch import dispatch_decision
+
 MESSAGE_TYPE_PREFIX = "lynxlanding:"
 # Lines about endpoints, groups and the store are context of a request only if they are no older
 # than this before its first line.
 CONTEXT_WINDOW_S = 15.0
 
+COLD_CHANGED = "endpoint:cold_changed"
+
 _CONTEXT_EVENTS = frozenset(
     {
         "endpoint:changed",
@@ -16,7 +20,7 @@
         "endpoint:ended",
         "endpoint:allowance_changed",
         "endpoint:limit_changed",
-        "endpoint:cold_changed",
+        COLD_CHANGED,
         "endpoint:leaving_stated",
         "endpoint:rejected",
         "endpoint:statement_malformed",
@@ -131,6 +135,11 @@
         if line.event.startswith("request:"):
             parts.update(_find_crash_keys(line))
     resource_names = {name for name in endpoints | groups if name}
+    if _is_refused_at_cold_endpoints(request_lines):
+        # The refusal names no endpoint, since it is about all of them.
+        for line in lines:
+            if line.event == COLD_CHANGED and line.node in nodes:
+                resource_names.add(line.fields.get("endpoint"))
     timeline = list(request_lines)
     for line in lines:
         if line.event not in _CONTEXT_EVENTS:
@@ -144,6 +153,13 @@
     return timeline
 
 
+def _is_refused_at_cold_endpoints(request_lines):
+    for line in request_lines:
+        if line.fields.get("reason") == dispatch_decision.ALL_LIMITED_SOME_COLD:
+            return True
+    return False
+
+
 def _has_parts(line, parts):
     """Return whether a line is about the request or its parts; any node may have seen it."""
     if line.event.startswith("prompt:"):
--- a/src/lynxlanding/operators/tests/test_explain.py
+++ b/src/lynxlanding/operators/tests/test_explain.py
@@ -7,7 +7,7 @@
 import pytest
 from click import testing
 
-from lynxlanding.dispatch import request_logger, stall_tracker
+from lynxlanding.dispatch import dispatch_decision, request_logger, stall_tracker
 from lynxlanding.dispatch.tests import dispatch_factories, test_request_forwarder
 from lynxlanding.errors import endpoint as endpoint_errors
 from lynxlanding.errors import request as request_errors
@@ -233,3 +233,25 @@
     ]
     summary = request_timeline.summarize_outcome(timeline, "q")
     assert f"engines crashed under ['request {digest}']" in summary
+
+
+def test_request_refused_at_cold_engines_is_explained_by_what_the_node_believed():
+    """Guards against a refusal by all endpoints that is explained by none of them."""
+    reason = dispatch_decision.ALL_LIMITED_SOME_COLD
+    lines = request_timeline.parse(
+        [
+            make_line(1.0, "n1", "endpoint:cold_changed", endpoint="e1", is_cold=True),
+            make_line(1.0, "n2", "endpoint:cold_changed", endpoint="e2", is_cold=True),
+            make_line(1.5, "n1", "endpoint:allowance_changed", endpoint="e1", allowed_per_s=0.0),
+            make_line(2.0, "n1", "request:refused", request_id="q", reason=reason),
+            make_line(2.0, "n1", "request:finished", request_id="q", status=503, result="refused"),
+        ]
+    )
+    timeline = request_timeline.build_timeline(lines, "q")
+    assert [(line.node, line.event) for line in timeline] == [
+        ("n1", "endpoint:cold_changed"),
+        ("n1", "endpoint:allowance_changed"),
+        ("n1", "request:refused"),
+        ("n1", "request:finished"),
+    ]
+    assert reason in request_timeline.summarize_outcome(timeline, "q")
