--- a/src/lynxlanding/dispatch/statement_gate.py
+++ b/src/lynxlanding/dispatch/statement_gate.py
@@ -1,6 +1,6 @@
 """Keeps the requests of a node to what endpoints state about themselves."""
 
-from lynxlanding.dispatch import request_allowance, urgency_gate
+from lynxlanding.dispatch import dispatch_decision, request_allowance, urgency_gate
 
 
 class StatementGate:
@@ -40,10 +40,13 @@
     def may_send(self, record, now, *, is_counted=False):
         """Return whether this node may send a request to the endpoint, and count it.
 
-        ``is_counted`` says whether the request is already counted in the allowance.
+        ``is_counted`` says whether the request is already counted in the allowance. A cold engine
+        counts requests when they arrive, so one that was delayed before it is sent counts again.
         """
         if self._rejections.remaining_s(record, now) > 0:
             return False
+        if record.endpoint_id in self._limits.cold_engines.cold_ids:
+            is_counted = False
         return is_counted or self._allowance.try_consume(record.endpoint_id, now)
 
     def select_accepting(self, records, now):
@@ -94,6 +97,13 @@
         key = (query.service, query.model)
         return self._urgency_gate.admits(key, query.priority, supply_per_s, now)
 
+    def describe_limits(self, records):
+        """Return the reason of a refusal if none of the endpoints takes another request."""
+        cold_ids = self._limits.cold_engines.cold_ids
+        if any(record.endpoint_id in cold_ids for record in records):
+            return dispatch_decision.ALL_LIMITED_SOME_COLD
+        return dispatch_decision.ALL_LIMITED
+
     def retry_after_s(self, records):
         """Return the time until any node may send a request to one of the endpoints, in seconds.
 
