Test cold engines while nodes freeze and are replaced

Cause: the bound under a frozen and a replaced node was tested on a simulated clock only, and each belief of a first list built the set of cold engines anew. Change: a test with processes; the set grows by one engine, and a new share chooses its nodes once.

--- a/src/lynxlanding/dispatch/cold_engines.py
+++ b/src/lynxlanding/dispatch/cold_engines.py
@@ -216,11 +216,13 @@
                 belief = self._beliefs.get(endpoint_id)
                 if belief is not None and belief.started_ms != record.started_ms:
                     del self._beliefs[endpoint_id]
+                    self._cold_ids -= {endpoint_id}
             is_new = known is not None or (self._has_traffic and not is_first_list)
             if is_new and record.service in self._limits:
                 until = now + self._services[record.service].cold_start_s
                 self._extend(endpoint_id, record.started_ms, until, FIRST_SIGHT, now)
-            self._update_cold_ids()
+            if endpoint_id in self._beliefs:
+                self._mark_cold(endpoint_id)
 
     def record_registration(self, record, now):
         """Record what the endpoint's present registration states, counted from when it was read.
@@ -347,7 +349,7 @@
         )
         self._beliefs[endpoint_id] = belief
         self._changes.append(ColdChange(belief, True, now))
-        self._update_cold_ids()
+        self._mark_cold(endpoint_id)
 
     def _update_limits(self):
         limits = {}
@@ -361,6 +363,10 @@
         incarnation = self._incarnations.get(endpoint_id)
         return incarnation is not None and incarnation.service in self._limits
 
+    def _mark_cold(self, endpoint_id):
+        if endpoint_id not in self._cold_ids and self._has_limit(endpoint_id):
+            self._cold_ids |= {endpoint_id}
+
     def _update_cold_ids(self):
         cold_ids = [endpoint_id for endpoint_id in self._beliefs if self._has_limit(endpoint_id)]
         if len(cold_ids) != len(self._cold_ids) or not self._cold_ids.issuperset(cold_ids):
--- a/src/lynxlanding/dispatch/request_allowance.py
+++ b/src/lynxlanding/dispatch/request_allowance.py
@@ -90,6 +90,8 @@
         self._live_generation = 0
         self._known_generation = 0
         self._shares = {}
+        # Key and result of the last choice of nodes, of which a new share asks twice.
+        self._last_choice = (None, ())
         self._changes = []
 
     def use_live_nodes(self, node_ids, now, known_ids=()):
@@ -244,7 +246,10 @@
             count = min(count, share.max_nodes)
         if count >= len(nodes):
             return nodes
-        return rendezvous.choose(f"limit-{endpoint_id}", nodes, count)
+        key = (endpoint_id, count, nodes)
+        if key != self._last_choice[0]:
+            self._last_choice = (key, rendezvous.choose(f"limit-{endpoint_id}", nodes, count))
+        return self._last_choice[1]
 
 
 def _accrue(share, now):
--- a/tests/test_cold_engines.py
+++ b/tests/test_cold_engines.py
@@ -2,6 +2,7 @@
 
 import collections
 import http.client
+import signal
 import threading
 import time
 
@@ -123,6 +124,28 @@
     assert max(site.finished_durations_s('"refused"')) < 0.5
 
 
+def test_bound_holds_while_nodes_freeze_and_are_replaced(site):
+    """Guards against a node that stops and its successor using the same part of the limit."""
+    heads = site.find_heads()
+    before = len(site.control()["cold_arrivals"])
+    began_at = site.control(cold=dict.fromkeys(heads, 12.0))["time"]
+    time.sleep(2.0)
+    site.running.signal("n1", signal.SIGSTOP)
+    site.running.kill("n2")
+    time.sleep(1.5)
+    site.running.restart("n2")
+    time.sleep(2.0)
+    site.running.signal("n1", signal.SIGCONT)
+    time.sleep(5.0)
+    arrivals = site.control()["cold_arrivals"][before:]
+    known = [item for item in arrivals if item[1] >= began_at + KNOWN_AFTER_S]
+    worst = cold_checker.worst_windows(known)
+    print(f"worst windows of {cold_checker.WINDOW_S} s while nodes stop: {worst}")
+    assert worst, "cold heads get some requests"
+    assert max(worst.values()) <= cold_checker.allowed_requests(COLD_PER_S)
+    site_installation.wait_for(lambda: site.is_ready("n2"), "n2 is ready")
+
+
 def test_standin_crashes_a_cold_engine_that_gets_too_many_requests(site):
     """Guards against a stand-in that bears whatever it gets, so that nothing is tested."""
     last = f"i-{ENGINES - 1:03d}"
