--- a/src/lynxlanding/dispatch/tests/dispatch_factories.py
+++ b/src/lynxlanding/dispatch/tests/dispatch_factories.py
@@ -129,7 +129,9 @@
     )
 
 
-def make_dispatcher(records, tracker=None, seed=1, limits=None, rejections=None, gate=None):
+def make_dispatcher(
+    records, tracker=None, seed=1, limits=None, rejections=None, gate=None, **options
+):
     endpoint_registry = registry.EndpointRegistry(heartbeat_interval_s=1.2)
     new_dispatcher = dispatcher.Dispatcher(
         "a",
@@ -138,6 +140,7 @@
         tracker or stall_tracker.StallTracker(),
         gate or make_statement_gate(limits, rejections),
         random.Random(seed),
+        **options,
     )
     new_dispatcher.use_configuration(make_configuration())
     new_dispatcher.apply(endpoint_registry.apply_list(records, 0.0))
