Count the calls to the store of a node

Cause: calls to the store are charged, and nothing showed which part of a node makes them or how they end. Change: PlatformObjectStore counts each call, refused ones and pages of lists included, by kind, operation, outcome and thread in a CallCounter. Gauge lynxlanding_store_calls with these labels, and one log line lynxlanding:store:calls at most every 5 s per node and one at the end of the process. 'calls' is keyed by '<kind> <operation> <outcome>', 'callers' by thread (directory, 'watch <kind>', groups), and 'charged' counts a stale list as a tenth. A watch is counted when it ends. A process that is killed loses the calls since its last line (5 s at most). A test's stand-in of the private _call takes its new parameters and checks the same path.

--- a/src/lynxlanding/node/node_gauges.py
+++ b/src/lynxlanding/node/node_gauges.py
@@ -1,5 +1,6 @@
 """Gauges of a node on its metrics address."""
 
+import dataclasses
 import math
 import time
 
@@ -129,6 +130,19 @@
     )
 
 
+def add_store_gauges(metrics, store_calls):
+    """Add the gauge of the calls that a ``CallCounter`` has counted."""
+    metrics.add_labelled_gauge(
+        "lynxlanding_store_calls",
+        "Calls to the store since the start of the process.",
+        lambda: _label_calls(store_calls.counts()),
+    )
+
+
+def _label_calls(counts):
+    return [(count, dataclasses.asdict(key)) for key, count in counts.items()]
+
+
 def _count_nodes_of_other_protocol(table):
     counts = table.count_live_by_version(time.monotonic())
     return sum(counts.values()) - counts[protocol.CURRENT]
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -68,6 +68,7 @@
 from lynxlanding.replicas import group_controller
 from lynxlanding.requests import attempt_monitor
 from lynxlanding.settings import loading, vm_settings
+from lynxlanding.store import call_counter
 
 MAINTENANCE_INTERVAL_S = 0.2
 # Callers count a pause of more than 200 ms between events as late, so stalls must be found sooner.
@@ -158,7 +159,8 @@
             self._serving,
             self._random_state,
         )
-        self._store = object_client.PlatformObjectStore(settings.store_address)
+        self._store_calls = call_counter.CallCounter()
+        self._store = object_client.PlatformObjectStore(settings.store_address, self._store_calls)
         self._group_controller = group_controller.GroupController(
             settings.node_id,
             self._store,
@@ -246,6 +248,7 @@
             self._store,
         )
         node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
+        node_gauges.add_store_gauges(self._metrics, self._store_calls)
         servers = self._create_servers()
         _start_garbage_collection()
         for server in servers:
@@ -477,6 +480,7 @@
             self._peer_view.set_endpoint_ids(records)
             self._stated_leavings.expire(records)
             self._rejections.expire(now)
+            self._store_calls.log_if_due(now)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
                 self._reload_requested.clear()
                 self._reload_settings()
@@ -535,6 +539,7 @@
             if plan.should_exit(now, unfinished):
                 break
             time.sleep(DRAIN_POLL_INTERVAL_S)
+        self._store_calls.log()
         eliot.log_message(
             message_type=NODE_STOPPED,
             in_flight=self._node_status.in_flight,
--- a/src/lynxlanding/observability/deferred_metrics.py
+++ b/src/lynxlanding/observability/deferred_metrics.py
@@ -34,6 +34,7 @@
         self._loaded = None
         self._requests = []
         self._gauges = []
+        self._labelled_gauges = []
 
     def record_request(self, service, result, status, duration_s, first_event_s):
         """Update the counter and histograms with a finished request."""
@@ -51,6 +52,13 @@
             return
         self._gauges.append((name, description, callback))
 
+    def add_labelled_gauge(self, name, description, callback):
+        """Add a gauge; ``callback()`` returns pairs of a value and its labels at each scrape."""
+        if self._loaded is not None:
+            self._loaded.add_labelled_gauge(name, description, callback)
+            return
+        self._labelled_gauges.append((name, description, callback))
+
     def render(self):
         """Return the content type and body of a response to a scrape."""
         if self._loaded is None:
@@ -65,6 +73,8 @@
         self._loaded = node_metrics.NodeMetrics(self._node_id, self._data_centre)
         for name, description, callback in self._gauges:
             self._loaded.add_gauge(name, description, callback)
+        for name, description, callback in self._labelled_gauges:
+            self._loaded.add_labelled_gauge(name, description, callback)
         for request in self._requests:
             self._loaded.record_request(
                 request.service,
@@ -74,4 +84,5 @@
                 request.first_event_s,
             )
         self._gauges = []
+        self._labelled_gauges = []
         self._requests = []
--- a/src/lynxlanding/observability/metrics.py
+++ b/src/lynxlanding/observability/metrics.py
@@ -119,10 +119,15 @@
 
 def add_gauge(meter, name, description, callback):
     """Add a gauge to a meter; ``callback()`` returns its value at each scrape."""
+    add_labelled_gauge(meter, name, description, lambda: [(callback(), {})])
+
+
+def add_labelled_gauge(meter, name, description, callback):
+    """Add a gauge with labels; ``callback()`` returns pairs of a value and its labels."""
 
     def observe(options):
         del options
-        return [otel_metrics.Observation(callback())]
+        return [otel_metrics.Observation(value, labels) for value, labels in callback()]
 
     meter.create_observable_gauge(name, [observe], description=description)
 
--- a/src/lynxlanding/observability/node_metrics.py
+++ b/src/lynxlanding/observability/node_metrics.py
@@ -62,6 +62,10 @@
         """Add a gauge whose value ``callback()`` returns at each scrape."""
         metrics.add_gauge(self._meter, name, description, callback)
 
+    def add_labelled_gauge(self, name, description, callback):
+        """Add a gauge; ``callback()`` returns pairs of a value and its labels at each scrape."""
+        metrics.add_labelled_gauge(self._meter, name, description, callback)
+
     def render(self):
         """Return the content type and body of a response to a scrape."""
         return (
--- a/src/lynxlanding/platform/object_client.py
+++ b/src/lynxlanding/platform/object_client.py
@@ -1,6 +1,7 @@
 """``ObjectStore`` implementation over the HTTP object API of the platform's metadata store."""
 
 import json
+import threading
 import urllib.parse
 
 import eliot
@@ -9,6 +10,7 @@
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import fields, sockets
 from lynxlanding.store import (
+    call_counter,
     era_tracker,
     http_call,
     store_version,
@@ -32,6 +34,18 @@
 
 _ERA_HEADER = "Store-Era"
 
+_Operation = call_counter.Operation
+
+_METHODS = {
+    _Operation.GET: "GET",
+    _Operation.LIST: "GET",
+    _Operation.STALE_LIST: "GET",
+    _Operation.WATCH: "GET",
+    _Operation.CREATE: "POST",
+    _Operation.UPDATE: "PUT",
+    _Operation.DELETE: "DELETE",
+}
+
 _ERRORS_BY_STATUS = {
     404: platform_errors.ObjectNotFound,
     410: platform_errors.WatchExpired,
@@ -48,9 +62,12 @@
     ----------
     address : str
         ``host:port`` of the API.
+    counter : CallCounter, optional
+        Counts the calls.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, counter=None):
+        self._counter = counter or call_counter.CallCounter()
         self._base_url = f"http://{address}/v1/objects"
         self._pool = guarded_connection.make_pool_manager(
             MAX_BODY_BYTES,
@@ -78,7 +95,7 @@
 
     def get(self, kind, name):
         """Return an object; raises ``ObjectNotFound``."""
-        document, era = self._call("GET", f"/{kind}/{name}")
+        document, era = self._call(_Operation.GET, kind, f"/{name}")
         return _decode_object(kind, document, era)
 
     def list(self, kind, *, may_be_stale=False):
@@ -86,6 +103,7 @@
 
         A list that may be stale costs the store less.
         """
+        operation = _Operation.STALE_LIST if may_be_stale else _Operation.LIST
         items = []
         version = None
         last_name = None
@@ -97,7 +115,7 @@
                 # Despite its name, the parameter takes the last object name of the previous page.
                 parameters.append(f"since_rev={urllib.parse.quote(last_name, safe='')}")
             query_string = "?" + "&".join(parameters) if parameters else ""
-            page, era = self._call("GET", f"/{kind}{query_string}")
+            page, era = self._call(operation, kind, query_string)
             if version is None:
                 # A watch from the first page's version also returns changes made between two pages.
                 revision = fields.require(page, "current_rev", int)
@@ -121,19 +139,24 @@
         """Create an object; raises ``ObjectExists`` or ``ValueTooLarge``."""
         document = {"metadata": {"name": name}, "spec": value}
         response, era = self._call(
-            "POST", f"/{kind}/{name}", document, conflict_error=platform_errors.ObjectExists
+            _Operation.CREATE,
+            kind,
+            f"/{name}",
+            document,
+            conflict_error=platform_errors.ObjectExists,
         )
         return _decode_object(kind, response, era)
 
     def update(self, kind, name, value, version):
         """Replace the value if ``version`` is current; raises ``VersionConflict``."""
         document = {"metadata": {"name": name, "revision": version.revision}, "spec": value}
-        response = self._call_in_era(version.era, "PUT", f"/{kind}/{name}", document)
+        response = self._call_in_era(version.era, _Operation.UPDATE, kind, f"/{name}", document)
         return _decode_object(kind, response, version.era)
 
     def delete(self, kind, name, version):
         """Delete the object if ``version`` is current; raises ``VersionConflict``."""
-        self._call_in_era(version.era, "DELETE", f"/{kind}/{name}?revision={version.revision}")
+        path = f"/{name}?revision={version.revision}"
+        self._call_in_era(version.era, _Operation.DELETE, kind, path)
 
     def watch(self, kind, after, timeout_s):
         """Wait up to ``timeout_s`` seconds for changes since version ``after``.
@@ -141,9 +164,9 @@
         Raises ``WatchExpired`` if the store no longer keeps that version.
         """
         wait_ms = int(timeout_s * 1000)
-        path = f"/{kind}?watch={after.revision}&wait_ms={wait_ms}"
+        path = f"?watch={after.revision}&wait_ms={wait_ms}"
         response = self._call_in_era(
-            after.era, "GET", path, read_timeout_s=timeout_s + WATCH_MARGIN_S
+            after.era, _Operation.WATCH, kind, path, read_timeout_s=timeout_s + WATCH_MARGIN_S
         )
         builder = watch_batch_builder.WatchBatchBuilder()
         for event in fields.require(response, "events", list):
@@ -158,28 +181,43 @@
         revision = fields.require(response, "current_rev", int)
         return builder.build(store_version.StoreVersion(after.era, revision))
 
-    def _call_in_era(self, era, method, path, document=None, **options):
+    def _call_in_era(self, era, operation, kind, path, document=None, **options):
         """Send a call that refers to a revision of an era and return the decoded response.
 
         Raises ``StoreRolledBack`` if the store is in another era, before or after the call.
         """
         if self.era is not None and era != self.era:
-            raise platform_errors.StoreRolledBack(f"{method} {path}: era {era} has ended")
-        response, response_era = self._call(method, path, document, **options)
+            raise platform_errors.StoreRolledBack(f"{operation} {kind}{path}: era {era} has ended")
+        response, response_era = self._call(operation, kind, path, document, **options)
         if response_era != era:
-            raise platform_errors.StoreRolledBack(f"{method} {path}: era {era} has ended")
+            raise platform_errors.StoreRolledBack(f"{operation} {kind}{path}: era {era} has ended")
         return response
 
     def _call(
         self,
-        method,
+        operation,
+        kind,
         path,
         document=None,
         *,
         conflict_error=platform_errors.VersionConflict,
         read_timeout_s=READ_TIMEOUT_S,
     ):
-        """Send a call; return the decoded response and the era of the store."""
+        """Send a call and count it; return the decoded response and the era of the store.
+
+        ``path`` follows the kind: the name of an object, a query string or both.
+        """
+        caller = threading.current_thread().name
+        try:
+            answer = self._send(operation, kind, path, document, conflict_error, read_timeout_s)
+        except platform_errors.PlatformError as e:
+            self._counter.record(kind, operation, e.type_name, caller)
+            raise
+        self._counter.record(kind, operation, call_counter.OK, caller)
+        return answer
+
+    def _send(self, operation, kind, path, document, conflict_error, read_timeout_s):
+        method = _METHODS[operation]
         era_at_call = self.era
         body = None
         headers = {}
@@ -190,7 +228,7 @@
             response = http_call.send(
                 self._pool,
                 method,
-                self._base_url + path,
+                f"{self._base_url}/{kind}{path}",
                 body=body,
                 headers=headers,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
--- a/src/lynxlanding/platform/tests/test_object_client.py
+++ b/src/lynxlanding/platform/tests/test_object_client.py
@@ -9,7 +9,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.platform import object_client
-from lynxlanding.store import era_tracker, memory_store, store_version
+from lynxlanding.store import call_counter, era_tracker, memory_store, store_version
 from lynxlanding.transport import json_document
 from lynxlanding_standins.site import store as site_store
 
@@ -154,8 +154,8 @@
     ]
     paths = []
 
-    def call(method, path):
-        paths.append(path)
+    def call(operation, kind, path):
+        paths.append(f"/{kind}{path}")
         return pages[len(paths) - 1], 0
 
     monkeypatch.setattr(store, "_call", call)
@@ -201,7 +201,9 @@
     client.create("k6", "z", {})
     server.store.lost_answers = 1
     with pytest.raises(platform_errors.StoreOutcomeUnknown):
-        client._call("POST", "/k6/a", {"metadata": {"name": "a"}, "spec": 1}, read_timeout_s=0.2)
+        client._call(
+            "create", "k6", "/a", {"metadata": {"name": "a"}, "spec": 1}, read_timeout_s=0.2
+        )
     assert client.get("k6", "a").value == 1
 
 
@@ -317,3 +319,29 @@
     store.delete("k11", "a", again.version)
     batch = store.watch("k11", after, 1.0)
     assert (batch.puts, batch.deletes) == ([], ["a"])
+
+
+def test_every_call_is_counted_with_its_outcome(server):
+    """Guards against calls that are charged but do not show, such as refused ones and pages."""
+    counter = call_counter.CallCounter()
+    client = object_client.PlatformObjectStore(f"{HOST}:{server.port}", counter)
+    for number in range(51):
+        client.create("k-counted", f"n{number:02}", number)
+    with pytest.raises(platform_errors.ObjectExists):
+        client.create("k-counted", "n00", 0)
+    _, version = client.list("k-counted", may_be_stale=True)
+    client.watch("k-counted", version, 0.01)
+    server.store.fault = "busy"
+    try:
+        with pytest.raises(platform_errors.StoreUnavailable):
+            client.list("k-counted")
+    finally:
+        server.store.fault = ""
+    caller = threading.current_thread().name
+    assert counter.counts() == {
+        call_counter.CallKey("k-counted", "create", "ok", caller): 51,
+        call_counter.CallKey("k-counted", "create", "object_exists", caller): 1,
+        call_counter.CallKey("k-counted", "stale_list", "ok", caller): 2,
+        call_counter.CallKey("k-counted", "watch", "ok", caller): 1,
+        call_counter.CallKey("k-counted", "list", "store_unavailable", caller): 1,
+    }
--- a/src/lynxlanding/store/__init__.py
+++ b/src/lynxlanding/store/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform's object API, VM list and weight store."""
 
 from lynxlanding.store import (
+    call_counter,
     era_tracker,
     http_store,
     memory_store,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "call_counter",
     "era_tracker",
     "http_store",
     "memory_store",
