Let relays alone call a store that is down, and list nodes rarely

Cause: calls to the store are charged. While it was down, every node of a large fleet called it five times a second for each watched kind, and listed the nodes each 0.4 s. A node whose relay was lost, or which missed one datagram, called the store. A node that had just become a relay followed its former relay for up to 3 s and had nothing for its own subscribers. Change, in fleets of more than 25 live nodes (StoreAccess, without I/O, shared by the threads of a node): - only relays probe a store that does not answer, one call at a time for all kinds, with pauses from 0.2 to 0.5 s and jitter. They tell their subscribers that they wait, and tell all nodes when the store answers again. Relays are chosen among the first 12 of 128 nodes in the common order, so that a store which answers nobody is not tried by the whole fleet. - a node asks a second relay after 0.8 s of silence, and its relay for what it has missed. Relays state the age of what they repeat, so that 1.2 s of silence remain the bound. A node that hears no relay at all reads the store after 1.2 s, as before. - the first calls to a store that is back return at once. DirectorySchedule: a stale list comes first and shows whether the node is still registered, which a restart at the same address does not change; the list is refreshed every 20 s by nodes that relays inform and every 5 s by the others, not while the store is believed to be down, and with growing pauses after failures. In a large fleet only relays delete registrations. A registered node of a small fleet tries a failed refresh again after 1, 2, 4 and 5 s instead of 0.4 s; nothing else changes there while the node knows others. The constant that a test of the directory shortens has moved to its schedule; the test is the same.

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -7,6 +7,7 @@
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.observability import restarting_thread
+from lynxlanding.peers import store_access
 from lynxlanding.store import watch_batch
 
 # An unresponsive store is noticed only when a watch ends, and nodes must receive changes again
@@ -17,6 +18,8 @@
 RELAY_WATCH_TIMEOUT_S = 0.4
 # Used while the store is unavailable, so that its recovery is noticed quickly.
 RECOVERY_WATCH_TIMEOUT_S = 0.2
+# A relay of a large fleet pauses between its probes instead, and has an answer at once.
+PROBE_WATCH_TIMEOUT_S = 0.01
 # The platform charges for every call, including rejected ones; five calls per second detect the
 # store's recovery soon enough.
 RETRY_PAUSE_S = 0.2
@@ -26,6 +29,7 @@
 STORE_LOST = "lynxlanding:store:lost"
 STORE_REGAINED = "lynxlanding:store:regained"
 STORE_ROLLED_BACK = "lynxlanding:store:rolled_back"
+STORE_WAITING = "lynxlanding:store:waiting"
 FEED_FOLLOWED = "lynxlanding:feed:followed"
 FEED_LOST = "lynxlanding:feed:lost"
 
@@ -46,14 +50,19 @@
         change and the platform charges for every call, so the pause batches changes.
     feed : ChangeFeed, optional
         Changes that another node passes on; the store is read only where it has none.
+    access : StoreAccess, optional
+        Decides when the store is called in a large fleet. Without it, it is called whenever the
+        feed has nothing.
     """
 
-    def __init__(self, store, kind, handler, get_pause_s=None, feed=None):
+    def __init__(self, store, kind, handler, get_pause_s=None, feed=None, access=None):
         self._store = store
         self._kind = kind
         self._handler = handler
         self._get_pause_s = get_pause_s
         self._feed = feed
+        self._access = access
+        self._wait_reason = None
         self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
@@ -74,6 +83,7 @@
                 if self._get_pause_s is not None and not self._is_fed:
                     self._stop.wait(self._get_pause_s())
             except platform_errors.WatchExpired as e:
+                self._record_answer()
                 eliot.log_message(
                     message_type="lynxlanding:store:history_expired",
                     kind=self._kind,
@@ -82,6 +92,7 @@
                 )
                 version = None
             except platform_errors.StoreRolledBack as e:
+                self._record_answer()
                 eliot.log_message(
                     message_type=STORE_ROLLED_BACK,
                     kind=self._kind,
@@ -91,13 +102,19 @@
                 version = None
                 self._handler.on_store_rolled_back()
             except platform_errors.PlatformError as e:
-                self._mark_unavailable(e)
-                self._stop.wait(RETRY_PAUSE_S)
+                self._mark_unavailable(e.type_name, str(e))
+                if self._access is not None:
+                    self._access.record_failure(time.monotonic())
+                if not self._is_in_large_fleet():
+                    self._stop.wait(RETRY_PAUSE_S)
 
     def _sync(self, version):
         """Read a list or the next changes; return the version to continue from."""
         if version is None:
+            if not self._may_call(version):
+                return None
             objects, version = self._store.list(self._kind)
+            self._record_answer()
             was_outage = self._mark_available()
             self._handler.on_list(objects, version, time.monotonic(), was_outage)
             self._publish(None, watch_batch.WatchBatch([], [], version), was_outage)
@@ -106,9 +123,12 @@
             message = self._feed.watch(self._kind, version, WATCH_TIMEOUT_S)
             if message is not None:
                 return self._apply_message(message)
+        if not self._may_call(version):
+            return version
         timeout_s = self._watch_timeout_s()
         self._set_fed(False, version)
         batch = self._store.watch(self._kind, version, timeout_s)
+        self._record_answer()
         was_outage = self._mark_available()
         self._handler.on_changes(
             batch.puts, batch.deletes, batch.version, time.monotonic(), was_outage
@@ -116,6 +136,37 @@
         self._publish(version, batch, was_outage)
         return batch.version
 
+    def _may_call(self, version):
+        """Return whether the store is called now; if not, wait for a moment."""
+        if self._access is None:
+            return True
+        decision = self._access.decide(self._kind, time.monotonic())
+        if decision.may_call:
+            self._wait_reason = None
+            return True
+        if decision.reason != self._wait_reason:
+            self._wait_reason = decision.reason
+            eliot.log_message(
+                message_type=STORE_WAITING,
+                kind=self._kind,
+                version=str(version),
+                reason=decision.reason,
+            )
+        # Nothing confirms what the node knows.
+        self._mark_unavailable(decision.reason, "")
+        if self._feed is None:
+            self._stop.wait(store_access.POLL_S)
+        else:
+            self._feed.wait_for_message(self._kind, store_access.POLL_S)
+        return False
+
+    def _is_in_large_fleet(self):
+        return self._access is not None and self._access.is_large
+
+    def _record_answer(self):
+        if self._access is not None:
+            self._access.record_answer(time.monotonic(), self._kind)
+
     def _apply_message(self, message):
         """Apply what another node has read; return the version to continue from."""
         self._set_fed(True, message.version)
@@ -126,6 +177,8 @@
         return message.version
 
     def _watch_timeout_s(self):
+        if self._unavailable_since is not None and self._is_in_large_fleet():
+            return PROBE_WATCH_TIMEOUT_S
         if self._unavailable_since is not None or self._is_fed:
             # The feed may have ended because the store does not respond.
             return RECOVERY_WATCH_TIMEOUT_S
@@ -146,12 +199,12 @@
         if self._feed is not None:
             self._feed.publish(self._kind, after, batch, was_outage=was_outage)
 
-    def _mark_unavailable(self, error):
+    def _mark_unavailable(self, error, detail):
         if self._unavailable_since is not None:
             return
         self._unavailable_since = time.monotonic()
         eliot.log_message(
-            message_type=STORE_LOST, kind=self._kind, error=error.type_name, detail=str(error)[:200]
+            message_type=STORE_LOST, kind=self._kind, error=error, detail=detail[:200]
         )
         self._handler.on_store_unavailable()
 
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -1,8 +1,10 @@
+import random
 import threading
+import time
 
 from lynxlanding.errors import platform as platform_errors
 from lynxlanding.node import store_watcher
-from lynxlanding.peers import feed_message
+from lynxlanding.peers import feed_message, feed_roles, store_access
 from lynxlanding.store import stored_object, watch_batch
 
 
@@ -173,3 +175,72 @@
     assert store.done.wait(5.0)
     assert store.calls[1:3] == [("watch", 7, store_watcher.RELAY_WATCH_TIMEOUT_S)] * 2
     assert feed.published == [(None, 7), (7, 7), (7, 7)]
+
+
+NODES = [f"n{number}" for number in range(128)]
+RELAYS = feed_roles.choose_relays(NODES, NODES)
+
+
+class WaitingFeed(ScriptedFeed):
+    """A feed that has nothing until ``wait_for_message`` has been called some times."""
+
+    def __init__(self, waits, *messages):
+        super().__init__()
+        self.waits = waits
+        self._later = list(messages)
+
+    def wait_for_message(self, kind, timeout_s):
+        self.waits -= 1
+        if self.waits == 0:
+            self._messages = self._later
+
+
+def run_in_large_fleet(node_id, feed, *script):
+    access = store_access.StoreAccess(node_id, random.Random(1))
+    access.use_fleet(NODES, NODES)
+    store = ScriptedStore(*script)
+    handler = RecordingHandler()
+    store.watcher = store_watcher.StoreWatcher(store, "servers", handler, feed=feed, access=access)
+    store.watcher.start()
+    assert store.done.wait(5.0)
+    return store, handler
+
+
+def test_a_node_whose_relay_waits_for_the_store_does_not_call_it():
+    """Pattern: the store is down, and every node calls it five times a second.
+
+    The node must not take what it knows for confirmed meanwhile.
+    """
+    access = store_access.StoreAccess("other", random.Random(1))
+    access.use_fleet([*NODES, "other"], [*NODES, "other"])
+    message = feed_message.FeedMessage("servers", 7, 8, (make_stored("b"),), (), was_outage=True)
+    feed = WaitingFeed(3, message)
+    store = ScriptedStore(([make_stored("a")], 7))
+    handler = RecordingHandler()
+    watcher = store_watcher.StoreWatcher(store, "servers", handler, feed=feed, access=access)
+    store.watcher = watcher
+    version = watcher._sync(None)
+    access.record_waiting_relay(time.monotonic())
+    for _ in range(4):
+        version = watcher._sync(version)
+    assert version == 8
+    assert [call[0] for call in store.calls] == ["list"]
+    assert handler.events[1:] == [("lost",), ("changes", ["b"], (), True)]
+
+
+def test_a_relay_probes_a_store_that_is_down_with_growing_pauses():
+    """Pattern: a relay calls a store that is down five times a second for each kind."""
+    feed = WaitingFeed(-1)
+    store, handler = run_in_large_fleet(
+        RELAYS[0],
+        feed,
+        ([make_stored("a")], 7),
+        platform_errors.StoreUnavailable("down"),
+        platform_errors.StoreUnavailable("down"),
+        watch_batch.WatchBatch([], [], 9),
+    )
+    assert store.calls[1] == ("watch", 7, store_watcher.WATCH_TIMEOUT_S)
+    # The probes do not wait for changes, so that subscribers hear at once that it is back.
+    assert store.calls[2:4] == [("watch", 7, store_watcher.PROBE_WATCH_TIMEOUT_S)] * 2
+    assert feed.waits < -5
+    assert feed.published == [(None, 7), (7, 9)]
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -54,6 +54,7 @@
     peer_view,
     protocol,
     report_transport,
+    store_access,
 )
 from lynxlanding.platform import (
     configuration_codec,
@@ -161,6 +162,7 @@
         )
         self._store_calls = call_counter.CallCounter()
         self._store = object_client.PlatformObjectStore(settings.store_address, self._store_calls)
+        self._store_access = store_access.StoreAccess(settings.node_id, self._random_state)
         self._group_controller = group_controller.GroupController(
             settings.node_id,
             self._store,
@@ -195,6 +197,7 @@
             self._peer_table,
             self._get_store_nodes,
             self._send_datagram,
+            self._store_access,
         )
         self._peer_report_handler = peer_report_handler.PeerReportHandler(
             self._serving,
@@ -223,7 +226,13 @@
         )
         self._watchers = self._create_watchers()
         self._directory = node_directory.NodeDirectory(
-            self._store, self._identity, self._peer_table, self._on_node_count
+            self._store,
+            self._identity,
+            self._peer_table,
+            self._on_node_count,
+            self._store_access,
+            lambda: self._store.is_unavailable,
+            self._random_state,
         )
         self._settings_mtime_ns = None
 
@@ -300,7 +309,11 @@
         )
         return [
             store_watcher.StoreWatcher(
-                self._store, configuration_codec.KIND, handler, feed=self._change_feed
+                self._store,
+                configuration_codec.KIND,
+                handler,
+                feed=self._change_feed,
+                access=self._store_access,
             ),
             store_watcher.StoreWatcher(
                 self._store,
@@ -308,6 +321,7 @@
                 self._endpoint_handler,
                 self._get_watch_pause_s,
                 self._change_feed,
+                self._store_access,
             ),
         ]
 
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -1,18 +1,22 @@
 """Passes changes of the store from the nodes that read them to the others."""
 
 import collections
+import dataclasses
 import logging
 import threading
 import time
 
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.observability import restarting_thread
-from lynxlanding.peers import feed_codec, feed_message, feed_roles
+from lynxlanding.peers import change_log, feed_codec, feed_message, feed_roles, store_access
 
 SUBSCRIPTION_INTERVAL_S = 0.4
-# A node that has received nothing for this long reads from the store itself. A relay publishes
-# twice a second at least, so that one lost datagram does not suffice for that.
-FEED_TIMEOUT_S = 1.2
+# Interval at which silence of the store or of a relay is noticed in a large fleet.
+SILENCE_CHECK_INTERVAL_S = 0.1
+FEED_TIMEOUT_S = store_access.FEED_TIMEOUT_S
+# A relay answers a request for missed changes at once; without an answer, they are read from the
+# store.
+CATCH_UP_TIMEOUT_S = 0.3
 SUBSCRIPTION_LIFETIME_S = 2.0
 # Messages that wait for their watcher; the oldest are dropped, which shows as a gap.
 MAX_WAITING_MESSAGES = 64
@@ -38,17 +42,29 @@
         Returns the ids of the live nodes that the store answers.
     send : callable
         Sends a datagram: ``send(data, address)``.
+    access : StoreAccess, optional
+        Learns what the relays say, and the roles of the nodes. Without it, and in a small fleet,
+        each node that misses something reads it from the store.
     """
 
-    def __init__(self, identity, table, read_store_nodes, send):
+    def __init__(self, identity, table, read_store_nodes, send, access=None):
         self._identity = identity
         self._table = table
         self._read_store_nodes = read_store_nodes
         self._send = send
+        self._access = access
         self._stop = threading.Event()
         self._subscribers = {}
         self._waiting = {}
         self._received_at = {}
+        # Versions that this node has reached, and what it has published, by kind.
+        self._versions = {}
+        self._logs = {}
+        self._published_at = {}
+        self._subscribed_at = 0.0
+        self._told_waiting_at = 0.0
+        # Second relays that have been asked since this node follows one of them.
+        self._asked_relays = set()
         self._arrived = threading.Condition()
 
     @property
@@ -73,9 +89,18 @@
             return
         if isinstance(message, feed_message.Subscription):
             self._subscribers[message.address] = now + SUBSCRIPTION_LIFETIME_S
+            self._send_missed(message, now)
             return
+        if message.kind == feed_message.WAITING:
+            if self._access is not None:
+                self._access.record_waiting_relay(now)
+            return
+        answered_at = now - message.age_ms / 1000
+        if self._access is not None:
+            self._access.record_feed(message.kind, answered_at)
         with self._arrived:
-            self._received_at[message.kind] = now
+            received_at = self._received_at.get(message.kind, answered_at)
+            self._received_at[message.kind] = max(received_at, answered_at)
             queue = self._waiting.setdefault(
                 message.kind, collections.deque(maxlen=MAX_WAITING_MESSAGES)
             )
@@ -96,17 +121,22 @@
         was_outage : bool
             Whether these are the first changes after an outage of the store.
         """
-        self._send_to_subscribers(
-            feed_message.FeedMessage(
-                kind,
-                after or batch.version,
-                batch.version,
-                tuple(batch.puts),
-                tuple(batch.deletes),
-                is_complete=after is not None,
-                was_outage=was_outage,
-            )
+        message = feed_message.FeedMessage(
+            kind,
+            after or batch.version,
+            batch.version,
+            tuple(batch.puts),
+            tuple(batch.deletes),
+            is_complete=after is not None,
+            was_outage=was_outage,
         )
+        self._keep(message)
+        addresses = self._subscriber_addresses(time.monotonic())
+        if was_outage and self._is_in_large_fleet():
+            # Nodes may have lost their relay meanwhile, and wait to hear that the store is back.
+            addresses.update(peer.address for peer in list(self._table.peers.values()))
+            addresses.discard(self._identity.address)
+        self._send_to(addresses, feed_codec.encode(message) if addresses else ())
 
     def watch(self, kind, after, timeout_s):
         """Wait for the changes since a version and return the next ``FeedMessage``.
@@ -114,10 +144,18 @@
         Returns None if they must be read from the store: nothing was received lately, or there is a
         gap. A message without changes is returned after ``timeout_s``.
         """
+        if self._is_in_large_fleet() and self._access.is_relay:
+            # A node that has just become a relay would follow its former one for seconds, and have
+            # nothing for its own subscribers meanwhile.
+            return None
         end = time.monotonic() + timeout_s
+        asked_at = None
         with self._arrived:
+            self._versions[kind] = after
             while True:
                 now = time.monotonic()
+                if asked_at is not None and now - asked_at >= CATCH_UP_TIMEOUT_S:
+                    return None
                 if now - self._received_at.get(kind, -FEED_TIMEOUT_S) >= FEED_TIMEOUT_S:
                     return None
                 queue = self._waiting.get(kind)
@@ -127,35 +165,125 @@
                         return None
                     if message.version <= after:
                         continue
-                    if message.after > after or not message.is_complete:
+                    if message.after <= after and message.is_complete:
+                        return message
+                    if asked_at is None and self._is_in_large_fleet():
+                        asked_at = now
+                        self._ask(kind, after, now)
+                    if asked_at is None:
                         return None
-                    return message
+                if asked_at is not None:
+                    self._arrived.wait(asked_at + CATCH_UP_TIMEOUT_S - now)
+                    continue
                 if now >= end:
                     return feed_message.FeedMessage(kind, after, after)
                 self._arrived.wait(min(end - now, FEED_TIMEOUT_S))
 
+    def wait_for_message(self, kind, timeout_s):
+        """Wait until a message of a kind has arrived that is recent enough to follow."""
+        end = time.monotonic() + timeout_s
+        with self._arrived:
+            while True:
+                now = time.monotonic()
+                if now - self._received_at.get(kind, -FEED_TIMEOUT_S) < FEED_TIMEOUT_S:
+                    return
+                if now >= end:
+                    return
+                self._arrived.wait(end - now)
+
     def _run(self):
-        while not self._stop.wait(SUBSCRIPTION_INTERVAL_S):
-            relay = feed_roles.choose_relay(self._identity.node_id, self._read_store_nodes())
-            if relay != self._identity.node_id:
+        while not self._stop.wait(self._interval_s()):
+            now = time.monotonic()
+            is_due = now - self._subscribed_at >= SUBSCRIPTION_INTERVAL_S
+            if is_due or not self._is_in_large_fleet():
+                self._subscribed_at = now
+                store_nodes = self._read_store_nodes()
+                if self._access is not None:
+                    self._access.use_fleet(self._table.live_node_ids(now), store_nodes)
+                if not self._is_in_large_fleet():
+                    relay = feed_roles.choose_relay(self._identity.node_id, store_nodes)
+                    if relay != self._identity.node_id:
+                        self._subscribe(relay)
+            if self._is_in_large_fleet():
+                self._follow_relays(now, is_due)
+                self._tell_waiting(now)
+
+    def _interval_s(self):
+        if self._is_in_large_fleet():
+            return min(SILENCE_CHECK_INTERVAL_S, SUBSCRIPTION_INTERVAL_S)
+        return SUBSCRIPTION_INTERVAL_S
+
+    def _is_in_large_fleet(self):
+        return self._access is not None and self._access.is_large
+
+    def _follow_relays(self, now, is_due):
+        """Subscribe to a relay, and to a second one while the first is silent."""
+        relays = self._access.relays_to_follow(now)
+        if is_due:
+            for relay in relays[:1]:
                 self._subscribe(relay)
+            self._asked_relays.intersection_update(relays)
+        for relay in relays[1:]:
+            if is_due or relay not in self._asked_relays:
+                self._asked_relays.add(relay)
+                self._subscribe(relay, dict(self._versions))
+
+    def _tell_waiting(self, now):
+        """Tell the subscribers that the store does not answer, so that they do not call it too."""
+        kinds = self._access.waiting_kinds(now)
+        addresses = self._subscriber_addresses(now)
+        if kinds and addresses and now - self._told_waiting_at >= SUBSCRIPTION_INTERVAL_S:
+            self._told_waiting_at = now
+            self._send_to(addresses, feed_codec.encode(feed_message.make_waiting_message(kinds)))
 
-    def _subscribe(self, relay):
+    def _subscribe(self, relay, versions=None):
         peer = self._table.peers.get(relay)
         if peer is not None:
-            subscription = feed_message.Subscription(self._identity.address)
+            subscription = feed_message.Subscription(self._identity.address, versions or {})
             self._send(feed_codec.encode_subscription(subscription), peer.address)
 
-    def _send_to_subscribers(self, message):
-        now = time.monotonic()
-        addresses = []
+    def _ask(self, kind, after, now):
+        """Ask the relays for what follows a version."""
+        for relay in self._access.relays_to_follow(now):
+            self._subscribe(relay, {kind: after})
+
+    def _keep(self, message):
+        """Keep a published message for subscribers that miss it."""
+        with self._arrived:
+            self._published_at[message.kind] = time.monotonic()
+            log = self._logs.get(message.kind)
+            if not message.is_complete:
+                # A list has replaced all objects.
+                self._logs[message.kind] = change_log.ChangeLog(message.version)
+            elif log is None or not log.append(message):
+                self._logs[message.kind] = change_log.ChangeLog(message.after)
+                self._logs[message.kind].append(message)
+
+    def _send_missed(self, subscription, now):
+        """Send a subscriber what follows the versions that it states."""
+        for kind, version in subscription.versions.items():
+            with self._arrived:
+                log = self._logs.get(kind)
+                published_at = self._published_at.get(kind)
+                messages = None if log is None else log.since(version)
+            if messages is None or now - published_at >= FEED_TIMEOUT_S:
+                continue
+            age_ms = int((now - published_at) * 1000) + 1
+            for message in messages or [feed_message.FeedMessage(kind, version, version)]:
+                aged = dataclasses.replace(message, age_ms=age_ms)
+                datagrams = feed_codec.encode(aged, feed_codec.MAX_REQUESTED_PARTS)
+                self._send_to([subscription.address], datagrams)
+
+    def _subscriber_addresses(self, now):
+        addresses = set()
         for address, expires_at in list(self._subscribers.items()):
             if now >= expires_at:
-                del self._subscribers[address]
+                self._subscribers.pop(address, None)
                 continue
-            addresses.append(address)
-        if not addresses:
-            return
-        for data in feed_codec.encode(message):
+            addresses.add(address)
+        return addresses
+
+    def _send_to(self, addresses, datagrams):
+        for data in datagrams:
             for address in addresses:
                 self._send(data, address)
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -15,18 +15,20 @@
 MAX_DATAGRAM_BYTES = 1400
 # A message is divided into at most so many datagrams, each of which goes to all subscribers.
 MAX_PARTS = 8
+# The same for a message that goes to one node, which asks for it.
+MAX_REQUESTED_PARTS = 24
 # Limit on the data decoded from one datagram, in bytes.
 _MAX_DECODED_BYTES = 1 << 18
 
 
-def encode(message):
+def encode(message, max_parts=MAX_PARTS):
     """Return the datagrams of a message, in the order of the changes.
 
     Changes that fit into no few datagrams are left out, so that the receivers read them from the
     store.
     """
     datagrams = _encode_parts(message)
-    if len(datagrams) <= MAX_PARTS and None not in datagrams:
+    if len(datagrams) <= max_parts and None not in datagrams:
         return datagrams
     notice = dataclasses.replace(message, puts=(), deletes=(), is_complete=False)
     return [_compress(_to_document(notice))]
@@ -57,7 +59,11 @@
 
 def encode_subscription(subscription):
     """Return the datagram of a subscription."""
-    return _compress({"subscriber": subscription.address})
+    document = {"subscriber": subscription.address}
+    if subscription.versions:
+        versions = subscription.versions.items()
+        document["versions"] = {kind: [version.era, version.revision] for kind, version in versions}
+    return _compress(document)
 
 
 def decode(data):
@@ -75,7 +81,7 @@
             raise membership_errors.MalformedMessage("feed message is truncated or too large")
         document = json_document.decode(text)
         if "subscriber" in document:
-            return feed_message.Subscription(str(document["subscriber"]))
+            return _decode_subscription(document)
         era = int(document["era"])
         kind = document["kind"]
         puts = []
@@ -92,14 +98,23 @@
             tuple(document["deletes"]),
             bool(document["complete"]),
             bool(document["was_outage"]),
+            max(0, int(document.get("age_ms", 0))),
+            tuple(str(kind) for kind in document.get("waiting", ())),
         )
-    except (zlib.error, ValueError, KeyError, TypeError) as e:
+    except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as e:
         raise membership_errors.MalformedMessage(f"feed message: {e}") from e
 
 
+def _decode_subscription(document):
+    versions = {}
+    for kind, (era, revision) in document.get("versions", {}).items():
+        versions[kind] = store_version.StoreVersion(int(era), int(revision))
+    return feed_message.Subscription(str(document["subscriber"]), versions)
+
+
 def _to_document(message):
     puts = [[stored.name, stored.version.revision, stored.value] for stored in message.puts]
-    return {
+    document = {
         "kind": message.kind,
         "era": message.version.era,
         "after": message.after.revision,
@@ -109,6 +124,11 @@
         "complete": message.is_complete,
         "was_outage": message.was_outage,
     }
+    if message.age_ms:
+        document["age_ms"] = message.age_ms
+    if message.waiting_kinds:
+        document["waiting"] = list(message.waiting_kinds)
+    return document
 
 
 def _compress(document):
--- a/src/lynxlanding/peers/feed_message.py
+++ b/src/lynxlanding/peers/feed_message.py
@@ -4,6 +4,11 @@
 
 from lynxlanding.store import store_version, stored_object
 
+# Kind of the messages that tell what their sender waits for; earlier versions know no such kind of
+# objects, and ignore them.
+WAITING = ""
+_NO_VERSION = store_version.StoreVersion(0, 0)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class FeedMessage:
@@ -25,6 +30,11 @@
         Whether the changes are in the message. If not, the receiver reads them from the store.
     was_outage : bool
         Whether these are the first changes after an outage of the store.
+    age_ms : int
+        Time since the store has answered the sender.
+    waiting_kinds : tuple of str
+        Kinds for which the sender waits for an answer of the store. Such a message has the kind
+        ``WAITING`` and no changes.
     """
 
     kind: str
@@ -34,6 +44,8 @@
     deletes: tuple[str, ...] = ()
     is_complete: bool = True
     was_outage: bool = False
+    age_ms: int = 0
+    waiting_kinds: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,6 +56,16 @@
     ----------
     address : str
         ``host:port`` at which the node receives messages.
+    versions : dict of str to StoreVersion
+        Versions that the node has reached, by kind, if it asks for what it has missed.
     """
 
     address: str
+    versions: dict[str, store_version.StoreVersion] = dataclasses.field(default_factory=dict)
+
+
+def make_waiting_message(kinds):
+    """Return the message that tells subscribers that the store does not answer their relay."""
+    return FeedMessage(
+        WAITING, _NO_VERSION, _NO_VERSION, is_complete=False, waiting_kinds=tuple(kinds)
+    )
--- /dev/null
+++ b/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
@@ -0,0 +1,166 @@
+"""Nodes of a large fleet get from relays what they would otherwise read from the store."""
+
+import random
+import time
+
+import pytest
+
+from lynxlanding.peers import (
+    change_feed,
+    feed_codec,
+    feed_message,
+    peer_identity,
+    peer_report,
+    peer_table,
+    store_access,
+)
+from lynxlanding.store import store_version, stored_object, watch_batch
+
+KIND = "servers"
+NODES = [f"n{number}" for number in range(30)]
+
+
+def version(revision, era=1):
+    return store_version.StoreVersion(era, revision)
+
+
+def stored(name, revision):
+    return stored_object.StoredObject(KIND, name, version(revision), {"state": "ready"})
+
+
+class Network:
+    """Delivers datagrams between the feeds at once, unless they are to be lost."""
+
+    def __init__(self):
+        self.feeds = {}
+        self.access = {}
+        self.is_losing = False
+        self.sent = []
+        for node_id in NODES:
+            table = peer_table.PeerTable(node_id)
+            for other in NODES:
+                report = peer_report.PeerReport(other, 1, 1, other, 1, {})
+                table.record_report(report, time.monotonic())
+            access = store_access.StoreAccess(node_id, random.Random(1))
+            access.use_fleet(NODES, NODES)
+            identity = peer_identity.PeerIdentity(node_id, 1, node_id, "a")
+            self.access[node_id] = access
+            self.feeds[node_id] = change_feed.ChangeFeed(
+                identity, table, lambda: NODES, self._send, access
+            )
+        self.relays = [node_id for node_id in NODES if self.access[node_id].is_relay]
+        self.node = next(node_id for node_id in NODES if node_id not in self.relays)
+        self.relay = self.access[self.node].relays_to_follow(time.monotonic())[0]
+
+    def subscribe(self):
+        data = feed_codec.encode_subscription(feed_message.Subscription(self.node))
+        self.feeds[self.relay].receive(data, time.monotonic())
+
+    def publish(self, after, to, puts=(), *, was_outage=False):
+        batch = watch_batch.WatchBatch(list(puts), [], version(to))
+        after = None if after is None else version(after)
+        self.feeds[self.relay].publish(KIND, after, batch, was_outage=was_outage)
+
+    def watch(self, after):
+        return self.feeds[self.node].watch(KIND, version(after), 0.0)
+
+    def _send(self, data, address):
+        self.sent.append(address)
+        if not self.is_losing:
+            self.feeds[address].receive(data, time.monotonic())
+
+
+@pytest.fixture
+def network():
+    fed = Network()
+    fed.subscribe()
+    return fed
+
+
+def test_a_missed_change_is_asked_of_the_relay(network):
+    """Pattern: a lost datagram, for which the node read the store."""
+    network.publish(4, 5)
+    network.is_losing = True
+    network.publish(5, 7, [stored("a", 6)])
+    network.is_losing = False
+    network.publish(7, 8, [stored("b", 8)])
+    first = network.watch(5)
+    assert (first.puts, first.version) == ((stored("a", 6),), version(7))
+    assert network.watch(7).puts == (stored("b", 8),)
+
+
+def test_changes_that_no_relay_keeps_are_read_from_the_store(network):
+    """Guards against a node that waits for a relay which has listed the objects since."""
+    network.publish(None, 9)
+    started_at = time.monotonic()
+    assert network.watch(5) is None
+    assert time.monotonic() - started_at < 2 * change_feed.CATCH_UP_TIMEOUT_S
+
+
+def test_another_era_is_read_from_the_store(network):
+    """Guards against versions of two eras that are compared."""
+    network.publish(4, 5)
+    batch = watch_batch.WatchBatch([], [], version(3, era=2))
+    network.feeds[network.relay].publish(KIND, version(2, era=2), batch, was_outage=False)
+    assert network.watch(5) is None
+
+
+def test_a_relay_answers_with_the_age_of_what_it_says(network, monkeypatch):
+    """Guards against old data that count as confirmed when a second relay repeats them."""
+    monkeypatch.setattr(change_feed, "FEED_TIMEOUT_S", 0.2)
+    network.is_losing = True
+    network.publish(4, 5, [stored("a", 5)])
+    network.is_losing = False
+    time.sleep(0.15)
+    request = feed_message.Subscription(network.node, {KIND: version(4)})
+    network.feeds[network.relay].receive(feed_codec.encode_subscription(request), time.monotonic())
+    assert network.watch(4).puts == (stored("a", 5),)
+    time.sleep(0.1)
+    assert network.watch(5) is None
+
+
+def test_a_relay_says_that_it_waits_for_the_store(network, monkeypatch):
+    """Pattern: the store is silent, and all subscribers call it when their relay is silent."""
+    monkeypatch.setattr(store_access, "RELAY_WAITING_S", 0.0)
+    network.access[network.relay].decide(KIND, time.monotonic())
+    network.feeds[network.relay]._tell_waiting(time.monotonic())
+    decision = network.access[network.node].decide(KIND, time.monotonic())
+    assert decision.reason == store_access.WAIT_RELAYS_PROBE
+    # It confirms nothing.
+    assert network.watch(5) is None
+
+
+def test_all_nodes_hear_that_the_store_is_back(network):
+    """Guards against nodes that have changed their relay in the outage and wait for the next."""
+    network.publish(4, 5, was_outage=True)
+    assert set(network.sent) == set(NODES) - {network.relay}
+
+
+def test_a_relay_reads_for_itself(network):
+    """Pattern: a relay is replaced by its subscriber, which followed it for 3 s more."""
+    relay = network.feeds[network.relay]
+    message = feed_message.FeedMessage(KIND, version(5), version(6))
+    relay.receive(feed_codec.encode(message)[0], time.monotonic())
+    assert relay.watch(KIND, version(5), 0.0) is None
+
+
+def test_a_silent_relay_is_replaced_before_the_store_is_called(network):
+    """Pattern: a relay is killed, and its subscribers call the store."""
+    now = time.monotonic()
+    access = network.access[network.node]
+    access.record_feed(KIND, now)
+    assert len(access.relays_to_follow(now)) == 1
+    network.sent.clear()
+    feed = network.feeds[network.node]
+    feed._follow_relays(now + store_access.BACKUP_SILENCE_S + 0.01, is_due=False)
+    assert network.sent == [relay for relay in network.relays if relay != network.relay]
+
+
+def test_earlier_versions_ignore_what_they_do_not_know():
+    """Guards against a relay that tells an earlier version that it reads on."""
+    message = feed_message.make_waiting_message([KIND])
+    decoded = feed_codec.decode(feed_codec.encode(message)[0])
+    assert decoded == message
+    assert decoded.kind != KIND
+    request = feed_message.Subscription("n1", {KIND: version(4)})
+    assert feed_codec.decode(feed_codec.encode_subscription(request)) == request
--- a/src/lynxlanding/peers/tests/test_node_directory.py
+++ b/src/lynxlanding/peers/tests/test_node_directory.py
@@ -1,6 +1,12 @@
 import time
 
-from lynxlanding.peers import node_directory, peer_identity, peer_report, peer_table
+from lynxlanding.peers import (
+    directory_schedule,
+    node_directory,
+    peer_identity,
+    peer_report,
+    peer_table,
+)
 from lynxlanding.store import memory_store
 
 
@@ -49,7 +55,7 @@
 
 def test_a_node_registers_again_after_the_store_has_lost_its_entry(monkeypatch):
     """Guards against a retry limit divided by fewer nodes than there are."""
-    monkeypatch.setattr(node_directory, "REFRESH_INTERVAL_S", 0.01)
+    monkeypatch.setattr(directory_schedule, "REFRESH_INTERVAL_S", 0.01)
     store = memory_store.MemoryObjectStore()
     store.save_copy()
     directory, _, _ = make_directory(store)
