Hear at once from a relay without changes that the store is back

Cause: a node that waits for its relay noticed a message without changes only when its wait of 2.5 s ended, so that its registry stayed unconfirmed and its planner paused until then. Change: a node that has lost the store takes such a message at once. A reason to wait is logged once for each loss of the store.

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -62,7 +62,8 @@
         self._get_pause_s = get_pause_s
         self._feed = feed
         self._access = access
-        self._wait_reason = None
+        # Reasons to wait that have been logged since the store was lost.
+        self._logged_reasons = set()
         self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
@@ -120,7 +121,9 @@
             self._publish(None, watch_batch.WatchBatch([], [], version), was_outage)
             return version
         if self._feed is not None:
-            message = self._feed.watch(self._kind, version, WATCH_TIMEOUT_S)
+            # A message without changes, too, says that the store answers again.
+            timeout_s = WATCH_TIMEOUT_S if self._unavailable_since is None else 0.0
+            message = self._feed.watch(self._kind, version, timeout_s)
             if message is not None:
                 return self._apply_message(message)
         if not self._may_call(version):
@@ -142,10 +145,9 @@
             return True
         decision = self._access.decide(self._kind, time.monotonic())
         if decision.may_call:
-            self._wait_reason = None
             return True
-        if decision.reason != self._wait_reason:
-            self._wait_reason = decision.reason
+        if decision.reason not in self._logged_reasons:
+            self._logged_reasons.add(decision.reason)
             eliot.log_message(
                 message_type=STORE_WAITING,
                 kind=self._kind,
@@ -214,5 +216,6 @@
             return False
         away_s = time.monotonic() - self._unavailable_since
         self._unavailable_since = None
+        self._logged_reasons.clear()
         eliot.log_message(message_type=STORE_REGAINED, kind=self._kind, away_s=round(away_s, 3))
         return away_s > OUTAGE_THRESHOLD_S
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -187,8 +187,13 @@
     def __init__(self, waits, *messages):
         super().__init__()
         self.waits = waits
+        self.timeouts = []
         self._later = list(messages)
 
+    def watch(self, kind, after, timeout_s):
+        self.timeouts.append(timeout_s)
+        return super().watch(kind, after, timeout_s)
+
     def wait_for_message(self, kind, timeout_s):
         self.waits -= 1
         if self.waits == 0:
@@ -226,6 +231,8 @@
     assert version == 8
     assert [call[0] for call in store.calls] == ["list"]
     assert handler.events[1:] == [("lost",), ("changes", ["b"], (), True)]
+    # A relay that has no changes is heard at once; the registry was unconfirmed for 2.5 s more.
+    assert feed.timeouts == [store_watcher.WATCH_TIMEOUT_S, 0.0, 0.0, 0.0]
 
 
 def test_a_relay_probes_a_store_that_is_down_with_growing_pauses():
