Pause a planner's calls to the store after one has failed

Cause: calls to the store are charged. A planner whose call to read or write a plan was refused called the store again in each of its ten passes a second, and read a plan again that a refused write had not changed. After StoreUnavailable, which says that nothing was changed, the planner keeps the plan that it knows; after other errors it reads the plan again as before. Result: tests of the planner: a refused plan is sent at most 4 times in 30 passes and read once in all; an unchanged plan is not written, which was so before and now has a test.

--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -18,6 +18,7 @@
     group_plan,
     order_sender,
     placement,
+    plan_call_schedule,
     plan_recovery,
     reported_groups,
 )
@@ -93,7 +94,8 @@
     settings : GroupSettings
         Settings of replica groups.
     random_state : random.Random, optional
-        Source of randomness for choosing engines for control probes.
+        Source of randomness for choosing engines for control probes, and for pauses between calls
+        that fail.
     """
 
     def __init__(
@@ -120,9 +122,11 @@
         self._read_stalled_heads = read_stalled_heads
         self._read_busy_groups = read_busy_groups
         self._read_limit = read_limit
+        random_state = random_state or random.Random()
         self._observer = engine_observer.EngineObserver(
-            engine_client, count_in_flight, random_state or random.Random()
+            engine_client, count_in_flight, random_state
         )
+        self._plan_calls = plan_call_schedule.PlanCallSchedule(random_state)
         self._engine_services = {}
         self._domains = {}
         self._era = None
@@ -250,6 +254,8 @@
     def _reconcile_domain(self, key, members, by_domain, fleet, now):
         domain = self._domains.get(key)
         if domain is None:
+            if not self._plan_calls.may_call(now):
+                return
             domain = self._load_domain(key, members, fleet, now)
             self._domains[key] = domain
         if not _has_reached_plan(key, domain, fleet, now):
@@ -316,7 +322,7 @@
         version = None
         is_malformed = False
         try:
-            stored = self._store.get(group_plan.KIND, _object_name(key))
+            stored = self._get_plan(key)
             version = stored.version
             plan = group_plan.from_value(stored.value)
         except platform_errors.ObjectNotFound:
@@ -352,6 +358,18 @@
         planner = domain_planner.DomainPlanner(key[1])
         return _Domain(planner, plan, version, read_version=version, recover_at=recover_at)
 
+    def _get_plan(self, key):
+        try:
+            stored = self._store.get(group_plan.KIND, _object_name(key))
+        except platform_errors.ObjectNotFound:
+            self._plan_calls.record_answer()
+            raise
+        except platform_errors.PlatformError:
+            self._plan_calls.record_failure(time.monotonic())
+            raise
+        self._plan_calls.record_answer()
+        return stored
+
     def _recover_plan(self, key, domain, engine_spec, views, fleet_state, fleet):
         """Store the plan that fits the groups which the engines report in the present era."""
         recovered = plan_recovery.recover(
@@ -376,6 +394,8 @@
 
     def _store_plan(self, key, domain, step, fleet_state, fleet):
         """Store the plan of a step; return whether the update is confirmed."""
+        if not self._plan_calls.may_call(time.monotonic()):
+            return False
         value = step.plan.to_value()
         try:
             if domain.version is None:
@@ -385,9 +405,14 @@
                     group_plan.KIND, _object_name(key), value, domain.version
                 )
         except platform_errors.PlatformError as e:
-            # Another node updated the plan first, or the outcome is unknown. The plan is read again
-            # before the next step.
-            del self._domains[key]
+            if isinstance(e, platform_errors.StoreUnavailable):
+                # Nothing was changed, so that the plan that is known is still the stored one, or
+                # the next update tells.
+                self._plan_calls.record_failure(time.monotonic())
+            else:
+                # Another node updated the plan first, or the outcome is unknown. The plan is read
+                # again before the next step.
+                del self._domains[key]
             eliot.log_message(
                 message_type=PLAN_NOT_STORED,
                 domain=key[1],
@@ -398,6 +423,7 @@
                 **_describe_fleet(fleet),
             )
             return False
+        self._plan_calls.record_answer()
         based_on = domain.version
         domain.plan = step.plan
         domain.version = stored.version
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -1,5 +1,6 @@
 """Tests of group control with an in-memory store and simulated engines."""
 
+import contextlib
 import dataclasses
 import random
 import time
@@ -7,6 +8,7 @@
 import pytest
 
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.errors import platform as platform_errors
 from lynxlanding.fleet import fleet_snapshot
 from lynxlanding.membership import rendezvous
 from lynxlanding.replicas import (
@@ -14,6 +16,7 @@
     group_controller,
     group_plan,
     order_outcome,
+    plan_call_schedule,
 )
 from lynxlanding.replicas.tests import simulated_domain
 from lynxlanding.settings import vm_settings
@@ -285,6 +288,50 @@
     assert cluster.open_groups() == 0
 
 
+def test_a_refused_plan_is_neither_sent_in_each_pass_nor_read_again(monkeypatch):
+    """Pattern: the store refuses a planner, which reads and writes the plan ten times a second."""
+    cluster = Cluster()
+    create = cluster.store.create
+    refused = []
+
+    def refuse(*arguments):
+        refused.append(arguments)
+        raise platform_errors.StoreUnavailable("refused")
+
+    monkeypatch.setattr(cluster.store, "create", refuse)
+    for _ in range(30):
+        cluster.run(1)
+        time.sleep(0.01)
+    assert 1 <= len(refused) <= 4
+    monkeypatch.setattr(cluster.store, "create", create)
+    time.sleep(plan_call_schedule.MAX_BACKOFF_S * 1.25)
+    cluster.run(20)
+    assert cluster.open_groups() >= 3
+    assert cluster.store.call_counts["get"] == 1
+
+
+def test_a_plan_that_does_not_change_is_not_written():
+    """Guards against planners that write what is stored in each of their passes."""
+    cluster = Cluster()
+    cluster.run(20)
+    written = cluster.store.call_counts["update"]
+    cluster.run(20)
+    assert cluster.store.call_counts["update"] == written
+    assert cluster.store.call_counts["get"] == 1
+
+
+def test_an_unreadable_plan_is_not_asked_for_in_each_pass():
+    """Pattern: the store refuses the node that has just become responsible for a domain."""
+    cluster = Cluster()
+    cluster.freeze_fleet("n1")
+    cluster.store.unavailable = True
+    for _ in range(30):
+        with contextlib.suppress(platform_errors.StoreUnavailable):
+            cluster.run(1)
+        time.sleep(0.01)
+    assert 1 <= cluster.store.call_counts["get"] <= 4
+
+
 ODD_PLANS = [
     None,
     {"next_epoch": 3},
