Tell by kind for what a relay waits, and lengthen its watches

Cause: in the model, nodes that had heard one kind of objects just before the store was lost called the store for the other kinds. Relays end a watch without changes each 0.4 s only to show that the store answers, which is most of what a calm fleet calls. A probe without an answer lasts longer than the pauses, which then delayed the recovery. Change: a relay names the kinds that it waits for, at once after a failure. In large fleets its watches last 0.6 s, and it pauses for 0.2 s between those of the endpoints; silence is noticed after 0.95 s. Pauses between probes count from their start.

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -185,6 +185,8 @@
             # The feed may have ended because the store does not respond.
             return RECOVERY_WATCH_TIMEOUT_S
         if self._feed is not None and self._feed.has_subscribers:
+            if self._is_in_large_fleet():
+                return store_access.RELAY_WATCH_TIMEOUT_S
             return RELAY_WATCH_TIMEOUT_S
         return WATCH_TIMEOUT_S
 
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -225,7 +225,7 @@
     watcher = store_watcher.StoreWatcher(store, "servers", handler, feed=feed, access=access)
     store.watcher = watcher
     version = watcher._sync(None)
-    access.record_waiting_relay(time.monotonic())
+    access.record_waiting_relay(["servers"], time.monotonic())
     for _ in range(4):
         version = watcher._sync(version)
     assert version == 8
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -366,6 +366,8 @@
         return servers
 
     def _get_watch_pause_s(self):
+        if self._store_access.is_large and self._change_feed.has_subscribers:
+            return store_access.RELAY_WATCH_PAUSE_S
         if self._group_controller.is_busy:
             return REGROUPING_WATCH_PAUSE_S
         return RELAY_WATCH_PAUSE_S if self._change_feed.has_subscribers else WATCH_PAUSE_S
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -93,7 +93,7 @@
             return
         if message.kind == feed_message.WAITING:
             if self._access is not None:
-                self._access.record_waiting_relay(now)
+                self._access.record_waiting_relay(message.waiting_kinds, now)
             return
         answered_at = now - message.age_ms / 1000
         if self._access is not None:
--- a/src/lynxlanding/peers/store_access.py
+++ b/src/lynxlanding/peers/store_access.py
@@ -16,11 +16,14 @@
 # A node that has heard nothing for this long reads from the store itself. A relay publishes
 # more than once a second, so that one lost datagram does not suffice for that.
 FEED_TIMEOUT_S = 1.2
-# A relay publishes every 0.6 s at least while the store answers it. After this silence, a node
-# asks a second relay, which leaves 0.4 s for the answer before the node calls the store.
-BACKUP_SILENCE_S = 0.8
+# A relay publishes every 0.8 s at least while the store answers it: its watches last 0.6 s, with
+# pauses of 0.2 s. After a longer silence, a node asks a second relay, which answers at once, before
+# it calls the store.
+RELAY_WATCH_TIMEOUT_S = 0.6
+RELAY_WATCH_PAUSE_S = 0.2
+BACKUP_SILENCE_S = 0.95
 # After this time without an answer, a relay tells its subscribers that it waits for the store.
-RELAY_WAITING_S = 0.75
+RELAY_WAITING_S = 0.95
 # Pause after the first failure, and its growth with each further one.
 FIRST_BACKOFF_S = 0.2
 BACKOFF_FACTOR = 1.5
@@ -38,6 +41,8 @@
 MAX_WAIT_S = 15.0
 # After the return of the store, a relay passes on the kinds one after the other.
 RETURN_GRACE_S = 0.5
+# Bounds what a malformed message can add.
+MAX_KINDS = 20
 # Pause between two looks at what has arrived meanwhile.
 POLL_S = 0.05
 
@@ -90,13 +95,14 @@
         self._has_been_answered = False
         self._failures = 0
         self._failed_at = -math.inf
+        self._pause_from = -math.inf
         self._pause_share = 1.0
         self._probing_since = None
         self._answered_at = {}
         # What relays say.
         self._fed_at = {}
         self._last_fed_at = -math.inf
-        self._relay_waits_at = -math.inf
+        self._relay_waits_at = {}
         self._returned_at = -math.inf
         self._waiting_since = None
         self._max_wait_s = MAX_WAIT_S
@@ -155,6 +161,8 @@
         with self._lock:
             self._failures += 1
             self._failed_at = now
+            # A pause counts from the start of a probe, since one without an answer lasts longer.
+            self._pause_from = now if self._probing_since is None else self._probing_since
             self._probing_since = None
             self._pause_share = self._random_state.uniform(1 - BACKOFF_JITTER, 1 + BACKOFF_JITTER)
 
@@ -166,22 +174,25 @@
                 if self._failures > 1:
                     # Pauses that have grown while the store was down would delay the next call.
                     self._failures = 1
-                    self._failed_at = answered_at
+                    self._pause_from = answered_at
             self._fed_at[kind] = max(answered_at, self._fed_at.get(kind, -math.inf))
             self._last_fed_at = max(answered_at, self._last_fed_at)
 
-    def record_waiting_relay(self, now):
-        """Record that a relay says that it waits for the store."""
+    def record_waiting_relay(self, kinds, now):
+        """Record that a relay says for which kinds it waits for the store."""
         with self._lock:
-            self._relay_waits_at = now
+            for kind in kinds:
+                if kind in self._relay_waits_at or len(self._relay_waits_at) < MAX_KINDS:
+                    self._relay_waits_at[kind] = now
 
     def waiting_kinds(self, now):
         """Return the kinds that this node reads for others and has no recent answer for."""
         with self._lock:
             waiting = []
             for kind, answered_at in self._answered_at.items():
-                is_fed = now - self._fed_at.get(kind, -math.inf) < RELAY_WAITING_S
-                if now - answered_at >= RELAY_WAITING_S and not is_fed:
+                known_at = max(answered_at, self._fed_at.get(kind, -math.inf))
+                is_failing = self._failures > 0 and known_at <= self._failed_at
+                if is_failing or now - known_at >= RELAY_WAITING_S:
                     waiting.append(kind)
             return waiting
 
@@ -203,12 +214,12 @@
                 return False
             if self.is_relay:
                 return self._failures > 0
-            return self._hears_only_waiting_relays(now)
+            return any(self._hears_waiting_relay(kind, now) for kind in self._relay_waits_at)
 
     def _decide(self, kind, now):
         if not self._is_large and (self._has_peers or self._has_been_answered):
             return AccessDecision(True, CALL_SMALL_FLEET)
-        if not self.is_relay and self._hears_only_waiting_relays(now):
+        if not self.is_relay and self._hears_waiting_relay(kind, now):
             return self._wait_for_relays(now)
         self._waiting_since = None
         is_returning = now - self._returned_at < RETURN_GRACE_S
@@ -230,7 +241,7 @@
     def _probe(self, now):
         """Let one thread at a time call the store, with growing pauses."""
         is_probing = self._probing_since is not None and now - self._probing_since < PROBE_EXPIRY_S
-        if is_probing or now < self._failed_at + self._pause_s(now):
+        if is_probing or now < self._pause_from + self._pause_s(now):
             return AccessDecision(False, WAIT_BACKOFF)
         self._probing_since = now
         return AccessDecision(True, CALL_PROBE)
@@ -242,9 +253,7 @@
         growth = BACKOFF_FACTOR ** min(self._failures - 1, 20)
         return min(FIRST_BACKOFF_S * growth, longest_s) * self._pause_share
 
-    def _hears_only_waiting_relays(self, now):
-        """Return whether relays are heard, none of which the store has answered lately."""
-        return (
-            now - self._relay_waits_at < FEED_TIMEOUT_S
-            and now - self._last_fed_at >= BACKUP_SILENCE_S
-        )
+    def _hears_waiting_relay(self, kind, now):
+        """Return whether the latest that a relay has said of a kind is that it waits."""
+        waits_at = self._relay_waits_at.get(kind, -math.inf)
+        return now - waits_at < FEED_TIMEOUT_S and waits_at > self._fed_at.get(kind, -math.inf)
--- a/src/lynxlanding/peers/tests/store_simulation.py
+++ b/src/lynxlanding/peers/tests/store_simulation.py
@@ -13,7 +13,7 @@
 SUBSCRIPTION_INTERVAL_S = 0.4
 SUBSCRIPTION_LIFETIME_S = 2.0
 READ_MARGIN_S = 0.8
-WATCH_PAUSES_S = {"servers": 0.2, "config": 0.0}
+WATCH_PAUSES_S = {"servers": store_access.RELAY_WATCH_PAUSE_S, "config": 0.0}
 
 
 class Watcher:
@@ -180,7 +180,7 @@
         if kinds and self.now - node.told_at >= SUBSCRIPTION_INTERVAL_S:
             node.told_at = self.now
             for subscriber in self._subscribers(node):
-                subscriber.access.record_waiting_relay(self.now)
+                subscriber.access.record_waiting_relay(kinds, self.now)
         if self.now - node.subscribed_at > 0.1:
             for relay in node.access.relays_to_follow(self.now)[1:]:
                 if node.node_id not in self.nodes[relay].subscribers:
@@ -207,7 +207,9 @@
         if not node.access.decide(kind, self.now).may_call:
             watcher.is_unavailable = True
             return
-        timeout_s = 0.4 if node.subscribers else 2.5
+        timeout_s = 2.5
+        if node.subscribers:
+            timeout_s = store_access.RELAY_WATCH_TIMEOUT_S if node.access.is_large else 0.4
         if watcher.fed_at > watcher.called_at:
             # The feed may have ended because the store does not respond.
             timeout_s = 0.2
--- a/src/lynxlanding/peers/tests/test_store_access.py
+++ b/src/lynxlanding/peers/tests/test_store_access.py
@@ -88,7 +88,7 @@
     """Guards against a slower recovery in fleets whose calls cost little."""
     access = make_access(25, "n3")
     access.record_failure(1.0)
-    access.record_waiting_relay(1.0)
+    access.record_waiting_relay(["servers"], 1.0)
     assert access.decide("servers", 1.0).reason == store_access.CALL_SMALL_FLEET
     assert not access.is_believed_down(1.0)
 
@@ -131,7 +131,7 @@
     now = 0.0
     reasons = set()
     while now < 2 * store_access.MAX_WAIT_S + 1.0:
-        access.record_waiting_relay(now)
+        access.record_waiting_relay(["servers"], now)
         decision = access.decide("servers", now)
         if decision.may_call:
             break
