Pause between watches only after a call

Change: a watcher that waits for its turn does not pause in addition. Result: the new test fails without the change and passes with it.

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -62,6 +62,7 @@
         self._get_pause_s = get_pause_s
         self._feed = feed
         self._access = access
+        self._is_waiting = False
         # Reasons to wait that have been logged since the store was lost.
         self._logged_reasons = set()
         self._is_fed = False
@@ -81,7 +82,7 @@
         while not self._stop.is_set():
             try:
                 version = self._sync(version)
-                if self._get_pause_s is not None and not self._is_fed:
+                if self._get_pause_s is not None and not self._is_fed and not self._is_waiting:
                     self._stop.wait(self._get_pause_s())
             except platform_errors.WatchExpired as e:
                 self._record_answer()
@@ -144,6 +145,7 @@
         if self._access is None:
             return True
         decision = self._access.decide(self._kind, time.monotonic())
+        self._is_waiting = not decision.may_call
         if decision.may_call:
             return True
         if decision.reason not in self._logged_reasons:
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -251,3 +251,21 @@
     assert store.calls[2:4] == [("watch", 7, store_watcher.PROBE_WATCH_TIMEOUT_S)] * 2
     assert feed.waits < -5
     assert feed.published == [(None, 7), (7, 9)]
+
+
+def test_pauses_that_batch_changes_do_not_delay_the_recovery():
+    """Pattern: the store is back, and a relay pauses after a call that it has not made."""
+    access = store_access.StoreAccess(RELAYS[0], random.Random(1))
+    access.use_fleet(NODES, NODES)
+    store = ScriptedStore(([make_stored("a")], 7), platform_errors.StoreUnavailable("down"))
+    feed = WaitingFeed(-1)
+    pauses = []
+    watcher = store_watcher.StoreWatcher(
+        store, "servers", RecordingHandler(), lambda: pauses.append(0) or 0.0, feed, access
+    )
+    store.watcher = watcher
+    watcher.start()
+    assert store.done.wait(5.0)
+    # Only after the list; the watches have failed.
+    assert pauses == [0]
+    assert feed.waits < -2
