--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -55,6 +55,7 @@
     peer_view,
     protocol,
     report_transport,
+    store_access,
 )
 from lynxlanding.platform import (
     configuration_codec,
@@ -69,6 +70,7 @@
 from lynxlanding.replicas import group_controller
 from lynxlanding.requests import attempt_monitor
 from lynxlanding.settings import loading, vm_settings
+from lynxlanding.store import call_counter
 
 MAINTENANCE_INTERVAL_S = 0.2
 # Callers count a pause of more than 200 ms between events as late, so stalls must be found sooner.
@@ -162,7 +164,9 @@
             self._serving,
             self._random_state,
         )
-        self._store = object_client.PlatformObjectStore(settings.store_address)
+        self._store_calls = call_counter.CallCounter()
+        self._store = object_client.PlatformObjectStore(settings.store_address, self._store_calls)
+        self._store_access = store_access.StoreAccess(settings.node_id, self._random_state)
         self._group_controller = group_controller.GroupController(
             settings.node_id,
             self._store,
@@ -198,6 +202,7 @@
             self._peer_table,
             self._get_store_nodes,
             self._send_datagram,
+            self._store_access,
         )
         self._peer_report_handler = peer_report_handler.PeerReportHandler(
             self._serving,
@@ -227,7 +232,13 @@
         )
         self._watchers = self._create_watchers()
         self._directory = node_directory.NodeDirectory(
-            self._store, self._identity, self._peer_table, self._on_node_count
+            self._store,
+            self._identity,
+            self._peer_table,
+            self._on_node_count,
+            self._store_access,
+            lambda: self._store.is_unavailable,
+            self._random_state,
         )
         self._settings_mtime_ns = None
 
@@ -254,6 +265,7 @@
         )
         node_gauges.add_dispatch_gauges(self._metrics, self._serving)
         node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
+        node_gauges.add_store_gauges(self._metrics, self._store_calls)
         servers = self._create_servers()
         _start_garbage_collection()
         for server in servers:
@@ -307,7 +319,11 @@
         )
         return [
             store_watcher.StoreWatcher(
-                self._store, configuration_codec.KIND, handler, feed=self._change_feed
+                self._store,
+                configuration_codec.KIND,
+                handler,
+                feed=self._change_feed,
+                access=self._store_access,
             ),
             store_watcher.StoreWatcher(
                 self._store,
@@ -315,6 +331,7 @@
                 self._endpoint_handler,
                 self._get_watch_pause_s,
                 self._change_feed,
+                self._store_access,
             ),
         ]
 
@@ -359,6 +376,8 @@
         return servers
 
     def _get_watch_pause_s(self):
+        if self._store_access.is_large and self._change_feed.has_subscribers:
+            return store_access.RELAY_WATCH_PAUSE_S
         if self._group_controller.is_busy:
             return REGROUPING_WATCH_PAUSE_S
         return RELAY_WATCH_PAUSE_S if self._change_feed.has_subscribers else WATCH_PAUSE_S
@@ -494,6 +513,7 @@
             self._peer_view.set_endpoint_ids(records)
             self._stated_leavings.expire(records)
             self._rejections.expire(now)
+            self._store_calls.log_if_due(now)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
                 self._reload_requested.clear()
                 self._reload_settings()
@@ -554,6 +574,7 @@
             if plan.should_exit(now, unfinished):
                 break
             time.sleep(DRAIN_POLL_INTERVAL_S)
+        self._store_calls.log()
         eliot.log_message(
             message_type=NODE_STOPPED,
             in_flight=self._node_status.in_flight,
