Exclude endpoints of evacuated data centres from requests

Cause: nothing reads the evacuations that operators write, so requests go on reaching the engines of a data centre that is to be emptied.

Dispatcher leaves their endpoints out where it gathers candidates, so first attempts, retries, hedged and resumed requests are kept out, and may_send refuses choices that were made earlier. Groups with only a member in the data centre serve if no other group does. Settings get evacuations.bound_ms, which is off if the platform states no bound.

--- a/src/lynxlanding/dispatch/dispatcher.py
+++ b/src/lynxlanding/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
     demand_meter,
     dispatch_decision,
     endpoint_health,
+    evacuated_endpoints,
     first_event_offset,
     head_comparison,
     head_preference,
@@ -86,6 +87,9 @@
         self._incomplete_groups = incomplete_groups.IncompleteGroups()
         self._plain = {}
         self._heads = {}
+        self._evacuated_data_centres = frozenset()
+        # Endpoints that only an evacuation keeps from requests.
+        self._evacuated_ids = frozenset()
 
     @property
     def load_tracker(self):
@@ -131,20 +135,55 @@
         self._incomplete_groups.retain(
             record for record in self._registry.records.values() if record.is_serving_head
         )
-        self._plain = {}
-        self._heads = {}
-        for record in self._registry.records.values():
+        self._gather_candidates()
+
+    def use_evacuated(self, data_centres):
+        """Set the data centres whose endpoints get no requests.
+
+        Parameters
+        ----------
+        data_centres : frozenset of str
+            Evacuated data centres.
+        """
+        self._evacuated_data_centres = data_centres
+        self._gather_candidates()
+
+    def is_evacuated(self, record):
+        """Return whether an evacuation keeps an endpoint from requests."""
+        return record.endpoint_id in self._evacuated_ids
+
+    def _gather_candidates(self):
+        records = self._registry.records
+        evacuated = evacuated_endpoints.EvacuatedEndpoints(
+            self._evacuated_data_centres, records.values()
+        )
+        evacuated_ids = set()
+        plain = {}
+        heads_by_key = {}
+        for record in records.values():
+            if evacuated.contains(record):
+                evacuated_ids.add(record.endpoint_id)
             if not record.accepts_requests:
                 continue
             if not record.is_engine:
-                self._plain.setdefault(record.service, []).append(record)
+                endpoints = plain.setdefault(record.service, [])
+                if not evacuated.contains(record):
+                    endpoints.append(record)
                 continue
             if not record.is_serving_head or self._incomplete_groups.is_incomplete(record):
                 continue
             for model in record.models:
-                self._heads.setdefault((record.service, model), []).append(record)
-        for key, heads in self._heads.items():
-            self._heads[key] = self._head_preference.arrange(heads)
+                heads_by_key.setdefault((record.service, model), []).append(record)
+        if not evacuated.is_empty:
+            for key, heads in heads_by_key.items():
+                heads_by_key[key] = evacuated.select_heads(heads)
+                kept = {record.endpoint_id for record in heads_by_key[key]}
+                evacuated_ids.update({record.endpoint_id for record in heads} - kept)
+        for key, heads in heads_by_key.items():
+            heads_by_key[key] = self._head_preference.arrange(heads)
+        self._plain = plain
+        self._heads = heads_by_key
+        self._evacuated_ids = frozenset(evacuated_ids)
 
     def record_request(self, service, model, work, now):
         """Record a request from a caller."""
@@ -226,7 +265,12 @@
         best = comparison.best
         if best is None:
             if not heads:
-                return self._refuse(query, "no open group of the model", NO_GROUP_RETRY_AFTER_S)
+                return self._refuse_without_endpoints(
+                    query,
+                    (query.service, query.model) in self._heads,
+                    "no open group of the model",
+                    NO_GROUP_RETRY_AFTER_S,
+                )
             return self._refuse(
                 query, "every open group was tried or has stalled", NO_GROUP_RETRY_AFTER_S
             )
@@ -320,11 +364,22 @@
                 )
                 best_cost = cost
         if best is None:
-            return self._refuse(query, "no endpoint of the service", PLAIN_RETRY_AFTER_S)
+            return self._refuse_without_endpoints(
+                query,
+                query.service in self._plain and not all_candidates,
+                "no endpoint of the service",
+                PLAIN_RETRY_AFTER_S,
+            )
         if best.load >= best.record.slots * PLAIN_QUEUE_FACTOR:
             return self._refuse(query, "every endpoint of the service is full", PLAIN_RETRY_AFTER_S)
         return best
 
+    def _refuse_without_endpoints(self, query, is_evacuated, reason, retry_after_s):
+        """Refuse a request that no endpoint could serve; the log tells evacuations apart."""
+        if is_evacuated:
+            reason = "every endpoint is in an evacuated data centre"
+        return self._refuse(query, reason, retry_after_s)
+
     def _refuse_unsendable(self, query, records, now):
         """Refuse a request because of what all endpoints that could serve it have stated."""
         accepting = self._statement_gate.select_accepting(records, now)
--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -59,6 +59,10 @@
         """Record that the store does not respond."""
         self._registry.on_store_unavailable()
 
+    def use_evacuated(self, data_centres):
+        """Set the data centres whose endpoints get no requests."""
+        self._dispatcher.use_evacuated(data_centres)
+
     def expire(self, now):
         """Remove expired endpoints and peer counts; return the changes of the registry."""
         self._dispatcher.load_tracker.expire_peers(now)
@@ -133,7 +137,7 @@
         """
         known = self._registry.get(record.endpoint_id)
         is_same = known is not None and known.started_ms == record.started_ms
-        if not is_same or not known.accepts_requests:
+        if not is_same or not known.accepts_requests or self._dispatcher.is_evacuated(known):
             return False
         return self._statement_gate.may_send(record, now, is_counted=is_counted)
 
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -3,7 +3,13 @@
 import pytest
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import configuration_codec, endpoint_codec, engine_client, fields
+from lynxlanding.platform import (
+    configuration_codec,
+    endpoint_codec,
+    engine_client,
+    evacuation_codec,
+    fields,
+)
 from lynxlanding.replicas import engine_order
 from lynxlanding.traffic import route
 
@@ -167,3 +173,13 @@
     assert document["expected"] == 7
     unbound = dataclasses.replace(order, expected_orders=None)
     assert "expected" not in engine_client._encode_order(unbound)
+
+
+def test_evacuation_is_named_after_its_data_centre():
+    assert evacuation_codec.decode("z-1 north") == "z-1 north"
+
+
+@pytest.mark.parametrize("name", ["", "z\n", "z" * 129, "\x00"])
+def test_evacuation_with_a_name_of_no_data_centre_is_malformed(name):
+    with pytest.raises(platform_errors.MalformedEntry):
+        evacuation_codec.decode(name)
--- a/src/lynxlanding/settings/tests/test_vm_settings.py
+++ b/src/lynxlanding/settings/tests/test_vm_settings.py
@@ -38,3 +38,15 @@
     with pytest.raises(settings_errors.SettingsError) as caught:
         load(tmp_path, VALID_SETTINGS + f'requests: {{exempt_prompt_parts: ["{part_id}"]}}')
     assert caught.value.path.startswith("requests.exempt_prompt_parts")
+
+
+@pytest.mark.parametrize("section", ["", "evacuations: {}", "evacuations: {bound_ms: }"])
+def test_evacuations_are_off_unless_the_platform_states_a_bound(tmp_path, section):
+    """Guards against a store that is asked for a kind which it does not have."""
+    assert not load(tmp_path, VALID_SETTINGS + section).evacuations.is_on
+
+
+def test_evacuations_are_on_with_a_bound(tmp_path):
+    settings = load(tmp_path, VALID_SETTINGS + "evacuations: {bound_ms: 5000}")
+    assert settings.evacuations.is_on
+    assert settings.evacuations.bound_ms == 5000
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -131,6 +131,24 @@
     heartbeat_interval_ms: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1200.0
 
 
+class EvacuationSettings(VmSection):
+    """Evacuations of data centres.
+
+    Attributes
+    ----------
+    bound_ms : float
+        Time after which no request reaches an evacuated data centre, in milliseconds. If 0,
+        evacuations are not watched.
+    """
+
+    bound_ms: Annotated[float, pydantic.Field(ge=0, le=1e6)] = 0.0
+
+    @property
+    def is_on(self):
+        """Whether the node watches evacuations."""
+        return self.bound_ms > 0
+
+
 class StopSettings(VmSection):
     """Graceful shutdown of the node.
 
@@ -164,4 +182,5 @@
     requests: VmRequestSettings = VmRequestSettings()
     groups: GroupSettings = GroupSettings()
     endpoints: EndpointSettings = EndpointSettings()
+    evacuations: EvacuationSettings = EvacuationSettings()
     stop: StopSettings = StopSettings()
