Plan around evacuated data centres

Cause: the planner counts groups that may not serve, forms groups from engines that may not serve, and would dissolve groups whose engines are silent during an evacuation.

Change: FleetState names the evacuated data centres. Their engines are neither free nor staged, and groups with a member there are not counted and give no engines to other models. Standing ones stay, also while members there are silent. A forming group is given up only if it would have to load weights there. The engines of evacuated data centres still count for the floor of demand, since traffic goes on, but not for the share of a domain.

--- a/src/lynxlanding/replicas/domain_planner.py
+++ b/src/lynxlanding/replicas/domain_planner.py
@@ -6,6 +6,7 @@
 
 from lynxlanding.fleet import group_membership
 from lynxlanding.replicas import (
+    evacuation_rules,
     group_orders,
     group_plan,
     group_state,
@@ -94,7 +95,9 @@
         reasons = []
         groups = []
         for group in plan.groups:
-            groups.extend(self._update_group(group, engine_spec, engines, reasons, now))
+            groups.extend(
+                self._update_group(group, engine_spec, engines, fleet_state, reasons, now)
+            )
         groups.extend(_take_over_groups(plan, engine_spec, engines, reasons))
         assigned_ids = set()
         planned = {}
@@ -102,9 +105,10 @@
             if group.phase == group_plan.RETIRING:
                 continue
             assigned_ids.update(group.members)
-            planned[group.model] = planned.get(group.model, 0) + 1
-        free = _free_records(engines, assigned_ids)
-        soon_free = _soon_free_records(groups, engines, assigned_ids)
+            if not evacuation_rules.is_affected(group, engines, fleet_state.evacuated):
+                planned[group.model] = planned.get(group.model, 0) + 1
+        free = _keep_outside(_free_records(engines, assigned_ids), fleet_state)
+        soon_free = _keep_outside(_soon_free_records(groups, engines, assigned_ids), fleet_state)
         chosen = placement.choose_groups(engine_spec, free, planned, fleet_state, soon_free)
         if not chosen:
             chosen = self._regroup(
@@ -125,7 +129,7 @@
         orders.extend(staging.first_model_orders(engine_spec, free, planned, fleet_state))
         # Free engines come first, because new groups are formed from them.
         staging_candidates = [record for record in free if not staging.has_no_model(record)]
-        staging_candidates.extend(_serving_members(groups, engines))
+        staging_candidates.extend(_keep_outside(_serving_members(groups, engines), fleet_state))
         return PlanningStep(
             None,
             orders,
@@ -133,14 +137,17 @@
             [],
         )
 
-    def _update_group(self, group, engine_spec, engines, reasons, now):
+    def _update_group(self, group, engine_spec, engines, fleet_state, reasons, now):
         """Return the group after its next transition as a list, empty once it is dissolved."""
         if group.phase == group_plan.RETIRING:
             if group_state.is_dissolved(group, engines):
                 reasons.append(f"{group.name}: dissolved")
                 return []
             return [group]
-        problem = self._find_problem(group, engine_spec, engines, now)
+        counted = evacuation_rules.overlook_silence(group, engines, fleet_state.evacuated)
+        problem = self._find_problem(group, engine_spec, counted, now)
+        if problem is None:
+            problem = evacuation_rules.find_problem(group, engines, fleet_state)
         if problem is not None:
             self._forming_since.pop(group.name, None)
             reasons.append(f"{group.name}: {problem}")
@@ -190,6 +197,9 @@
             if group.phase != group_plan.SERVING:
                 # The engines of forming and retiring groups will be counted shortly.
                 return ()
+            if evacuation_rules.is_affected(group, engines, fleet_state.evacuated):
+                # It stays, because it is needed again after the evacuation.
+                continue
             records = [engines[member].record for member in group.members]
             serving.append((index, group.model, records))
         if fleet_state.is_before_traffic:
@@ -214,7 +224,7 @@
         self, groups, engine_spec, engines, free, planned, fleet_state, serving, reasons
     ):
         """Retire a group before traffic if its engines are needed as spares."""
-        members = _serving_members(groups, engines)
+        members = _keep_outside(_serving_members(groups, engines), fleet_state)
         if staging.additional_model_orders(engine_spec, members, planned, fleet_state):
             return
         index = placement.choose_group_for_spares(engine_spec, free, planned, fleet_state, serving)
@@ -250,6 +260,13 @@
     return taken_over
 
 
+def _keep_outside(records, fleet_state):
+    """Return the records of the engines that are in no evacuated data centre."""
+    if not fleet_state.evacuated:
+        return records
+    return [record for record in records if record.data_centre not in fleet_state.evacuated]
+
+
 def _free_records(engines, assigned_ids):
     free = []
     for endpoint_id, view in sorted(engines.items()):
--- a/src/lynxlanding/replicas/group_controller.py
+++ b/src/lynxlanding/replicas/group_controller.py
@@ -15,6 +15,7 @@
     domain_duty,
     domain_planner,
     engine_observer,
+    evacuation_rules,
     group_plan,
     order_sender,
     placement,
@@ -94,6 +95,8 @@
         Settings of replica groups.
     random_state : random.Random, optional
         Source of randomness for choosing engines for control probes.
+    read_evacuated : callable, optional
+        Returns the names of the evacuated data centres.
     """
 
     def __init__(
@@ -111,6 +114,7 @@
         count_in_flight,
         settings,
         random_state=None,
+        read_evacuated=frozenset,
     ):
         self._duty = domain_duty.DomainDuty(node_id)
         self._store = store
@@ -120,6 +124,7 @@
         self._read_stalled_heads = read_stalled_heads
         self._read_busy_groups = read_busy_groups
         self._read_limit = read_limit
+        self._read_evacuated = read_evacuated
         self._observer = engine_observer.EngineObserver(
             engine_client, count_in_flight, random_state or random.Random()
         )
@@ -417,35 +422,38 @@
 
     def _build_fleet_state(self, key, engine_spec, members, by_domain):
         engines = 0
+        usable_engines = 0
         groups_elsewhere = {}
+        evacuated = self._read_evacuated()
         for other, records in by_domain.items():
             if other[0] != key[0]:
                 continue
             engines += len(records)
+            usable_engines += _count_outside(records, evacuated)
             if other == key:
                 continue
-            for record in records:
-                membership = record.membership
-                if membership is None or not membership.is_head or membership.state == "broken":
-                    continue
-                model = group_plan.model_from_name(membership.name)
-                if model in engine_spec.models:
-                    groups_elsewhere[model] = groups_elsewhere.get(model, 0.0) + 1.0
+            counts = evacuation_rules.count_serving_heads(
+                records, engine_spec.models, group_plan.model_from_name, evacuated
+            )
+            for model, groups in counts.items():
+                groups_elsewhere[model] = groups_elsewhere.get(model, 0.0) + groups
         has_traffic = self._has_traffic()
         if has_traffic:
-            missing = self._missing_groups(key[0], engine_spec, by_domain)
+            missing = self._missing_groups(key[0], engine_spec, by_domain, evacuated)
             needed = demand.measured(engine_spec, self._read_busy_groups(), engines, missing)
         else:
             needed = demand.initial(engine_spec, engines)
         return placement.FleetState(
             needed.groups_by_model,
             groups_elsewhere,
-            len(members) / max(1, engines),
+            # Domains without usable engines cannot form their share of the groups.
+            _count_outside(members, evacuated) / max(1, usable_engines),
             not has_traffic,
             self._order_sender.fleet_loads(),
+            evacuated,
         )
 
-    def _missing_groups(self, service, engine_spec, by_domain):
+    def _missing_groups(self, service, engine_spec, by_domain, evacuated=frozenset()):
         """Return the capacity that limited heads do not give, in groups of each model."""
         missing = {}
         for (other_service, _), records in by_domain.items():
@@ -455,6 +463,9 @@
                 limit_per_s = self._read_limit(record.endpoint_id)
                 if limit_per_s is None or not record.is_serving_head:
                     continue
+                if record.data_centre in evacuated:
+                    # The group does not count, so it lacks nothing.
+                    continue
                 for model in record.models:
                     if model in engine_spec.models:
                         share = demand.missing_group_share(engine_spec, model, limit_per_s)
@@ -462,6 +473,11 @@
         return missing
 
 
+def _count_outside(records, data_centres):
+    """Return the number of engines that are in none of the data centres."""
+    return sum(record.data_centre not in data_centres for record in records)
+
+
 def _has_reached_plan(key, domain, fleet, now):
     """Return whether the registry is at least as recent as the plan that was read.
 
--- a/src/lynxlanding/replicas/placement.py
+++ b/src/lynxlanding/replicas/placement.py
@@ -33,6 +33,9 @@
         Whether no request has arrived yet.
     loads_in_progress : dict of str to (str or None)
         Model that each engine loads, by endpoint id; None if the model is unknown.
+    evacuated : frozenset of str
+        Evacuated data centres. Their engines join no new groups, and groups with members there do
+        not count.
     """
 
     needed: dict[str, float]
@@ -40,6 +43,7 @@
     domain_share: float
     is_before_traffic: bool = False
     loads_in_progress: dict[str, str | None] = dataclasses.field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
 
 
 def choose_groups(engine_spec, free, planned, fleet_state, soon_free=()):
