Read evacuations through the change feed and in reports of other nodes

Cause: the state of evacuations had no source.

Change: a third StoreWatcher reads the kind where the settings state a bound, through the relays; its waits are parts of that bound (2.5 s alone, 1 s as a relay, 3 s without a word of the relay at 5 s), since each call has a price. A starting node lists it before it is ready and before requests of its first second go on. Reports and digests state the sender's own reading with version and age; nodes go by them once their own reading is 3 s old. The fields are added to the formats, so the protocol version stays. EvacuationHandler calls on_ended(data_centre, now) for what is to follow an evacuation.

--- a/src/lynxlanding/fleet/evacuated_data_centres.py
+++ b/src/lynxlanding/fleet/evacuated_data_centres.py
@@ -16,9 +16,9 @@
 # Source of a change that follows from the age of what was known.
 AGE = "age"
 
-# While this node's own reading is at most this old, reports of others do not count. A shorter time
-# would let a node that reads through a relay switch between both at every lost datagram.
-CONTACT_S = 2.0
+# While this node's own reading is at most this old, reports of others do not count. A watch that
+# finds no change takes up to 2.5 s.
+CONTACT_S = 3.0
 # What only reports say ends this long after the last report that says so. Nodes report several
 # times a second and count as dead after a few seconds.
 REPORT_LIFETIME_S = 10.0
--- a/src/lynxlanding/node/node_gauges.py
+++ b/src/lynxlanding/node/node_gauges.py
@@ -75,6 +75,20 @@
     )
 
 
+def add_evacuation_gauges(metrics, state):
+    """Add the gauges of a node's ``EvacuatedDataCentres``."""
+    metrics.add_gauge(
+        "lynxlanding_evacuated_data_centres",
+        "Data centres whose endpoints get no requests from this node.",
+        lambda: len(state.data_centres),
+    )
+    metrics.add_gauge(
+        "lynxlanding_evacuations_age_seconds",
+        "Time since the store returned the evacuations that this node goes by.",
+        lambda: _read_age_s(state),
+    )
+
+
 def add_peer_gauges(metrics, transport, table):
     """Add the gauges of the reports between nodes.
 
@@ -134,6 +148,11 @@
     return sum(counts.values()) - counts[protocol.CURRENT]
 
 
+def _read_age_s(state):
+    age_s = state.read_age_s(time.monotonic())
+    return math.nan if age_s is None else age_s
+
+
 def _registry_age_s(node_status):
     age_s = node_status.registry_age_s
     return math.nan if age_s is None else age_s
--- a/src/lynxlanding/node/node_status.py
+++ b/src/lynxlanding/node/node_status.py
@@ -10,9 +10,16 @@
 
 
 class NodeStatus:
-    """Single values that request threads read directly, without a call to an actor."""
+    """Single values that request threads read directly, without a call to an actor.
 
-    def __init__(self):
+    Parameters
+    ----------
+    needs_evacuations : bool, optional
+        Whether the first list of evacuated data centres is part of the initial sync.
+    """
+
+    def __init__(self, *, needs_evacuations=False):
+        self._lacks_evacuations = needs_evacuations
         self._configuration = None
         self._registry_confirmed_at = None
         self._started_at = time.monotonic()
@@ -49,8 +56,14 @@
     def is_ready(self):
         """Whether new callers should be sent to this node."""
         has_synced = self._configuration is not None and self._registry_confirmed_at is not None
+        if self._lacks_evacuations and not self._is_initial_sync_over:
+            return False
         return has_synced and not self._is_stopping
 
+    @property
+    def _is_initial_sync_over(self):
+        return time.monotonic() >= self._started_at + INITIAL_SYNC_TIMEOUT_S
+
     @property
     def refuses_requests(self):
         """Whether new requests are refused because the process exits soon."""
@@ -75,8 +88,14 @@
         self._registry_confirmed_at = now
         self._check_initial_sync()
 
+    def confirm_evacuations(self):
+        """Record that the evacuated data centres are known."""
+        if self._lacks_evacuations:
+            self._lacks_evacuations = False
+            self._check_initial_sync()
+
     def wait_for_initial_sync(self):
-        """Wait until the configuration and the endpoints have been received.
+        """Wait until the configuration, the endpoints and the evacuations have been received.
 
         Gives up ``INITIAL_SYNC_TIMEOUT_S`` after the start of the process.
         """
@@ -105,7 +124,9 @@
         self._has_traffic = True
 
     def _check_initial_sync(self):
-        if self._configuration is not None and self._registry_confirmed_at is not None:
+        if self._configuration is None or self._registry_confirmed_at is None:
+            return
+        if not self._lacks_evacuations:
             self._initial_sync_done.set()
 
     def end_request(self):
--- a/src/lynxlanding/node/peer_report_handler.py
+++ b/src/lynxlanding/node/peer_report_handler.py
@@ -1,6 +1,8 @@
 """Applies what other nodes report."""
 
 from lynxlanding.dispatch import request_logger
+from lynxlanding.fleet import evacuated_data_centres
+from lynxlanding.store import store_version
 
 
 class PeerReportHandler:
@@ -22,9 +24,21 @@
         Called with id and start time of an endpoint that is leaving.
     on_stalled : callable
         Called without arguments after a peer has reported stalled endpoints.
+    evacuations : EvacuationHandler, optional
+        Receives what peers have read about evacuations; None if this node does not watch them.
     """
 
-    def __init__(self, serving, table, view, part_guard, leavings, on_leaving, on_stalled):
+    def __init__(
+        self,
+        serving,
+        table,
+        view,
+        part_guard,
+        leavings,
+        on_leaving,
+        on_stalled,
+        evacuations=None,
+    ):
         self._serving = serving
         self._table = table
         self._view = view
@@ -32,6 +46,7 @@
         self._leavings = leavings
         self._on_leaving = on_leaving
         self._on_stalled = on_stalled
+        self._evacuations = evacuations
 
     def on_report(self, report, now):
         """Apply a ``PeerReport`` that arrived at ``now``, in monotonic seconds."""
@@ -56,7 +71,10 @@
         self._serving.apply_digest_load(digest.node_id, member_ids, requests_by_endpoint, now)
 
     def _apply_statements(self, source, now):
-        """Apply what a report or a digest says about endpoints."""
+        """Apply what a report or a digest says about endpoints and data centres."""
+        if self._evacuations is not None and source.evacuations is not None:
+            reading = _make_reading(source.evacuations, now)
+            self._evacuations.record_report(reading, source.node_id, now)
         if source.stalled:
             self._on_stalled()
         statements = self._view.resolve_limits(source, now)
@@ -71,3 +89,12 @@
                 leaving.endpoint_id, leaving.started_ms, source.node_id, now - leaving.stated_at
             )
             self._on_leaving(leaving.endpoint_id, leaving.started_ms)
+
+
+def _make_reading(reported, now):
+    """Return the ``EvacuationReading`` of a report, with its time by this node's clock."""
+    return evacuated_data_centres.EvacuationReading(
+        frozenset(reported.data_centres),
+        store_version.StoreVersion(reported.era, reported.revision),
+        now - reported.age_ms / 1000,
+    )
--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -46,14 +46,29 @@
         change and the platform charges for every call, so the pause batches changes.
     feed : ChangeFeed, optional
         Changes that another node passes on; the store is read only where it has none.
+    watch_timeout_s, relay_watch_timeout_s : float, optional
+        Used in place of ``WATCH_TIMEOUT_S`` and ``RELAY_WATCH_TIMEOUT_S`` for changes that nodes
+        may receive later or must receive sooner than others.
     """
 
-    def __init__(self, store, kind, handler, get_pause_s=None, feed=None):
+    def __init__(
+        self,
+        store,
+        kind,
+        handler,
+        get_pause_s=None,
+        feed=None,
+        *,
+        watch_timeout_s=None,
+        relay_watch_timeout_s=None,
+    ):
         self._store = store
         self._kind = kind
         self._handler = handler
         self._get_pause_s = get_pause_s
         self._feed = feed
+        self._own_watch_timeout_s = watch_timeout_s
+        self._own_relay_watch_timeout_s = relay_watch_timeout_s
         self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
@@ -103,7 +118,9 @@
             self._publish(None, watch_batch.WatchBatch([], [], version), was_outage)
             return version
         if self._feed is not None:
-            message = self._feed.watch(self._kind, version, WATCH_TIMEOUT_S)
+            message = self._feed.watch(
+                self._kind, version, self._own_watch_timeout_s or WATCH_TIMEOUT_S
+            )
             if message is not None:
                 return self._apply_message(message)
         timeout_s = self._watch_timeout_s()
@@ -130,8 +147,8 @@
             # The feed may have ended because the store does not respond.
             return RECOVERY_WATCH_TIMEOUT_S
         if self._feed is not None and self._feed.has_subscribers:
-            return RELAY_WATCH_TIMEOUT_S
-        return WATCH_TIMEOUT_S
+            return self._own_relay_watch_timeout_s or RELAY_WATCH_TIMEOUT_S
+        return self._own_watch_timeout_s or WATCH_TIMEOUT_S
 
     def _set_fed(self, is_fed, version):
         if is_fed != self._is_fed:
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -173,3 +173,24 @@
     assert store.done.wait(5.0)
     assert store.calls[1:3] == [("watch", 7, store_watcher.RELAY_WATCH_TIMEOUT_S)] * 2
     assert feed.published == [(None, 7), (7, 7), (7, 7)]
+
+
+def test_watch_times_can_be_those_of_a_kind(monkeypatch):
+    """Pattern: a kind whose changes may take seconds, read by a relay; each call has a price."""
+    monkeypatch.setattr(store_watcher, "RETRY_PAUSE_S", 0.01)
+    for has_subscribers, expected in ((False, 2.5), (True, 1.0)):
+        feed = ScriptedFeed()
+        feed.has_subscribers = has_subscribers
+        store = ScriptedStore(([], 7), watch_batch.WatchBatch([], [], 8))
+        watcher = store_watcher.StoreWatcher(
+            store,
+            "evacuations",
+            RecordingHandler(),
+            feed=feed,
+            watch_timeout_s=2.5,
+            relay_watch_timeout_s=1.0,
+        )
+        store.watcher = watcher
+        watcher.start()
+        assert store.done.wait(5.0)
+        assert store.calls[1] == ("watch", 7, expected)
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -28,6 +28,7 @@
     statement_recorder,
 )
 from lynxlanding.errors import settings as settings_errors
+from lynxlanding.fleet import evacuated_data_centres
 from lynxlanding.fleet import registry as fleet_registry
 from lynxlanding.gateway import http_server
 from lynxlanding.handover import peer_forwarder, reachability, reachability_checker
@@ -35,6 +36,7 @@
     configuration_handler,
     confirmation_checker,
     endpoint_handler,
+    evacuation_handler,
     monitoring_apps,
     node_gauges,
     node_status,
@@ -59,6 +61,7 @@
     configuration_codec,
     endpoint_codec,
     engine_client,
+    evacuation_codec,
     health_client,
     object_client,
     paths,
@@ -86,6 +89,7 @@
 NODE_STOPPING = "lynxlanding:node:stopping"
 NODE_STOPPED = "lynxlanding:node:stopped"
 NODE_RELOADED = "lynxlanding:node:reloaded"
+ENDPOINTS_RETURNED = "lynxlanding:evacuation:endpoints_returned"
 
 _logger = logging.getLogger(__name__)
 
@@ -110,7 +114,8 @@
         self._stop_requested = threading.Event()
         self._reload_requested = threading.Event()
         self._random_state = random.Random()
-        self._node_status = node_status.NodeStatus()
+        evacuations = settings.evacuations
+        self._node_status = node_status.NodeStatus(needs_evacuations=evacuations.is_on)
         self._log = bounded_log.BoundedLog()
         self._metrics = deferred_metrics.DeferredMetrics(settings.node_id, settings.data_centre)
         self._reachability = reachability.Reachability(time.monotonic())
@@ -172,7 +177,18 @@
             self._limit_table.limit_per_s,
             self._count_in_flight,
             settings.groups,
+            read_evacuated=self._get_evacuated,
         )
+        # Exists only if the settings ask for it.
+        self._evacuations = None
+        if evacuations.is_on:
+            self._evacuations = evacuation_handler.EvacuationHandler(
+                evacuated_data_centres.EvacuatedDataCentres(),
+                self._serving,
+                self._node_status,
+                self._group_controller.wake,
+                self._on_evacuation_ended,
+            )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
             self._serving,
             self._node_status,
@@ -193,6 +209,7 @@
             self._peer_table,
             self._get_store_nodes,
             self._send_datagram,
+            {evacuation_codec.KIND: evacuations.feed_timeout_s} if evacuations.is_on else None,
         )
         self._peer_report_handler = peer_report_handler.PeerReportHandler(
             self._serving,
@@ -202,6 +219,7 @@
             self._stated_leavings,
             self._record_leaving,
             self._group_controller.wake,
+            self._evacuations,
         )
         self._report_transport = report_transport.ReportTransport(
             self._identity,
@@ -245,6 +263,8 @@
             self._part_guard,
             self._store,
         )
+        if self._evacuations is not None:
+            node_gauges.add_evacuation_gauges(self._metrics, self._evacuations.state)
         node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
         servers = self._create_servers()
         _start_garbage_collection()
@@ -295,7 +315,7 @@
         handler = configuration_handler.ConfigurationHandler(
             self._serving, self._node_status, self._group_controller.use_configuration
         )
-        return [
+        watchers = [
             store_watcher.StoreWatcher(
                 self._store, configuration_codec.KIND, handler, feed=self._change_feed
             ),
@@ -307,6 +327,19 @@
                 self._change_feed,
             ),
         ]
+        if self._evacuations is not None:
+            settings = self._settings.evacuations
+            watchers.append(
+                store_watcher.StoreWatcher(
+                    self._store,
+                    evacuation_codec.KIND,
+                    self._evacuations,
+                    feed=self._change_feed,
+                    watch_timeout_s=settings.watch_timeout_s,
+                    relay_watch_timeout_s=settings.relay_watch_timeout_s,
+                )
+            )
+        return watchers
 
     def _create_servers(self):
         settings = self._settings
@@ -443,8 +476,38 @@
             is_cut,
             self._stated_leavings.statements_to_report(now),
             self._stated_leavings.changes,
+            *self._evacuations_to_report(),
         )
 
+    def _evacuations_to_report(self):
+        if self._evacuations is None:
+            return None, 0
+        state = self._evacuations.state
+        return state.own_reading, state.change_count
+
+    def _get_evacuated(self):
+        if self._evacuations is None:
+            return frozenset()
+        return self._evacuations.state.data_centres
+
+    def _on_evacuation_ended(self, data_centre, now):
+        """Take the data centre's engines into use again."""
+        del now
+        eliot.log_message(
+            message_type=ENDPOINTS_RETURNED,
+            data_centre=data_centre,
+            endpoints=sum(
+                record.data_centre == data_centre for record in self._get_fleet().records.values()
+            ),
+        )
+
+    def _update_evacuations(self, records, now):
+        if self._evacuations is None:
+            return
+        self._evacuations.expire(now)
+        if self._node_status.is_ready:
+            self._evacuations.log_unknown({record.data_centre for record in records.values()})
+
     def _update_allowances(self, now):
         self._log_limit_changes(self._serving.expire_limits(now).get())
         live_nodes = self._peer_table.live_node_ids(now)
@@ -476,6 +539,7 @@
             records = self._get_fleet().records
             self._peer_view.set_endpoint_ids(records)
             self._stated_leavings.expire(records)
+            self._update_evacuations(records, now)
             self._rejections.expire(now)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
                 self._reload_requested.clear()
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -38,13 +38,16 @@
         Returns the ids of the live nodes that the store answers.
     send : callable
         Sends a datagram: ``send(data, address)``.
+    timeouts_s : dict of str to float, optional
+        Used in place of ``FEED_TIMEOUT_S``, by kind of objects.
     """
 
-    def __init__(self, identity, table, read_store_nodes, send):
+    def __init__(self, identity, table, read_store_nodes, send, timeouts_s=None):
         self._identity = identity
         self._table = table
         self._read_store_nodes = read_store_nodes
         self._send = send
+        self._timeouts_s = dict(timeouts_s or {})
         self._stop = threading.Event()
         self._subscribers = {}
         self._waiting = {}
@@ -115,10 +118,11 @@
         gap. A message without changes is returned after ``timeout_s``.
         """
         end = time.monotonic() + timeout_s
+        feed_timeout_s = self._timeouts_s.get(kind, FEED_TIMEOUT_S)
         with self._arrived:
             while True:
                 now = time.monotonic()
-                if now - self._received_at.get(kind, -FEED_TIMEOUT_S) >= FEED_TIMEOUT_S:
+                if now - self._received_at.get(kind, -feed_timeout_s) >= feed_timeout_s:
                     return None
                 queue = self._waiting.get(kind)
                 while queue:
@@ -132,7 +136,7 @@
                     return message
                 if now >= end:
                     return feed_message.FeedMessage(kind, after, after)
-                self._arrived.wait(min(end - now, FEED_TIMEOUT_S))
+                self._arrived.wait(min(end - now, feed_timeout_s))
 
     def _run(self):
         while not self._stop.wait(SUBSCRIPTION_INTERVAL_S):
--- a/src/lynxlanding/peers/digest_codec.py
+++ b/src/lynxlanding/peers/digest_codec.py
@@ -59,6 +59,7 @@
         for index, item in enumerate(digest.forwarded):
             forwarded[index].report = item.data
             forwarded[index].ageMs = item.age_ms
+        report_codec.encode_evacuations(message, digest.evacuations)
         return PREFIX + message.to_bytes_packed()
 
     def decode(self, data):
@@ -90,6 +91,7 @@
                     report_digest.ForwardedReport(bytes(item.report), item.ageMs)
                     for item in message.forwarded
                 ),
+                report_codec.decode_evacuations(message),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(f"digest: {e}") from e
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -4,6 +4,7 @@
 
 from lynxlanding.crashes import statements
 from lynxlanding.dispatch import limit_statement, stated_leavings
+from lynxlanding.fleet import evacuated_data_centres
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,6 +45,10 @@
         Endpoints that have said to this node in responses that they are leaving.
     leaving_changes : int
         Number of such endpoints so far, of which peers should hear at once.
+    evacuations : EvacuationReading or None
+        What this node has read about evacuations; None if it has not, or does not watch them.
+    evacuation_changes : int
+        Number of changes of evacuations, of which peers should hear at once.
     """
 
     loads: dict[str, int]
@@ -62,3 +67,5 @@
     is_cut: bool
     leavings: list[stated_leavings.LeavingStatement]
     leaving_changes: int
+    evacuations: evacuated_data_centres.EvacuationReading | None = None
+    evacuation_changes: int = 0
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -78,6 +78,18 @@
   trials @5 :UInt16;
 }
 
+struct EvacuationReading {
+  # Whether the sender has read the evacuations from the store; the rest is meaningless if not.
+  isKnown @0 :Bool;
+  # Version of the store at which it has read them.
+  era @1 :UInt64;
+  revision @2 :UInt64;
+  # Time since then, in milliseconds.
+  ageMs @3 :UInt64;
+  # All data centres that are evacuated at that version.
+  dataCentres @4 :List(Text);
+}
+
 struct PeerReport {
   nodeId @0 :Text;
   incarnation @1 :UInt64;
@@ -118,4 +130,6 @@
   # Digests of requests on which the sender has got answers lately, in the place of keys of parts.
   harmlessRequests @22 :List(PartTime);
   requestQuarantines @23 :List(RequestQuarantine);
+  # What the sender itself has read about evacuations.
+  evacuations @24 :EvacuationReading;
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -71,6 +71,26 @@
     age_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportedEvacuations:
+    """Evacuated data centres as the sender has read them from the store.
+
+    Parameters
+    ----------
+    data_centres : tuple of str
+        All data centres that are evacuated at that version.
+    era, revision : int
+        Version of the store.
+    age_ms : int
+        Time since the store returned it, in milliseconds.
+    """
+
+    data_centres: tuple[str, ...]
+    era: int
+    revision: int
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReport:
     """Load report of one node.
@@ -117,6 +137,8 @@
     gatherers : tuple of int
         Hashes of the ids of the nodes that gather this report; the first one sums up the sender's
         work, so that others must not count it. Empty if the sender reports to all nodes.
+    evacuations : ReportedEvacuations or None
+        What the sender has read about evacuations; None if it has not, or does not watch them.
     """
 
     node_id: str
@@ -138,3 +160,4 @@
     leavings: tuple[ReportedLeaving, ...] = ()
     protocol_version: int = protocol.UNSTATED
     gatherers: tuple[int, ...] = ()
+    evacuations: ReportedEvacuations | None = None
--- a/src/lynxlanding/peers/report_codec.py
+++ b/src/lynxlanding/peers/report_codec.py
@@ -47,6 +47,7 @@
         message.protocolVersion = report.protocol_version
         encode_leavings(message, report.leavings)
         message.gatherers = report.gatherers
+        encode_evacuations(message, report.evacuations)
         loads = message.init("loads", len(report.loads))
         for index, (key, requests) in enumerate(report.loads.items()):
             loads[index].key = key
@@ -88,6 +89,7 @@
                 decode_leavings(message),
                 message.protocolVersion,
                 tuple(message.gatherers),
+                decode_evacuations(message),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(str(e)) from e
@@ -139,6 +141,28 @@
     )
 
 
+def encode_evacuations(message, evacuations):
+    """Write ``ReportedEvacuations`` or None into a message."""
+    if evacuations is None:
+        return
+    encoded = message.init("evacuations")
+    encoded.isKnown = True
+    encoded.era = evacuations.era
+    encoded.revision = evacuations.revision
+    encoded.ageMs = evacuations.age_ms
+    encoded.dataCentres = evacuations.data_centres
+
+
+def decode_evacuations(message):
+    """Return the ``ReportedEvacuations`` of a message; None if the sender states none."""
+    reading = message.evacuations
+    if not reading.isKnown:
+        return None
+    return peer_report.ReportedEvacuations(
+        tuple(reading.dataCentres), reading.era, reading.revision, reading.ageMs
+    )
+
+
 def _decode_callers_address(message):
     if not message.callersPort:
         return message.callersAddress
--- a/src/lynxlanding/peers/report_digest.capnp
+++ b/src/lynxlanding/peers/report_digest.capnp
@@ -56,4 +56,7 @@
 
   # Port at which most nodes take callers' requests; zeros do not take space in the lists.
   callersPort @21 :UInt16;
+
+  # The latest reading of a member.
+  evacuations @22 :Report.EvacuationReading;
 }
--- a/src/lynxlanding/peers/report_digest.py
+++ b/src/lynxlanding/peers/report_digest.py
@@ -85,6 +85,8 @@
         Endpoints that have said to a member that they are leaving.
     forwarded : tuple of ForwardedReport
         Reports with statements on prompts.
+    evacuations : ReportedEvacuations or None
+        The latest reading of a member; None if none has read them.
     """
 
     node_id: str
@@ -100,3 +102,4 @@
     limits: tuple[peer_report.ReportedLimit, ...] = ()
     leavings: tuple[peer_report.ReportedLeaving, ...] = ()
     forwarded: tuple[ForwardedReport, ...] = ()
+    evacuations: peer_report.ReportedEvacuations | None = None
--- a/src/lynxlanding/peers/report_exchange.py
+++ b/src/lynxlanding/peers/report_exchange.py
@@ -21,6 +21,8 @@
 # Reports whose work is remembered, so that it can be taken out of the sums of a digest. They cover
 # more than the time in which a report is summed up.
 MAX_OWN_REPORTS = 32
+# A report with so many evacuated data centres is still no larger than a large digest.
+MAX_EVACUATED = 64
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -142,6 +144,7 @@
             make_reported_leavings(state.leavings, now),
             protocol.CURRENT,
             tuple(node_key.hash_node_id(node_id) for node_id in plan.gatherers),
+            make_reported_evacuations(state.evacuations, now),
         )
         data = self._codec.encode(report)
         if plan.gatherers:
@@ -190,6 +193,21 @@
             self._on_report(report, arrived_at)
 
 
+def make_reported_evacuations(reading, now):
+    """Return the ``ReportedEvacuations`` of a report from an ``EvacuationReading`` or None.
+
+    A reading that is too long for a report is left out, since a part of it would end evacuations.
+    """
+    if reading is None or len(reading.data_centres) > MAX_EVACUATED:
+        return None
+    return peer_report.ReportedEvacuations(
+        tuple(sorted(reading.data_centres)),
+        reading.version.era,
+        reading.version.revision,
+        peer_report.age_ms(reading.read_at, now),
+    )
+
+
 def make_reported_leavings(statements, now):
     """Return the ``ReportedLeaving`` tuple of a report from a list of ``LeavingStatement``.
 
--- a/src/lynxlanding/peers/report_gatherer.py
+++ b/src/lynxlanding/peers/report_gatherer.py
@@ -115,8 +115,24 @@
             tuple(_take_statements(self._limits, now)),
             tuple(_take_statements(self._leavings, now)),
             tuple(self._take_forwarded(now)),
+            self._latest_evacuations(now),
         )
 
+    def _latest_evacuations(self, now):
+        """Return the ``ReportedEvacuations`` of the newest version with their age as of ``now``."""
+        latest = None
+        latest_at = 0.0
+        for member in list(self._members.values()):
+            reading = member.report.evacuations
+            if reading is None:
+                continue
+            if latest is None or _version(reading) > _version(latest):
+                latest = reading
+                latest_at = member.heard_at
+        if latest is None:
+            return None
+        return dataclasses.replace(latest, age_ms=latest.age_ms + _age_ms(latest_at, now))
+
     def _take_forwarded(self, now):
         forwarded = []
         total_bytes = 0
@@ -155,5 +171,9 @@
     )
 
 
+def _version(evacuations):
+    return evacuations.era, evacuations.revision
+
+
 def _age_ms(at, now):
     return min(peer_report.age_ms(at, now), _MAX_AGE_MS)
--- a/src/lynxlanding/peers/report_schedule.py
+++ b/src/lynxlanding/peers/report_schedule.py
@@ -207,4 +207,5 @@
         state.takes_requests,
         state.is_cut,
         state.leaving_changes,
+        state.evacuation_changes,
     )
--- a/src/lynxlanding/peers/tests/exchange_simulation.py
+++ b/src/lynxlanding/peers/tests/exchange_simulation.py
@@ -7,7 +7,7 @@
 
 from lynxlanding.crashes import statements
 from lynxlanding.dispatch import load_tracker, stall_tracker
-from lynxlanding.fleet import endpoint_key
+from lynxlanding.fleet import endpoint_key, evacuated_data_centres
 from lynxlanding.peers import (
     digest_codec,
     local_state,
@@ -20,6 +20,7 @@
     report_exchange,
     report_schedule,
 )
+from lynxlanding.store import store_version
 
 MAX_DELAY_S = 0.01
 LOSS = 0.03
@@ -50,6 +51,8 @@
         self.end = None
         self.is_cut = False
         self.ends_heard = {}
+        self.reads_store = False
+        self.evacuated = evacuated_data_centres.EvacuatedDataCentres()
         self.is_stopped = False
         self.sent = 0
         self.sent_bytes = 0
@@ -67,6 +70,9 @@
     def tick(self):
         if self.is_stopped:
             return
+        if self.reads_store:
+            self.evacuated.record_list(*self.network.stored_evacuations, self.network.now)
+        self.evacuated.expire(self.network.now)
         for outgoing in self.exchange.make_datagrams(self.make_state(), self.network.now):
             self.send(outgoing.data, outgoing.addresses)
         self.view.expire_digests(self.network.now)
@@ -89,6 +95,7 @@
         loads = self.view.apply(report, now)
         if loads is not None:
             self.tracker.replace_peer_counts(report.node_id, loads, now)
+        self.learn_evacuations(report, now)
         for end in report.prompts.ends:
             self.ends_heard.setdefault(end.endpoint_key, self.network.now)
 
@@ -96,6 +103,17 @@
         member_ids = [self.table.find_node_id(member.key) for member in digest.members]
         loads = self.view.apply_digest(digest, member_ids, own, now)
         self.tracker.replace_digest_counts(digest.node_id, member_ids, loads, now)
+        self.learn_evacuations(digest, now)
+
+    def learn_evacuations(self, source, now):
+        reported = source.evacuations
+        if reported is not None:
+            reading = evacuated_data_centres.EvacuationReading(
+                frozenset(reported.data_centres),
+                store_version.StoreVersion(reported.era, reported.revision),
+                now - reported.age_ms / 1000,
+            )
+            self.evacuated.record_report(reading, source.node_id, now)
 
     def make_state(self):
         prompts = statements.PromptStatements()
@@ -118,6 +136,8 @@
             self.is_cut,
             [],
             0,
+            self.evacuated.own_reading,
+            self.evacuated.change_count,
         )
 
     def others_load(self):
@@ -175,6 +195,8 @@
         self.endpoint_ids = [f"e{number}" for number in range(endpoint_count)]
         self.loss = loss
         self.now = 100.0
+        # Evacuated data centres in the store and its version.
+        self.stored_evacuations = ((), store_version.StoreVersion(1, 1))
         self.nodes = {}
         self._by_address = {}
         self._queue = []
@@ -203,6 +225,12 @@
         if node is not None:
             node.receive(data)
 
+    def evacuate(self, *data_centres):
+        """Write the evacuated data centres to the store."""
+        _, version = self.stored_evacuations
+        version = store_version.StoreVersion(version.era, version.revision + 1)
+        self.stored_evacuations = (data_centres, version)
+
     def run(self, for_s):
         until = self.now + for_s
         while self._queue and self._queue[0][0] <= until:
--- a/src/lynxlanding/peers/tests/test_change_feed.py
+++ b/src/lynxlanding/peers/tests/test_change_feed.py
@@ -235,3 +235,40 @@
     for node_id in rest:
         changed += feed_roles.choose_relay(node_id, NODES) != feed_roles.choose_relay(node_id, rest)
     assert changed < len(NODES) * 0.7
+
+
+def test_third_kind_passes_a_node_of_an_earlier_version_by(network):
+    """Pattern: an upgrade, in which a relay reads a kind that its subscribers do not watch.
+
+    What arrives for nobody is bounded and does not delay the other kinds.
+    """
+    relay = network.feeds["relay"]
+    for revision in range(5, 5 + 3 * change_feed.MAX_WAITING_MESSAGES):
+        evacuated = stored_object.StoredObject("evacuations", "a", version(revision + 1), {})
+        batch = watch_batch.WatchBatch([evacuated], [], version(revision + 1))
+        relay.publish("evacuations", version(revision), batch, was_outage=False)
+    publish(network, 5, 7, [stored("a", 6)], ["b"])
+    node = network.feeds["node"]
+    assert node.watch(KIND, version(5), 0.0).puts == (stored("a", 6),)
+    assert len(node._waiting["evacuations"]) == change_feed.MAX_WAITING_MESSAGES
+
+
+def test_kind_that_the_relay_does_not_read_is_read_from_the_store(network):
+    """Pattern: an upgrade, in which the relay is of a version that does not know the kind."""
+    publish(network, 5, 7)
+    node = network.feeds["node"]
+    assert node.watch(KIND, version(5), 0.0) is not None
+    assert node.watch("evacuations", version(5), 2.0) is None
+
+
+def test_kinds_have_timeouts_of_their_own(network, monkeypatch):
+    monkeypatch.setattr(change_feed, "FEED_TIMEOUT_S", 0.05)
+    node = network.feeds["node"]
+    node._timeouts_s["evacuations"] = 60.0
+    relay = network.feeds["relay"]
+    for kind in (KIND, "evacuations"):
+        batch = watch_batch.WatchBatch([], [], version(7))
+        relay.publish(kind, version(5), batch, was_outage=False)
+    time.sleep(0.06)
+    assert node.watch(KIND, version(7), 0.0) is None
+    assert node.watch("evacuations", version(7), 0.0) is not None
--- a/src/lynxlanding/peers/tests/test_earlier_formats.py
+++ b/src/lynxlanding/peers/tests/test_earlier_formats.py
@@ -4,6 +4,7 @@
 reject makes old and new nodes misunderstand each other while both run.
 """
 
+import dataclasses
 import pathlib
 
 import capnp
@@ -92,6 +93,19 @@
     assert {name: sent[name] for name in known} == known
 
 
+def test_evacuations_are_a_field_that_earlier_versions_skip():
+    """Guards against reports that earlier nodes drop, and against evacuations they never stated."""
+    codec = report_codec.ReportCodec()
+    assert codec.decode(UNSTATED_REPORT).evacuations is None
+    reading = peer_report.ReportedEvacuations(("a", "b"), 2, 1 << 40, 250)
+    data = codec.encode(dataclasses.replace(REPORT, evacuations=reading))
+    assert codec.decode(data).evacuations == reading
+    schema = capnp.load(str(FORMATS / "peer_report_unstated.capnp")).PeerReport
+    assert schema.from_bytes_packed(data).nodeId == REPORT.node_id
+    none = dataclasses.replace(REPORT, evacuations=peer_report.ReportedEvacuations((), 2, 3, 0))
+    assert codec.decode(codec.encode(none)).evacuations.data_centres == ()
+
+
 def test_datagrams_of_unknown_kinds_are_skipped_and_counted(caplog):
     """Pattern: a later version sends something new to a node that has not been replaced yet."""
     transport = report_transport.ReportTransport(
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -13,6 +13,15 @@
 Address = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")]
 
 
+# Parts of the bound of evacuations. A connection to the store that has gone silent is noticed when
+# a watch ends, and 0.8 s are added to its time; then a retry still fits.
+EVACUATION_WATCH_SHARE = 0.5
+# A relay tells the others after each watch that it still reaches the store. They read the store
+# themselves after two lost datagrams, which leaves time for that.
+EVACUATION_RELAY_WATCH_SHARE = 0.2
+EVACUATION_FEED_SHARE = 0.6
+
+
 class ServerLimits:
     """Limits of an HTTP server, as expected by ``gateway.http_server``.
 
@@ -148,6 +157,21 @@
         """Whether the node watches evacuations."""
         return self.bound_ms > 0
 
+    @property
+    def watch_timeout_s(self):
+        """Longest time of a call that watches evacuations, in seconds."""
+        return EVACUATION_WATCH_SHARE * self.bound_ms / 1000
+
+    @property
+    def relay_watch_timeout_s(self):
+        """The same while other nodes rely on this one."""
+        return EVACUATION_RELAY_WATCH_SHARE * self.bound_ms / 1000
+
+    @property
+    def feed_timeout_s(self):
+        """Time without a word of the relay after which the node reads the store, in seconds."""
+        return EVACUATION_FEED_SHARE * self.bound_ms / 1000
+
 
 class StopSettings(VmSection):
     """Graceful shutdown of the node.
