Show evacuations in the lines of requests and in lynxctl explain

Cause: a refusal or a choice in an evacuation did not tell what it went by, and an evacuation that began long before a request was outside of the time that lynxctl explain looks at.

Change: the lines of choices and refusals name the evacuated data centres and the age of that, only while there are any, so that lines stay short otherwise. lynxctl explain shows the evacuations that the request's nodes knew of at its time, whenever they began.

Result: test_explain, test_evacuation_handler and test_request_forwarder pass, 2 new tests.

--- a/src/lynxlanding/dispatch/request_logger.py
+++ b/src/lynxlanding/dispatch/request_logger.py
@@ -64,6 +64,7 @@
             registry_age_s=self._node_status.registry_age_s,
             configuration_version=self._node_status.configuration_version,
             request_digest=_format_digest(request),
+            **self._describe_evacuations(),
         )
 
     def log_refused(self, request, decision, attempts):
@@ -78,8 +79,19 @@
             retry_after_s=round(decision.retry_after_s, 3),
             attempts=attempts,
             registry_age_s=self._node_status.registry_age_s,
+            **self._describe_evacuations(),
         )
 
+    def _describe_evacuations(self):
+        """Return the fields that tell which data centres got no requests; none if all did."""
+        evacuated = self._node_status.evacuated
+        if not evacuated:
+            return {}
+        return {
+            "evacuated": evacuated,
+            "evacuations_age_s": self._node_status.evacuations_age_s,
+        }
+
     def log_quarantined(self, request, verdict, attempts, now):
         """Log that a request is refused for itself or its prompt, or sent to find out about it."""
         parts, requests = request_digest.split(sorted(verdict.parts))
--- a/src/lynxlanding/node/evacuation_handler.py
+++ b/src/lynxlanding/node/evacuation_handler.py
@@ -106,7 +106,10 @@
         if changes:
             self._serving.use_evacuated(self._state.data_centres).get()
         if self._state.is_known:
-            self._node_status.confirm_evacuations()
+            age_s = self._state.read_age_s(now)
+            self._node_status.confirm_evacuations(
+                self._state.data_centres, None if age_s is None else now - age_s
+            )
         for change in changes:
             self._log_change(change)
             if change.kind == evacuated_data_centres.ENDED:
--- a/src/lynxlanding/node/node_status.py
+++ b/src/lynxlanding/node/node_status.py
@@ -20,6 +20,8 @@
 
     def __init__(self, *, needs_evacuations=False):
         self._lacks_evacuations = needs_evacuations
+        self._evacuated = ()
+        self._evacuations_read_at = None
         self._configuration = None
         self._registry_confirmed_at = None
         self._started_at = time.monotonic()
@@ -88,8 +90,22 @@
         self._registry_confirmed_at = now
         self._check_initial_sync()
 
-    def confirm_evacuations(self):
-        """Record that the evacuated data centres are known."""
+    @property
+    def evacuated(self):
+        """Names of the evacuated data centres, in order."""
+        return self._evacuated
+
+    @property
+    def evacuations_age_s(self):
+        """Seconds since the store stated the evacuations; None if it is not known."""
+        if self._evacuations_read_at is None:
+            return None
+        return round(time.monotonic() - self._evacuations_read_at, 3)
+
+    def confirm_evacuations(self, data_centres, read_at):
+        """Record the evacuated data centres and when the store stated them."""
+        self._evacuated = tuple(sorted(data_centres))
+        self._evacuations_read_at = read_at
         if self._lacks_evacuations:
             self._lacks_evacuations = False
             self._check_initial_sync()
--- a/src/lynxlanding/node/tests/test_evacuation_handler.py
+++ b/src/lynxlanding/node/tests/test_evacuation_handler.py
@@ -1,12 +1,14 @@
 """Evacuations on their way from the store and from other nodes to the owners of the state."""
 
 import dataclasses
+import time
 
 import eliot
 import pytest
 
 from lynxlanding.crashes import statements
-from lynxlanding.dispatch.tests import dispatch_factories
+from lynxlanding.dispatch import dispatch_decision, request_logger
+from lynxlanding.dispatch.tests import dispatch_factories, test_request_forwarder
 from lynxlanding.fleet import evacuated_data_centres
 from lynxlanding.node import evacuation_handler, node_status, peer_report_handler
 from lynxlanding.peers import peer_report
@@ -179,3 +181,17 @@
 def test_reports_have_no_effect_on_nodes_that_do_not_watch_evacuations():
     reading = peer_report.ReportedEvacuations(("a",), 1, 7, 300)
     make_report_handler(None).on_report(make_report(reading), 5.0)
+
+
+def test_decisions_are_logged_with_the_evacuations_they_go_by(installation):
+    """The lines of each request stay short while no data centre is evacuated."""
+    logger = request_logger.RequestLogger(installation.status)
+    request = test_request_forwarder.make_forwarder(1, dispatch_factories.make_route())[0]._request
+    refusal = dispatch_decision.Refuse("every endpoint is in an evacuated data centre", 0.5)
+    logger.log_refused(request, refusal, 0)
+    installation.handler.on_list([stored("a")], version(1), time.monotonic(), False)
+    logger.log_refused(request, refusal, 0)
+    before, after = installation.lines_of(request_logger.REFUSED)
+    assert "evacuated" not in before
+    assert list(after["evacuated"]) == ["a"]
+    assert 0 <= after["evacuations_age_s"] < 5
--- a/src/lynxlanding/operators/request_timeline.py
+++ b/src/lynxlanding/operators/request_timeline.py
@@ -24,6 +24,10 @@
         "domain:plan_stored",
         "domain:plan_not_stored",
         "order:sent",
+        "evacuation:began",
+        "evacuation:ended",
+        "evacuation:data_centre_unknown",
+        "evacuation:entry_skipped",
         "store:lost",
         "store:regained",
         "store:history_expired",
@@ -131,6 +135,7 @@
             parts.update(_find_crash_keys(line))
     resource_names = {name for name in endpoints | groups if name}
     timeline = list(request_lines)
+    timeline.extend(_find_evacuations(lines, nodes, first_timestamp - CONTEXT_WINDOW_S))
     for line in lines:
         if line.event not in _CONTEXT_EVENTS:
             continue
@@ -143,6 +148,20 @@
     return timeline
 
 
+def _find_evacuations(lines, nodes, before):
+    """Return the lines of the evacuations that nodes knew of at a time, however old they are."""
+    latest = {}
+    for line in sorted(lines, key=lambda line: line.timestamp):
+        if line.timestamp >= before or line.node not in nodes:
+            continue
+        if line.event in ("evacuation:began", "evacuation:ended"):
+            latest[line.node, line.fields.get("data_centre")] = line
+        elif line.event == "node:started":
+            # The process before it has ended with what it knew.
+            latest = {key: value for key, value in latest.items() if key[0] != line.node}
+    return [line for line in latest.values() if line.event == "evacuation:began"]
+
+
 def _has_parts(line, parts):
     """Return whether a line is about the request or its parts; any node may have seen it."""
     if line.event.startswith("prompt:"):
@@ -161,7 +180,9 @@
 
 
 def _is_related(line, nodes, resource_names, models):
-    if line.event.startswith(("endpoints:", "store:", "feed:", "node:", "configuration:")):
+    if line.event.startswith(
+        ("endpoints:", "store:", "feed:", "node:", "configuration:", "evacuation:")
+    ):
         return line.node in nodes
     if line.event.startswith("endpoint:"):
         return line.node in nodes and line.fields.get("endpoint") in resource_names
--- a/src/lynxlanding/operators/tests/test_explain.py
+++ b/src/lynxlanding/operators/tests/test_explain.py
@@ -233,3 +233,43 @@
     ]
     summary = request_timeline.summarize_outcome(timeline, "q")
     assert f"engines crashed under ['request {digest}']" in summary
+
+
+def test_refusal_in_an_evacuation_shows_when_it_began():
+    """Guards against a cause that is hidden because the evacuation began long before."""
+
+    def line(timestamp, event, node="n1", **fields):
+        return request_timeline.LogLine(timestamp, node, event, fields)
+
+    lines = [
+        line(100.0, "evacuation:began", data_centre="a"),
+        line(110.0, "evacuation:ended", data_centre="a"),
+        line(120.0, "evacuation:began", data_centre="b"),
+        line(121.0, "evacuation:began", node="n2", data_centre="c"),
+        line(400.0, "evacuation:began", data_centre="d"),
+        line(
+            405.0,
+            "request:refused",
+            request_id="q",
+            reason="every endpoint is in an evacuated data centre",
+            evacuated=["b", "d"],
+        ),
+        line(405.1, "request:finished", request_id="q", result="refused", status=503),
+        line(405.2, "evacuation:ended", data_centre="d"),
+    ]
+    timeline = request_timeline.build_timeline(lines, "q")
+    shown = [(item.event, item.fields.get("data_centre")) for item in timeline]
+    assert shown == [
+        ("evacuation:began", "b"),
+        ("evacuation:began", "d"),
+        ("request:refused", None),
+        ("request:finished", None),
+        ("evacuation:ended", "d"),
+    ]
+    summary = request_timeline.summarize_outcome(timeline, "q")
+    assert "every endpoint is in an evacuated data centre" in summary
+    restarted = [line(300.0, "node:started"), *lines]
+    shown = request_timeline.build_timeline(restarted, "q")
+    assert ("evacuation:began", "b") not in [
+        (item.event, item.fields.get("data_centre")) for item in shown
+    ]
