--- a/src/lynxlanding_bench/site_day/command.py
+++ b/src/lynxlanding_bench/site_day/command.py
@@ -15,6 +15,7 @@
     day_load,
     day_record,
     day_report,
+    evacuation_checker,
     fault_file,
     fault_player,
 )
@@ -50,7 +51,13 @@
     logs.mkdir(parents=True)
     with processes.Processes(logs) as running:
         installation = calling_installation.CallingInstallation(
-            running, engines, plain, HEARTBEAT_S, node_names, has_own_hosts=True
+            running,
+            engines,
+            plain,
+            HEARTBEAT_S,
+            node_names,
+            has_own_hosts=True,
+            evacuate_ms=1000 * evacuation_checker.BOUND_S,
         )
         installation.wait_ready()
         installation.wait_for_small_groups(1)
--- a/src/lynxlanding_bench/site_day/fault.py
+++ b/src/lynxlanding_bench/site_day/fault.py
@@ -40,11 +40,13 @@
     "leave_unannounced": FaultKind(ENDPOINTS),
     "state_leaving": FaultKind(ENDPOINTS),
     "state_limit": FaultKind(ENDPOINTS, needs_duration=True, value_type=float),
+    "evacuate": FaultKind(ENDPOINTS, needs_duration=True),
     "reject": FaultKind(ENDPOINTS, needs_duration=True, value_type=float),
     # Nodes.
     "cut": FaultKind(
         NODES, needs_duration=True, value_type=str, values=("hang", "reset", "refuse_new")
     ),
+    "cut_store": FaultKind(NODES, needs_duration=True),
     "freeze": FaultKind(NODES, needs_duration=True),
     "kill": FaultKind(NODES, needs_duration=True),
     "stop": FaultKind(NODES, needs_duration=True),
--- a/src/lynxlanding_bench/site_day/fault_player.py
+++ b/src/lynxlanding_bench/site_day/fault_player.py
@@ -46,17 +46,23 @@
     "state_limit": lambda item, hosts: {"limits": dict.fromkeys(item.targets, item.value)},
     "reject": lambda item, hosts: {"rejecting": dict.fromkeys(item.targets, str(item.value))},
     "cut": lambda item, hosts: {"cut": {hosts[name]: item.value for name in item.targets}},
+    "cut_store": lambda item, hosts: {"refuse_store": [hosts[name] for name in item.targets]},
+    "evacuate": _list("evacuate"),
     "crash_part": lambda item, hosts: {"crash_parts": {item.value: CRASHED_FOR_S}},
     "store": lambda item, hosts: {"store": item.value},
     "roll_back_store": lambda item, hosts: {"save_store": True},
     "lose_answers": lambda item, hosts: {"lost_answers": item.value},
     "configuration": lambda item, hosts: {"configuration": item.value},
 }
+# Faults of nodes that the site brings about.
+_CUTS = frozenset({"cut", "cut_store"})
 _END_ORDERS = {
     "no_heartbeats": _list("heard"),
     "state_limit": lambda item, hosts: {"limits": dict.fromkeys(item.targets)},
     "reject": lambda item, hosts: {"rejecting": dict.fromkeys(item.targets)},
     "cut": lambda item, hosts: {"uncut": [hosts[name] for name in item.targets]},
+    "cut_store": lambda item, hosts: {"serve_store": [hosts[name] for name in item.targets]},
+    "evacuate": _list("end_evacuation"),
     "crash_part": lambda item, hosts: {"crash_parts": {}},
     "store": lambda item, hosts: {"store": ""},
     "roll_back_store": lambda item, hosts: {"roll_back_store": True},
@@ -146,7 +152,7 @@
         order = make_order(item, self._installation.hosts, is_begin=is_begin)
         if order is not None:
             self._installation.control(**order)
-        is_process_fault = fault.KINDS[item.kind].scope == fault.NODES and item.kind != "cut"
+        is_process_fault = fault.KINDS[item.kind].scope == fault.NODES and item.kind not in _CUTS
         for name in item.targets if is_process_fault else ():
             try:
                 self._signal(item.kind, name, is_begin=is_begin)
--- a/src/lynxlanding_bench/site_day/rules.py
+++ b/src/lynxlanding_bench/site_day/rules.py
@@ -5,6 +5,7 @@
     crash_checker,
     cut_checker,
     day_record,
+    evacuation_checker,
     leaving_checker,
     limit_checker,
     rejection_checker,
@@ -154,6 +155,29 @@
     return problems
 
 
+def check_evacuations(record):
+    """Return the requests at endpoints of data centres that were evacuated."""
+    responses = record.response_by_id()
+    arrivals = []
+    for event in record.runs():
+        response = responses.get(event.request_id)
+        if response is not None:
+            arrivals.append(evacuation_checker.Arrival(event.at, response.node, event.endpoint_id))
+    cuts = []
+    for kind in ("cut_store", "store", "roll_back_store"):
+        for played in record.faults_of(kind):
+            for node in played.fault.targets or (None,):
+                cuts.append((node, played.begun_at, played.ended_at))
+    problems = []
+    for played in record.faults_of("evacuate"):
+        late = evacuation_checker.late_arrivals(
+            arrivals, played.fault.targets, played.begun_at, played.ended_at, cuts
+        )
+        if late:
+            problems.append(f"line {played.fault.line}: {len(late)} late requests")
+    return problems
+
+
 RULES = {
     "unsafe requests run once, refused ones never": check_runs,
     "answers are whole": check_answers,
@@ -162,6 +186,7 @@
     "endpoints that state their leaving are left": check_leavings,
     "limits that endpoints state are kept": check_limits,
     "endpoints that reject requests are left alone": check_rejections,
+    "evacuated data centres get no requests": check_evacuations,
 }
 
 
--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -35,6 +35,9 @@
         Whether each node reaches the site at an address of its own, so that it can be cut off.
     site_options : sequence, optional
         Further options of the stand-in's command.
+    evacuate_ms : float, optional
+        Bound of evacuations in the settings of the nodes. Nodes of earlier versions do not know
+        the setting.
     """
 
     def __init__(
@@ -46,8 +49,10 @@
         node_names=NODES,
         has_own_hosts=False,
         site_options=(),
+        evacuate_ms=None,
     ):
         self.running = running
+        self._evacuate_ms = evacuate_ms
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
         self.store_port = ports[0]
@@ -122,10 +127,15 @@
 requests:
   concurrency: 60
   repeat_slack: 400
-"""
+{self._evacuation_settings()}"""
         )
         self.running.start(name, "lynxlanding_vm", "--config", path)
 
+    def _evacuation_settings(self):
+        if self._evacuate_ms is None:
+            return ""
+        return f"evacuations: {{bound_ms: {self._evacuate_ms}}}\n"
+
 
 def wait_for(condition, what, limit_s=START_LIMIT_S):
     """Wait until a condition holds; raises ``TimeoutError`` if it does not in time."""
--- a/src/lynxlanding_bench/site_day/tests/test_fault_player.py
+++ b/src/lynxlanding_bench/site_day/tests/test_fault_player.py
@@ -33,6 +33,13 @@
         ("store", "busy", {"store": "busy"}, {"store": ""}),
         ("roll_back_store", None, {"save_store": True}, {"roll_back_store": True}),
         ("crash_part", "bad0", {"crash_parts": {"bad0": 3.0}}, {"crash_parts": {}}),
+        (
+            "evacuate",
+            None,
+            {"evacuate": ["i-0", "i-1"]},
+            {"end_evacuation": ["i-0", "i-1"]},
+        ),
+        ("cut_store", None, {"refuse_store": ["127.0.1.1"]}, {"serve_store": ["127.0.1.1"]}),
         ("freeze", None, None, None),
     ],
 )
@@ -45,7 +52,7 @@
 def test_each_kind_without_a_process_has_an_order():
     """Guards against a kind that is accepted and does nothing."""
     for kind, spec in fault.KINDS.items():
-        is_process_fault = spec.scope == fault.NODES and kind != "cut"
+        is_process_fault = spec.scope == fault.NODES and kind not in ("cut", "cut_store")
         order = fault_player.make_order(make_fault(kind, 1), HOSTS, is_begin=True)
         assert (order is None) == is_process_fault, kind
 
--- a/src/lynxlanding_bench/site_day/tests/test_rules.py
+++ b/src/lynxlanding_bench/site_day/tests/test_rules.py
@@ -93,6 +93,11 @@
     )
 
 
+def breach_evacuations():
+    rest, runs = served_requests("n0", 16.0, 16.4)
+    return make_record(rest, runs, [played("evacuate", 10.0, 20.0)])
+
+
 BREACHES = {
     breach_runs: rules.check_runs,
     breach_answers: rules.check_answers,
@@ -102,6 +107,7 @@
     breach_leavings: rules.check_leavings,
     breach_limits: rules.check_limits,
     breach_rejections: rules.check_rejections,
+    breach_evacuations: rules.check_evacuations,
 }
 
 
@@ -121,6 +127,7 @@
         played("state_limit", value=1.0),
         played("reject", value=4.0),
         played("crash_part", targets=()),
+        played("evacuate"),
     ]
     record = make_record([*responses, *others], [*events, *other_events], faults)
     assert {name: [] for name in rules.RULES} == rules.check(record)
@@ -135,3 +142,20 @@
         record, faults=[played("state_limit", targets=("e9",), value=1.0)]
     )
     assert rules.check_limits(elsewhere) == []
+
+
+def test_evacuations_are_judged_after_their_bound_and_by_nodes_that_reach_the_store():
+    """Guards against a rule that is broken by requests which the users' rule allows."""
+    for since in (10.0, 14.0, 20.0):
+        rest, runs = served_requests("n0", since, since + 0.9)
+        assert (
+            rules.check_evacuations(make_record(rest, runs, [played("evacuate", 10.0, 20.0)])) == []
+        )
+    rest, runs = served_requests("n0", 18.0, 18.4)
+    evacuation = played("evacuate", 10.0, 20.0)
+    for kind, targets in (("cut_store", ("n0",)), ("store", ()), ("roll_back_store", ())):
+        faults = [evacuation, played(kind, 9.0, 14.0, targets)]
+        assert rules.check_evacuations(make_record(rest, runs, faults)) == []
+    for kind, targets, ended_at in (("cut_store", ("n1",), 14.0), ("store", (), 12.0)):
+        faults = [evacuation, played(kind, 9.0, ended_at, targets)]
+        assert rules.check_evacuations(make_record(rest, runs, faults)) != []
--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -112,10 +112,11 @@
 @click.option("--hosts", type=int, default=0, help="Further addresses, from 127.0.1.1 on.")
 @click.option("--domains", type=int, default=2, help="Fabric domains of the engines.")
 @click.option("--report-lag-s", type=float, default=0.0, help="Age of what engines report.")
-def run_site(port, engines, plain, heartbeat_s, hosts, domains, report_lag_s):
+@click.option("--zonal-domains", is_flag=True, help="Put each fabric domain into one zone.")
+def run_site(port, engines, plain, heartbeat_s, hosts, domains, report_lag_s, zonal_domains):
     """Serve the users' platform: its store, engines that form groups, and a plain service."""
     ports = list(range(port, port + 1 + engines + plain))
-    site = application.Site(ports, engines, heartbeat_s, domains, report_lag_s)
+    site = application.Site(ports, engines, heartbeat_s, domains, report_lag_s, zonal_domains)
     addresses = [port_server.HOST, *(f"127.0.1.{number + 1}" for number in range(hosts))]
     server = port_server.PortServer(site, ports, addresses)
     site.use_server(server)
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -38,9 +38,19 @@
         Number of fabric domains, among which the engines are divided evenly.
     report_lag_s : float, optional
         Age of the values that engines report, also stated in the configuration.
+    has_zonal_domains : bool, optional
+        Whether each fabric domain is in one zone. Otherwise engines are in the zones in turn.
     """
 
-    def __init__(self, ports, engines, heartbeat_s, domains=2, report_lag_s=0.0):
+    def __init__(
+        self,
+        ports,
+        engines,
+        heartbeat_s,
+        domains=2,
+        report_lag_s=0.0,
+        has_zonal_domains=False,
+    ):
         self._store_port = ports[0]
         self._heartbeat_s = heartbeat_s
         self._store = store.SiteStore()
@@ -51,16 +61,19 @@
         endpoints = {}
         for index, port in enumerate(ports[1:]):
             is_engine = index < engines
-            domain = f"d{index * domains // engines}" if is_engine else None
+            domain_number = index * domains // engines if is_engine else None
+            zone_number = domain_number if is_engine and has_zonal_domains else index
             endpoints[port] = engine.SiteEndpoint(
                 endpoint_id=f"i-{index:03d}",
                 service="model" if is_engine else "app",
                 address=f"127.0.0.1:{port}",
-                zone=ZONES[index % len(ZONES)],
-                domain=domain,
+                zone=ZONES[zone_number % len(ZONES)],
+                domain=f"d{domain_number}" if is_engine else None,
                 born=int(time.time() * 1000),
             )
         self._endpoints = endpoints
+        # Zones that the operator has asked to evacuate.
+        self._evacuated = set()
         self._server = None
         self._engines = engine.SiteEngines(
             endpoints, self._publish, self._history, self._crash_endpoint, report_lag_s
@@ -119,6 +132,8 @@
             self._store.roll_back()
         self._store.silent_watch_hosts.update(order.get("silent_watches", ()))
         self._store.silent_watch_hosts.difference_update(order.get("answered_watches", ()))
+        self._store.refused_hosts.update(order.get("refuse_store", ()))
+        self._store.refused_hosts.difference_update(order.get("serve_store", ()))
         if "store" in order:
             self._store.fault = order["store"]
         self._store.lost_answers = order.get("lost_answers", self._store.lost_answers)
@@ -179,6 +194,12 @@
             endpoint.states_leaving = True
         if name in order.get("rejecting", {}):
             endpoint.retry_after = order["rejecting"][name]
+        if name in order.get("evacuate", ()):
+            self._evacuated.add(endpoint.zone)
+            self._store.put("evacuations", endpoint.zone, {})
+        if name in order.get("end_evacuation", ()):
+            self._evacuated.discard(endpoint.zone)
+            self._store.remove("evacuations", endpoint.zone)
         if name in order.get("hold_heartbeat", ()):
             endpoint.heartbeats += 1
             self._held[name] = endpoint.entry()
@@ -257,6 +278,8 @@
         while True:
             # What the operator and the endpoints have written is written again after a roll-back.
             self._write_configuration()
+            for zone in sorted(self._evacuated):
+                self._store.put("evacuations", zone, {})
             for endpoint in self._endpoints.values():
                 if endpoint.sends_heartbeats:
                     self._silent.pop(endpoint.endpoint_id, None)
--- a/src/lynxlanding_standins/site/store.py
+++ b/src/lynxlanding_standins/site/store.py
@@ -22,6 +22,8 @@
         Writes that are still to be carried out without an answer.
     silent_watch_hosts : set of str
         Hosts whose callers get no answers to watches, as on connections that have gone silent.
+    refused_hosts : set of str
+        Hosts whose callers are refused (503).
     raw_values : dict of str to str
         JSON texts by the string that stands for them in a value, for what cannot be encoded.
     """
@@ -36,6 +38,7 @@
         self.fault = ""
         self.lost_answers = 0
         self.silent_watch_hosts = set()
+        self.refused_hosts = set()
         self.raw_values = {}
         self.calls = 0
 
@@ -78,7 +81,7 @@
         body = await asgi.read_body(receive)
         if self.fault == "silent":
             await asyncio.sleep(60)
-        if self.fault == "busy":
+        if self.fault == "busy" or scope["server"][0] in self.refused_hosts:
             await asgi.send_json(send, 503, {}, self._headers())
             return
         kind, _, name = scope["path"][len(PREFIX) :].partition("/")
