Check links of a node at endpoints outside evacuated data centres

Cause: a node samples endpoints to find out whether it is cut from all of them. If an evacuated data centre is switched off, a sample from there makes the node look cut, and it hands requests over.

Change: the sample is taken outside evacuated data centres as long as there are endpoints.

--- a/src/lynxlanding/dispatch/evacuated_endpoints.py
+++ b/src/lynxlanding/dispatch/evacuated_endpoints.py
@@ -44,5 +44,12 @@
         return unaffected or outside
 
 
+def prefer_outside(records, data_centres):
+    """Return the endpoints outside some data centres; all of them if there are no others."""
+    if not data_centres:
+        return records
+    return [record for record in records if record.data_centre not in data_centres] or records
+
+
 def _group_key(record):
     return record.service, record.membership.name, record.membership.epoch
--- a/src/lynxlanding/dispatch/tests/test_evacuations.py
+++ b/src/lynxlanding/dispatch/tests/test_evacuations.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from lynxlanding.dispatch import dispatch_decision, serving_actor
+from lynxlanding.dispatch import dispatch_decision, evacuated_endpoints, serving_actor
 from lynxlanding.dispatch.tests import dispatch_factories
 from lynxlanding.fleet import group_membership
 
@@ -117,6 +117,17 @@
         assert serving.may_send(record, 0.0, is_counted=True)
 
 
+def test_endpoints_that_are_switched_off_do_not_make_a_node_look_cut():
+    """Guards against nodes that hand their requests over because an evacuated half is gone."""
+    records = [
+        dispatch_factories.make_plain_endpoint(0, data_centre="a"),
+        dispatch_factories.make_plain_endpoint(1, data_centre="b"),
+    ]
+    assert evacuated_endpoints.prefer_outside(records, frozenset("a")) == records[1:]
+    assert evacuated_endpoints.prefer_outside(records, frozenset("ab")) == records
+    assert evacuated_endpoints.prefer_outside(records, frozenset()) == records
+
+
 def test_evacuation_of_a_data_centre_without_endpoints_changes_nothing():
     dispatcher, _ = dispatch_factories.make_dispatcher([dispatch_factories.make_head(0)])
     dispatcher.use_evacuated(frozenset({"elsewhere"}))
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -17,6 +17,7 @@
     connection_pool,
     dispatcher,
     endpoint_client,
+    evacuated_endpoints,
     limit_table,
     rejection_table,
     request_allowance,
@@ -391,7 +392,9 @@
 
     def _get_usable_endpoints(self):
         records = self._get_fleet().records
-        return [record for record in records.values() if record.accepts_requests]
+        usable = [record for record in records.values() if record.accepts_requests]
+        # Endpoints of a data centre that is switched off say nothing about this node's links.
+        return evacuated_endpoints.prefer_outside(usable, self._get_evacuated())
 
     def _on_reachability_changed(self, change):
         self._group_controller.wake()
