--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -59,6 +59,7 @@
         self.frozen_fleets = {}
         self.limits = {}
         self.in_flight = {}
+        self.evacuated = frozenset()
         self.live_nodes = list(nodes)
         self.controllers = {name: self._make_controller(name) for name in nodes}
 
@@ -76,6 +77,7 @@
             self.limits.get,
             lambda endpoint_id: self.in_flight.get(endpoint_id, 0),
             vm_settings.GroupSettings(),
+            read_evacuated=lambda: self.evacuated,
         )
         services = {
             "model": service_spec.ServiceSpec("model", 9, simulated_domain.make_engine_spec())
@@ -557,3 +559,39 @@
         cluster.run(1)
         time.sleep(0.05)
     assert group not in cluster.plan().groups
+
+
+def test_groups_wait_for_the_end_of_an_evacuation_and_stand_through_the_next():
+    """Guards against plans with engines that may not serve, and against groups that are given up."""
+    cluster = Cluster()
+    cluster.evacuated = frozenset("a")
+    cluster.run(6)
+    assert cluster.open_groups() == 0
+    cluster.evacuated = frozenset()
+    cluster.run(20)
+    plan = cluster.plan()
+    assert cluster.open_groups() >= 3
+    cluster.evacuated = frozenset("a")
+    cluster.run(6)
+    assert cluster.plan().groups == plan.groups
+    assert cluster.open_groups() >= 3
+    assert cluster.domain.violations == []
+
+
+def test_demand_of_a_fleet_does_not_fall_with_the_engines_that_may_serve():
+    """Guards against other domains that see no shortage, as their share of the engines rises."""
+    cluster = Cluster()
+    cluster.run(20)
+    records = list(cluster._read_fleet().records.values())
+    elsewhere = [dataclasses.replace(record, data_centre="b") for record in records]
+    by_domain = {("model", "d0"): records, ("model", "d1"): elsewhere}
+    controller = cluster.controllers["n1"]
+    spec = simulated_domain.make_engine_spec()
+    before = controller._build_fleet_state(("model", "d1"), spec, elsewhere, by_domain)
+    assert before.domain_share == 0.5
+    assert sum(before.groups_elsewhere.values()) >= 3
+    cluster.evacuated = frozenset("a")
+    after = controller._build_fleet_state(("model", "d1"), spec, elsewhere, by_domain)
+    assert after.needed == before.needed
+    assert after.domain_share == 1.0
+    assert after.groups_elsewhere == {}
