--- a/src/lynxlanding_bench/site_day/tests/test_fault_player.py
+++ b/src/lynxlanding_bench/site_day/tests/test_fault_player.py
@@ -60,3 +60,10 @@
 def test_sample_day_is_valid():
     targets = command.make_targets(40, 20, [f"n{number}" for number in range(9)])
     assert len(fault_file.load(str(command.SAMPLE), targets, random.Random(1))) > 5
+
+
+def test_day_of_evacuations_is_valid():
+    targets = command.make_targets(20, 6, [f"n{number}" for number in range(5)])
+    path = command.SAMPLE.parent / "evacuations.yaml"
+    kinds = [item.kind for item in fault_file.load(str(path), targets, random.Random(1))]
+    assert kinds.count("evacuate") == 3
