--- a/src/lynxlanding/node/node_status.py
+++ b/src/lynxlanding/node/node_status.py
@@ -10,9 +10,18 @@
 
 
 class NodeStatus:
-    """Single values that request threads read directly, without a call to an actor."""
-
-    def __init__(self):
+    """Single values that request threads read directly, without a call to an actor.
+
+    Parameters
+    ----------
+    needs_evacuations : bool, optional
+        Whether the first list of evacuated data centres is part of the initial sync.
+    """
+
+    def __init__(self, *, needs_evacuations=False):
+        self._lacks_evacuations = needs_evacuations
+        self._evacuated = ()
+        self._evacuations_read_at = None
         self._configuration = None
         self._registry_confirmed_at = None
         self._started_at = time.monotonic()
@@ -49,8 +58,14 @@
     def is_ready(self):
         """Whether new callers should be sent to this node."""
         has_synced = self._configuration is not None and self._registry_confirmed_at is not None
+        if self._lacks_evacuations and not self._is_initial_sync_over:
+            return False
         return has_synced and not self._is_stopping
 
+    @property
+    def _is_initial_sync_over(self):
+        return time.monotonic() >= self._started_at + INITIAL_SYNC_TIMEOUT_S
+
     @property
     def refuses_requests(self):
         """Whether new requests are refused because the process exits soon."""
@@ -75,8 +90,28 @@
         self._registry_confirmed_at = now
         self._check_initial_sync()
 
+    @property
+    def evacuated(self):
+        """Names of the evacuated data centres, in order."""
+        return self._evacuated
+
+    @property
+    def evacuations_age_s(self):
+        """Seconds since the store stated the evacuations; None if it is not known."""
+        if self._evacuations_read_at is None:
+            return None
+        return round(time.monotonic() - self._evacuations_read_at, 3)
+
+    def confirm_evacuations(self, data_centres, read_at):
+        """Record the evacuated data centres and when the store stated them."""
+        self._evacuated = tuple(sorted(data_centres))
+        self._evacuations_read_at = read_at
+        if self._lacks_evacuations:
+            self._lacks_evacuations = False
+            self._check_initial_sync()
+
     def wait_for_initial_sync(self):
-        """Wait until the configuration and the endpoints have been received.
+        """Wait until the configuration, the endpoints and the evacuations have been received.
 
         Gives up ``INITIAL_SYNC_TIMEOUT_S`` after the start of the process.
         """
@@ -105,7 +140,9 @@
         self._has_traffic = True
 
     def _check_initial_sync(self):
-        if self._configuration is not None and self._registry_confirmed_at is not None:
+        if self._configuration is None or self._registry_confirmed_at is None:
+            return
+        if not self._lacks_evacuations:
             self._initial_sync_done.set()
 
     def end_request(self):
--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -53,9 +53,23 @@
     access : StoreAccess, optional
         Decides when the store is called in a large fleet. Without it, it is called whenever the
         feed has nothing.
+    watch_timeout_s, relay_watch_timeout_s : float, optional
+        Used in place of ``WATCH_TIMEOUT_S`` and ``RELAY_WATCH_TIMEOUT_S`` for changes that nodes
+        may receive later or must receive sooner than others.
     """
 
-    def __init__(self, store, kind, handler, get_pause_s=None, feed=None, access=None):
+    def __init__(
+        self,
+        store,
+        kind,
+        handler,
+        get_pause_s=None,
+        feed=None,
+        access=None,
+        *,
+        watch_timeout_s=None,
+        relay_watch_timeout_s=None,
+    ):
         self._store = store
         self._kind = kind
         self._handler = handler
@@ -65,6 +79,8 @@
         self._is_waiting = False
         # Reasons to wait that have been logged since the store was lost.
         self._logged_reasons = set()
+        self._own_watch_timeout_s = watch_timeout_s
+        self._own_relay_watch_timeout_s = relay_watch_timeout_s
         self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
@@ -123,7 +139,8 @@
             return version
         if self._feed is not None:
             # A message without changes, too, says that the store answers again.
-            timeout_s = WATCH_TIMEOUT_S if self._unavailable_since is None else 0.0
+            is_available = self._unavailable_since is None
+            timeout_s = (self._own_watch_timeout_s or WATCH_TIMEOUT_S) if is_available else 0.0
             message = self._feed.watch(self._kind, version, timeout_s)
             if message is not None:
                 return self._apply_message(message)
@@ -188,9 +205,10 @@
             return RECOVERY_WATCH_TIMEOUT_S
         if self._feed is not None and self._feed.has_subscribers:
             if self._is_in_large_fleet():
+                # After a longer silence, subscribers ask another relay.
                 return store_access.RELAY_WATCH_TIMEOUT_S
-            return RELAY_WATCH_TIMEOUT_S
-        return WATCH_TIMEOUT_S
+            return self._own_relay_watch_timeout_s or RELAY_WATCH_TIMEOUT_S
+        return self._own_watch_timeout_s or WATCH_TIMEOUT_S
 
     def _set_fed(self, is_fed, version):
         if is_fed != self._is_fed:
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -18,6 +18,7 @@
     connection_pool,
     dispatcher,
     endpoint_client,
+    evacuated_endpoints,
     limit_table,
     rejection_table,
     request_allowance,
@@ -29,6 +30,7 @@
     statement_recorder,
 )
 from lynxlanding.errors import settings as settings_errors
+from lynxlanding.fleet import evacuated_data_centres
 from lynxlanding.fleet import registry as fleet_registry
 from lynxlanding.gateway import http_server
 from lynxlanding.handover import peer_forwarder, reachability, reachability_checker
@@ -36,6 +38,7 @@
     configuration_handler,
     confirmation_checker,
     endpoint_handler,
+    evacuation_handler,
     monitoring_apps,
     node_gauges,
     node_status,
@@ -61,6 +64,7 @@
     configuration_codec,
     endpoint_codec,
     engine_client,
+    evacuation_codec,
     health_client,
     object_client,
     paths,
@@ -89,6 +93,7 @@
 NODE_STOPPING = "lynxlanding:node:stopping"
 NODE_STOPPED = "lynxlanding:node:stopped"
 NODE_RELOADED = "lynxlanding:node:reloaded"
+ENDPOINTS_RETURNED = "lynxlanding:evacuation:endpoints_returned"
 
 _logger = logging.getLogger(__name__)
 
@@ -113,7 +118,8 @@
         self._stop_requested = threading.Event()
         self._reload_requested = threading.Event()
         self._random_state = random.Random()
-        self._node_status = node_status.NodeStatus()
+        evacuations = settings.evacuations
+        self._node_status = node_status.NodeStatus(needs_evacuations=evacuations.is_on)
         self._log = bounded_log.BoundedLog()
         self._metrics = deferred_metrics.DeferredMetrics(settings.node_id, settings.data_centre)
         self._reachability = reachability.Reachability(time.monotonic())
@@ -181,7 +187,18 @@
             self._limit_table.stated_limit_per_s,
             self._count_in_flight,
             settings.groups,
+            read_evacuated=self._get_evacuated,
         )
+        # Exists only if the settings ask for it.
+        self._evacuations = None
+        if evacuations.is_on:
+            self._evacuations = evacuation_handler.EvacuationHandler(
+                evacuated_data_centres.EvacuatedDataCentres(),
+                self._serving,
+                self._node_status,
+                self._group_controller.wake,
+                self._on_evacuation_ended,
+            )
         self._endpoint_handler = endpoint_handler.EndpointHandler(
             self._serving,
             self._node_status,
@@ -203,6 +220,7 @@
             self._get_store_nodes,
             self._send_datagram,
             self._store_access,
+            {evacuation_codec.KIND: evacuations.feed_timeout_s} if evacuations.is_on else None,
         )
         self._peer_report_handler = peer_report_handler.PeerReportHandler(
             self._serving,
@@ -213,6 +231,7 @@
             self._cold_engines,
             self._record_leaving,
             self._group_controller.wake,
+            self._evacuations,
         )
         self._report_transport = report_transport.ReportTransport(
             self._identity,
@@ -264,6 +283,8 @@
             self._store,
         )
         node_gauges.add_dispatch_gauges(self._metrics, self._serving)
+        if self._evacuations is not None:
+            node_gauges.add_evacuation_gauges(self._metrics, self._evacuations.state)
         node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
         node_gauges.add_store_gauges(self._metrics, self._store_calls)
         servers = self._create_servers()
@@ -317,7 +338,7 @@
         handler = configuration_handler.ConfigurationHandler(
             self._serving, self._node_status, self._group_controller.use_configuration
         )
-        return [
+        watchers = [
             store_watcher.StoreWatcher(
                 self._store,
                 configuration_codec.KIND,
@@ -334,6 +355,20 @@
                 self._store_access,
             ),
         ]
+        if self._evacuations is not None:
+            settings = self._settings.evacuations
+            watchers.append(
+                store_watcher.StoreWatcher(
+                    self._store,
+                    evacuation_codec.KIND,
+                    self._evacuations,
+                    feed=self._change_feed,
+                    access=self._store_access,
+                    watch_timeout_s=settings.watch_timeout_s,
+                    relay_watch_timeout_s=settings.relay_watch_timeout_s,
+                )
+            )
+        return watchers
 
     def _create_servers(self):
         settings = self._settings
@@ -387,7 +422,9 @@
 
     def _get_usable_endpoints(self):
         records = self._get_fleet().records
-        return [record for record in records.values() if record.accepts_requests]
+        usable = [record for record in records.values() if record.accepts_requests]
+        # Endpoints of a data centre that is switched off say nothing about this node's links.
+        return evacuated_endpoints.prefer_outside(usable, self._get_evacuated())
 
     def _on_reachability_changed(self, change):
         self._group_controller.wake()
@@ -474,8 +511,41 @@
             self._stated_leavings.changes,
             self._cold_engines.statements_to_report(now),
             self._cold_engines.own_changes,
+            *self._evacuations_to_report(),
         )
 
+    def _evacuations_to_report(self):
+        if self._evacuations is None:
+            return None, 0
+        state = self._evacuations.state
+        return state.own_reading, state.change_count
+
+    def _get_evacuated(self):
+        if self._evacuations is None:
+            return frozenset()
+        return self._evacuations.state.data_centres
+
+    def _on_evacuation_ended(self, data_centre, now):
+        """Take the data centre's engines into use again; they may be cold."""
+        returned = 0
+        for record in self._get_fleet().records.values():
+            if record.data_centre != data_centre:
+                continue
+            returned += 1
+            self._cold_engines.record_cold(
+                record.endpoint_id, record.started_ms, None, cold_engines.EVACUATION, now
+            )
+        eliot.log_message(
+            message_type=ENDPOINTS_RETURNED, data_centre=data_centre, endpoints=returned
+        )
+
+    def _update_evacuations(self, records, now):
+        if self._evacuations is None:
+            return
+        self._evacuations.expire(now)
+        if self._node_status.is_ready:
+            self._evacuations.log_unknown({record.data_centre for record in records.values()})
+
     def _update_allowances(self, now):
         self._log_limit_changes(self._serving.expire_limits(now).get())
         if self._has_traffic():
@@ -512,6 +582,7 @@
             records = self._get_fleet().records
             self._peer_view.set_endpoint_ids(records)
             self._stated_leavings.expire(records)
+            self._update_evacuations(records, now)
             self._rejections.expire(now)
             self._store_calls.log_if_due(now)
             if self._reload_requested.is_set() or self._has_settings_file_changed():
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -45,14 +45,17 @@
     access : StoreAccess, optional
         Learns what the relays say, and the roles of the nodes. Without it, and in a small fleet,
         each node that misses something reads it from the store.
+    timeouts_s : dict of str to float, optional
+        Used in place of ``FEED_TIMEOUT_S``, by kind of objects.
     """
 
-    def __init__(self, identity, table, read_store_nodes, send, access=None):
+    def __init__(self, identity, table, read_store_nodes, send, access=None, timeouts_s=None):
         self._identity = identity
         self._table = table
         self._read_store_nodes = read_store_nodes
         self._send = send
         self._access = access
+        self._timeouts_s = dict(timeouts_s or {})
         self._stop = threading.Event()
         self._subscribers = {}
         self._waiting = {}
@@ -150,13 +153,14 @@
             return None
         end = time.monotonic() + timeout_s
         asked_at = None
+        feed_timeout_s = self._timeouts_s.get(kind, FEED_TIMEOUT_S)
         with self._arrived:
             self._versions[kind] = after
             while True:
                 now = time.monotonic()
                 if asked_at is not None and now - asked_at >= CATCH_UP_TIMEOUT_S:
                     return None
-                if now - self._received_at.get(kind, -FEED_TIMEOUT_S) >= FEED_TIMEOUT_S:
+                if now - self._received_at.get(kind, -feed_timeout_s) >= feed_timeout_s:
                     return None
                 queue = self._waiting.get(kind)
                 while queue:
@@ -177,7 +181,7 @@
                     continue
                 if now >= end:
                     return feed_message.FeedMessage(kind, after, after)
-                self._arrived.wait(min(end - now, FEED_TIMEOUT_S))
+                self._arrived.wait(min(end - now, feed_timeout_s))
 
     def wait_for_message(self, kind, timeout_s):
         """Wait until a message of a kind has arrived that is recent enough to follow."""
--- a/src/lynxlanding/peers/local_state.py
+++ b/src/lynxlanding/peers/local_state.py
@@ -4,6 +4,7 @@
 
 from lynxlanding.crashes import statements
 from lynxlanding.dispatch import cold_statement, limit_statement, stated_leavings
+from lynxlanding.fleet import evacuated_data_centres
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,6 +49,10 @@
         Endpoints that are cold as far as this node itself can tell.
     cold_changes : int
         Number of such endpoints so far that only this node can know of.
+    evacuations : EvacuationReading or None
+        What this node has read about evacuations; None if it has not, or does not watch them.
+    evacuation_changes : int
+        Number of changes of evacuations, of which peers should hear at once.
     """
 
     loads: dict[str, int]
@@ -68,3 +73,5 @@
     leaving_changes: int
     cold: list[cold_statement.ColdStatement] = dataclasses.field(default_factory=list)
     cold_changes: int = 0
+    evacuations: evacuated_data_centres.EvacuationReading | None = None
+    evacuation_changes: int = 0
--- a/src/lynxlanding/peers/peer_report.capnp
+++ b/src/lynxlanding/peers/peer_report.capnp
@@ -89,6 +89,18 @@
   trials @5 :UInt16;
 }
 
+struct EvacuationReading {
+  # Whether the sender has read the evacuations from the store; the rest is meaningless if not.
+  isKnown @0 :Bool;
+  # Version of the store at which it has read them.
+  era @1 :UInt64;
+  revision @2 :UInt64;
+  # Time since then, in milliseconds.
+  ageMs @3 :UInt64;
+  # All data centres that are evacuated at that version.
+  dataCentres @4 :List(Text);
+}
+
 struct PeerReport {
   nodeId @0 :Text;
   incarnation @1 :UInt64;
@@ -131,4 +143,6 @@
   requestQuarantines @23 :List(RequestQuarantine);
   # Endpoints that are cold as far as the sender itself can tell.
   cold @24 :List(ColdEndpoint);
+  # What the sender itself has read about evacuations.
+  evacuations @25 :EvacuationReading;
 }
--- a/src/lynxlanding/peers/peer_report.py
+++ b/src/lynxlanding/peers/peer_report.py
@@ -93,6 +93,26 @@
     age_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportedEvacuations:
+    """Evacuated data centres as the sender has read them from the store.
+
+    Parameters
+    ----------
+    data_centres : tuple of str
+        All data centres that are evacuated at that version.
+    era, revision : int
+        Version of the store.
+    age_ms : int
+        Time since the store returned it, in milliseconds.
+    """
+
+    data_centres: tuple[str, ...]
+    era: int
+    revision: int
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReport:
     """Load report of one node.
@@ -141,6 +161,8 @@
         work, so that others must not count it. Empty if the sender reports to all nodes.
     cold : tuple of ReportedCold
         Endpoints that are cold as far as the sender itself can tell.
+    evacuations : ReportedEvacuations or None
+        What the sender has read about evacuations; None if it has not, or does not watch them.
     """
 
     node_id: str
@@ -163,3 +185,4 @@
     protocol_version: int = protocol.UNSTATED
     gatherers: tuple[int, ...] = ()
     cold: tuple[ReportedCold, ...] = ()
+    evacuations: ReportedEvacuations | None = None
--- a/src/lynxlanding/peers/report_digest.capnp
+++ b/src/lynxlanding/peers/report_digest.capnp
@@ -59,4 +59,6 @@
 
   # Union over the members.
   cold @22 :List(Report.ColdEndpoint);
+  # The latest reading of a member.
+  evacuations @23 :Report.EvacuationReading;
 }
--- a/src/lynxlanding/peers/report_digest.py
+++ b/src/lynxlanding/peers/report_digest.py
@@ -87,6 +87,8 @@
         Reports with statements on prompts.
     cold : tuple of ReportedCold
         Endpoints that are cold as far as a member itself can tell.
+    evacuations : ReportedEvacuations or None
+        The latest reading of a member; None if none has read them.
     """
 
     node_id: str
@@ -103,3 +105,4 @@
     leavings: tuple[peer_report.ReportedLeaving, ...] = ()
     forwarded: tuple[ForwardedReport, ...] = ()
     cold: tuple[peer_report.ReportedCold, ...] = ()
+    evacuations: peer_report.ReportedEvacuations | None = None
--- a/src/lynxlanding/peers/report_schedule.py
+++ b/src/lynxlanding/peers/report_schedule.py
@@ -208,4 +208,5 @@
         state.is_cut,
         state.leaving_changes,
         state.cold_changes,
+        state.evacuation_changes,
     )
--- a/src/lynxlanding/platform/tests/test_codecs.py
+++ b/src/lynxlanding/platform/tests/test_codecs.py
@@ -3,7 +3,13 @@
 import pytest
 
 from lynxlanding.errors import platform as platform_errors
-from lynxlanding.platform import configuration_codec, endpoint_codec, engine_client, fields
+from lynxlanding.platform import (
+    configuration_codec,
+    endpoint_codec,
+    engine_client,
+    evacuation_codec,
+    fields,
+)
 from lynxlanding.replicas import engine_order
 from lynxlanding.traffic import route
 
@@ -195,3 +201,13 @@
     document["services"][0].update(cold_start_s=3, cold_per_s=14)
     (service,) = configuration_codec.decode(document).services.values()
     assert (service.cold_start_s, service.cold_per_s) == (3, 14)
+
+
+def test_evacuation_is_named_after_its_data_centre():
+    assert evacuation_codec.decode("z-1 north") == "z-1 north"
+
+
+@pytest.mark.parametrize("name", ["", "z\n", "z" * 129, "\x00"])
+def test_evacuation_with_a_name_of_no_data_centre_is_malformed(name):
+    with pytest.raises(platform_errors.MalformedEntry):
+        evacuation_codec.decode(name)
--- a/src/lynxlanding/settings/tests/test_vm_settings.py
+++ b/src/lynxlanding/settings/tests/test_vm_settings.py
@@ -49,3 +49,15 @@
         tmp_path, VALID_SETTINGS + "endpoints: {cold_over: 2, cold_slack: 0}"
     ).endpoints
     assert (endpoints.cold_over, endpoints.cold_slack) == (2.0, 0.0)
+
+
+@pytest.mark.parametrize("section", ["", "evacuations: {}", "evacuations: {bound_ms: }"])
+def test_evacuations_are_off_unless_the_platform_states_a_bound(tmp_path, section):
+    """Guards against a store that is asked for a kind which it does not have."""
+    assert not load(tmp_path, VALID_SETTINGS + section).evacuations.is_on
+
+
+def test_evacuations_are_on_with_a_bound(tmp_path):
+    settings = load(tmp_path, VALID_SETTINGS + "evacuations: {bound_ms: 5000}")
+    assert settings.evacuations.is_on
+    assert settings.evacuations.bound_ms == 5000
--- a/src/lynxlanding_bench/site_day/command.py
+++ b/src/lynxlanding_bench/site_day/command.py
@@ -15,6 +15,7 @@
     day_load,
     day_record,
     day_report,
+    evacuation_checker,
     fault_file,
     fault_player,
 )
@@ -60,6 +61,7 @@
             node_names,
             has_own_hosts=True,
             site_options=("--cold-per-s", cold_per_s, "--cold-start-s", COLD_START_S),
+            evacuate_ms=1000 * evacuation_checker.BOUND_S,
         )
         installation.wait_ready()
         installation.wait_for_small_groups(1)
--- a/src/lynxlanding_standins/main.py
+++ b/src/lynxlanding_standins/main.py
@@ -114,13 +114,30 @@
 @click.option("--report-lag-s", type=float, default=0.0, help="Age of what engines report.")
 @click.option("--cold-start-s", type=float, default=0.0, help="Time for which engines are cold.")
 @click.option("--cold-per-s", type=float, default=0.0, help="Requests that cold engines bear.")
+@click.option("--zonal-domains", is_flag=True, help="Put each fabric domain into one zone.")
 def run_site(
-    port, engines, plain, heartbeat_s, hosts, domains, report_lag_s, cold_start_s, cold_per_s
+    port,
+    engines,
+    plain,
+    heartbeat_s,
+    hosts,
+    domains,
+    report_lag_s,
+    cold_start_s,
+    cold_per_s,
+    zonal_domains,
 ):
     """Serve the users' platform: its store, engines that form groups, and a plain service."""
     ports = list(range(port, port + 1 + engines + plain))
     site = application.Site(
-        ports, engines, heartbeat_s, domains, report_lag_s, cold_start_s, cold_per_s
+        ports,
+        engines,
+        heartbeat_s,
+        domains,
+        report_lag_s,
+        cold_start_s,
+        cold_per_s,
+        has_zonal_domains=zonal_domains,
     )
     addresses = [port_server.HOST, *(f"127.0.1.{number + 1}" for number in range(hosts))]
     server = port_server.PortServer(site, ports, addresses)
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -41,6 +41,8 @@
     cold_start_s, cold_per_s : float, optional
         Time for which engines that have started are cold, and requests a second that they bear
         then, as in the configuration. The engines are not cold when the site starts.
+    has_zonal_domains : bool, optional
+        Whether each fabric domain is in one zone. Otherwise engines are in the zones in turn.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         report_lag_s=0.0,
         cold_start_s=0.0,
         cold_per_s=0.0,
+        has_zonal_domains=False,
     ):
         self._store_port = ports[0]
         self._heartbeat_s = heartbeat_s
@@ -63,16 +66,19 @@
         endpoints = {}
         for index, port in enumerate(ports[1:]):
             is_engine = index < engines
-            domain = f"d{index * domains // engines}" if is_engine else None
+            domain_number = index * domains // engines if is_engine else None
+            zone_number = domain_number if is_engine and has_zonal_domains else index
             endpoints[port] = engine.SiteEndpoint(
                 endpoint_id=f"i-{index:03d}",
                 service="model" if is_engine else "app",
                 address=f"127.0.0.1:{port}",
-                zone=ZONES[index % len(ZONES)],
-                domain=domain,
+                zone=ZONES[zone_number % len(ZONES)],
+                domain=f"d{domain_number}" if is_engine else None,
                 born=int(time.time() * 1000),
             )
         self._endpoints = endpoints
+        # Zones that the operator has asked to evacuate.
+        self._evacuated = set()
         self._server = None
         self._engines = engine.SiteEngines(
             endpoints,
@@ -138,6 +144,8 @@
             self._store.roll_back()
         self._store.silent_watch_hosts.update(order.get("silent_watches", ()))
         self._store.silent_watch_hosts.difference_update(order.get("answered_watches", ()))
+        self._store.refused_hosts.update(order.get("refuse_store", ()))
+        self._store.refused_hosts.difference_update(order.get("serve_store", ()))
         if "store" in order:
             self._store.fault = order["store"]
         self._store.lost_answers = order.get("lost_answers", self._store.lost_answers)
@@ -206,6 +214,7 @@
             endpoint.states_leaving = True
         if name in order.get("rejecting", {}):
             endpoint.retry_after = order["rejecting"][name]
+        self._control_zone(endpoint, order)
         if name in order.get("hold_heartbeat", ()):
             endpoint.heartbeats += 1
             self._held[name] = endpoint.entry()
@@ -227,6 +236,16 @@
             self._silent[name] = 0
             self._put_entry(name, self._held.pop(name))
 
+    def _control_zone(self, endpoint, order):
+        """Carry out the parts of an order that concern the zone of the endpoint."""
+        name = endpoint.endpoint_id
+        if name in order.get("evacuate", ()):
+            self._evacuated.add(endpoint.zone)
+            self._store.put("evacuations", endpoint.zone, {})
+        if name in order.get("end_evacuation", ()):
+            self._evacuated.discard(endpoint.zone)
+            self._store.remove("evacuations", endpoint.zone)
+
     def _cold_s(self, endpoint):
         """Return for how long an endpoint is cold after its start."""
         return self._cold_start_s if endpoint.domain is not None else 0.0
@@ -289,6 +308,8 @@
         while True:
             # What the operator and the endpoints have written is written again after a roll-back.
             self._write_configuration()
+            for zone in sorted(self._evacuated):
+                self._store.put("evacuations", zone, {})
             for endpoint in self._endpoints.values():
                 if endpoint.sends_heartbeats:
                     self._silent.pop(endpoint.endpoint_id, None)
