Let a relay that the store refuses follow another one, without a busy loop

Cause: a relay whose next probe was not due while another relay fed it looked for messages without a pause. A node that became a relay while it waited for its former relay did so only when that wait of up to 2.5 s ended. Change: wait_for_message waits for the next message, not for a recent one. A relay whose last call failed follows the feed like other nodes. A change of role wakes the watchers. Result: three tests for these patterns.

--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -57,6 +57,8 @@
         self._subscribers = {}
         self._waiting = {}
         self._received_at = {}
+        self._received_counts = {}
+        self._did_read_for_others = False
         # Versions that this node has reached, and what it has published, by kind.
         self._versions = {}
         self._logs = {}
@@ -101,6 +103,8 @@
         with self._arrived:
             received_at = self._received_at.get(message.kind, answered_at)
             self._received_at[message.kind] = max(received_at, answered_at)
+            received_count = self._received_counts.get(message.kind, 0)
+            self._received_counts[message.kind] = received_count + 1
             queue = self._waiting.setdefault(
                 message.kind, collections.deque(maxlen=MAX_WAITING_MESSAGES)
             )
@@ -144,16 +148,16 @@
         Returns None if they must be read from the store: nothing was received lately, or there is a
         gap. A message without changes is returned after ``timeout_s``.
         """
-        if self._is_in_large_fleet() and self._access.is_relay:
-            # A node that has just become a relay would follow its former one for seconds, and have
-            # nothing for its own subscribers meanwhile.
-            return None
         end = time.monotonic() + timeout_s
         asked_at = None
         with self._arrived:
             self._versions[kind] = after
             while True:
                 now = time.monotonic()
+                if self._reads_for_others():
+                    # A node that has just become a relay would follow its former one for seconds,
+                    # and have nothing for its own subscribers meanwhile.
+                    return None
                 if asked_at is not None and now - asked_at >= CATCH_UP_TIMEOUT_S:
                     return None
                 if now - self._received_at.get(kind, -FEED_TIMEOUT_S) >= FEED_TIMEOUT_S:
@@ -180,13 +184,12 @@
                 self._arrived.wait(min(end - now, FEED_TIMEOUT_S))
 
     def wait_for_message(self, kind, timeout_s):
-        """Wait until a message of a kind has arrived that is recent enough to follow."""
+        """Wait until the next message of a kind arrives."""
         end = time.monotonic() + timeout_s
         with self._arrived:
-            while True:
+            count = self._received_counts.get(kind, 0)
+            while self._received_counts.get(kind, 0) == count:
                 now = time.monotonic()
-                if now - self._received_at.get(kind, -FEED_TIMEOUT_S) < FEED_TIMEOUT_S:
-                    return
                 if now >= end:
                     return
                 self._arrived.wait(end - now)
@@ -204,10 +207,23 @@
                     relay = feed_roles.choose_relay(self._identity.node_id, store_nodes)
                     if relay != self._identity.node_id:
                         self._subscribe(relay)
+            self._notice_role()
             if self._is_in_large_fleet():
                 self._follow_relays(now, is_due)
                 self._tell_waiting(now)
 
+    def _reads_for_others(self):
+        """Return whether this node is a relay of a large fleet that the store answers."""
+        is_relay = self._is_in_large_fleet() and self._access.is_relay
+        return is_relay and not self._access.is_failing
+
+    def _notice_role(self):
+        """Wake the watchers that follow another relay once this node has become one."""
+        if self._reads_for_others() != self._did_read_for_others:
+            with self._arrived:
+                self._did_read_for_others = not self._did_read_for_others
+                self._arrived.notify_all()
+
     def _interval_s(self):
         if self._is_in_large_fleet():
             return min(SILENCE_CHECK_INTERVAL_S, SUBSCRIPTION_INTERVAL_S)
--- a/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
+++ b/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
@@ -1,6 +1,7 @@
 """Nodes of a large fleet get from relays what they would otherwise read from the store."""
 
 import random
+import threading
 import time
 
 import pytest
@@ -164,3 +165,40 @@
     assert decoded.kind != KIND
     request = feed_message.Subscription("n1", {KIND: version(4)})
     assert feed_codec.decode(feed_codec.encode_subscription(request)) == request
+
+
+def test_waiting_for_a_message_takes_no_processor_time(network):
+    """Pattern: a relay waits for its next probe while another one feeds it.
+
+    It looked for new messages without a pause, and its whole process stood still for a second.
+    """
+    network.publish(4, 5)
+    started_at = time.monotonic()
+    network.feeds[network.node].wait_for_message(KIND, 0.1)
+    assert time.monotonic() - started_at >= 0.1
+
+
+def test_a_relay_that_the_store_refuses_follows_another_one(network):
+    """Guards against a relay that knows less than its subscribers."""
+    relay = network.feeds[network.relay]
+    network.access[network.relay].record_failure(time.monotonic())
+    message = feed_message.FeedMessage(KIND, version(5), version(6))
+    relay.receive(feed_codec.encode(message)[0], time.monotonic())
+    assert relay.watch(KIND, version(5), 0.0).version == version(6)
+
+
+def test_a_new_relay_stops_following_at_once(network):
+    """Pattern: a relay is replaced by a node that waits for changes of its former relay."""
+    node = network.feeds[network.node]
+    message = feed_message.FeedMessage(KIND, version(5), version(5))
+    node.receive(feed_codec.encode(message)[0], time.monotonic())
+    results = []
+    watching = threading.Thread(
+        target=lambda: results.append(node.watch(KIND, version(5), 5.0)), daemon=True
+    )
+    watching.start()
+    time.sleep(0.05)
+    network.access[network.node].use_fleet(NODES, [network.node])
+    node._notice_role()
+    watching.join(1.0)
+    assert results == [None]
