--- a/src/lynxlanding/peers/tests/test_store_access.py
+++ b/src/lynxlanding/peers/tests/test_store_access.py
@@ -18,7 +18,7 @@
 
 @pytest.mark.parametrize("is_silent", [False, True])
 def test_only_relays_call_a_store_that_is_down(is_silent):
-    """Pattern: the store is down for 8 s. 128 nodes called it 8,887 times in this model."""
+    """Pattern: the store is down for 8 s. 128 nodes called it 8,022 times in this model."""
     fleet = store_simulation.Fleet(
         128,
         lambda node_id, now: not is_down(now),
