Pass values that fit no datagram on to nodes that ask for them

Cause: a configuration fits no datagram, so that each change of it cost a call of every node: 128 for 128 nodes. Change: in a large fleet, a node that hears of such a change asks its relay, which sends the message in up to 64 fragments of 1,200 bytes. FragmentAssembler (without I/O) puts them together, with bounds on time and memory. Nodes of earlier versions never ask, and get none.

--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -8,7 +8,14 @@
 
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.observability import restarting_thread
-from lynxlanding.peers import change_log, feed_codec, feed_message, feed_roles, store_access
+from lynxlanding.peers import (
+    change_log,
+    feed_codec,
+    feed_message,
+    feed_roles,
+    fragment_assembler,
+    store_access,
+)
 
 SUBSCRIPTION_INTERVAL_S = 0.4
 # Interval at which silence of the store or of a relay is noticed in a large fleet.
@@ -63,6 +70,7 @@
         self._versions = {}
         self._logs = {}
         self._published_at = {}
+        self._assembler = fragment_assembler.FragmentAssembler()
         self._subscribed_at = 0.0
         self._told_waiting_at = 0.0
         # Second relays that have been asked since this node follows one of them.
@@ -86,9 +94,17 @@
         """Accept a datagram of another node."""
         try:
             message = feed_codec.decode(data)
+            if isinstance(message, fragment_assembler.Fragment):
+                whole = self._assembler.add(message, now)
+                if whole is None:
+                    return
+                message = feed_codec.decode_whole(whole)
         except membership_errors.MalformedMessage as e:
             _logger.warning("dropped a malformed feed message: %s", e)
             return
+        if isinstance(message, fragment_assembler.Fragment):
+            _logger.warning("dropped a malformed feed message: fragments within a fragment")
+            return
         if isinstance(message, feed_message.Subscription):
             self._subscribers[message.address] = now + SUBSCRIPTION_LIFETIME_S
             self._send_missed(message, now)
@@ -287,8 +303,7 @@
             age_ms = int((now - published_at) * 1000) + 1
             for message in messages or [feed_message.FeedMessage(kind, version, version)]:
                 aged = dataclasses.replace(message, age_ms=age_ms)
-                datagrams = feed_codec.encode(aged, feed_codec.MAX_REQUESTED_PARTS)
-                self._send_to([subscription.address], datagrams)
+                self._send_to([subscription.address], feed_codec.encode_requested(aged))
 
     def _subscriber_addresses(self, now):
         addresses = set()
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -1,11 +1,12 @@
 """Encoding of feed messages and subscriptions as datagrams."""
 
+import base64
 import dataclasses
 import json
 import zlib
 
 from lynxlanding.errors import membership as membership_errors
-from lynxlanding.peers import feed_message, protocol
+from lynxlanding.peers import feed_message, fragment_assembler, protocol
 from lynxlanding.store import store_version, stored_object
 from lynxlanding.transport import json_document
 
@@ -17,23 +18,62 @@
 MAX_PARTS = 8
 # The same for a message that goes to one node, which asks for it.
 MAX_REQUESTED_PARTS = 24
+# A message that cannot be divided, such as a configuration, goes in fragments to a node that asks
+# for it. More of them than this overflow the buffers of receivers; the store is read instead.
+FRAGMENT_BYTES = 1200
+MAX_FRAGMENTS = 64
 # Limit on the data decoded from one datagram, in bytes.
 _MAX_DECODED_BYTES = 1 << 18
+# The same for a message put together from fragments; values of the store have up to 1 MB.
+_MAX_WHOLE_BYTES = 4 << 20
 
 
-def encode(message, max_parts=MAX_PARTS):
+def encode(message):
     """Return the datagrams of a message, in the order of the changes.
 
     Changes that fit into no few datagrams are left out, so that the receivers read them from the
     store.
     """
     datagrams = _encode_parts(message)
-    if len(datagrams) <= max_parts and None not in datagrams:
+    if len(datagrams) <= MAX_PARTS and None not in datagrams:
         return datagrams
     notice = dataclasses.replace(message, puts=(), deletes=(), is_complete=False)
     return [_compress(_to_document(notice))]
 
 
+def encode_requested(message):
+    """Return the datagrams of a message for one node that has asked for it.
+
+    Such a node understands fragments.
+    """
+    datagrams = _encode_parts(message)
+    if len(datagrams) <= MAX_REQUESTED_PARTS and None not in datagrams:
+        return datagrams
+    data = zlib.compress(_to_json(_to_document(message)))
+    checksum = zlib.crc32(data)
+    count = -(-len(data) // FRAGMENT_BYTES)
+    if count > MAX_FRAGMENTS:
+        return []
+    datagrams = []
+    for index in range(count):
+        part = data[index * FRAGMENT_BYTES : (index + 1) * FRAGMENT_BYTES]
+        # The compression of the document takes back most of what the text form adds.
+        text = base64.b64encode(part).decode()
+        datagrams.append(_compress({"fragment": [checksum, index, count], "data": text}))
+    return datagrams
+
+
+def decode_whole(data):
+    """Return the ``FeedMessage`` that has been put together from fragments.
+
+    Raises
+    ------
+    errors.membership.MalformedMessage
+        If the data is none.
+    """
+    return _decode(data, _MAX_WHOLE_BYTES)
+
+
 def _encode_parts(message):
     """Return the datagrams of a message, divided until each fits; None for one that cannot."""
     data = _compress(_to_document(message))
@@ -67,21 +107,27 @@
 
 
 def decode(data):
-    """Return the decoded ``FeedMessage`` or ``Subscription``.
+    """Return the decoded ``FeedMessage``, ``Subscription`` or ``Fragment``.
 
     Raises
     ------
     errors.membership.MalformedMessage
-        If the data is neither.
+        If the data is none of them.
     """
+    return _decode(data[len(PREFIX) :], _MAX_DECODED_BYTES)
+
+
+def _decode(data, max_bytes):
     try:
         inflater = zlib.decompressobj()
-        text = inflater.decompress(data[len(PREFIX) :], _MAX_DECODED_BYTES)
+        text = inflater.decompress(data, max_bytes)
         if not inflater.eof:
             raise membership_errors.MalformedMessage("feed message is truncated or too large")
         document = json_document.decode(text)
         if "subscriber" in document:
             return _decode_subscription(document)
+        if "fragment" in document:
+            return _decode_fragment(document)
         era = int(document["era"])
         kind = document["kind"]
         puts = []
@@ -105,6 +151,14 @@
         raise membership_errors.MalformedMessage(f"feed message: {e}") from e
 
 
+def _decode_fragment(document):
+    checksum, index, count = (int(number) for number in document["fragment"])
+    if not 0 <= index < count <= MAX_FRAGMENTS:
+        raise membership_errors.MalformedMessage("fragment has no valid position")
+    data = base64.b64decode(document["data"], validate=True)
+    return fragment_assembler.Fragment(checksum, index, count, data)
+
+
 def _decode_subscription(document):
     versions = {}
     for kind, (era, revision) in document.get("versions", {}).items():
@@ -132,4 +186,8 @@
 
 
 def _compress(document):
-    return PREFIX + zlib.compress(json.dumps(document, separators=(",", ":")).encode())
+    return PREFIX + zlib.compress(_to_json(document))
+
+
+def _to_json(document):
+    return json.dumps(document, separators=(",", ":")).encode()
--- a/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
+++ b/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
@@ -1,5 +1,6 @@
 """Nodes of a large fleet get from relays what they would otherwise read from the store."""
 
+import base64
 import random
 import threading
 import time
@@ -10,6 +11,7 @@
     change_feed,
     feed_codec,
     feed_message,
+    fragment_assembler,
     peer_identity,
     peer_report,
     peer_table,
@@ -37,6 +39,7 @@
         self.access = {}
         self.is_losing = False
         self.sent = []
+        self.data = []
         for node_id in NODES:
             table = peer_table.PeerTable(node_id)
             for other in NODES:
@@ -67,6 +70,7 @@
 
     def _send(self, data, address):
         self.sent.append(address)
+        self.data.append(data)
         if not self.is_losing:
             self.feeds[address].receive(data, time.monotonic())
 
@@ -202,3 +206,69 @@
     node._notice_role()
     watching.join(1.0)
     assert results == [None]
+
+
+def make_large(revision, size=20_000):
+    text = random.Random(revision).randbytes(size).hex()
+    return stored_object.StoredObject(KIND, "main", version(revision), {"routes": text})
+
+
+def test_a_value_that_fits_no_datagram_comes_from_the_relay(network):
+    """Pattern: a new configuration, which every node of the fleet read from the store."""
+    network.publish(4, 5)
+    network.publish(5, 6, [make_large(6)])
+    assert network.watch(5).puts == (make_large(6),)
+    assert all(len(data) <= feed_codec.MAX_DATAGRAM_BYTES for data in network.data)
+
+
+@pytest.mark.parametrize("order", ["reversed", "lost"])
+def test_fragments_in_any_order_are_put_together(network, order):
+    """Guards against messages of mixed or missing fragments."""
+    message = feed_message.FeedMessage(KIND, version(5), version(6), (make_large(6),), age_ms=5)
+    datagrams = feed_codec.encode_requested(message)
+    assert len(datagrams) > 10
+    datagrams.reverse()
+    if order == "lost":
+        datagrams.pop()
+    node = network.feeds[network.node]
+    for data in datagrams:
+        node.receive(data, time.monotonic())
+    found = node.watch(KIND, version(5), 0.0)
+    assert found == (message if order == "reversed" else None)
+
+
+def test_a_value_for_too_many_datagrams_is_read_from_the_store(network):
+    """Guards against bursts that overflow the buffers of all receivers."""
+    network.publish(4, 5)
+    network.publish(5, 6, [make_large(6, 200_000)])
+    assert network.watch(5) is None
+
+
+def test_malformed_fragments_are_dropped(network):
+    """Guards against an error in the thread that receives all reports."""
+    node = network.feeds[network.node]
+    for document in (
+        {"fragment": [1, 2, 2], "data": ""},
+        {"fragment": [1, 0], "data": ""},
+        {"fragment": [1, 0, 1], "data": "?"},
+        {"fragment": [1, 0, 1], "data": "AAAA"},
+        {"fragment": [1, 0, 10**9], "data": ""},
+        {"fragment": None},
+    ):
+        node.receive(feed_codec._compress(document), time.monotonic())
+    inner = feed_codec._compress({"fragment": [1, 0, 1], "data": ""})
+    text = base64.b64encode(inner[len(feed_codec.PREFIX) :]).decode()
+    nested = {"fragment": [7, 0, 1], "data": text}
+    node.receive(feed_codec._compress(nested), time.monotonic())
+    assert node.watch(KIND, version(5), 0.0) is None
+
+
+def test_incomplete_messages_are_bounded():
+    """Guards against memory that grows with every lost fragment."""
+    assembler = fragment_assembler.FragmentAssembler()
+    for checksum in range(100):
+        assembler.add(fragment_assembler.Fragment(checksum, 0, 2, b"a"), 0.0)
+    assert len(assembler._incomplete) == fragment_assembler.MAX_INCOMPLETE
+    # Fragments of a message that was sent long before do not complete a later one.
+    late = fragment_assembler.ASSEMBLY_TIMEOUT_S
+    assert assembler.add(fragment_assembler.Fragment(99, 1, 2, b"b"), late) is None
