Measure the silence of a relay from its last word for evacuations

Cause: a wait in the change feed began anew with each call, so a node noticed a silent relay up to one wait (2.5 s) after the feed's timeout. With a relay whose watches go silent right before an evacuation, one of 5 nodes knew 1.9 s after the others, near the bound of 5 s. A wait that ended without a message also counted as a reading.

Change: kinds with a timeout of their own keep it exactly, and the watcher of evacuations waits longer than that, so only words of the relay count as readings. The other kinds are as before. tests/test_evacuations.py plays the silent relay.

--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -1,5 +1,6 @@
 """Keeps a node's copy of one kind of objects up to date."""
 
+import dataclasses
 import threading
 import time
 
@@ -30,6 +31,26 @@
 FEED_LOST = "lynxlanding:feed:lost"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WatchTimes:
+    """Times of a kind whose changes nodes may receive later or must receive sooner than others.
+
+    Parameters
+    ----------
+    watch_s : float
+        Used in place of ``WATCH_TIMEOUT_S`` for calls to the store.
+    relay_watch_s : float
+        Used in place of ``RELAY_WATCH_TIMEOUT_S``.
+    feed_s : float
+        Time after which the feed says that there are no changes. If it is longer than the feed's
+        own timeout, only words of the relay count as readings, never its silence.
+    """
+
+    watch_s: float
+    relay_watch_s: float
+    feed_s: float
+
+
 class StoreWatcher:
     """Lists the objects of a kind once and then watches for changes.
 
@@ -46,9 +67,8 @@
         change and the platform charges for every call, so the pause batches changes.
     feed : ChangeFeed, optional
         Changes that another node passes on; the store is read only where it has none.
-    watch_timeout_s, relay_watch_timeout_s : float, optional
-        Used in place of ``WATCH_TIMEOUT_S`` and ``RELAY_WATCH_TIMEOUT_S`` for changes that nodes
-        may receive later or must receive sooner than others.
+    times : WatchTimes, optional
+        Times of this kind, in place of the constants.
     """
 
     def __init__(
@@ -58,17 +78,14 @@
         handler,
         get_pause_s=None,
         feed=None,
-        *,
-        watch_timeout_s=None,
-        relay_watch_timeout_s=None,
+        times=None,
     ):
         self._store = store
         self._kind = kind
         self._handler = handler
         self._get_pause_s = get_pause_s
         self._feed = feed
-        self._own_watch_timeout_s = watch_timeout_s
-        self._own_relay_watch_timeout_s = relay_watch_timeout_s
+        self._times = times
         self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
@@ -118,9 +135,8 @@
             self._publish(None, watch_batch.WatchBatch([], [], version), was_outage)
             return version
         if self._feed is not None:
-            message = self._feed.watch(
-                self._kind, version, self._own_watch_timeout_s or WATCH_TIMEOUT_S
-            )
+            feed_s = WATCH_TIMEOUT_S if self._times is None else self._times.feed_s
+            message = self._feed.watch(self._kind, version, feed_s)
             if message is not None:
                 return self._apply_message(message)
         timeout_s = self._watch_timeout_s()
@@ -147,8 +163,8 @@
             # The feed may have ended because the store does not respond.
             return RECOVERY_WATCH_TIMEOUT_S
         if self._feed is not None and self._feed.has_subscribers:
-            return self._own_relay_watch_timeout_s or RELAY_WATCH_TIMEOUT_S
-        return self._own_watch_timeout_s or WATCH_TIMEOUT_S
+            return RELAY_WATCH_TIMEOUT_S if self._times is None else self._times.relay_watch_s
+        return WATCH_TIMEOUT_S if self._times is None else self._times.watch_s
 
     def _set_fed(self, is_fed, version):
         if is_fed != self._is_fed:
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -129,8 +129,10 @@
         self._messages = list(messages)
         self.published = []
         self.has_subscribers = False
+        self.waited_s = []
 
     def watch(self, kind, after, timeout_s):
+        self.waited_s.append(timeout_s)
         return self._messages.pop(0) if self._messages else None
 
     def publish(self, kind, after, batch, *, was_outage):
@@ -187,10 +189,10 @@
             "evacuations",
             RecordingHandler(),
             feed=feed,
-            watch_timeout_s=2.5,
-            relay_watch_timeout_s=1.0,
+            times=store_watcher.WatchTimes(2.5, 1.0, 5.0),
         )
         store.watcher = watcher
         watcher.start()
         assert store.done.wait(5.0)
         assert store.calls[1] == ("watch", 7, expected)
+        assert feed.waited_s == [5.0, 5.0]
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -336,8 +336,11 @@
                     evacuation_codec.KIND,
                     self._evacuations,
                     feed=self._change_feed,
-                    watch_timeout_s=settings.watch_timeout_s,
-                    relay_watch_timeout_s=settings.relay_watch_timeout_s,
+                    times=store_watcher.WatchTimes(
+                        settings.watch_timeout_s,
+                        settings.relay_watch_timeout_s,
+                        settings.bound_ms / 1000,
+                    ),
                 )
             )
         return watchers
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -39,7 +39,7 @@
     send : callable
         Sends a datagram: ``send(data, address)``.
     timeouts_s : dict of str to float, optional
-        Used in place of ``FEED_TIMEOUT_S``, by kind of objects.
+        Used in place of ``FEED_TIMEOUT_S``, by kind of objects, and kept exactly.
     """
 
     def __init__(self, identity, table, read_store_nodes, send, timeouts_s=None):
@@ -122,7 +122,8 @@
         with self._arrived:
             while True:
                 now = time.monotonic()
-                if now - self._received_at.get(kind, -feed_timeout_s) >= feed_timeout_s:
+                silent_s = now - self._received_at.get(kind, -feed_timeout_s)
+                if silent_s >= feed_timeout_s:
                     return None
                 queue = self._waiting.get(kind)
                 while queue:
@@ -136,7 +137,11 @@
                     return message
                 if now >= end:
                     return feed_message.FeedMessage(kind, after, after)
-                self._arrived.wait(min(end - now, feed_timeout_s))
+                remaining_s = feed_timeout_s
+                if kind in self._timeouts_s:
+                    # Of the other kinds, a silent relay is noticed up to one wait later.
+                    remaining_s -= silent_s
+                self._arrived.wait(min(end - now, remaining_s))
 
     def _run(self):
         while not self._stop.wait(SUBSCRIPTION_INTERVAL_S):
--- a/src/lynxlanding/peers/tests/test_change_feed.py
+++ b/src/lynxlanding/peers/tests/test_change_feed.py
@@ -272,3 +272,15 @@
     time.sleep(0.06)
     assert node.watch(KIND, version(7), 0.0) is None
     assert node.watch("evacuations", version(7), 0.0) is not None
+
+
+def test_silence_is_measured_from_the_last_word_of_the_relay(network):
+    """Guards against a wait that begins anew with each call while the relay is silent."""
+    network.feeds["node"]._timeouts_s[KIND] = 0.4
+    publish(network, 5, 7)
+    published_at = time.monotonic()
+    node = network.feeds["node"]
+    assert node.watch(KIND, version(5), 0.0).version == version(7)
+    assert node.watch(KIND, version(7), 0.3) is not None
+    assert node.watch(KIND, version(7), 5.0) is None
+    assert time.monotonic() - published_at < 0.55
--- a/src/lynxlanding/replicas/tests/test_group_controller.py
+++ b/src/lynxlanding/replicas/tests/test_group_controller.py
@@ -562,7 +562,7 @@
 
 
 def test_groups_wait_for_the_end_of_an_evacuation_and_stand_through_the_next():
-    """Guards against plans with engines that may not serve, and against groups that are given up."""
+    """Guards against plans with engines that may not serve, and groups that are given up."""
     cluster = Cluster()
     cluster.evacuated = frozenset("a")
     cluster.run(6)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from lynxlanding.peers import feed_roles
 from lynxlanding_bench import processes
 from lynxlanding_bench.site_day import calling_installation, evacuation_checker
 
@@ -22,10 +23,13 @@
 EVENTS = 12
 BEFORE_S = 2.0
 OBSERVED_S = 4.0
+SECOND_OBSERVED_S = 2.0
 # Time after the end of the evacuation in which the data centre serves again.
 RETURN_S = 4.0
 # The store refuses this node from before the evacuation until after its end.
 CUT_NODE = "n1"
+# The other nodes are told by it; its watches go silent before the second evacuation.
+RELAY = feed_roles.choose_relay("n0", list(NODES))
 # This node starts again during the evacuation.
 RESTARTED_NODE = "n2"
 
@@ -65,6 +69,11 @@
         engines = [f"i-{number:03d}" for number in range(ENGINES // 2)]
         return engines + [f"i-{number:03d}" for number in range(ENGINES, ENGINES + PLAIN, 2)]
 
+    def zone_b(self):
+        """Return the ids of the endpoints in the other zone."""
+        names = {f"i-{number:03d}" for number in range(ENGINES + PLAIN)}
+        return sorted(names.difference(self.zone_a()))
+
     def runs(self):
         """Return the requests that endpoints have run, with the node that each was sent to."""
         found = []
@@ -127,9 +136,7 @@
     times["begun_at"] = time.monotonic()
     installation.control(evacuate=installation.zone_a()[:1])
     time.sleep(evacuation_checker.BOUND_S)
-    times["gauges"] = [
-        installation.read_gauge(node, "lynxlanding_evacuated_data_centres") for node in NODES
-    ]
+    times["gauges"] = _read_gauges(installation)
     installation.running.kill(RESTARTED_NODE)
     installation.running.restart(RESTARTED_NODE)
     time.sleep(OBSERVED_S)
@@ -138,9 +145,24 @@
     time.sleep(RETURN_S)
     installation.control(serve_store=[cut_host])
     times["stopped_at"] = time.monotonic()
+    times["gauges_after"] = _read_gauges(installation)
+    time.sleep(1.0)
+    relay_host = installation.hosts[RELAY]
+    installation.control(silent_watches=[relay_host])
+    times["second_begun_at"] = time.monotonic()
+    installation.control(evacuate=installation.zone_b()[:1])
+    time.sleep(evacuation_checker.BOUND_S)
+    times["second_gauges"] = _read_gauges(installation)
+    time.sleep(SECOND_OBSERVED_S)
+    times["second_ended_at"] = time.monotonic()
     return times
 
 
+def _read_gauges(installation):
+    name = "lynxlanding_evacuated_data_centres"
+    return [installation.read_gauge(node, name) for node in NODES]
+
+
 def test_no_request_reaches_the_data_centre(played):
     """Guards against requests of nodes that read, are told, are cut off or have just started."""
     installation, times = played
@@ -174,8 +196,7 @@
     # The others are in the second zone, whose endpoints they prefer while these have room.
     assert nodes.issuperset(NODES[::2])
     assert endpoints.intersection(zone_a[: ENGINES // 2]), "its groups stand"
-    for node in NODES:
-        assert installation.read_gauge(node, "lynxlanding_evacuated_data_centres") == 0.0
+    assert times["gauges_after"] == [0.0] * len(NODES)
 
 
 def test_operators_see_the_evacuation(played):
@@ -184,3 +205,12 @@
     for node in NODES:
         assert installation.lines(node, "lynxlanding:evacuation:began"), node
         assert installation.lines(node, "lynxlanding:evacuation:ended"), node
+
+
+def test_no_request_comes_late_when_the_relay_no_longer_hears_the_store(played):
+    """Guards against nodes that wait for a relay whose connection to the store is silent."""
+    installation, times = played
+    span = (times["second_begun_at"], times["second_ended_at"])
+    late = evacuation_checker.late_arrivals(installation.runs(), installation.zone_b(), *span)
+    assert late == []
+    assert times["second_gauges"] == [1.0] * len(NODES)
