--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -1,5 +1,6 @@
 """Keeps a node's copy of one kind of objects up to date."""
 
+import dataclasses
 import threading
 import time
 
@@ -34,6 +35,26 @@
 FEED_LOST = "lynxlanding:feed:lost"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WatchTimes:
+    """Times of a kind whose changes nodes may receive later or must receive sooner than others.
+
+    Parameters
+    ----------
+    watch_s : float
+        Used in place of ``WATCH_TIMEOUT_S`` for calls to the store.
+    relay_watch_s : float
+        Used in place of ``RELAY_WATCH_TIMEOUT_S``.
+    feed_s : float
+        Time after which the feed says that there are no changes. If it is longer than the feed's
+        own timeout, only words of the relay count as readings, never its silence.
+    """
+
+    watch_s: float
+    relay_watch_s: float
+    feed_s: float
+
+
 class StoreWatcher:
     """Lists the objects of a kind once and then watches for changes.
 
@@ -53,9 +74,8 @@
     access : StoreAccess, optional
         Decides when the store is called in a large fleet. Without it, it is called whenever the
         feed has nothing.
-    watch_timeout_s, relay_watch_timeout_s : float, optional
-        Used in place of ``WATCH_TIMEOUT_S`` and ``RELAY_WATCH_TIMEOUT_S`` for changes that nodes
-        may receive later or must receive sooner than others.
+    times : WatchTimes, optional
+        Times of this kind, in place of the constants.
     """
 
     def __init__(
@@ -66,9 +86,7 @@
         get_pause_s=None,
         feed=None,
         access=None,
-        *,
-        watch_timeout_s=None,
-        relay_watch_timeout_s=None,
+        times=None,
     ):
         self._store = store
         self._kind = kind
@@ -79,8 +97,7 @@
         self._is_waiting = False
         # Reasons to wait that have been logged since the store was lost.
         self._logged_reasons = set()
-        self._own_watch_timeout_s = watch_timeout_s
-        self._own_relay_watch_timeout_s = relay_watch_timeout_s
+        self._times = times
         self._is_fed = False
         self._stop = threading.Event()
         self._unavailable_since = None
@@ -138,10 +155,7 @@
             self._publish(None, watch_batch.WatchBatch([], [], version), was_outage)
             return version
         if self._feed is not None:
-            # A message without changes, too, says that the store answers again.
-            is_available = self._unavailable_since is None
-            timeout_s = (self._own_watch_timeout_s or WATCH_TIMEOUT_S) if is_available else 0.0
-            message = self._feed.watch(self._kind, version, timeout_s)
+            message = self._feed.watch(self._kind, version, self._feed_timeout_s())
             if message is not None:
                 return self._apply_message(message)
         if not self._may_call(version):
@@ -207,8 +221,14 @@
             if self._is_in_large_fleet():
                 # After a longer silence, subscribers ask another relay.
                 return store_access.RELAY_WATCH_TIMEOUT_S
-            return self._own_relay_watch_timeout_s or RELAY_WATCH_TIMEOUT_S
-        return self._own_watch_timeout_s or WATCH_TIMEOUT_S
+            return RELAY_WATCH_TIMEOUT_S if self._times is None else self._times.relay_watch_s
+        return WATCH_TIMEOUT_S if self._times is None else self._times.watch_s
+
+    def _feed_timeout_s(self):
+        if self._times is not None:
+            return self._times.feed_s
+        # While the store is away, a message without changes, too, says that it answers again.
+        return WATCH_TIMEOUT_S if self._unavailable_since is None else 0.0
 
     def _set_fed(self, is_fed, version):
         if is_fed != self._is_fed:
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -364,8 +364,11 @@
                     self._evacuations,
                     feed=self._change_feed,
                     access=self._store_access,
-                    watch_timeout_s=settings.watch_timeout_s,
-                    relay_watch_timeout_s=settings.relay_watch_timeout_s,
+                    times=store_watcher.WatchTimes(
+                        settings.watch_timeout_s,
+                        settings.relay_watch_timeout_s,
+                        settings.bound_ms / 1000,
+                    ),
                 )
             )
         return watchers
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -53,7 +53,7 @@
         Learns what the relays say, and the roles of the nodes. Without it, and in a small fleet,
         each node that misses something reads it from the store.
     timeouts_s : dict of str to float, optional
-        Used in place of ``FEED_TIMEOUT_S``, by kind of objects.
+        Used in place of ``FEED_TIMEOUT_S``, by kind of objects, and kept exactly.
     """
 
     def __init__(self, identity, table, read_store_nodes, send, access=None, timeouts_s=None):
@@ -180,7 +180,8 @@
                     return None
                 if asked_at is not None and now - asked_at >= CATCH_UP_TIMEOUT_S:
                     return None
-                if now - self._received_at.get(kind, -feed_timeout_s) >= feed_timeout_s:
+                silent_s = now - self._received_at.get(kind, -feed_timeout_s)
+                if silent_s >= feed_timeout_s:
                     return None
                 queue = self._waiting.get(kind)
                 while queue:
@@ -201,7 +202,11 @@
                     continue
                 if now >= end:
                     return feed_message.FeedMessage(kind, after, after)
-                self._arrived.wait(min(end - now, feed_timeout_s))
+                remaining_s = feed_timeout_s
+                if kind in self._timeouts_s:
+                    # Of the other kinds, a silent relay is noticed up to one wait later.
+                    remaining_s -= silent_s
+                self._arrived.wait(min(end - now, remaining_s))
 
     def wait_for_message(self, kind, timeout_s):
         """Wait until the next message of a kind arrives."""
