Tell of the end of an evacuation before its endpoints get requests

Cause: on_ended came after the dispatcher used the data centre again, so requests could reach engines that nobody had marked as cold yet.

Change: EvacuationHandler calls on_ended first.

--- a/src/lynxlanding/node/evacuation_handler.py
+++ b/src/lynxlanding/node/evacuation_handler.py
@@ -32,8 +32,8 @@
     on_change : callable
         Called without arguments after an evacuation has begun or ended.
     on_ended : callable, optional
-        Called with the data centre and the time, in monotonic seconds, when an evacuation ends.
-        The data centre gets requests from then on, and its engines may be cold.
+        Called with the data centre and the time, in monotonic seconds, when an evacuation ends,
+        right before the data centre gets requests again. Its engines may be cold.
     """
 
     def __init__(
@@ -103,6 +103,10 @@
         self._logged_unknown = set(unknown)
 
     def _apply(self, changes, now):
+        for change in changes:
+            if change.kind == evacuated_data_centres.ENDED:
+                # Before the first request, since the engines may be cold.
+                self._on_ended(change.data_centre, now)
         if changes:
             self._serving.use_evacuated(self._state.data_centres).get()
         if self._state.is_known:
@@ -112,8 +116,6 @@
             )
         for change in changes:
             self._log_change(change)
-            if change.kind == evacuated_data_centres.ENDED:
-                self._on_ended(change.data_centre, now)
         if changes:
             self._on_change()
 
--- a/src/lynxlanding/node/tests/test_evacuation_handler.py
+++ b/src/lynxlanding/node/tests/test_evacuation_handler.py
@@ -60,6 +60,7 @@
 
 
 def test_beginning_and_end_are_logged_with_their_age(installation):
+    """Also guards against requests to cold engines before it is known that they may be cold."""
     handler = installation.handler
     handler.on_list([], version(1), 10.0, False)
     handler.on_changes([stored("a", {"reason": 7})], [], version(2), 10.5, False)
@@ -67,8 +68,8 @@
     assert installation.events == [
         ("use", ["a"]),
         ("changed",),
-        ("use", []),
         ("ended", "a", 19.5),
+        ("use", []),
         ("changed",),
     ]
     (began,) = installation.lines_of(evacuation_handler.EVACUATION_BEGAN)
