Let another node act as a relay if the store refuses all candidates

Cause: with a store that refuses all 12 candidates for relays of 128 nodes and answers the other 116, all nodes waited for 15 to 30 s, and the refused ones had nobody to follow. Any node whose own call ended an outage told all others. Change: while relays wait, one or two of the other nodes try each second. One that is answered acts as a relay until a relay is heard again: it says so to all nodes, which subscribe to it. Only relays and such nodes tell all others that the store is back.

--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -73,6 +73,8 @@
         self._assembler = fragment_assembler.FragmentAssembler()
         self._subscribed_at = 0.0
         self._told_waiting_at = 0.0
+        # Address of a node that acts as a relay, and until when it is asked.
+        self._substitute = ("", 0.0)
         # Second relays that have been asked since this node follows one of them.
         self._asked_relays = set()
         self._arrived = threading.Condition()
@@ -115,7 +117,11 @@
             return
         answered_at = now - message.age_ms / 1000
         if self._access is not None:
-            self._access.record_feed(message.kind, answered_at)
+            self._access.record_feed(
+                message.kind, answered_at, is_from_substitute=bool(message.substitute_address)
+            )
+        if message.substitute_address:
+            self._substitute = (message.substitute_address, now + SUBSCRIPTION_LIFETIME_S)
         with self._arrived:
             received_at = self._received_at.get(message.kind, answered_at)
             self._received_at[message.kind] = max(received_at, answered_at)
@@ -150,9 +156,13 @@
             is_complete=after is not None,
             was_outage=was_outage,
         )
+        is_substitute = self._access is not None and self._access.is_substitute
+        if is_substitute:
+            message = dataclasses.replace(message, substitute_address=self._identity.address)
         self._keep(message)
         addresses = self._subscriber_addresses(time.monotonic())
-        if was_outage and self._is_in_large_fleet():
+        is_announced = self._is_in_large_fleet() and (self._access.is_relay or is_substitute)
+        if was_outage and is_announced:
             # Nodes may have lost their relay meanwhile, and wait to hear that the store is back.
             addresses.update(peer.address for peer in list(self._table.peers.values()))
             addresses.discard(self._identity.address)
@@ -230,8 +240,9 @@
 
     def _reads_for_others(self):
         """Return whether this node is a relay of a large fleet that the store answers."""
-        is_relay = self._is_in_large_fleet() and self._access.is_relay
-        return is_relay and not self._access.is_failing
+        if not self._is_in_large_fleet() or self._access.is_failing:
+            return False
+        return self._access.is_relay or self._access.is_substitute
 
     def _notice_role(self):
         """Wake the watchers that follow another relay once this node has become one."""
@@ -255,6 +266,8 @@
             for relay in relays[:1]:
                 self._subscribe(relay)
             self._asked_relays.intersection_update(relays)
+        if is_due and now < self._substitute[1]:
+            self._subscribe_at(self._substitute[0])
         for relay in relays[1:]:
             if is_due or relay not in self._asked_relays:
                 self._asked_relays.add(relay)
@@ -271,13 +284,18 @@
     def _subscribe(self, relay, versions=None):
         peer = self._table.peers.get(relay)
         if peer is not None:
-            subscription = feed_message.Subscription(self._identity.address, versions or {})
-            self._send(feed_codec.encode_subscription(subscription), peer.address)
+            self._subscribe_at(peer.address, versions)
+
+    def _subscribe_at(self, address, versions=None):
+        subscription = feed_message.Subscription(self._identity.address, versions or {})
+        self._send(feed_codec.encode_subscription(subscription), address)
 
     def _ask(self, kind, after, now):
         """Ask the relays for what follows a version."""
         for relay in self._access.relays_to_follow(now):
             self._subscribe(relay, {kind: after})
+        if now < self._substitute[1]:
+            self._subscribe_at(self._substitute[0], {kind: after})
 
     def _keep(self, message):
         """Keep a published message for subscribers that miss it."""
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -146,6 +146,7 @@
             bool(document["was_outage"]),
             max(0, int(document.get("age_ms", 0))),
             tuple(str(kind) for kind in document.get("waiting", ())),
+            str(document.get("substitute", "")),
         )
     except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as e:
         raise membership_errors.MalformedMessage(f"feed message: {e}") from e
@@ -182,6 +183,8 @@
         document["age_ms"] = message.age_ms
     if message.waiting_kinds:
         document["waiting"] = list(message.waiting_kinds)
+    if message.substitute_address:
+        document["substitute"] = message.substitute_address
     return document
 
 
--- a/src/lynxlanding/peers/feed_message.py
+++ b/src/lynxlanding/peers/feed_message.py
@@ -35,6 +35,9 @@
     waiting_kinds : tuple of str
         Kinds for which the sender waits for an answer of the store. Such a message has the kind
         ``WAITING`` and no changes.
+    substitute_address : str
+        Address of the sender if it acts as a relay because the store refuses all candidates for
+        relays; empty for a relay.
     """
 
     kind: str
@@ -46,6 +49,7 @@
     was_outage: bool = False
     age_ms: int = 0
     waiting_kinds: tuple[str, ...] = ()
+    substitute_address: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/peers/store_access.py
+++ b/src/lynxlanding/peers/store_access.py
@@ -36,9 +36,11 @@
 MAX_REFUSED_PAUSE_S = 4.0
 # A call that has not ended by then counts as lost; calls time out earlier.
 PROBE_EXPIRY_S = 6.0
-# A node whose relays only wait tries once by itself after this long, and up to twice as long, in
-# case that all of them are wrong.
-MAX_WAIT_S = 15.0
+# While relays only wait, some other node tries by itself about twice a second, in case that the
+# store refuses all candidates for relays. Each node does so after a random time: the first of
+# these, and up to the second for each node of the fleet.
+MIN_WAIT_S = 1.0
+WAIT_PER_NODE_S = 0.5
 # After the return of the store, a relay passes on the kinds one after the other.
 RETURN_GRACE_S = 0.5
 # Bounds what a malformed message can add.
@@ -89,6 +91,7 @@
         self._random_state = random_state
         self._lock = threading.Lock()
         self._is_large = False
+        self._node_count = 1
         self._has_peers = False
         self._relays = ()
         # Own calls.
@@ -105,7 +108,8 @@
         self._relay_waits_at = {}
         self._returned_at = -math.inf
         self._waiting_since = None
-        self._max_wait_s = MAX_WAIT_S
+        self._max_wait_s = 0.0
+        self._is_substitute = False
 
     @property
     def is_large(self):
@@ -122,10 +126,16 @@
         """Whether the last own call was refused or not answered."""
         return self._failures > 0
 
+    @property
+    def is_substitute(self):
+        """Whether this node acts as a relay, since the store refuses all candidates for relays."""
+        return self._is_substitute and not self.is_relay
+
     def use_fleet(self, live_ids, store_ids):
         """Derive the roles from the live nodes and those of them that the store answers."""
         with self._lock:
             self._has_peers = self._has_peers or len(live_ids) > 1
+            self._node_count = len(live_ids)
             self._is_large = len(live_ids) > MAX_SMALL_FLEET_NODES
             self._relays = ()
             if self._is_large:
@@ -164,11 +174,14 @@
             # A pause counts from the start of a probe, since one without an answer lasts longer.
             self._pause_from = now if self._probing_since is None else self._probing_since
             self._probing_since = None
+            self._is_substitute = False
             self._pause_share = self._random_state.uniform(1 - BACKOFF_JITTER, 1 + BACKOFF_JITTER)
 
-    def record_feed(self, kind, answered_at):
+    def record_feed(self, kind, answered_at, *, is_from_substitute=False):
         """Record that the store has answered a relay at a time, as the relay says."""
         with self._lock:
+            if not is_from_substitute:
+                self._is_substitute = False
             if answered_at - self._last_fed_at >= FEED_TIMEOUT_S:
                 self._returned_at = answered_at
                 if self._failures > 1:
@@ -219,11 +232,12 @@
     def _decide(self, kind, now):
         if not self._is_large and (self._has_peers or self._has_been_answered):
             return AccessDecision(True, CALL_SMALL_FLEET)
-        if not self.is_relay and self._hears_waiting_relay(kind, now):
+        reads_for_others = self.is_relay or self._is_substitute
+        if not reads_for_others and self._hears_waiting_relay(kind, now):
             return self._wait_for_relays(now)
         self._waiting_since = None
         is_returning = now - self._returned_at < RETURN_GRACE_S
-        if not self.is_relay and is_returning and self._fed_at[kind] < self._returned_at:
+        if not reads_for_others and is_returning and self._fed_at[kind] < self._returned_at:
             return AccessDecision(False, WAIT_RETURN)
         if self._failures > 0:
             return self._probe(now)
@@ -232,9 +246,12 @@
     def _wait_for_relays(self, now):
         if self._waiting_since is None:
             self._waiting_since = now
-            self._max_wait_s = self._random_state.uniform(MAX_WAIT_S, 2 * MAX_WAIT_S)
+            spread_s = WAIT_PER_NODE_S * self._node_count
+            self._max_wait_s = MIN_WAIT_S + self._random_state.uniform(0.0, spread_s)
         if now - self._waiting_since >= self._max_wait_s:
             self._waiting_since = None
+            self._is_substitute = True
+            self._probing_since = now
             return AccessDecision(True, CALL_PROBE)
         return AccessDecision(False, WAIT_RELAYS_PROBE)
 
--- a/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
+++ b/src/lynxlanding/peers/tests/test_change_feed_in_large_fleets.py
@@ -272,3 +272,37 @@
     # Fragments of a message that was sent long before do not complete a later one.
     late = fragment_assembler.ASSEMBLY_TIMEOUT_S
     assert assembler.add(fragment_assembler.Fragment(99, 1, 2, b"b"), late) is None
+
+
+def test_a_substitute_for_refused_relays_is_followed_until_they_are_back(network):
+    """Pattern: the store refuses all candidates for relays, and answers another node."""
+    substitute = next(
+        node_id for node_id in NODES if node_id not in (*network.relays, network.node)
+    )
+    access = network.access[substitute]
+    now = time.monotonic()
+    access.decide(KIND, now)
+    while not access.is_substitute:
+        access.record_waiting_relay([KIND], now)
+        access.decide(KIND, now)
+        now += 1.0
+    access.record_answer(now, KIND)
+    feed = network.feeds[substitute]
+    batch = watch_batch.WatchBatch([stored("a", 6)], [], version(6))
+    feed.publish(KIND, version(5), batch, was_outage=True)
+    assert set(network.sent) == set(NODES) - {substitute}
+    assert network.watch(5).puts == (stored("a", 6),)
+    network.feeds[network.node]._follow_relays(time.monotonic(), is_due=True)
+    assert substitute in network.sent
+    network.sent.clear()
+    feed.publish(KIND, version(6), watch_batch.WatchBatch([], [], version(7)), was_outage=False)
+    assert network.sent == [network.node]
+    access.record_feed(KIND, now)
+    assert not access.is_substitute
+
+
+def test_other_nodes_do_not_announce_that_the_store_is_back(network):
+    """Guards against a message of every node to all others after an outage."""
+    batch = watch_batch.WatchBatch([], [], version(6))
+    network.feeds[network.node].publish(KIND, version(5), batch, was_outage=True)
+    assert network.sent == []
