--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -35,6 +35,8 @@
         Whether each node reaches the site at an address of its own, so that it can be cut off.
     site_options : sequence, optional
         Further options of the stand-in's command.
+    concurrency : int, optional
+        Requests that a node handles concurrently.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         node_names=NODES,
         has_own_hosts=False,
         site_options=(),
+        concurrency=60,
     ):
         self.running = running
+        self._concurrency = concurrency
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
         self.store_port = ports[0]
@@ -120,7 +124,7 @@
   peers: "127.0.0.1:{peers}"
   metrics: "127.0.0.1:{metrics}"
 requests:
-  concurrency: 60
+  concurrency: {self._concurrency}
   repeat_slack: 400
 """
         )
