Bound what callers take while their bytes arrive

Cause: the server looked at limits only when a request was complete, with 16 MB of its own instead of the operator's limit; nothing bounded all requests together, the chunks or requests parsed in one turn of the event loop, the time for headers, or unread answers; and at two connections for each thread no new one was accepted. Change: gateway/body_readers replaces waitress's receivers and refuses a body as soon as it exceeds the limit of the configuration in force. transport/memory_budget counts what is buffered for callers and endpoints, derived from limits.memory_mb; the largest incomplete shares lose. A turn reads 64 chunks or parses 8 requests of a connection. Headers, stalled bodies and unread answers have timeouts. gateway/connection_bound gives up the oldest idle connections first, within limits.max_fds. Refusals are followed by a bounded drain, so that no reset hides them, and carry the caller's request id on the platform's nodes. lynxlandingd uses the same code. Counters and one log line a second for each reason tell which limits are exceeded. tests/test_bad_input.py expected that a stalled request is cut without an answer; it is now answered with 408 first, and the test asks for both the 408 and the end of the connection.

--- a/src/lynxlanding/daemon/node.py
+++ b/src/lynxlanding/daemon/node.py
@@ -24,7 +24,14 @@
     view_source,
 )
 from lynxlanding.drain import node_stop
-from lynxlanding.gateway import caller_app, claim_app, http_server, peer_app, request_parser
+from lynxlanding.gateway import (
+    caller_app,
+    caller_guard,
+    claim_app,
+    http_server,
+    peer_app,
+    request_parser,
+)
 from lynxlanding.membership import member
 from lynxlanding.operators import admin_app
 from lynxlanding.requests import (
@@ -40,7 +47,7 @@
 from lynxlanding.retry import retry_actor
 from lynxlanding.routing import endpoint_poller, routing_actor
 from lynxlanding.store import http_store, vm_list
-from lynxlanding.transport import strict_connection
+from lynxlanding.transport import memory_budget, strict_connection
 
 DRAIN_POLL_INTERVAL_S = 0.05
 # If an outcome is not in the store when the process ends, repeats of its request get
@@ -149,9 +156,16 @@
         signal.signal(signal.SIGINT, self._on_signal)
         listen = self._settings.listen
         limits = self._settings.requests
+        caller_limits = caller_guard.fixed_limits(limits)
+        guard = caller_guard.CallerGuard(
+            memory_budget.MemoryBudget(caller_guard.budget_bytes(self._settings.limits.memory_mb)),
+            lambda: caller_limits,
+            self._settings.limits.max_fds,
+        )
+        guard.add_gauges(self._observability.metrics)
         servers = [
-            http_server.create(self._caller_app, listen.host, listen.port, limits),
-            http_server.create(self._peer_app, listen.host, listen.peer_port, limits),
+            http_server.create(self._caller_app, listen.host, listen.port, limits, guard=guard),
+            http_server.create(self._peer_app, listen.host, listen.peer_port, limits, guard=guard),
         ]
         self._attempt_monitor.start()
         for server in servers:
--- a/src/lynxlanding/dispatch/body_memory.py
+++ b/src/lynxlanding/dispatch/body_memory.py
@@ -1,60 +1,31 @@
 """Memory for the bodies that are being read, which all attempts share."""
 
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.transport import memory_budget
 
 
 class BodyMemory:
-    """Bounds the bytes of all bodies together.
-
-    Once they exceed the bound, bodies with more than an equal share of it are given up. A body that
-    never ends therefore costs other requests nothing. The threads that use it are cooperative.
+    """Counts bodies of endpoints toward the memory budget of the process.
 
     Parameters
     ----------
-    max_bytes : int
-        Bytes of all bodies that are being read.
+    budget : MemoryBudget
+        Budget that callers' requests and answers share.
     """
 
-    __slots__ = ("_body_count", "_held_bytes", "_max_bytes")
+    __slots__ = ("_budget",)
 
-    def __init__(self, max_bytes):
-        self._max_bytes = max_bytes
-        self._held_bytes = 0
-        self._body_count = 0
+    def __init__(self, budget):
+        self._budget = budget
 
     @property
     def held_bytes(self):
-        """Bytes of all bodies that are being read."""
-        return self._held_bytes
+        """Bytes that the budget counts."""
+        return self._budget.held_bytes
 
     def begin(self):
         """Return the ``BodyShare`` of a body that is to be read."""
-        self._body_count += 1
-        return BodyShare(self)
-
-    def end_share(self):
-        """Count one body less."""
-        self._body_count -= 1
-
-    def change(self, own_bytes, difference):
-        """Change the bytes that are held.
-
-        Parameters
-        ----------
-        own_bytes : int
-            Bytes of the body after the change.
-        difference : int
-            Bytes that are added, or removed if it is negative.
-
-        Raises
-        ------
-        errors.endpoint.ResponseTooLarge
-            If there is no memory for the rest of the body.
-        """
-        self._held_bytes += difference
-        exceeds_share = own_bytes * self._body_count > self._max_bytes
-        if difference > 0 and exceeds_share and self._held_bytes > self._max_bytes:
-            raise endpoint_errors.ResponseTooLarge(f"no memory after {own_bytes} bytes of the body")
+        return BodyShare(self._budget.begin())
 
 
 class BodyShare:
@@ -62,28 +33,37 @@
 
     Parameters
     ----------
-    memory : BodyMemory
-        Memory of all bodies.
+    share : MemoryShare
+        Share of the budget.
     """
 
-    __slots__ = ("_memory", "_own_bytes")
+    __slots__ = ("_own_bytes", "_share")
 
-    def __init__(self, memory):
-        self._memory = memory
+    def __init__(self, share):
+        self._share = share
         self._own_bytes = 0
 
     def add(self, received):
-        """Count received bytes; raises ``ResponseTooLarge`` if there is no memory for them."""
+        """Count received bytes.
+
+        Raises
+        ------
+        errors.endpoint.ResponseTooLarge
+            If there is no memory for the rest of the body.
+        """
         self._own_bytes += received
-        self._memory.change(self._own_bytes, received)
+        if not self._share.is_lost:
+            memory_budget.notify(self._share.resize(0, self._own_bytes))
+        if self._share.is_lost:
+            raise endpoint_errors.ResponseTooLarge(
+                f"no memory after {self._own_bytes} bytes of the body"
+            )
 
     def release(self):
         """Count the bytes so far as passed on."""
-        released = self._own_bytes
         self._own_bytes = 0
-        self._memory.change(0, -released)
+        self._share.resize(0, 0)
 
     def end(self):
         """Release the bytes of a body that is no longer read."""
         self.release()
-        self._memory.end_share()
--- a/src/lynxlanding/dispatch/endpoint_client.py
+++ b/src/lynxlanding/dispatch/endpoint_client.py
@@ -8,10 +8,11 @@
 
 from lynxlanding.dispatch import body_memory, connection_pool
 from lynxlanding.errors import endpoint as endpoint_errors
-from lynxlanding.transport import strict_response
+from lynxlanding.transport import memory_budget, strict_response
 
 READ_SIZE = 65536
-# Bodies that are being read, a quarter of the memory that a node has.
+# Bodies that are being read by a client without a shared budget, a quarter of the memory that a
+# node has.
 MAX_HELD_BYTES = 64 << 20
 # A complete response makes progress with each of these many bytes. Single bytes may come from an
 # endpoint that has stalled.
@@ -84,14 +85,18 @@
         Provides ``decode_response(headers)``.
     stall_tracker : StallTracker
         Notified whenever a response makes progress.
+    budget : MemoryBudget, optional
+        Memory for bodies that are being read, shared with callers' requests.
     """
 
-    def __init__(self, pool, monitor, codec, stall_tracker):
+    def __init__(self, pool, monitor, codec, stall_tracker, budget=None):
         self._pool = pool
         self._monitor = monitor
         self._codec = codec
         self._stall_tracker = stall_tracker
-        self._body_memory = body_memory.BodyMemory(MAX_HELD_BYTES)
+        if budget is None:
+            budget = memory_budget.MemoryBudget(MAX_HELD_BYTES)
+        self._body_memory = body_memory.BodyMemory(budget)
 
     def send(
         self,
--- a/src/lynxlanding/errors/request.py
+++ b/src/lynxlanding/errors/request.py
@@ -38,6 +38,18 @@
     status = 400
 
 
+class HeadersTooLarge(InvalidRequest):
+    """The headers exceed the limit."""
+
+    status = 431
+
+
+class RequestTimedOut(InvalidRequest):
+    """The request did not arrive in time."""
+
+    status = 408
+
+
 class Unauthorized(RequestError):
     """The bearer token is missing or unknown."""
 
--- /dev/null
+++ b/src/lynxlanding/gateway/caller_server.py
@@ -0,0 +1,66 @@
+"""Server that closes connections which keep others from being accepted."""
+
+import time
+
+from waitress import server
+
+from lynxlanding.errors import request as request_errors
+from lynxlanding.gateway import caller_channel, caller_guard, connection_bound
+
+CHECK_INTERVAL_S = 1.0
+# Connections that are given up at once when there are too many: finding them takes a pass over
+# all connections.
+GIVEN_UP_AT_ONCE = 16
+# While all connections are busy, new ones wait in the backlog until the next attempt.
+ACCEPT_RETRY_S = 0.1
+
+
+class CallerServer(server.TcpWSGIServer):
+    """HTTP server whose number of connections is bounded.
+
+    ``guard`` and ``idle_timeout_s`` must be set before the server runs.
+    """
+
+    channel_class = caller_channel.StreamingChannel
+    guard = None
+    idle_timeout_s = 60.0
+    _next_check_at = 0.0
+    _accept_at = 0.0
+
+    def readable(self):
+        """Return whether connections should be accepted; also checks timeouts once a second."""
+        now = time.monotonic()
+        if now >= self._next_check_at:
+            self._next_check_at = now + CHECK_INTERVAL_S
+            limits = self.guard.get_limits()
+            for connection in list(self.active_channels.values()):
+                connection.check_timeouts(now, limits, self.idle_timeout_s)
+        return self.accepting and now >= self._accept_at
+
+    def handle_accept(self):
+        """Accept a connection, after giving up others if there are too many."""
+        if len(self.active_channels) >= self.adj.connection_limit and not self._make_room():
+            self._accept_at = time.monotonic() + ACCEPT_RETRY_S
+            return
+        super().handle_accept()
+
+    def _make_room(self):
+        """Give up connections; return whether a new one can be accepted now."""
+        states = []
+        for connection in self.active_channels.values():
+            states.append(
+                connection_bound.ConnectionState(
+                    connection, connection.activity, connection.last_activity
+                )
+            )
+        for state in connection_bound.select(states, GIVEN_UP_AT_ONCE):
+            if state.activity is connection_bound.Activity.ARRIVING:
+                error = request_errors.Overloaded("too many connections", retry_after_s=1.0)
+                state.key.refuse(error, caller_guard.NO_DESCRIPTOR)
+                continue
+            if state.activity is connection_bound.Activity.IDLE:
+                self.guard.record(caller_guard.NO_DESCRIPTOR)
+            elif state.activity is connection_bound.Activity.UNREAD:
+                self.guard.record(caller_guard.ANSWER_NOT_READ)
+            state.key.handle_close()
+        return len(self.active_channels) < self.adj.connection_limit
--- a/src/lynxlanding/gateway/http_server.py
+++ b/src/lynxlanding/gateway/http_server.py
@@ -2,49 +2,17 @@
 
 import logging
 import socket
-import struct
-import time
 
-import waitress
-from waitress import channel
+from waitress import adjustments
 
-from lynxlanding.gateway import error_task, stream_aborted, strict_parser
+from lynxlanding.gateway import caller_guard, caller_server, stream_aborted
 
-# Bodies slightly above the limit still reach the application, whose error is more detailed.
-BODY_MARGIN_BYTES = 64 << 10
-# Unsent data is dropped, and the other side sees a reset.
-_NO_LINGER = struct.pack("ii", 1, 0)
-
-
-class StreamingChannel(channel.HTTPChannel):
-    """Channel with JSON protocol errors and a fast path for small writes.
-
-    The inherited ``write_soon`` takes a lock and goes through an output buffer for each token.
-    Threads are cooperative (gevent), so no other thread can run between the check of the buffer
-    and the non-blocking send. Data therefore go directly to the socket while the buffer is empty.
-    """
-
-    parser_class = strict_parser.StrictParser
-    task_class = strict_parser.KeepAliveTask
-    error_task_class = error_task.JsonErrorTask
-
-    def write_soon(self, data):
-        """Send ``data``; bytes that the socket does not accept go to the output buffer."""
-        if type(data) is not bytes or not data or self.total_outbufs_len or not self.connected:
-            return super().write_soon(data)
-        try:
-            sent = self.socket.send(data)
-        except OSError:
-            # The inherited method distinguishes a full socket buffer from a broken connection.
-            return super().write_soon(data)
-        self.last_activity = time.time()
-        if sent < len(data):
-            super().write_soon(data[sent:])
-        return len(data)
-
-    def reset_on_close(self):
-        """Let the connection end with a reset instead of in order."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+# The VMs have no disks, so what is buffered must stay in memory, which has its own budget.
+_NO_OVERFLOW = 1 << 40
+# Descriptors that are not for callers' connections.
+RESERVED_DESCRIPTORS = 200
+# Listeners with few threads, such as that for readiness checks, take this many connections.
+MIN_CONNECTIONS = 64
 
 
 class _StreamAbortedFilter(logging.Filter):
@@ -56,7 +24,7 @@
         return not (exc_info and isinstance(exc_info[1], stream_aborted.StreamAborted))
 
 
-def create(app, host, port, settings, listener=None):
+def create(app, host, port, settings, listener=None, guard=None):
     """Return a server that listens but handles no requests until it is run.
 
     Parameters
@@ -71,31 +39,55 @@
         Limits on requests and connections.
     listener : socket, optional
         Socket that already listens at the address; the server takes ownership of it.
+    guard : CallerGuard, optional
+        Limits on all callers of the process together; by default those of ``settings`` apply to
+        this server alone.
     """
     logging.getLogger("waitress").addFilter(_StreamAbortedFilter())
-    server = waitress.create_server(
-        app,
+    if guard is None:
+        guard = caller_guard.for_settings(settings)
+    adjusted = adjustments.Adjustments(
         **_listen_arguments(host, port, listener),
         threads=settings.concurrency,
-        connection_limit=settings.concurrency * 2,
+        connection_limit=_max_connections(settings.concurrency, guard.max_descriptors),
         backlog=2048,
         # Flush every stream event as soon as it is written.
         send_bytes=1,
-        max_request_body_size=settings.max_body_bytes + BODY_MARGIN_BYTES,
-        max_request_header_size=settings.max_header_bytes,
-        # The VMs have no disks, so request bodies must stay in memory.
-        inbuf_overflow=settings.max_body_bytes + 2 * BODY_MARGIN_BYTES,
-        channel_timeout=int(max(1, settings.idle_timeout_s)),
-        cleanup_interval=2,
+        inbuf_overflow=_NO_OVERFLOW,
+        outbuf_overflow=_NO_OVERFLOW,
         channel_request_lookahead=1,
         asyncore_use_poll=True,
         ident=None,
         clear_untrusted_proxy_headers=True,
     )
-    server.channel_class = StreamingChannel
+    if listener is None:
+        server = caller_server.CallerServer(app, {}, adj=adjusted)
+    else:
+        (own_listener,) = adjusted.sockets
+        address = (own_listener.family, own_listener.type, own_listener.proto)
+        server = caller_server.CallerServer(
+            app,
+            {},
+            _sock=own_listener,
+            adj=adjusted,
+            bind_socket=False,
+            sockinfo=(*address, own_listener.getsockname()),
+        )
+    server.guard = guard
+    server.idle_timeout_s = settings.idle_timeout_s
     return server
 
 
+def _max_connections(concurrency, max_descriptors):
+    """Return how many connections a server takes.
+
+    Each request that runs may take a further descriptor, for its connection to an endpoint.
+    """
+    if max_descriptors is None:
+        return max(MIN_CONNECTIONS, 2 * concurrency)
+    return max(MIN_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS - concurrency)
+
+
 def _listen_arguments(host, port, listener):
     if listener is None:
         return {"host": host, "port": port}
--- a/src/lynxlanding/gateway/strict_parser.py
+++ b/src/lynxlanding/gateway/strict_parser.py
@@ -2,11 +2,20 @@
 
 import re
 
-from waitress import parser, task
+from waitress import parser, task, utilities
+
+from lynxlanding.errors import request as request_errors
+from lynxlanding.gateway import body_readers
+from lynxlanding.traffic import limits as caller_limits
 
 # Key in the WSGI environment of the headers as sent: a list of name and value pairs.
 RAW_HEADERS_KEY = "lynxlanding.raw_headers"
 
+# Limits of a parser that is used without a server.
+DEFAULT_LIMITS = caller_limits.CallerLimits(
+    max_header_bytes=64 << 10, max_body_bytes=16 << 20, header_timeout_s=3.0, idle_timeout_s=15.0
+)
+
 _HEADER_LINE = re.compile(rb"([^:\s]+):[ \t]*(.*)", re.DOTALL)
 
 
@@ -15,10 +24,85 @@
 
     A request with both ``Content-Length`` and ``Transfer-Encoding`` allows request smuggling: if
     another hop uses the other header to find the end of the body, part of the body is parsed as a
-    second request.
+    second request. The limits apply while the bytes arrive.
     """
 
     raw_headers = ()
+    limits = DEFAULT_LIMITS
+
+    @property
+    def held_bytes(self):
+        """Bytes that are buffered for the request."""
+        reader = self.body_rcv
+        return len(self.header_plus) + (0 if reader is None else len(reader))
+
+    def received(self, data):
+        """Read bytes and return how many of them were consumed.
+
+        Fewer than all are consumed if the request is complete, or if the rest has to wait for the
+        next turn of the event loop.
+        """
+        if self.completed:
+            return 0
+        reader = self.body_rcv
+        if reader is None:
+            return self._receive_head(data)
+        consumed = reader.received(data)
+        self.body_bytes_received += consumed
+        if reader.error is not None:
+            self.refuse(reader.error)
+        elif reader.completed:
+            self.completed = True
+            if self.chunked:
+                self.headers["CONTENT_LENGTH"] = str(len(reader))
+        return consumed
+
+    def refuse(self, error):
+        """Complete the request with an error and discard what has arrived of it."""
+        self.body_rcv = None
+        self.header_plus = b""
+        self.expect_continue = False
+        self.error = error
+        self.completed = True
+
+    def _receive_head(self, data):
+        head = self.header_plus + data if self.header_plus else data
+        end = utilities.find_double_newline(head)
+        if (len(head) if end < 0 else end) > self.limits.max_header_bytes:
+            self.refuse(
+                request_errors.HeadersTooLarge(
+                    f"the headers exceed {self.limits.max_header_bytes} bytes"
+                )
+            )
+            return len(data)
+        if end < 0:
+            self.header_plus = head
+            return len(data)
+        consumed = len(data) - (len(head) - end)
+        self.header_plus = b""
+        # Empty lines before a request are allowed (RFC 9112, section 2.2).
+        head = head[:end].lstrip()
+        self.headers_finished = True
+        if not head:
+            self.empty = True
+            self.completed = True
+            return consumed
+        try:
+            self.parse_header(head)
+        except parser.ParsingError as e:
+            self.refuse(utilities.BadRequest(e.args[0]))
+        except parser.TransferEncodingNotImplemented as e:
+            self.refuse(utilities.ServerNotImplemented(e.args[0]))
+        else:
+            if self.body_rcv is None:
+                self.completed = True
+            elif self.content_length > self.limits.max_body_bytes:
+                self.refuse(
+                    request_errors.BodyTooLarge(
+                        f"the body exceeds {self.limits.max_body_bytes} bytes"
+                    )
+                )
+        return consumed
 
     def parse_header(self, header_plus):
         """Parse the request line and the headers."""
@@ -36,6 +120,10 @@
         super().parse_header(header_plus)
         if "transfer-encoding" in names and "content-length" in names:
             raise parser.ParsingError("Content-Length beside Transfer-Encoding")
+        if self.chunked:
+            self.body_rcv = body_readers.ChunkReader(self.limits)
+        elif self.content_length > 0:
+            self.body_rcv = body_readers.FixedBodyReader(self.content_length)
 
 
 class KeepAliveTask(task.WSGITask):
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -29,7 +29,7 @@
 )
 from lynxlanding.errors import settings as settings_errors
 from lynxlanding.fleet import registry as fleet_registry
-from lynxlanding.gateway import http_server
+from lynxlanding.gateway import caller_guard, http_server
 from lynxlanding.handover import peer_forwarder, reachability, reachability_checker
 from lynxlanding.node import (
     configuration_handler,
@@ -68,6 +68,7 @@
 from lynxlanding.replicas import group_controller
 from lynxlanding.requests import attempt_monitor
 from lynxlanding.settings import loading, vm_settings
+from lynxlanding.transport import memory_budget
 
 MAINTENANCE_INTERVAL_S = 0.2
 # Callers count a pause of more than 200 ms between events as late, so stalls must be found sooner.
@@ -113,6 +114,7 @@
         self._node_status = node_status.NodeStatus()
         self._log = bounded_log.BoundedLog()
         self._metrics = deferred_metrics.DeferredMetrics(settings.node_id, settings.data_centre)
+        self._caller_guard = _create_caller_guard(settings, self._node_status)
         self._reachability = reachability.Reachability(time.monotonic())
         self._pool = connection_pool.ConnectionPool(
             sockets.OPTIONS, self._reachability.record_connected
@@ -152,7 +154,11 @@
             self._reachability,
             self._get_helpers,
             endpoint_client.EndpointClient(
-                self._peer_pool, self._monitor, request_headers, stall_tracker.StallTracker()
+                self._peer_pool,
+                self._monitor,
+                request_headers,
+                stall_tracker.StallTracker(),
+                self._caller_guard.budget,
             ),
             request_headers,
             self._serving,
@@ -245,6 +251,7 @@
             self._part_guard,
             self._store,
         )
+        self._caller_guard.add_gauges(self._metrics)
         node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
         servers = self._create_servers()
         _start_garbage_collection()
@@ -318,7 +325,11 @@
             self._node_status,
             self._serving,
             endpoint_client.EndpointClient(
-                self._pool, self._monitor, request_headers, self._stall_tracker
+                self._pool,
+                self._monitor,
+                request_headers,
+                self._stall_tracker,
+                self._caller_guard.budget,
             ),
             request_headers,
             self._stall_tracker,
@@ -331,10 +342,10 @@
             self._metrics,
         )
         servers = [
-            _create_server(
+            self._create_server(
                 app, settings.listen.callers, settings.requests.concurrency, self._listener
             ),
-            _create_server(
+            self._create_server(
                 monitoring_apps.ReadinessApp(self._node_status, paths.READY),
                 settings.listen.readiness,
                 2,
@@ -342,12 +353,17 @@
         ]
         if settings.listen.metrics is not None:
             servers.append(
-                _create_server(
+                self._create_server(
                     monitoring_apps.MetricsApp(self._metrics), settings.listen.metrics, 2
                 )
             )
         return servers
 
+    def _create_server(self, app, address, concurrency, listener=None):
+        host, _, port = address.rpartition(":")
+        limits = vm_settings.ServerLimits(concurrency)
+        return http_server.create(app, host, int(port), limits, listener, self._caller_guard)
+
     def _get_watch_pause_s(self):
         if self._group_controller.is_busy:
             return REGROUPING_WATCH_PAUSE_S
@@ -560,7 +576,14 @@
     gc.enable()
 
 
-def _create_server(app, address, concurrency, listener=None):
-    host, _, port = address.rpartition(":")
-    limits = vm_settings.ServerLimits(concurrency)
-    return http_server.create(app, host, int(port), limits, listener)
+def _create_caller_guard(settings, status):
+    budget = memory_budget.MemoryBudget(caller_guard.budget_bytes(settings.limits.memory_mb))
+    initial_limits = caller_guard.fixed_limits(vm_settings.ServerLimits(0))
+
+    def get_limits():
+        configuration = status.configuration
+        return initial_limits if configuration is None else configuration.limits
+
+    return caller_guard.CallerGuard(
+        budget, get_limits, settings.limits.max_fds, echoes_request_id=True
+    )
--- a/src/lynxlanding/settings/daemon_settings.py
+++ b/src/lynxlanding/settings/daemon_settings.py
@@ -46,6 +46,8 @@
         Maximum sizes of body and headers; larger requests are refused.
     concurrency : int
         Maximum number of requests that the node handles concurrently.
+    header_timeout_s : float
+        Time in which the headers of a request must arrive.
     idle_timeout_s : float
         Time without received data after which an incomplete request is abandoned.
     stall_timeout_s : float
@@ -61,6 +63,7 @@
     max_body_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 30)] = 4 << 20
     max_header_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 20)] = 32 << 10
     concurrency: Annotated[int, pydantic.Field(ge=1, le=10_000)] = 1000
+    header_timeout_s: section.Seconds = 3.0
     idle_timeout_s: section.Seconds = 10.0
     stall_timeout_s: section.Seconds = 10.0
     # Leaves room for other writes: the target for all store writes of the fleet is below 100/s.
@@ -228,6 +231,22 @@
     tokens_per_s_per_replica: Annotated[float, pydantic.Field(gt=0)] | None = None
 
 
+class LimitSettings(section.Section):
+    """Limits of the machine.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory from which that for buffered requests and answers is derived.
+    max_fds : int or None
+        Descriptors that the process may open; if None, callers may open two connections for each
+        request that the node handles concurrently.
+    """
+
+    memory_mb: Annotated[float, pydantic.Field(ge=64, le=1e6, allow_inf_nan=False)] = 256.0
+    max_fds: Annotated[int, pydantic.Field(ge=256, le=10_000_000)] | None = None
+
+
 class DaemonSettings(section.Section):
     """Settings of ``lynxlandingd``.
 
@@ -256,3 +275,4 @@
     configuration: ConfigurationSettings = ConfigurationSettings()
     objectives: ObjectivesSettings = ObjectivesSettings()
     groups: GroupSettings = GroupSettings()
+    limits: LimitSettings = LimitSettings()
--- a/src/lynxlanding/settings/vm_settings.py
+++ b/src/lynxlanding/settings/vm_settings.py
@@ -22,9 +22,10 @@
         Maximum number of requests handled concurrently.
     """
 
-    # These only bound memory use; the limits of the configuration are checked for each request.
-    max_body_bytes = 16 << 20
-    max_header_bytes = 64 << 10
+    # Until the first configuration, whose limits are not known yet.
+    max_body_bytes = 4 << 20
+    max_header_bytes = 16 << 10
+    header_timeout_s = 3.0
     # Longer than the idle timeouts of callers, so that the caller closes idle connections first.
     idle_timeout_s = 60.0
 
@@ -143,6 +144,22 @@
     grace_s: section.Seconds = 8.0
 
 
+class VmLimitSettings(VmSection):
+    """Limits of the VM.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory of the VM, from which that for buffered requests and answers is derived.
+    max_fds : int or None
+        Descriptors that the process may open; if None, callers may open two connections for each
+        request that the node handles concurrently.
+    """
+
+    memory_mb: Annotated[float, pydantic.Field(ge=64, le=1e6, allow_inf_nan=False)] = 256.0
+    max_fds: Annotated[int, pydantic.Field(ge=256, le=10_000_000)] | None = None
+
+
 class VmSettings(VmSection):
     """Settings of one node.
 
@@ -165,3 +182,4 @@
     groups: GroupSettings = GroupSettings()
     endpoints: EndpointSettings = EndpointSettings()
     stop: StopSettings = StopSettings()
+    limits: VmLimitSettings = VmLimitSettings()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -144,6 +144,8 @@
     deadline = time.monotonic() + 15
     for connection in slow:
         connection.settimeout(max(0.1, deadline - time.monotonic()))
+        answer = _read_all(connection)
+        assert answer.startswith(b"HTTP/1.1 408 "), answer
         assert connection.recv(1000) == b"", "an idle connection was kept open"
         connection.close()
 
