--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -38,6 +38,8 @@
     evacuate_ms : float, optional
         Bound of evacuations in the settings of the nodes. Nodes of earlier versions do not know
         the setting.
+    concurrency : int, optional
+        Requests that a node handles concurrently.
     """
 
     def __init__(
@@ -50,9 +52,11 @@
         has_own_hosts=False,
         site_options=(),
         evacuate_ms=None,
+        concurrency=60,
     ):
         self.running = running
         self._evacuate_ms = evacuate_ms
+        self._concurrency = concurrency
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
         self.store_port = ports[0]
@@ -125,7 +129,7 @@
   peers: "127.0.0.1:{peers}"
   metrics: "127.0.0.1:{metrics}"
 requests:
-  concurrency: 60
+  concurrency: {self._concurrency}
   repeat_slack: 400
 {self._evacuation_settings()}"""
         )
