Move the settings file and the limits on callers out of the class that wires a node

Change: settings/settings_file notices and reads a changed file, node/node_limits makes the limits of the servers; behaviour is unchanged.

--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -29,10 +29,9 @@
     statement_gate,
     statement_recorder,
 )
-from lynxlanding.errors import settings as settings_errors
 from lynxlanding.fleet import evacuated_data_centres
 from lynxlanding.fleet import registry as fleet_registry
-from lynxlanding.gateway import caller_guard, http_server
+from lynxlanding.gateway import http_server
 from lynxlanding.handover import peer_forwarder, reachability, reachability_checker
 from lynxlanding.node import (
     configuration_handler,
@@ -41,6 +40,7 @@
     evacuation_handler,
     monitoring_apps,
     node_gauges,
+    node_limits,
     node_status,
     peer_report_handler,
     proxy_app,
@@ -73,9 +73,8 @@
 )
 from lynxlanding.replicas import group_controller
 from lynxlanding.requests import attempt_monitor
-from lynxlanding.settings import loading, vm_settings
+from lynxlanding.settings import settings_file, vm_settings
 from lynxlanding.store import call_counter
-from lynxlanding.transport import memory_budget
 
 MAINTENANCE_INTERVAL_S = 0.2
 # Callers count a pause of more than 200 ms between events as late, so stalls must be found sooner.
@@ -96,8 +95,6 @@
 NODE_RELOADED = "lynxlanding:node:reloaded"
 ENDPOINTS_RETURNED = "lynxlanding:evacuation:endpoints_returned"
 
-_logger = logging.getLogger(__name__)
-
 
 class VmNode:
     """Creates the components of a node and runs them.
@@ -114,7 +111,7 @@
 
     def __init__(self, settings, path, listener=None):
         self._settings = settings
-        self._settings_path = path
+        self._settings_file = settings_file.SettingsFile(path)
         self._listener = listener
         self._stop_requested = threading.Event()
         self._reload_requested = threading.Event()
@@ -123,7 +120,7 @@
         self._node_status = node_status.NodeStatus(needs_evacuations=evacuations.is_on)
         self._log = bounded_log.BoundedLog()
         self._metrics = deferred_metrics.DeferredMetrics(settings.node_id, settings.data_centre)
-        self._caller_guard = _create_caller_guard(settings, self._node_status)
+        self._caller_guard = node_limits.create_caller_guard(settings, self._node_status)
         self._reachability = reachability.Reachability(time.monotonic())
         self._pool = connection_pool.ConnectionPool(
             sockets.OPTIONS, self._reachability.record_connected
@@ -265,7 +262,6 @@
             lambda: self._store.is_unavailable,
             self._random_state,
         )
-        self._settings_mtime_ns = None
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
@@ -604,29 +600,14 @@
             self._update_evacuations(records, now)
             self._rejections.expire(now)
             self._store_calls.log_if_due(now)
-            if self._reload_requested.is_set() or self._has_settings_file_changed():
+            if self._reload_requested.is_set() or self._settings_file.has_changed():
                 self._reload_requested.clear()
                 self._reload_settings()
 
-    def _has_settings_file_changed(self):
-        try:
-            mtime_ns = os.stat(self._settings_path).st_mtime_ns
-        except OSError as e:
-            _logger.warning("cannot read the settings file: %s", e)
-            return False
-        if self._settings_mtime_ns is None:
-            self._settings_mtime_ns = mtime_ns
-        if mtime_ns == self._settings_mtime_ns:
-            return False
-        self._settings_mtime_ns = mtime_ns
-        return True
-
     def _reload_settings(self):
         """Apply the settings that can change at run time; new addresses require a restart."""
-        try:
-            settings = loading.load(self._settings_path, vm_settings.VmSettings)
-        except settings_errors.SettingsError as e:
-            _logger.error("settings not reloaded: %s", e)
+        settings = self._settings_file.load()
+        if settings is None:
             return
         eliot.log_message(message_type=NODE_RELOADED, is_changed=settings != self._settings)
         self._settings = settings
@@ -688,16 +669,3 @@
     """Exclude what the imports have created, which stays for good, from garbage collections."""
     gc.freeze()
     gc.enable()
-
-
-def _create_caller_guard(settings, status):
-    budget = memory_budget.MemoryBudget(caller_guard.budget_bytes(settings.limits.memory_mb))
-    initial_limits = caller_guard.fixed_limits(vm_settings.ServerLimits(0))
-
-    def get_limits():
-        configuration = status.configuration
-        return initial_limits if configuration is None else configuration.limits
-
-    return caller_guard.CallerGuard(
-        budget, get_limits, settings.limits.max_fds, echoes_request_id=True
-    )
