Accept callers while others keep the event loop busy

Cause: with 200 clients of each kind at once, an ordinary request had no answer in 25 s. A turn of the event loop takes some 20 ms under 200 callers with chunks of one byte, and accepted one connection, so that later ones stayed in the backlog. Change: while callers keep the loop busy with parts of requests, a turn accepts up to 32 connections, and the loop pauses for 1 ms every 5 ms so that threads that wait for endpoints run.

--- a/src/lynxlanding/gateway/caller_channel.py
+++ b/src/lynxlanding/gateway/caller_channel.py
@@ -109,6 +109,7 @@
             self.connected = False
             return
         if is_lingering:
+            self.server.has_partial_data = True
             self._lingered_bytes += len(data)
             if self._lingered_bytes > MAX_LINGER_BYTES:
                 self.handle_close()
@@ -129,6 +130,8 @@
         if rest or self._pending:
             self._pending = rest
         request = self.request
+        if rest or request is not None:
+            self.server.has_partial_data = True
         if request is None or request.headers_finished:
             if self._head_started_at is not None:
                 self._head_started_at = None
--- a/src/lynxlanding/gateway/caller_server.py
+++ b/src/lynxlanding/gateway/caller_server.py
@@ -13,6 +13,13 @@
 GIVEN_UP_AT_ONCE = 16
 # While all connections are busy, new ones wait in the backlog until the next attempt.
 ACCEPT_RETRY_S = 0.1
+# Connections accepted in one turn of the event loop while callers keep it busy with parts of
+# requests: such a turn takes some 20 ms, so one for each turn would leave others in the backlog.
+MAX_ACCEPTS_PER_TURN = 32
+# Threads are cooperative, and while the event loop always finds data, those that wait for sockets
+# of endpoints or for timers do not run. After this long the loop then pauses for a moment.
+MAX_BUSY_S = 0.005
+PAUSE_S = 0.001
 
 
 class CallerServer(server.TcpWSGIServer):
@@ -24,12 +31,25 @@
     channel_class = caller_channel.StreamingChannel
     guard = None
     idle_timeout_s = 60.0
+    # Set by a connection that has received a part of a request, or data after a refusal.
+    has_partial_data = False
+    _is_busy = False
+    _busy_since = None
     _next_check_at = 0.0
     _accept_at = 0.0
 
     def readable(self):
         """Return whether connections should be accepted; also checks timeouts once a second."""
         now = time.monotonic()
+        self._is_busy = self.has_partial_data
+        self.has_partial_data = False
+        if not self._is_busy:
+            self._busy_since = None
+        elif self._busy_since is None:
+            self._busy_since = now
+        elif now - self._busy_since >= MAX_BUSY_S:
+            time.sleep(PAUSE_S)
+            self._busy_since = None
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_S
             limits = self.guard.get_limits()
@@ -38,11 +58,15 @@
         return self.accepting and now >= self._accept_at
 
     def handle_accept(self):
-        """Accept a connection, after giving up others if there are too many."""
-        if len(self.active_channels) >= self.adj.connection_limit and not self._make_room():
-            self._accept_at = time.monotonic() + ACCEPT_RETRY_S
-            return
-        super().handle_accept()
+        """Accept connections, after giving up others if there are too many."""
+        for _ in range(MAX_ACCEPTS_PER_TURN if self._is_busy else 1):
+            if len(self.active_channels) >= self.adj.connection_limit and not self._make_room():
+                self._accept_at = time.monotonic() + ACCEPT_RETRY_S
+                return
+            count = len(self.active_channels)
+            super().handle_accept()
+            if len(self.active_channels) == count:
+                return
 
     def _make_room(self):
         """Give up connections; return whether a new one can be accepted now."""
--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -37,6 +37,8 @@
         Further options of the stand-in's command.
     concurrency : int, optional
         Requests that a node handles concurrently.
+    node_settings : str, optional
+        Further sections of the nodes' settings.
     """
 
     def __init__(
@@ -49,8 +51,10 @@
         has_own_hosts=False,
         site_options=(),
         concurrency=60,
+        node_settings="",
     ):
         self.running = running
+        self._node_settings = node_settings
         self._concurrency = concurrency
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
@@ -126,6 +130,7 @@
 requests:
   concurrency: {self._concurrency}
   repeat_slack: 400
+{self._node_settings}
 """
         )
         self.running.start(name, "lynxlanding_vm", "--config", path)
