--- a/src/lynxlanding_bench/site_day/site_installation.py
+++ b/src/lynxlanding_bench/site_day/site_installation.py
@@ -40,6 +40,8 @@
         the setting.
     concurrency : int, optional
         Requests that a node handles concurrently.
+    node_settings : str, optional
+        Further sections of the nodes' settings.
     """
 
     def __init__(
@@ -53,9 +55,11 @@
         site_options=(),
         evacuate_ms=None,
         concurrency=60,
+        node_settings="",
     ):
         self.running = running
         self._evacuate_ms = evacuate_ms
+        self._node_settings = node_settings
         self._concurrency = concurrency
         endpoints = engines + plain
         ports = processes.free_ports(1 + endpoints + PORTS_PER_NODE * len(node_names))
@@ -131,6 +135,7 @@
 requests:
   concurrency: {self._concurrency}
   repeat_slack: 400
+{self._node_settings}
 {self._evacuation_settings()}"""
         )
         self.running.start(name, "lynxlanding_vm", "--config", path)
