--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -287,6 +287,20 @@
     assert _is_whole(site.stream("n0", "h2"))
 
 
+def test_placement_of_a_large_fleet_is_a_setting(site):
+    """Guards against a node that does not serve with it, whatever the number of nodes."""
+    path = site.running.directory / "n0.yaml"
+    log = site.running.directory / "n0.log"
+    text = path.read_text()
+    changed = '"is_changed":true'
+    reloads = log.read_text().count(changed)
+    path.write_text(text.replace("repeat_slack: 400", "fleet_placement: true"))
+    site.running.signal("n0", signal.SIGHUP)
+    site_installation.wait_for(lambda: log.read_text().count(changed) > reloads, "reloaded")
+    assert all(_is_whole(site.stream("n0", f"p{number}")) for number in range(4))
+    path.write_text(text)
+
+
 def test_a_stop_lets_streams_end_and_the_other_node_serves(site):
     """Pattern: nodes stopped in turn, under streams."""
     answers = []
