Refuse responses with a status from 600 to 999

Cause: the pattern of the status line took any three digits that do not begin with 0, so an engine's answer with status 600 or 999 reached callers, and counted as an outcome of orders. Change: transport/response_head, which all clients use, takes 100 to 599 only. Streams and handed-over requests are covered through the client that sends them, not through a real node.

--- a/src/lynxlanding/platform/tests/test_truncated_responses.py
+++ b/src/lynxlanding/platform/tests/test_truncated_responses.py
@@ -53,7 +53,7 @@
     return True
 
 
-def forward(record):
+def forward(record, is_stream=False):
     """Send a request as both requests of callers and handed-over ones are sent."""
     pool = connection_pool.ConnectionPool(sockets.OPTIONS)
     client = endpoint_client.EndpointClient(
@@ -61,12 +61,24 @@
     )
     attempt = attempt_monitor.MonitoredAttempt(time.monotonic() + 5.0, 5.0, lambda: False)
     response, _ = client.send(
-        record, "GET", "/x", [], b"", attempt, fresh=True, before_sending=lambda: None
+        record,
+        "GET",
+        "/x",
+        [],
+        b"",
+        attempt,
+        fresh=True,
+        before_sending=lambda: None,
+        is_stream=is_stream,
     )
     b"".join(response.chunks)
     return True
 
 
+def forward_stream(record):
+    return forward(record, is_stream=True)
+
+
 def forward_from_daemon(record):
     client = daemon_endpoint_client.EndpointClient(
         monitored_connection.make_pool_manager(), attempt_monitor.AttemptMonitor()
@@ -79,7 +91,15 @@
     return True
 
 
-CALLS = (check_health, fetch_report, send_order, list_objects, forward, forward_from_daemon)
+CALLS = (
+    check_health,
+    fetch_report,
+    send_order,
+    list_objects,
+    forward,
+    forward_stream,
+    forward_from_daemon,
+)
 
 
 def succeeds(call, data):
--- a/src/lynxlanding/transport/response_head.py
+++ b/src/lynxlanding/transport/response_head.py
@@ -11,8 +11,9 @@
 # ``http.client`` refuses more, but only once it has all of them.
 MAX_HEADERS = 100
 
-# Lines as in RFC 9112, sections 4 and 5. Line folding is obsolete.
-_STATUS_LINE = re.compile(rb"HTTP/1\.\d (?P<status>[1-9]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n")
+# Lines as in RFC 9112, sections 4 and 5. Line folding is obsolete. Statuses are 100 to 599
+# (RFC 9110, section 15); a caller could take another one for any outcome.
+_STATUS_LINE = re.compile(rb"HTTP/1\.\d (?P<status>[1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n")
 _HEADER_LINE = re.compile(
     rb"(?P<name>[!#$%&'*+\-.^_`|~0-9A-Za-z]+):[\t ]*(?P<value>[\t\x20-\x7e\x80-\xff]*?)[\t ]*\r?\n"
 )
