--- a/src/lynxlanding/gateway/caller_guard.py
+++ b/src/lynxlanding/gateway/caller_guard.py
@@ -35,6 +35,9 @@
 # Bytes are counted once, but copied when a body is complete and when it is sent.
 COPIES = 2
 MIN_BUDGET_MB = 16
+# Memory of a VM whose settings do not state it.
+DEFAULT_MEMORY_MB = 256
+DEFAULT_HEADER_TIMEOUT_S = 3.0
 
 
 def budget_bytes(memory_mb):
@@ -138,11 +141,6 @@
     return CallerGuard(budget, lambda: limits, max_descriptors)
 
 
-# Memory of a VM whose settings do not state it.
-DEFAULT_MEMORY_MB = 256
-DEFAULT_HEADER_TIMEOUT_S = 3.0
-
-
 def fixed_limits(settings):
     """Return the ``CallerLimits`` of settings, which state them with the limits on requests."""
     return caller_limits.CallerLimits(
