--- a/src/lynxlanding_vm.py
+++ b/src/lynxlanding_vm.py
@@ -2,11 +2,16 @@
 
 import gc
 import os
+import signal
 
 # Collections during the imports take two fifths of the startup time and find next to nothing;
 # the node enables them again.
 gc.disable()
 
+# SIGHUP would end the process until the node handles it. The settings have not been read yet, and
+# the node also notices changes by the file's time.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from lynxlanding.node import early_listener  # noqa: E402
 
 # Listens before the remaining imports, which take most of the startup time.
