--- a/src/lynxlanding/gateway/caller_guard.py
+++ b/src/lynxlanding/gateway/caller_guard.py
@@ -19,16 +19,42 @@
 NO_MEMORY = "no_memory"
 NO_DESCRIPTOR = "no_descriptor"
 ANSWER_NOT_READ = "answer_not_read"
-REASONS = {
-    BODY_TOO_LARGE: "Requests refused because their body exceeds the limit.",
-    HEADERS_TOO_LARGE: "Requests refused because their headers exceed the limit.",
-    HEADER_TIMEOUT: "Requests refused because their headers did not arrive in time.",
-    BODY_TIMEOUT: "Requests refused because their body stopped arriving.",
-    MALFORMED: "Requests refused because they cannot be parsed.",
-    NO_MEMORY: "Requests refused and answers broken off to keep within the memory budget.",
-    NO_DESCRIPTOR: "Connections of callers given up because there are too many.",
-    ANSWER_NOT_READ: "Connections closed because the caller does not read the answer.",
+# Name and description of the gauge that counts each reason.
+_GAUGES = {
+    BODY_TOO_LARGE: (
+        "lynxlanding_callers_body_too_large",
+        "Requests refused because their body exceeds the limit.",
+    ),
+    HEADERS_TOO_LARGE: (
+        "lynxlanding_callers_headers_too_large",
+        "Requests refused because their headers exceed the limit.",
+    ),
+    HEADER_TIMEOUT: (
+        "lynxlanding_callers_header_timeout",
+        "Requests refused because their headers did not arrive in time.",
+    ),
+    BODY_TIMEOUT: (
+        "lynxlanding_callers_body_timeout",
+        "Requests refused because their body stopped arriving.",
+    ),
+    MALFORMED: (
+        "lynxlanding_callers_malformed",
+        "Requests refused because they cannot be parsed.",
+    ),
+    NO_MEMORY: (
+        "lynxlanding_callers_no_memory",
+        "Requests refused and answers broken off to keep within the memory budget.",
+    ),
+    NO_DESCRIPTOR: (
+        "lynxlanding_callers_no_descriptor",
+        "Connections of callers given up because there are too many.",
+    ),
+    ANSWER_NOT_READ: (
+        "lynxlanding_callers_answer_not_read",
+        "Connections closed because the caller does not read the answer.",
+    ),
 }
+REASONS = tuple(_GAUGES)
 
 # Memory that a node needs without requests, with some room for its connections.
 BASE_MEMORY_MB = 88
@@ -113,12 +139,8 @@
 
     def add_gauges(self, metrics):
         """Add gauges of the exceeded limits and of the memory budget to ``metrics``."""
-        for reason, description in REASONS.items():
-            metrics.add_gauge(
-                f"lynxlanding_callers_{reason}",
-                description,
-                lambda reason=reason: self._totals[reason],
-            )
+        for reason, (name, description) in _GAUGES.items():
+            metrics.add_gauge(name, description, lambda reason=reason: self._totals[reason])
         metrics.add_gauge(
             "lynxlanding_buffered_bytes",
             "Bytes that are buffered for callers and endpoints.",
