Define the passes before a first event beside the other constants of load shedding

Cause: the constant stood between two methods and functions, after its first use. Change: FIRST_PASSES moves to the top of the module; behaviour is unchanged. Result: formatter, linter and test_load_shedding.py pass.

--- a/src/lynxlanding/dispatch/load_shedding.py
+++ b/src/lynxlanding/dispatch/load_shedding.py
@@ -36,6 +36,8 @@
 MIN_RETRY_AFTER_S = 0.4
 # Upper bound of a Retry-After, as a fraction of the time left.
 RETRY_AFTER_FRACTION = 1 / 3
+# Passes from the start of a request to its first event.
+FIRST_PASSES = 1.5
 
 LESS_URGENT = "more urgent requests need the groups"
 SHORT = "the groups are short of capacity"
@@ -206,10 +208,6 @@
         return MAX_NEW_LATENESS * query.route.target_latency_s - FIRST_PASSES * pass_s
 
 
-# Passes from the start of a request to its first event.
-FIRST_PASSES = 1.5
-
-
 def is_returning(query):
     """Return whether the caller has most likely been refused before, by this node or another."""
     return query.time_left_s < RETURNING_FRACTION * query.route.timeout_s
