--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -47,10 +47,11 @@
         status, extra, content = answer
         text = [f"HTTP/1.1 {status} X", f"Content-Length: {len(content)}"]
         text += [f"{name}: {value}" for name, value in extra]
+        closes = ("Connection", "close") in extra
         writer.write("\r\n".join(text).encode() + b"\r\n\r\n")
         writer.write(content)
         await writer.drain()
-        return headers.get("connection", "").lower() != "close"
+        return not closes and headers.get("connection", "").lower() != "close"
 
 
 class Store:
@@ -171,6 +172,7 @@
         self.zone = zone
         self.work_s = work_s
         self.slots = slots
+        self.is_draining = False
         self.running = 0
         # Bytes to send in place of the next answer, once.
         self.spoilt_answer = None
@@ -187,7 +189,7 @@
                 "zone": self.zone,
                 "version": "v1",
                 "slots": self.slots,
-                "state": "ready",
+                "state": "draining" if self.is_draining else "ready",
                 "cold_remaining_ms": 0,
                 "seq_no": 1,
                 "born": 1796000000000,
@@ -202,7 +204,9 @@
         if headers.get("x-expect-instance", self.endpoint_id) != self.endpoint_id:
             return 421, own, b""
         if target == "/healthz":
-            return 200, own, b""
+            return 503 if self.is_draining else 200, own, b""
+        if self.is_draining:
+            own.append(("Connection", "close"))
         if not request_id:
             return 400, [*own, ("X-Not-Executed", "1")], b""
         self.runs.append((request_id, time.monotonic(), method, target, headers.get("x-tenant")))
