--- a/review/common/nodes.py
+++ b/review/common/nodes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -22,15 +23,24 @@
 RESTART_DELAY_S = 0.5
 START_LIMIT_S = 25.0
 CANNOT_RUN = 2
+_RANDOM = random.SystemRandom()
 
 
 def free_ports(count):
-    """Return TCP ports that are free on loopback."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in held]
-    for item in held:
-        item.close()
-    return ports
+    """Return TCP ports that are free on loopback, below those that outgoing connections take."""
+    found = []
+    while len(found) < count:
+        port = _RANDOM.randrange(10_000, 30_000)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 def fill_template(text, fields):
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's store and of plain endpoints, in one event loop of a thread."""
 
 import asyncio
+import contextlib
 import json
 import threading
 import time
@@ -27,7 +28,8 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
         finally:
-            writer.close()
+            with contextlib.suppress(OSError):
+                writer.close()
 
     async def _serve_one(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
--- a/review/common/trial.py
+++ b/review/common/trial.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import pathlib
+import sys
 import tempfile
 import time
+import traceback
 
 import callers
 import configurations
@@ -41,7 +43,13 @@
         self.began_at = time.monotonic()
 
     def wait_ready(self):
-        return all(node.wait_ready() for node in self.nodes)
+        """Return whether all nodes are ready; print the end of the log of one that is not."""
+        for node in self.nodes:
+            if not node.wait_ready():
+                print(f"{node.name} is not ready; the end of its log:")
+                print(node.log_path.read_text()[-2000:])
+                return False
+        return True
 
     def put_configuration(self, text):
         """Write a version as the operator; it is acknowledged when this returns."""
@@ -121,3 +129,13 @@
     text = "\n".join(lines) + "\n"
     pathlib.Path(path).with_name("record.txt").write_text(text)
     print(text, end="")
+
+
+def run(main):
+    """Exit with what ``main`` returns, or with 2 if the case could not run."""
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = nodes.CANNOT_RUN
+    sys.exit(code)
