--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
-#!/bin/bash
-# Exits with 1 if the rule is broken, 0 if it holds, 2 if the case cannot run. TROUBLE=0: no disruption.
-cd "$(dirname "$0")" || exit 2
-exec python3 case.py
+#!/usr/bin/env bash
+# Exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")"
+exec python3 run.py
--- a/review/common/callers.py
+++ b/review/common/callers.py
@@ -33,12 +33,17 @@
         connection, used, count = None, 0, 0
         while not self._is_stopped.is_set():
             if connection is None:
-                connection, used = http.client.HTTPConnection("127.0.0.1", self._port, timeout=TIMEOUT_S), 0
+                connection, used = (
+                    http.client.HTTPConnection("127.0.0.1", self._port, timeout=TIMEOUT_S),
+                    0,
+                )
             count += 1
             used += 1
             request_id = f"c{self.number:03d}-{count:05d}"
             headers = {
-                "Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": str(self._deadline_ms),
+                "Host": HOST,
+                "X-Request-Id": request_id,
+                "X-Deadline-Ms": str(self._deadline_ms),
                 "Authorization": f"Bearer {self._key}",
             }
             body = b"b" * 600 if self._method == "POST" else None
--- a/review/common/configurations.py
+++ b/review/common/configurations.py
@@ -12,9 +12,18 @@
 
 def route(name, prefix, kind="safe", service="booking-app"):
     return {
-        "name": name, "host": callers.HOST, "path_prefix": prefix, "kind": kind,
-        "timeout_ms": 4000, "target_latency_ms": 300, "priority": 2, "service": service,
-        "max_attempts": 1, "public": False, "affinity": False, "stream_resume": False,
+        "name": name,
+        "host": callers.HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 300,
+        "priority": 2,
+        "service": service,
+        "max_attempts": 1,
+        "public": False,
+        "affinity": False,
+        "stream_resume": False,
         "gap_aim_ms": 300,
     }
 
@@ -34,13 +43,21 @@
         first = {**route("r-booking", "/lohu930/", "unsafe"), "timeout_ms": timeout_ms}
         own = [first, route("r-lookup", "/pufi791/")]
         document = {
-            "version": version, "routes": "ROUTES",
+            "version": version,
+            "routes": "ROUTES",
             "services": [
-                {"name": "booking-app", "health_path": "/healthz", "max_conns": 110,
-                 "protocol": "h1", "tls": False}
+                {
+                    "name": "booking-app",
+                    "health_path": "/healthz",
+                    "max_conns": 110,
+                    "protocol": "h1",
+                    "tls": False,
+                }
             ],
             "limits": {
-                "max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                "max_header_bytes": 16384,
+                "max_body_bytes": 4194304,
+                "header_timeout_ms": 3000,
                 "idle_timeout_ms": 15000,
             },
             "tenants": [{"name": "hule930", "api_keys": list(keys), "priority": 1}],
--- a/review/common/nodes.py
+++ b/review/common/nodes.py
@@ -95,14 +95,20 @@
         threading.Thread(target=self._watch, daemon=True).start()
 
     def start(self):
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["LYNXLANDING_CONFIG"] = str(self.path)
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                ROLE["run"].split(), cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                ROLE["run"].split(),
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
 
     def _watch(self):
