--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 python3 -c 'import sys, tomllib; sys.exit(sys.version_info < (3, 11))'
-python3 -m py_compile review/common/*.py review/tools-2/*.py review/*/case.py review/6/*.py
+python3 -m py_compile review/common/*.py review/tools-2/*.py review/*/case.py review/lesser/*/case.py review/6/*.py
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import json
+import random
 import threading
 import time
 import urllib.parse
 
 PAGE = 500
 HISTORY_S = 20.0
+# Spread of the work of requests; without it, callers with the same work move in step.
+WORK_SPREAD = 0.5
 BEAT_MS = 1200
 
 
@@ -174,6 +177,7 @@
         self.zone = zone
         self.work_s = work_s
         self.slots = slots
+        self._random = random.Random(endpoint_id)
         self.is_draining = False
         self.running = 0
         # Bytes to send in place of the next answer, once.
@@ -213,7 +217,8 @@
             return 400, [*own, ("X-Not-Executed", "1")], b""
         self.runs.append((request_id, time.monotonic(), method, target, headers.get("x-tenant")))
         self.running += 1
-        await asyncio.sleep(self.work_s)
+        spread = self._random.uniform(1 - WORK_SPREAD, 1 + WORK_SPREAD)
+        await asyncio.sleep(self.work_s * spread)
         self.running -= 1
         if self.spoilt_answer is not None:
             answer, self.spoilt_answer = self.spoilt_answer, None
