Match header lines of responses in linear steps

Cause: three adjacent parts of one regular expression match blanks, so a line that ends wrongly takes steps that grow with the cube of its length. The matcher hands the processor back to no other thread. All clients of the node read heads with it.

Change: transport.header_line matches a value as one part and strips the whitespace afterwards.

--- a/src/lynxlanding/transport/response_head.py
+++ b/src/lynxlanding/transport/response_head.py
@@ -4,6 +4,7 @@
 import re
 
 from lynxlanding.errors import endpoint as endpoint_errors
+from lynxlanding.transport import header_line
 
 # Status line and headers, including those of interim responses.
 MAX_HEAD_BYTES = 128 * 1024
@@ -14,9 +15,6 @@
 # Lines as in RFC 9112, sections 4 and 5. Line folding is obsolete. Statuses are 100 to 599
 # (RFC 9110, section 15); a caller could take another one for any outcome.
 _STATUS_LINE = re.compile(rb"HTTP/1\.\d (?P<status>[1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n")
-_HEADER_LINE = re.compile(
-    rb"(?P<name>[!#$%&'*+\-.^_`|~0-9A-Za-z]+):[\t ]*(?P<value>[\t\x20-\x7e\x80-\xff]*?)[\t ]*\r?\n"
-)
 EMPTY_LINES = (b"\r\n", b"\n")
 # 18 digits fit into 64 bits.
 _LENGTH = re.compile(rb"\d{1,18}")
@@ -65,7 +63,9 @@
     line = stream.readline(MAX_LINE_BYTES)
     if not line:
         raise http.client.RemoteDisconnected("the connection ended without a response")
-    status_line = _match_line(_STATUS_LINE, line, "status line")
+    status_line = _STATUS_LINE.fullmatch(line)
+    if status_line is None:
+        raise _malformed_line(line, "status line")
     head = line
     headers = []
     while True:
@@ -75,21 +75,29 @@
             raise endpoint_errors.MalformedMessage("the head is too large")
         if line in EMPTY_LINES:
             break
-        header = _match_line(_HEADER_LINE, line, "header")
-        headers.append((header["name"].lower(), header["value"]))
+        name, value = _parse_header(line)
+        headers.append((name.lower(), value))
         if len(headers) > MAX_HEADERS:
             raise endpoint_errors.MalformedMessage("the head has too many headers")
     _check_framing(headers)
     return head, int(status_line["status"])
 
 
-def _match_line(pattern, line, description):
-    match = pattern.fullmatch(line)
-    if match is not None:
-        return match
+def _parse_header(line):
+    """Return name and value of a header."""
+    header = None
+    if line.endswith(b"\n"):
+        header = header_line.parse(line[:-1].removesuffix(b"\r"))
+    if header is None:
+        raise _malformed_line(line, "header")
+    return header
+
+
+def _malformed_line(line, description):
+    """Return the error of a line that cannot be read."""
     if is_cut(line):
-        raise endpoint_errors.TruncatedHead(f"the response ends inside its head: {line[:80]!r}")
-    raise endpoint_errors.MalformedMessage(f"malformed {description}: {line[:80]!r}")
+        return endpoint_errors.TruncatedHead(f"the response ends inside its head: {line[:80]!r}")
+    return endpoint_errors.MalformedMessage(f"malformed {description}: {line[:80]!r}")
 
 
 def _check_framing(headers):
