Do not confirm by time an endpoint whose health checks fail

Cause: the registry took an entry that stays for four heartbeat intervals for one that receives heartbeats. Late writes one after the other keep it as long. Failed checks were not told to the registry, and a node that has just started takes each entry that it does not know for a new one.

Change: a failed check starts the time anew; an endpoint that lapsed and failed a check returns unconfirmed; an unknown entry after the first list is unconfirmed unless its first heartbeat wrote it.

--- a/src/lynxlanding/dispatch/serving_actor.py
+++ b/src/lynxlanding/dispatch/serving_actor.py
@@ -84,6 +84,10 @@
         """Record that an incarnation serves; return the changes of the registry."""
         return self._update_candidates(self._registry.confirm(endpoint_id, started_ms))
 
+    def record_failed_check(self, endpoint_id, started_ms, now):
+        """Record that an incarnation did not answer a health check as one that serves."""
+        self._registry.record_failed_check(endpoint_id, started_ms, now)
+
     def record_leaving(self, endpoint_id, started_ms):
         """Record that an incarnation says that it is leaving; return the registry's changes."""
         return self._update_candidates(self._registry.record_leaving(endpoint_id, started_ms))
--- a/src/lynxlanding/fleet/lapse.py
+++ b/src/lynxlanding/fleet/lapse.py
@@ -14,8 +14,11 @@
         monotonic seconds.
     is_confirmed : bool
         Whether the endpoint has answered a health check since.
+    has_failed_check : bool
+        Whether a health check has failed since.
     """
 
     seen_at: float
     remove_at: float
     is_confirmed: bool = False
+    has_failed_check: bool = False
--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -15,6 +15,9 @@
 # A live incarnation overwrites a late write of another one with its next heartbeat; the second
 # interval allows for a lost heartbeat.
 REPLACEMENT_INTERVALS = 2.0
+# Endpoints number their heartbeats from here. The store keeps the number of the heartbeat that last
+# changed the entry, so a new entry with a higher one was there before, or could not be written.
+FIRST_HEARTBEAT = 1
 
 
 class EndpointRegistry:
@@ -29,7 +32,9 @@
 
     - An entry that comes back after its removal, perhaps because the endpoint could not reach the
       store for a while or has restarted. It is confirmed when the endpoint answers a health check,
-      or when the store has kept the entry for longer than it keeps one without heartbeats.
+      or when the store has kept the entry for longer than it keeps one without heartbeats and no
+      health check has failed in that time: several late writes keep an entry for longer. Where the
+      removal was before the registry's first list, the number of the heartbeat shows it.
     - An entry of another incarnation than the known one. Start times are those of the endpoint's
       clock, which may have been set back before a restart. An incarnation with a later one replaces
       the known one at once, an earlier one only if the known incarnation does not write again. The
@@ -130,6 +135,8 @@
     def apply_list(self, records, now, version=None):
         """Replace the contents of the registry by a complete list; return the changes.
 
+        The first list is all that is known, so that its endpoints are not unconfirmed.
+
         Parameters
         ----------
         records : list of EndpointRecord
@@ -139,6 +146,7 @@
         version : StoreVersion, optional
             Version of the store that the list shows.
         """
+        is_first_list = self._read_at is None
         self._read_at = now
         self._version = version
         changes = []
@@ -155,7 +163,7 @@
                     endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)
                 )
                 continue
-            changes.extend(self._put(record, now))
+            changes.extend(self._put(record, now, is_first_list=is_first_list))
         for endpoint_id in list(self._records):
             if endpoint_id in listed_ids:
                 continue
@@ -183,9 +191,34 @@
         lapsed = self._lapsed.get(endpoint_id)
         if lapsed is not None:
             lapsed.is_confirmed = True
+            lapsed.has_failed_check = False
         self._returned_at.pop(endpoint_id, None)
         return self._set(record, record)
 
+    def record_failed_check(self, endpoint_id, started_ms, now):
+        """Record that a health check was not answered, or not as by one that serves.
+
+        The time that confirms the endpoint begins again. If its entry has lapsed, it does not prove
+        that the endpoint lives when it returns.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint that was checked.
+        started_ms : int
+            Start time of the incarnation that was checked.
+        now : float
+            Time at which the check ended, in monotonic seconds.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or record.started_ms != started_ms:
+            return
+        if endpoint_id in self._returned_at:
+            self._returned_at[endpoint_id] = now
+        lapsed = self._lapsed.get(endpoint_id)
+        if lapsed is not None:
+            lapsed.has_failed_check = not lapsed.is_confirmed
+
     def record_leaving(self, endpoint_id, started_ms):
         """Record that an incarnation says that it is leaving; return the changes.
 
@@ -223,14 +256,17 @@
                 changes.extend(self._suspend(endpoint_id))
         return changes
 
-    def _put(self, record, now):
+    def _put(self, record, now, *, is_first_list=False):
         endpoint_id = record.endpoint_id
         known = self._records.get(endpoint_id)
-        self._lapsed.pop(endpoint_id, None)
+        lapsed = self._lapsed.pop(endpoint_id, None)
+        if lapsed is not None and lapsed.has_failed_check:
+            self._returned_at[endpoint_id] = now
         if self._memory.is_leaving(record):
             record = dataclasses.replace(record, is_leaving=True)
         if known is None:
-            if self._memory.may_have_ended(record):
+            is_returning = not is_first_list and record.heartbeat_number > FIRST_HEARTBEAT
+            if is_returning or self._memory.may_have_ended(record):
                 self._returned_at[endpoint_id] = now
             return self._set(record, None)
         if record.started_ms < known.started_ms:
--- a/src/lynxlanding/fleet/tests/test_registry_order.py
+++ b/src/lynxlanding/fleet/tests/test_registry_order.py
@@ -64,6 +64,38 @@
     assert endpoints.is_usable("i-1")
 
 
+def test_entry_that_late_writes_keep_is_not_confirmed_while_checks_fail():
+    """Guards against an engine that is leaving and that two late heartbeats bring back for long."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    return_after_removal(endpoints, heartbeat_number=5)
+    for checked_at in (1.6, 2.6, 3.6, 4.6):
+        endpoints.record_failed_check("i-1", 10, checked_at)
+        endpoints.apply_changes([], [], checked_at + 0.9)
+        assert endpoints.expire(checked_at + 0.9) == []
+    # Another incarnation at the same address says nothing about this one.
+    endpoints.record_failed_check("i-1", 9, 8.0)
+    endpoints.apply_changes([], [], 8.7)
+    assert test_registry.change_kinds(endpoints.expire(8.7)) == ["confirmed"]
+
+
+def test_endpoint_that_first_appears_with_a_late_heartbeat_is_unconfirmed():
+    """Guards against a node that starts after the removal of an entry and before a late write."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    endpoints.apply_list([], 0.0)
+    endpoints.apply_changes([test_registry.make_record(heartbeat_number=5)], [], 0.5)
+    assert not endpoints.is_usable("i-1")
+    assert [record.endpoint_id for record in endpoints.records_to_check()] == ["i-1"]
+    endpoints.confirm("i-1", 10)
+    assert endpoints.is_usable("i-1")
+
+
+def test_endpoint_that_first_appears_with_its_first_heartbeat_is_usable():
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    endpoints.apply_list([], 0.0)
+    endpoints.apply_changes([test_registry.make_record(heartbeat_number=1)], [], 0.5)
+    assert endpoints.is_usable("i-1")
+
+
 def test_later_incarnation_is_usable_once_it_is_confirmed():
     """Guards against a late first heartbeat of an incarnation that nobody has seen."""
     endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
@@ -223,6 +255,17 @@
     assert endpoints.is_usable("i-1")
 
 
+def test_lapsed_endpoint_that_failed_a_check_is_unconfirmed_when_it_returns():
+    """Guards against an unannounced leaving in an outage, and a late heartbeat after it."""
+    endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
+    lapse_after_outage(endpoints)
+    endpoints.record_failed_check("i-1", 10, 10.3)
+    endpoints.apply_changes([test_registry.make_record(heartbeat_number=9)], [], 10.5)
+    assert not endpoints.is_usable("i-1")
+    endpoints.confirm("i-1", 10)
+    assert endpoints.is_usable("i-1")
+
+
 def test_time_does_not_confirm_an_endpoint_whose_entry_has_lapsed():
     """Guards against a late write that lapses within the grace period of an outage."""
     endpoints = registry.EndpointRegistry(heartbeat_interval_s=1.0)
--- a/src/lynxlanding/fleet/tests/test_registry_schedules.py
+++ b/src/lynxlanding/fleet/tests/test_registry_schedules.py
@@ -5,6 +5,7 @@
 the store and asks the endpoint where the registry wants to know.
 """
 
+import dataclasses
 import random
 
 from lynxlanding.fleet import registry
@@ -20,20 +21,35 @@
 # Heartbeats without which the store removes the entry.
 SILENT_HEARTBEATS = 3
 MAX_READ_DELAY_STEPS = 5
-MAX_LATENESS_STEPS = 40
 DRAIN_BOUND_STEPS = 20
 # The endpoint must be used again after this time without late writes and changes.
 RECOVERY_STEPS = 90
 SCHEDULE_STEPS = 500
 # At the end of a schedule the endpoint starts if it has to, and is neither cut off nor stopped.
-CALM_STEPS = RECOVERY_STEPS + 2 * MAX_LATENESS_STEPS
+CALM_STEPS = RECOVERY_STEPS + 80
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LateWrites:
+    """Share of the writes that are late, by how many steps at most, and how long engines leave."""
+
+    share: float
+    max_steps: int
+    max_leaving_steps: int
+
+
+FEW_LATE_WRITES = LateWrites(share=0.15, max_steps=40, max_leaving_steps=60)
+# Late writes follow each other and keep an entry for longer than the time that confirms it, while
+# the endpoint still serves.
+MANY_LATE_WRITES = LateWrites(share=0.4, max_steps=60, max_leaving_steps=100)
 
 
 class SimulatedEndpoint:
     """An endpoint id with its incarnations, and its entry in the store."""
 
-    def __init__(self, random_state):
+    def __init__(self, random_state, lateness):
         self._random_state = random_state
+        self._lateness = lateness
         self._late_writes = []
         self._started_ms = 1_000_000
         self._heartbeat_number = 0
@@ -95,7 +111,8 @@
             # From here on, the store has acknowledged that the endpoint leaves.
             self.is_leaving = True
             self.left_at = step
-            self._ends_at = step + DRAIN_BOUND_STEPS + self._random_state.randrange(1, 60)
+            leaving_steps = self._random_state.randrange(1, self._lateness.max_leaving_steps)
+            self._ends_at = step + DRAIN_BOUND_STEPS + leaving_steps
             if draw < 0.017:
                 self._write(step)
             else:
@@ -133,8 +150,8 @@
         )
         is_announcement = self.is_leaving and step == self.left_at
         may_be_late = not is_announcement and step < SCHEDULE_STEPS - CALM_STEPS
-        if self._is_cut or (may_be_late and self._random_state.random() < 0.15):
-            late = step + self._random_state.randrange(1, MAX_LATENESS_STEPS)
+        if self._is_cut or (may_be_late and self._random_state.random() < self._lateness.share):
+            late = step + self._random_state.randrange(1, self._lateness.max_steps)
             if not self.is_leaving:
                 self._late_writes.append((late, record))
             return
@@ -157,9 +174,9 @@
     return record.started_ms, record.is_leaving
 
 
-def run_schedule(seed):
+def run_schedule(seed, lateness=FEW_LATE_WRITES):
     random_state = random.Random(seed)
-    endpoint = SimulatedEndpoint(random_state)
+    endpoint = SimulatedEndpoint(random_state, lateness)
     endpoints = registry.EndpointRegistry(HEARTBEAT_STEPS * STEP_S)
     next_read = 0
     checks = []
@@ -178,6 +195,8 @@
         for started_ms in checks:
             if endpoint.is_serving:
                 endpoints.confirm("i-1", started_ms)
+            else:
+                endpoints.record_failed_check("i-1", started_ms, now)
         checks = [record.started_ms for record in endpoints.records_to_check()]
         left_at = endpoint.left_at
         if left_at is not None and endpoint.is_alive and step > left_at + DRAIN_BOUND_STEPS:
@@ -195,3 +214,11 @@
     for seed in (*FAILED_SEEDS, *range(SCHEDULES)):
         ends_in_use += run_schedule(seed)
     assert ends_in_use > SCHEDULES / 2
+
+
+def test_no_endpoint_is_usable_after_it_left_with_several_late_writes():
+    """Guards against a leaving endpoint that late writes bring back until time confirms it."""
+    ends_in_use = 0
+    for seed in range(SCHEDULES):
+        ends_in_use += run_schedule(seed, MANY_LATE_WRITES)
+    assert ends_in_use > SCHEDULES / 2
--- a/src/lynxlanding/node/confirmation_checker.py
+++ b/src/lynxlanding/node/confirmation_checker.py
@@ -69,10 +69,12 @@
     def _check(self, record, path):
         time.sleep(self._random_state.uniform(0.0, CHECK_SPREAD_S))
         is_serving = False
+        status = None
         error = None
         try:
             check = self._client.check(record, path)
             is_serving = check.is_serving
+            status = check.status
             self._record_check(record, check.status, check.statements, time.monotonic())
         except endpoint_errors.AttemptError as e:
             error = str(e)[:200]
@@ -81,8 +83,13 @@
             endpoint=record.endpoint_id,
             born_ms=record.started_ms,
             is_serving=is_serving,
+            status=status,
             error=error,
         )
-        if is_serving:
-            changes = self._serving.confirm(record.endpoint_id, record.started_ms).get()
-            self._on_confirmed(changes)
+        if not is_serving:
+            self._serving.record_failed_check(
+                record.endpoint_id, record.started_ms, time.monotonic()
+            )
+            return
+        changes = self._serving.confirm(record.endpoint_id, record.started_ms).get()
+        self._on_confirmed(changes)
--- a/src/lynxlanding/node/tests/test_confirmation_checker.py
+++ b/src/lynxlanding/node/tests/test_confirmation_checker.py
@@ -12,6 +12,7 @@
     def __init__(self, records):
         self.records = records
         self.confirmed = []
+        self.failed = []
         self.may_check_now = True
 
     def records_to_check(self):
@@ -25,6 +26,11 @@
         self.confirmed.append((endpoint_id, started_ms))
         return dispatch_factories.CompletedFuture(["change"])
 
+    def record_failed_check(self, endpoint_id, started_ms, now):
+        assert now <= time.monotonic()
+        self.failed.append((endpoint_id, started_ms))
+        return dispatch_factories.CompletedFuture(None)
+
 
 class ScriptedClient:
     """Returns or raises one item of a script for each check."""
@@ -76,6 +82,7 @@
     checker.check_all()
     wait_for(lambda: received == [["change"]])
     assert serving.confirmed == [("p1", 1)]
+    assert serving.failed == []
     assert log_messages[-1]["is_serving"]
 
 
@@ -92,6 +99,7 @@
     assert log_messages[1]["error"] == "refused"
     assert [(status, item.retry_after_s) for status, item in client.recorded] == [(503, 9.0)]
     assert serving.confirmed == received == []
+    assert serving.failed == [("p1", 1), ("p1", 1)]
 
 
 def test_checks_of_an_endpoint_are_an_interval_apart(monkeypatch):
