End a suspected restart with each write of the known incarnation

A live engine stayed unused until the next change of its entry, after late writes of its previous incarnation and of its own first heartbeat.

Cause: a record of an earlier heartbeat was ignored before it could end the suspicion that another incarnation lives, though the entry is then not that one's any more. The log of the seed shows it: restart_suspected, ignored, restarted.

Change: the suspicion ends with each write of the known incarnation; the record is ignored after that.

--- a/src/lynxlanding/fleet/registry.py
+++ b/src/lynxlanding/fleet/registry.py
@@ -274,9 +274,10 @@
         if record.started_ms > known.started_ms:
             self._returned_at[endpoint_id] = now
             return self._replace(record, known)
+        # Also an older write of the known incarnation shows that no other one's has stayed.
+        self._drop_possible_restart(endpoint_id, now)
         if record.is_older_than(known):
             return [endpoint_change.EndpointChange(endpoint_change.IGNORED, record, known)]
-        self._drop_possible_restart(endpoint_id, now)
         return self._set(record, known)
 
     def _suspect_restart(self, record, known, now):
--- a/src/lynxlanding/fleet/tests/test_registry_schedules.py
+++ b/src/lynxlanding/fleet/tests/test_registry_schedules.py
@@ -16,6 +16,9 @@
 # one that had written the entry. The others: the late first heartbeat of an incarnation that nobody
 # had seen, with a later start time, counted as a restart.
 FAILED_SEEDS = (2350, 3846, 22281, 30862)
+# A late write of the known incarnation, older than what was known of it, did not end the time for
+# which the write of an earlier incarnation had to stay.
+FAILED_SEEDS_WITH_MANY_LATE_WRITES = (9956,)
 STEP_S = 0.1
 HEARTBEAT_STEPS = 12
 # Heartbeats without which the store removes the entry.
@@ -219,6 +222,6 @@
 def test_no_endpoint_is_usable_after_it_left_with_several_late_writes():
     """Guards against a leaving endpoint that late writes bring back until time confirms it."""
     ends_in_use = 0
-    for seed in range(SCHEDULES):
+    for seed in (*FAILED_SEEDS_WITH_MANY_LATE_WRITES, *range(SCHEDULES)):
         ends_in_use += run_schedule(seed, MANY_LATE_WRITES)
     assert ends_in_use > SCHEDULES / 2
