Pass the configuration on from node to node

Cause: a configuration cannot be divided into datagrams, so each node asked its relay for it, which encoded and sent it anew for each of forty nodes. A relay that the store answered stood still over it, found its own calls timed out, and told its subscribers to wait (113 waits at 67 nodes). What they missed they asked of the store, which was silent to a third of them, while the feed went on. Not told apart: the relays' links and lost fragments.

Change: nodes take the configuration from each other over HTTP, newest only, one copy after the other, and name those that have got one. They hear of it from the feed, reports and digests. Protocol version 3; earlier nodes are served as before. A relay keeps one configuration, a node decodes only the newest of several, and reads the store from the version of its copy.

--- a/src/lynxlanding/node/node_gauges.py
+++ b/src/lynxlanding/node/node_gauges.py
@@ -110,7 +110,7 @@
     )
 
 
-def add_peer_gauges(metrics, transport, table):
+def add_peer_gauges(metrics, transport, table, copies):
     """Add the gauges of the reports between nodes.
 
     Parameters
@@ -121,7 +121,19 @@
         Counts datagrams.
     table : PeerTable
         The other nodes.
+    copies : ConfigurationCopies
+        Counts copies of the configuration.
     """
+    metrics.add_gauge(
+        "lynxlanding_configuration_copies_sent",
+        "Copies of the configuration sent to other nodes since the start of the process.",
+        lambda: copies.sent_total,
+    )
+    metrics.add_gauge(
+        "lynxlanding_configuration_copies_received",
+        "Copies of the configuration taken from other nodes since the start of the process.",
+        lambda: copies.received_total,
+    )
     metrics.add_gauge(
         "lynxlanding_peer_datagrams_sent",
         "Datagrams sent to other nodes since the start of the process.",
--- a/src/lynxlanding/node/peer_report_handler.py
+++ b/src/lynxlanding/node/peer_report_handler.py
@@ -26,6 +26,8 @@
         Called with id and start time of an endpoint that is leaving.
     on_stalled : callable
         Called without arguments after a peer has reported stalled endpoints.
+    copies : ConfigurationCopies
+        Learns which peers have a newer configuration.
     evacuations : EvacuationHandler, optional
         Receives what peers have read about evacuations; None if this node does not watch them.
     """
@@ -40,6 +42,7 @@
         cold,
         on_leaving,
         on_stalled,
+        copies,
         evacuations=None,
     ):
         self._serving = serving
@@ -50,10 +53,12 @@
         self._cold = cold
         self._on_leaving = on_leaving
         self._on_stalled = on_stalled
+        self._copies = copies
         self._evacuations = evacuations
 
     def on_report(self, report, now):
         """Apply a ``PeerReport`` that arrived at ``now``, in monotonic seconds."""
+        self._record_holders([report.node_id], report.configuration_version)
         requests_by_endpoint = self._view.apply(report, now)
         self._apply_statements(report, now)
         prompts = report.prompts.shift(now)
@@ -70,10 +75,19 @@
             node_id = self._table.find_node_id(member.key)
             if node_id is not None:
                 member_ids.append(node_id)
+        holder_ids = map(self._table.find_node_id, digest.configuration_holders)
+        self._record_holders(holder_ids, digest.configuration_version)
         requests_by_endpoint = self._view.apply_digest(digest, member_ids, own, now)
         self._apply_statements(digest, now)
         self._serving.apply_digest_load(digest.node_id, member_ids, requests_by_endpoint, now)
 
+    def _record_holders(self, node_ids, version):
+        """Record which nodes have a newer configuration."""
+        if version <= self._copies.number:
+            return
+        for address in self._table.copy_addresses(node_ids, version):
+            self._copies.record_holder(address, version)
+
     def _apply_statements(self, source, now):
         """Apply what a report or a digest says about endpoints and data centres."""
         if self._evacuations is not None and source.evacuations is not None:
--- a/src/lynxlanding/node/store_watcher.py
+++ b/src/lynxlanding/node/store_watcher.py
@@ -158,6 +158,7 @@
             message = self._feed.watch(self._kind, version, self._feed_timeout_s())
             if message is not None:
                 return self._apply_message(message)
+            version = self._feed.skip_copied(self._kind, version)
         if not self._may_call(version):
             return version
         timeout_s = self._watch_timeout_s()
--- a/src/lynxlanding/node/tests/test_configuration_handler.py
+++ b/src/lynxlanding/node/tests/test_configuration_handler.py
@@ -1,4 +1,5 @@
 from lynxlanding.node import configuration_handler, node_status
+from lynxlanding.peers import configuration_copies
 from lynxlanding.platform.tests import test_codecs
 from lynxlanding.store import stored_object
 
@@ -27,7 +28,9 @@
     serving = FakeServingActor()
     status = node_status.NodeStatus()
     notified = []
-    handler = configuration_handler.ConfigurationHandler(serving, status, notified.append)
+    handler = configuration_handler.ConfigurationHandler(
+        serving, status, notified.append, configuration_copies.ConfigurationCopies(None, None)
+    )
     return handler, serving, status, notified
 
 
--- a/src/lynxlanding/node/tests/test_evacuation_handler.py
+++ b/src/lynxlanding/node/tests/test_evacuation_handler.py
@@ -11,7 +11,7 @@
 from lynxlanding.dispatch.tests import dispatch_factories, test_request_forwarder
 from lynxlanding.fleet import evacuated_data_centres
 from lynxlanding.node import evacuation_handler, node_status, peer_report_handler
-from lynxlanding.peers import peer_report
+from lynxlanding.peers import configuration_copies, peer_report
 from lynxlanding.platform import configuration_codec
 from lynxlanding.platform.tests import test_codecs
 from lynxlanding.store import store_version, stored_object
@@ -165,7 +165,16 @@
 def make_report_handler(evacuations):
     peers = StubPeers()
     return peer_report_handler.PeerReportHandler(
-        peers, None, peers, peers, peers, peers, None, None, evacuations
+        peers,
+        None,
+        peers,
+        peers,
+        peers,
+        peers,
+        None,
+        None,
+        configuration_copies.ConfigurationCopies(None, None),
+        evacuations,
     )
 
 
--- a/src/lynxlanding/node/tests/test_store_watcher.py
+++ b/src/lynxlanding/node/tests/test_store_watcher.py
@@ -130,6 +130,8 @@
     def __init__(self, *messages):
         self._messages = list(messages)
         self.published = []
+        # Version of what came as a copy.
+        self.copied = None
         self.has_subscribers = False
         self.waited_s = []
 
@@ -137,6 +139,10 @@
         self.waited_s.append(timeout_s)
         return self._messages.pop(0) if self._messages else None
 
+    def skip_copied(self, kind, after):
+        del kind
+        return after if self.copied is None else max(self.copied, after)
+
     def publish(self, kind, after, batch, *, was_outage):
         self.published.append((after, batch.version))
 
@@ -162,6 +168,18 @@
     assert feed.published == [(None, 7), (9, 12)]
 
 
+def test_the_store_is_read_from_the_version_of_a_copy():
+    """Guards against answers of the store that are too large to read, each time."""
+    feed = ScriptedFeed()
+    store = ScriptedStore(([make_stored("a")], 7), watch_batch.WatchBatch([], [], 9))
+    feed.copied = 8
+    watcher = store_watcher.StoreWatcher(store, "servers", RecordingHandler(), feed=feed)
+    store.watcher = watcher
+    watcher.start()
+    assert store.done.wait(5.0)
+    assert store.calls[1][:2] == ("watch", 8)
+
+
 def test_watches_of_a_relay_are_short(monkeypatch):
     """Pattern: the connection of a relay to the store goes silent.
 
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -1,5 +1,6 @@
 """One node on the VM platform: construction of its components and its life cycle."""
 
+import dataclasses
 import gc
 import logging
 import os
@@ -31,7 +32,7 @@
 )
 from lynxlanding.fleet import evacuated_data_centres
 from lynxlanding.fleet import registry as fleet_registry
-from lynxlanding.gateway import http_server
+from lynxlanding.gateway import configuration_app, http_server
 from lynxlanding.handover import peer_forwarder, reachability, reachability_checker
 from lynxlanding.node import (
     configuration_handler,
@@ -51,6 +52,8 @@
 from lynxlanding.observability import bounded_log, deferred_metrics, restarting_thread
 from lynxlanding.peers import (
     change_feed,
+    configuration_copies,
+    copy_client,
     local_state,
     node_directory,
     peer_identity,
@@ -88,6 +91,8 @@
 RELAY_WATCH_PAUSE_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.05
 LOG_FLUSH_TIMEOUT_S = 0.5
+# Other nodes that ask for the configuration are answered from memory.
+PEER_CONCURRENCY = 2
 
 NODE_STARTED = "lynxlanding:node:started"
 NODE_STOPPING = "lynxlanding:node:stopping"
@@ -217,6 +222,9 @@
             self._on_endpoint_confirmed,
             self._random_state,
         )
+        self._copies = configuration_copies.ConfigurationCopies(
+            copy_client.CopyClient(settings.listen.peers), self._random_state
+        )
         self._change_feed = change_feed.ChangeFeed(
             self._identity,
             self._peer_table,
@@ -224,6 +232,8 @@
             self._send_datagram,
             self._store_access,
             {evacuation_codec.KIND: evacuations.feed_timeout_s} if evacuations.is_on else None,
+            self._copies,
+            configuration_codec.KIND,
         )
         self._peer_report_handler = peer_report_handler.PeerReportHandler(
             self._serving,
@@ -234,6 +244,7 @@
             self._cold_engines,
             self._record_leaving,
             self._group_controller.wake,
+            self._copies,
             self._evacuations,
         )
         self._report_transport = report_transport.ReportTransport(
@@ -252,6 +263,12 @@
             self._on_reachability_changed,
             self._random_state,
         )
+        self._configuration_handler = configuration_handler.ConfigurationHandler(
+            self._serving,
+            self._node_status,
+            self._group_controller.use_configuration,
+            self._copies,
+        )
         self._watchers = self._create_watchers()
         self._directory = node_directory.NodeDirectory(
             self._store,
@@ -288,7 +305,9 @@
         if self._evacuations is not None:
             node_gauges.add_evacuation_gauges(self._metrics, self._evacuations.state)
         self._caller_guard.add_gauges(self._metrics)
-        node_gauges.add_peer_gauges(self._metrics, self._report_transport, self._peer_table)
+        node_gauges.add_peer_gauges(
+            self._metrics, self._report_transport, self._peer_table, self._copies
+        )
         node_gauges.add_store_gauges(self._metrics, self._store_calls)
         servers = self._create_servers()
         _start_garbage_collection()
@@ -300,6 +319,7 @@
         self._directory.start()
         self._report_transport.start()
         self._change_feed.start()
+        self._copies.start(self._use_copy)
         self._group_controller.start()
         self._reachability_checker.start()
         restarting_thread.start(self._run_maintenance, "upkeep")
@@ -338,14 +358,11 @@
         return serving_actor.ServingActor.start(registry, request_dispatcher, gate)
 
     def _create_watchers(self):
-        handler = configuration_handler.ConfigurationHandler(
-            self._serving, self._node_status, self._group_controller.use_configuration
-        )
         watchers = [
             store_watcher.StoreWatcher(
                 self._store,
                 configuration_codec.KIND,
-                handler,
+                self._configuration_handler,
                 feed=self._change_feed,
                 access=self._store_access,
             ),
@@ -411,6 +428,11 @@
                 settings.listen.readiness,
                 2,
             ),
+            self._create_server(
+                configuration_app.ConfigurationApp(self._copies),
+                settings.listen.peers,
+                PEER_CONCURRENCY,
+            ),
         ]
         if settings.listen.metrics is not None:
             servers.append(
@@ -461,6 +483,13 @@
             time.monotonic(), is_own_store_unavailable=self._store.is_unavailable
         )
 
+    def _use_copy(self, message):
+        """Use the configuration of another node at once, and let its watcher go on from it."""
+        self._configuration_handler.on_changes(
+            message.puts, (), message.version, time.monotonic(), was_outage=False
+        )
+        self._change_feed.deliver(dataclasses.replace(message, puts=()))
+
     def _on_endpoints_changed(self):
         self._group_controller.wake()
         self._confirmation_checker.check_all()
@@ -653,6 +682,7 @@
             duration_s=round(time.monotonic() - started_at, 3),
         )
         self._change_feed.stop()
+        self._copies.stop()
         self._report_transport.stop()
         self._reachability_checker.stop()
         self._directory.stop()
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -16,6 +16,7 @@
     fragment_assembler,
     store_access,
 )
+from lynxlanding.store import store_version
 
 SUBSCRIPTION_INTERVAL_S = 0.4
 # Interval at which silence of the store or of a relay is noticed in a large fleet.
@@ -25,6 +26,8 @@
 # store.
 CATCH_UP_TIMEOUT_S = 0.3
 SUBSCRIPTION_LIFETIME_S = 2.0
+# A copy of the configuration arrives within this time, also if several nodes are asked for it.
+COPY_TIMEOUT_S = 1.0
 # Messages that wait for their watcher; the oldest are dropped, which shows as a gap.
 MAX_WAITING_MESSAGES = 64
 
@@ -54,15 +57,32 @@
         each node that misses something reads it from the store.
     timeouts_s : dict of str to float, optional
         Used in place of ``FEED_TIMEOUT_S``, by kind of objects, and kept exactly.
+    copies : ConfigurationCopies, optional
+        Asks other nodes for the configuration, which is too large for the feed. Without it, the
+        configuration is asked of relays or read from the store.
+    copied_kind : str, optional
+        Kind of the configuration.
     """
 
-    def __init__(self, identity, table, read_store_nodes, send, access=None, timeouts_s=None):
+    def __init__(
+        self,
+        identity,
+        table,
+        read_store_nodes,
+        send,
+        access=None,
+        timeouts_s=None,
+        copies=None,
+        copied_kind=None,
+    ):
         self._identity = identity
         self._table = table
         self._read_store_nodes = read_store_nodes
         self._send = send
         self._access = access
         self._timeouts_s = dict(timeouts_s or {})
+        self._copies = copies
+        self._copied_kind = copied_kind
         self._stop = threading.Event()
         self._subscribers = {}
         self._waiting = {}
@@ -95,8 +115,8 @@
         """Signal the thread to stop."""
         self._stop.set()
 
-    def receive(self, data, now):
-        """Accept a datagram of another node."""
+    def receive(self, data, now, sender=""):
+        """Accept a datagram of another node, which has sent it from an address."""
         try:
             message = feed_codec.decode(data)
             if isinstance(message, fragment_assembler.Fragment):
@@ -125,16 +145,23 @@
             )
         if message.substitute_address:
             self._substitute = (message.substitute_address, now + SUBSCRIPTION_LIFETIME_S)
+        if sender and message.latest is not None and self._copies is not None:
+            own_version = self._copies.version
+            if own_version is None or (
+                own_version.era == message.latest.era and own_version < message.latest
+            ):
+                self._copies.record_newer(sender)
         with self._arrived:
             received_at = self._received_at.get(message.kind, answered_at)
             self._received_at[message.kind] = max(received_at, answered_at)
             received_count = self._received_counts.get(message.kind, 0)
             self._received_counts[message.kind] = received_count + 1
-            queue = self._waiting.setdefault(
-                message.kind, collections.deque(maxlen=MAX_WAITING_MESSAGES)
-            )
-            queue.append(message)
-            self._arrived.notify_all()
+            self._queue(message)
+
+    def deliver(self, message):
+        """Hand a ``FeedMessage`` that came as a copy to the watcher of its kind."""
+        with self._arrived:
+            self._queue(message)
 
     def publish(self, kind, after, batch, *, was_outage):
         """Pass on what a call to the store has returned.
@@ -162,6 +189,8 @@
         is_substitute = self._access is not None and self._access.is_substitute
         if is_substitute:
             message = dataclasses.replace(message, substitute_address=self._identity.address)
+        if kind == self._copied_kind and self._copies is not None:
+            message = dataclasses.replace(message, latest=self._copies.version)
         self._keep(message)
         addresses = self._subscriber_addresses(time.monotonic())
         is_announced = self._is_in_large_fleet() and (self._access.is_relay or is_substitute)
@@ -179,6 +208,7 @@
         """
         end = time.monotonic() + timeout_s
         asked_at = None
+        answer_timeout_s = CATCH_UP_TIMEOUT_S
         feed_timeout_s = self._timeouts_s.get(kind, FEED_TIMEOUT_S)
         with self._arrived:
             self._versions[kind] = after
@@ -188,7 +218,7 @@
                     # A node that has just become a relay would follow its former one for seconds,
                     # and have nothing for its own subscribers meanwhile.
                     return None
-                if asked_at is not None and now - asked_at >= CATCH_UP_TIMEOUT_S:
+                if asked_at is not None and now - asked_at >= answer_timeout_s:
                     return None
                 silent_s = now - self._received_at.get(kind, -feed_timeout_s)
                 if silent_s >= feed_timeout_s:
@@ -202,13 +232,19 @@
                         continue
                     if message.after <= after and message.is_complete:
                         return message
+                    if message.latest is not None and message.latest <= after:
+                        # What the message lacks has come as a copy.
+                        return dataclasses.replace(message, after=after, puts=(), is_complete=True)
                     if asked_at is None and self._is_in_large_fleet():
                         asked_at = now
-                        self._ask(kind, after, now)
+                        if message.latest is None:
+                            self._ask(kind, after, now)
+                        else:
+                            answer_timeout_s = COPY_TIMEOUT_S
                     if asked_at is None:
                         return None
                 if asked_at is not None:
-                    self._arrived.wait(asked_at + CATCH_UP_TIMEOUT_S - now)
+                    self._arrived.wait(asked_at + answer_timeout_s - now)
                     continue
                 if now >= end:
                     return feed_message.FeedMessage(kind, after, after)
@@ -218,6 +254,17 @@
                     remaining_s -= silent_s
                 self._arrived.wait(min(end - now, remaining_s))
 
+    def skip_copied(self, kind, after):
+        """Return the version from which the store is read, given that of the last reading.
+
+        What a node has got as a copy it need not read: the changes of a large configuration may be
+        more than the store returns in one answer.
+        """
+        copied = self._copies.version if self._copies and kind == self._copied_kind else None
+        if copied is None or copied.era != after.era:
+            return after
+        return max(copied, after)
+
     def wait_for_message(self, kind, timeout_s):
         """Wait until the next message of a kind arrives."""
         end = time.monotonic() + timeout_s
@@ -306,12 +353,27 @@
         if now < self._substitute[1]:
             self._subscribe_at(self._substitute[0], {kind: after})
 
+    def _queue(self, message):
+        queue = self._waiting.setdefault(
+            message.kind, collections.deque(maxlen=MAX_WAITING_MESSAGES)
+        )
+        queue.append(message)
+        self._arrived.notify_all()
+
     def _keep(self, message):
         """Keep a published message for subscribers that miss it."""
         with self._arrived:
             self._published_at[message.kind] = time.monotonic()
             log = self._logs.get(message.kind)
-            if not message.is_complete:
+            if message.kind == self._copied_kind and message.puts:
+                # A configuration replaces the earlier ones, each of which has up to 1 MB.
+                first_version = store_version.StoreVersion(message.version.era, 0)
+                message = dataclasses.replace(
+                    message, after=first_version, puts=message.puts[-1:], deletes=()
+                )
+                self._logs[message.kind] = change_log.ChangeLog(first_version)
+                self._logs[message.kind].append(message)
+            elif not message.is_complete:
                 # A list has replaced all objects.
                 self._logs[message.kind] = change_log.ChangeLog(message.version)
             elif log is None or not log.append(message):
--- a/src/lynxlanding/peers/digest_codec.py
+++ b/src/lynxlanding/peers/digest_codec.py
@@ -61,6 +61,8 @@
             forwarded[index].report = item.data
             forwarded[index].ageMs = item.age_ms
         report_codec.encode_evacuations(message, digest.evacuations)
+        message.configurationVersion = digest.configuration_version
+        message.configurationHolders = digest.configuration_holders
         return PREFIX + message.to_bytes_packed()
 
     def decode(self, data):
@@ -94,6 +96,8 @@
                 ),
                 report_codec.decode_cold(message),
                 report_codec.decode_evacuations(message),
+                message.configurationVersion,
+                tuple(message.configurationHolders),
             )
         except (capnp.KjException, UnicodeDecodeError, ValueError, AttributeError) as e:
             raise membership_errors.MalformedMessage(f"digest: {e}") from e
--- a/src/lynxlanding/peers/feed_codec.py
+++ b/src/lynxlanding/peers/feed_codec.py
@@ -49,7 +49,7 @@
     datagrams = _encode_parts(message)
     if len(datagrams) <= MAX_REQUESTED_PARTS and None not in datagrams:
         return datagrams
-    data = zlib.compress(_to_json(_to_document(message)))
+    data = encode_whole(message)
     checksum = zlib.crc32(data)
     count = -(-len(data) // FRAGMENT_BYTES)
     if count > MAX_FRAGMENTS:
@@ -63,8 +63,13 @@
     return datagrams
 
 
+def encode_whole(message):
+    """Return a message as one piece of any size, for ``decode_whole``."""
+    return zlib.compress(_to_json(_to_document(message)))
+
+
 def decode_whole(data):
-    """Return the ``FeedMessage`` that has been put together from fragments.
+    """Return the ``FeedMessage`` of ``encode_whole``, as a copy or put together from fragments.
 
     Raises
     ------
@@ -147,11 +152,17 @@
             max(0, int(document.get("age_ms", 0))),
             tuple(str(kind) for kind in document.get("waiting", ())),
             str(document.get("substitute", "")),
+            _decode_latest(document, era),
         )
     except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as e:
         raise membership_errors.MalformedMessage(f"feed message: {e}") from e
 
 
+def _decode_latest(document, era):
+    revision = document.get("latest")
+    return None if revision is None else store_version.StoreVersion(era, int(revision))
+
+
 def _decode_fragment(document):
     checksum, index, count = (int(number) for number in document["fragment"])
     if not 0 <= index < count <= MAX_FRAGMENTS:
@@ -185,6 +196,8 @@
         document["waiting"] = list(message.waiting_kinds)
     if message.substitute_address:
         document["substitute"] = message.substitute_address
+    if message.latest is not None:
+        document["latest"] = message.latest.revision
     return document
 
 
--- a/src/lynxlanding/peers/feed_message.py
+++ b/src/lynxlanding/peers/feed_message.py
@@ -38,6 +38,9 @@
     substitute_address : str
         Address of the sender if it acts as a relay because the store refuses all candidates for
         relays; empty for a relay.
+    latest : StoreVersion or None
+        Version at which the configuration in force at the sender was written, for its kind. A
+        receiver that has it misses nothing, whatever the other versions are.
     """
 
     kind: str
@@ -50,6 +53,7 @@
     age_ms: int = 0
     waiting_kinds: tuple[str, ...] = ()
     substitute_address: str = ""
+    latest: store_version.StoreVersion | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/lynxlanding/peers/peer_table.py
+++ b/src/lynxlanding/peers/peer_table.py
@@ -157,8 +157,31 @@
                 _update_state(peer, member)
         for key, age_ms in digest.heard.items():
             self._record_heard(key, age_ms, now)
+        for key in digest.configuration_holders:
+            peer = self._peers.get(self.find_node_id(key))
+            if peer is not None:
+                peer.configuration_version = digest.configuration_version
         return True
 
+    def copy_addresses(self, node_ids, version):
+        """Return the addresses of those nodes that serve copies of a version of the configuration.
+
+        Parameters
+        ----------
+        node_ids : iterable of str
+            Nodes to look at; those that are not known are left out.
+        version : int
+            Version of the configuration that the nodes must have in force, or a later one.
+        """
+        addresses = []
+        for node_id in node_ids:
+            peer = self._peers.get(node_id)
+            if peer is None or peer.protocol_version < protocol.COPIES:
+                continue
+            if peer.configuration_version >= version:
+                addresses.append(peer.address)
+        return addresses
+
     def find_node_id(self, key):
         """Return the id of the node with a hash; None if it is not known, or not the only one."""
         return None if key in self._ambiguous_keys else self._ids_by_key.get(key)
--- a/src/lynxlanding/peers/protocol.py
+++ b/src/lynxlanding/peers/protocol.py
@@ -11,8 +11,10 @@
 STATED = 1
 # Nodes that report to gatherers in a large fleet, and understand digests.
 GATHERING = 2
+# Nodes that serve copies of their configuration at the address of their reports.
+COPIES = 3
 # Version of this node.
-CURRENT = GATHERING
+CURRENT = COPIES
 
 # Start of all datagrams but reports; no packed report starts with it. The next byte is the kind.
 DATAGRAM_PREFIX = b"\xfflx"
--- a/src/lynxlanding/peers/report_digest.capnp
+++ b/src/lynxlanding/peers/report_digest.capnp
@@ -61,4 +61,9 @@
   cold @22 :List(Report.ColdEndpoint);
   # The latest reading of a member.
   evacuations @23 :Report.EvacuationReading;
+
+  # Newest version of the configuration in force at a member; 0 if there is none.
+  configurationVersion @24 :UInt64;
+  # Keys of members that have it, or of some of them.
+  configurationHolders @25 :List(UInt32);
 }
--- a/src/lynxlanding/peers/report_digest.py
+++ b/src/lynxlanding/peers/report_digest.py
@@ -89,6 +89,10 @@
         Endpoints that are cold as far as a member itself can tell.
     evacuations : ReportedEvacuations or None
         The latest reading of a member; None if none has read them.
+    configuration_version : int
+        Newest version of the configuration that a member has in force; 0 if none has any.
+    configuration_holders : tuple of int
+        Keys of members that have it, or some of them.
     """
 
     node_id: str
@@ -106,3 +110,5 @@
     forwarded: tuple[ForwardedReport, ...] = ()
     cold: tuple[peer_report.ReportedCold, ...] = ()
     evacuations: peer_report.ReportedEvacuations | None = None
+    configuration_version: int = 0
+    configuration_holders: tuple[int, ...] = ()
--- a/src/lynxlanding/peers/report_gatherer.py
+++ b/src/lynxlanding/peers/report_gatherer.py
@@ -11,6 +11,8 @@
 MAX_FORWARDED_BYTES = 4096
 MAX_STATEMENTS = 64
 MAX_WAITING_REPORTS = 128
+# Holders of the newest configuration that are named; each of them names others when it is asked.
+MAX_HOLDERS = 8
 # Age that the encoding can hold.
 _MAX_AGE_MS = 0xFFFF
 
@@ -93,6 +95,8 @@
         stalled = set()
         loading = set()
         has_traffic = False
+        configuration_version = 0
+        holders = []
         for node_id, member in list(self._members.items()):
             key = node_key.hash_node_id(node_id)
             report = member.report
@@ -100,6 +104,11 @@
                 heard[key] = _age_ms(member.heard_at, now)
                 continue
             members.append(_make_member_state(key, member, now))
+            if report.configuration_version > configuration_version:
+                configuration_version = report.configuration_version
+                holders = []
+            if report.configuration_version == configuration_version:
+                holders.append(key)
             has_traffic = has_traffic or report.has_traffic
             stalled.update(report.stalled)
             loading.update(report.loading)
@@ -123,6 +132,8 @@
             tuple(self._take_forwarded(now)),
             tuple(_take_statements(self._cold, now)),
             self._latest_evacuations(now),
+            configuration_version,
+            tuple(holders[:MAX_HOLDERS]),
         )
 
     def _latest_evacuations(self, now):
--- a/src/lynxlanding/peers/report_schedule.py
+++ b/src/lynxlanding/peers/report_schedule.py
@@ -198,6 +198,7 @@
 def _reported_at_once(state):
     return (
         state.loads,
+        state.configuration_version,
         state.stalled,
         state.loading,
         state.is_store_unavailable,
--- a/src/lynxlanding/peers/report_transport.py
+++ b/src/lynxlanding/peers/report_transport.py
@@ -44,7 +44,7 @@
     on_digest : callable
         Called with each new ``ReportDigest``, the ``OwnContribution`` in it, and its arrival.
     on_feed : callable
-        Called with each datagram of the change feed and its time of arrival.
+        Called with each datagram of the change feed, its time of arrival and its sender's address.
     random_state : random.Random
         Shuffles the recipients of reports.
     """
@@ -118,7 +118,7 @@
         self._received.add(data)
         kind = protocol.get_kind(data)
         if kind == feed_codec.KIND:
-            self._on_feed(data, now)
+            self._on_feed(data, now, f"{sender[0]}:{sender[1]}")
             return
         if kind not in (b"", digest_codec.KIND):
             self._skip_unknown(kind, sender)
--- a/src/lynxlanding/platform/configuration_codec.py
+++ b/src/lynxlanding/platform/configuration_codec.py
@@ -37,7 +37,7 @@
                 raise platform_errors.MalformedEntry("field 'api_keys' must contain only strings")
             workspaces_by_api_key[key] = owner
     return traffic_configuration.TrafficConfiguration(
-        version=fields.require(spec, "version", int),
+        version=decode_version(spec),
         routes=routes,
         services=services,
         limits=_decode_limits(fields.get(spec, "limits", dict, {})),
@@ -46,6 +46,11 @@
     )
 
 
+def decode_version(spec):
+    """Return the version of a stored configuration; raise ``MalformedEntry`` if it has none."""
+    return fields.require(spec, "version", int)
+
+
 def _decode_limits(document):
     return limits.CallerLimits(
         max_header_bytes=fields.get(document, "max_header_bytes", int, 16 << 10),
--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 from lynxlanding_standins import asgi
@@ -94,6 +95,7 @@
         self._restarts = set()
         self._crash_kind = REFUSES
         self._configuration_version = 1
+        self._extra_keys = 0
         # Milliseconds by field, as in ``configuration``.
         self._time_limits = {"report_lag_ms": report_lag_s * 1000}
         self._write_configuration()
@@ -152,6 +154,7 @@
         if "configuration" in order:
             self._configuration_version = order["configuration"]
             self._time_limits |= order.get("time_limits", {})
+            self._extra_keys = order.get("extra_keys", self._extra_keys)
             self._write_configuration()
         groups = []
         for endpoint in self._endpoints.values():
@@ -172,6 +175,11 @@
 
     def _write_configuration(self):
         document = configuration(self._configuration_version, **self._time_limits)
+        # Random keys take as much space in any encoding.
+        keys = random.Random(self._configuration_version)
+        document["tenants"][0]["api_keys"].extend(
+            f"{keys.getrandbits(128):032x}" for _ in range(self._extra_keys)
+        )
         if self._cold_per_s:
             document["services"][0].update(
                 cold_start_s=self._cold_start_s, cold_per_s=self._cold_per_s
