Accept only configurations as copies

A node that asks another one for its configuration took any message of the feed's encoding; one without versions would have ended its thread with a traceback each time. Found by reading the change again; no node sends such a message.

Change: a copy must be a message of the configuration's kind, and other answers count as failures of the node that sent them, which is asked again after 2 s.

Measured: four kinds of answers that cannot be used are asked for once in 0.3 s (peers/tests/test_configuration_copies.py); the tests of the copies and of the handlers pass.

--- a/src/lynxlanding/node/tests/test_configuration_handler.py
+++ b/src/lynxlanding/node/tests/test_configuration_handler.py
@@ -29,7 +29,10 @@
     status = node_status.NodeStatus()
     notified = []
     handler = configuration_handler.ConfigurationHandler(
-        serving, status, notified.append, configuration_copies.ConfigurationCopies(None, None)
+        serving,
+        status,
+        notified.append,
+        configuration_copies.ConfigurationCopies("config", None, None),
     )
     return handler, serving, status, notified
 
--- a/src/lynxlanding/node/tests/test_evacuation_handler.py
+++ b/src/lynxlanding/node/tests/test_evacuation_handler.py
@@ -173,7 +173,7 @@
         peers,
         None,
         None,
-        configuration_copies.ConfigurationCopies(None, None),
+        configuration_copies.ConfigurationCopies("config", None, None),
         evacuations,
     )
 
--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -223,7 +223,9 @@
             self._random_state,
         )
         self._copies = configuration_copies.ConfigurationCopies(
-            copy_client.CopyClient(settings.listen.peers), self._random_state
+            configuration_codec.KIND,
+            copy_client.CopyClient(settings.listen.peers),
+            self._random_state,
         )
         self._change_feed = change_feed.ChangeFeed(
             self._identity,
--- a/src/lynxlanding/peers/configuration_copies.py
+++ b/src/lynxlanding/peers/configuration_copies.py
@@ -28,13 +28,16 @@
 
     Parameters
     ----------
+    kind : str
+        Kind of the configuration in the store.
     client : CopyClient
         Asks other nodes.
     random_state : random.Random
         Spreads the nodes that ask over those that can be asked.
     """
 
-    def __init__(self, client, random_state):
+    def __init__(self, kind, client, random_state):
+        self._kind = kind
         self._client = client
         self._sources = copy_sources.CopySources(random_state)
         self._offers = copy_offers.CopyOffers()
@@ -141,6 +144,12 @@
             )
         return self._data
 
+    def _decode(self, data):
+        message = feed_codec.decode_whole(data)
+        if not isinstance(message, feed_message.FeedMessage) or message.kind != self._kind:
+            raise membership_errors.MalformedMessage("the copy is not of a configuration")
+        return message
+
     def _run(self):
         while not self._stop.is_set():
             self._wake.wait(None if not self._is_behind() else POLL_S)
@@ -163,7 +172,7 @@
             return False
         try:
             answer = self._client.fetch(address, number)
-            message = None if answer.data is None else feed_codec.decode_whole(answer.data)
+            message = None if answer.data is None else self._decode(answer.data)
         except membership_errors.MembershipError as e:
             self._record_failure(address, e.type_name, str(e))
             return True
--- a/src/lynxlanding/peers/tests/test_configuration_copies.py
+++ b/src/lynxlanding/peers/tests/test_configuration_copies.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+import zlib
 
 import pytest
 
@@ -16,7 +17,6 @@
     copy_client,
     copy_offers,
     copy_sources,
-    feed_codec,
 )
 from lynxlanding.settings import vm_settings
 from lynxlanding.store import store_version, stored_object
@@ -123,7 +123,7 @@
         port = listener.getsockname()[1]
         address = f"127.0.0.1:{port}"
         copies = configuration_copies.ConfigurationCopies(
-            copy_client.CopyClient(address), random.Random(1)
+            KIND, copy_client.CopyClient(address), random.Random(1)
         )
         app = configuration_app.ConfigurationApp(copies)
         limits = vm_settings.ServerLimits(2)
@@ -212,37 +212,55 @@
     assert node.number == 7
 
 
-def test_configuration_that_does_not_come_into_force_is_not_asked_for_again(monkeypatch):
-    """Guards against asking without a pause a node whose configuration cannot be used."""
-    data = feed_codec.encode_whole(feed_codec.decode_whole(_encoded(make_stored(7))))
-    calls = []
+class ScriptedClient:
+    """Answers each call with the same bytes."""
 
-    class Client:
-        def fetch(self, address, number):
-            calls.append((address, number))
-            return copy_answer.CopyAnswer(data)
+    def __init__(self, data):
+        self._data = data
+        self.calls = []
 
-    copies = configuration_copies.ConfigurationCopies(Client(), random.Random(1))
-    done = threading.Event()
-    copies.record_holder("a", 7)
-    copies.start(lambda message: done.set())
-    assert done.wait(5.0)
-    threading.Event().wait(0.3)
-    copies.stop()
-    assert calls == [("a", 0)]
+    def fetch(self, address, number):
+        self.calls.append((address, number))
+        return copy_answer.CopyAnswer(self._data)
 
 
-def _encoded(stored):
-    copies = configuration_copies.ConfigurationCopies(None, random.Random(1))
+def encode(stored):
+    copies = configuration_copies.ConfigurationCopies(KIND, None, random.Random(1))
     copies.record_own(stored.value["version"], stored)
     return copies.serve(0, "").data
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        # Not put into force by ``on_copy``, like one that cannot be decoded.
+        encode(make_stored(7)),
+        encode(
+            stored_object.StoredObject(
+                "servers", "a", store_version.StoreVersion(1, 7), {"version": 7}
+            )
+        ),
+        zlib.compress(b'{"subscriber": "a"}'),
+        b"wrong",
+    ],
+    ids=["refused", "other kind", "other message", "wrong bytes"],
+)
+def test_answer_that_cannot_be_used_is_not_asked_for_again(data):
+    """Guards against asking without a pause a node whose configuration cannot be used."""
+    client = ScriptedClient(data)
+    copies = configuration_copies.ConfigurationCopies(KIND, client, random.Random(1))
+    copies.record_holder("a", 7)
+    copies.start(lambda message: None)
+    time.sleep(0.3)
+    copies.stop()
+    assert client.calls == [("a", 0)]
+
+
 def test_values_that_cannot_be_encoded_again_are_not_passed_on():
     stored = stored_object.StoredObject(
         KIND, "main", store_version.StoreVersion(1, 3), {"version": 3, "name": "\udcff"}
     )
-    copies = configuration_copies.ConfigurationCopies(None, random.Random(1))
+    copies = configuration_copies.ConfigurationCopies(KIND, None, random.Random(1))
     copies.record_own(3, stored)
     assert copies.serve(0, "") == copy_answer.CopyAnswer()
 
