Ask for a configuration that a node cannot use only once

In a fleet of two builds, nodes that cannot decode a configuration would have asked up to 64 others for it every 2 s, some 30 KB each; and a relay that cannot decode it would have told its subscribers that they miss nothing.

Change: a number whose copy did not come into force is not asked for again; a relay states the version of the last configuration that it has read, whether or not it could use it. In fleets of up to 25 nodes, messages of the feed ask for no copies: the nodes that the store answers read it there as soon, and did both before.

Measured: test_configuration_that_this_node_cannot_use_is_asked_for_once and test_configuration_that_cannot_be_decoded_counts_as_read; src/lynxlanding/peers and node, tests/test_upgrade.py and tests/test_refused_configuration.py pass.

--- a/src/lynxlanding/node/configuration_handler.py
+++ b/src/lynxlanding/node/configuration_handler.py
@@ -52,9 +52,12 @@
 
     def _activate_newer(self, objects):
         """Activate the newest valid configuration if it is newer than the active one."""
+        found = [stored for stored in objects if stored.name == configuration_codec.NAME]
         with self._lock:
+            for stored in found:
+                self._copies.record_read(stored.version)
             previous = self._node_status.configuration_version
-            configuration, stored = _find_newest(objects, previous)
+            configuration, stored = _find_newest(found, previous)
             if configuration is None:
                 return
             self._serving.use_configuration(configuration).get()
@@ -70,15 +73,13 @@
 
 
 def _find_newest(objects, previous):
-    """Return the newest valid configuration and its ``StoredObject``.
+    """Return the newest valid one of some configurations, and its ``StoredObject``.
 
     Both are None if no valid one is newer than the version ``previous``. Only the newest is decoded
     as a whole, since a node that has been away finds many.
     """
     found = []
     for stored in objects:
-        if stored.name != configuration_codec.NAME:
-            continue
         try:
             version = configuration_codec.decode_version(stored.value)
         except platform_errors.MalformedEntry as e:
--- a/src/lynxlanding/node/tests/test_configuration_handler.py
+++ b/src/lynxlanding/node/tests/test_configuration_handler.py
@@ -1,7 +1,7 @@
 from lynxlanding.node import configuration_handler, node_status
 from lynxlanding.peers import configuration_copies
 from lynxlanding.platform.tests import test_codecs
-from lynxlanding.store import stored_object
+from lynxlanding.store import store_version, stored_object
 
 
 class CompletedFuture:
@@ -20,7 +20,10 @@
 
 def make_stored(version, **changes):
     return stored_object.StoredObject(
-        "config", "main", version, test_codecs.configuration_document(version=version, **changes)
+        "config",
+        "main",
+        store_version.StoreVersion(0, version),
+        test_codecs.configuration_document(version=version, **changes),
     )
 
 
@@ -57,6 +60,19 @@
     assert serving.versions == [5, 7]
 
 
+def test_configuration_that_cannot_be_decoded_counts_as_read():
+    """Guards against a relay of an earlier build that says that there is nothing newer."""
+    copies = configuration_copies.ConfigurationCopies("config", None, None)
+    status = node_status.NodeStatus()
+    handler = configuration_handler.ConfigurationHandler(
+        FakeServingActor(), status, lambda configuration: None, copies
+    )
+    usable, newer = make_stored(5), make_stored(6, routes="none")
+    handler.on_list([usable], 6, 0.0, False)
+    handler.on_changes([newer], [], 7, 1.0, False)
+    assert (copies.number, copies.version, copies.latest) == (5, usable.version, newer.version)
+
+
 def test_other_objects_of_the_kind_are_ignored():
     handler, serving, status, _ = make_handler()
     other = stored_object.StoredObject(
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -145,12 +145,8 @@
             )
         if message.substitute_address:
             self._substitute = (message.substitute_address, now + SUBSCRIPTION_LIFETIME_S)
-        if sender and message.latest is not None and self._copies is not None:
-            own_version = self._copies.version
-            if own_version is None or (
-                own_version.era == message.latest.era and own_version < message.latest
-            ):
-                self._copies.record_newer(sender)
+        if sender and self._is_newer_copy(message):
+            self._copies.record_newer(sender)
         with self._arrived:
             received_at = self._received_at.get(message.kind, answered_at)
             self._received_at[message.kind] = max(received_at, answered_at)
@@ -190,7 +186,7 @@
         if is_substitute:
             message = dataclasses.replace(message, substitute_address=self._identity.address)
         if kind == self._copied_kind and self._copies is not None:
-            message = dataclasses.replace(message, latest=self._copies.version)
+            message = dataclasses.replace(message, latest=self._copies.latest)
         self._keep(message)
         addresses = self._subscriber_addresses(time.monotonic())
         is_announced = self._is_in_large_fleet() and (self._access.is_relay or is_substitute)
@@ -300,6 +296,18 @@
             return False
         return self._access.is_relay or self._access.is_substitute
 
+    def _is_newer_copy(self, message):
+        """Return whether the sender of a message has a newer configuration to copy.
+
+        In a small fleet, the nodes that the store answers read it there as soon.
+        """
+        if self._copies is None or message.latest is None or not self._is_in_large_fleet():
+            return False
+        own_version = self._copies.version
+        if own_version is None:
+            return True
+        return own_version.era == message.latest.era and own_version < message.latest
+
     def _notice_role(self):
         """Wake the watchers that follow another relay once this node has become one."""
         if self._reads_for_others() != self._did_read_for_others:
--- a/src/lynxlanding/peers/configuration_copies.py
+++ b/src/lynxlanding/peers/configuration_copies.py
@@ -43,7 +43,10 @@
         self._offers = copy_offers.CopyOffers()
         self._lock = threading.Lock()
         self._number = 0
+        # Number up to which other nodes have only what this one cannot use.
+        self._rejected_number = 0
         self._stored = None
+        self._latest = None
         self._data = None
         self._behind_since = None
         self._on_copy = None
@@ -62,6 +65,14 @@
         """Version of the store at which the configuration in force was written, or None."""
         return None if self._stored is None else self._stored.version
 
+    @property
+    def latest(self):
+        """Version of the store of the last configuration that was read, or None.
+
+        It may not be in force, as a node of an earlier build may not be able to decode it.
+        """
+        return self._latest
+
     @property
     def received_total(self):
         """Number of copies that this node has taken from others."""
@@ -72,6 +83,10 @@
         """Number of copies that this node has passed on."""
         return self._sent_total
 
+    @property
+    def _wanted_above(self):
+        return max(self._number, self._rejected_number)
+
     def start(self, on_copy):
         """Start the thread that asks other nodes.
 
@@ -97,9 +112,17 @@
             self._data = None
             self._behind_since = None
 
+    def record_read(self, version):
+        """Record that a configuration was read, whether or not it can be used.
+
+        ``version`` is the ``StoreVersion`` at which it was written.
+        """
+        if self._latest is None or self._latest.era != version.era or self._latest < version:
+            self._latest = version
+
     def record_holder(self, address, number):
         """Record that a node has the configuration with a number, or a later one."""
-        if number <= self._number:
+        if number <= self._wanted_above:
             return
         with self._lock:
             self._sources.record_holder(address, number)
@@ -159,7 +182,7 @@
 
     def _is_behind(self):
         with self._lock:
-            return self._sources.is_behind(self._number)
+            return self._sources.is_behind(self._wanted_above)
 
     def _ask_one(self):
         """Ask a node for its configuration; return whether there was one to ask."""
@@ -167,7 +190,7 @@
         with self._lock:
             number = self._number
             behind_since = self._behind_since
-            address = self._sources.choose(number, asked_at)
+            address = self._sources.choose(self._wanted_above, asked_at)
         if address is None:
             return False
         try:
@@ -188,6 +211,8 @@
             return True
         self._on_copy(message)
         if self._number <= number:
+            with self._lock:
+                self._rejected_number = self._sources.number_of(address)
             self._record_failure(address, "not_newer", f"version {message.version}")
             return True
         eliot.log_message(
--- a/src/lynxlanding/peers/copy_sources.py
+++ b/src/lynxlanding/peers/copy_sources.py
@@ -72,6 +72,10 @@
                 found.append(address)
         return self._random_state.choice(found) if found else None
 
+    def number_of(self, address):
+        """Return the number that a node is known to have; 0 if it is none of the holders."""
+        return self._holders.get(address, 0)
+
     def is_behind(self, own_number):
         """Return whether a node is known to have a newer configuration."""
         return any(number > own_number for number in list(self._holders.values()))
--- a/src/lynxlanding/peers/feed_message.py
+++ b/src/lynxlanding/peers/feed_message.py
@@ -39,8 +39,8 @@
         Address of the sender if it acts as a relay because the store refuses all candidates for
         relays; empty for a relay.
     latest : StoreVersion or None
-        Version at which the configuration in force at the sender was written, for its kind. A
-        receiver that has it misses nothing, whatever the other versions are.
+        Version at which the last configuration that the sender knows was written, for its kind. A
+        receiver that has read it misses nothing, whatever the other versions are.
     """
 
     kind: str
--- a/src/lynxlanding/peers/tests/test_configuration_copies.py
+++ b/src/lynxlanding/peers/tests/test_configuration_copies.py
@@ -256,6 +256,22 @@
     assert client.calls == [("a", 0)]
 
 
+def test_configuration_that_this_node_cannot_use_is_asked_for_once():
+    """Guards against nodes of an earlier build that ask all others for what they cannot decode."""
+    client = ScriptedClient(encode(make_stored(7)))
+    copies = configuration_copies.ConfigurationCopies(KIND, client, random.Random(1))
+    for holder in ("a", "b", "c"):
+        copies.record_holder(holder, 7)
+    copies.start(lambda message: None)
+    time.sleep(0.3)
+    copies.record_holder("d", 7)
+    assert len(client.calls) == 1
+    copies.record_holder("d", 8)
+    time.sleep(0.3)
+    copies.stop()
+    assert client.calls[1:] == [("d", 0)]
+
+
 def test_values_that_cannot_be_encoded_again_are_not_passed_on():
     stored = stored_object.StoredObject(
         KIND, "main", store_version.StoreVersion(1, 3), {"version": 3, "name": "\udcff"}
--- a/src/lynxlanding/peers/tests/test_copied_kind.py
+++ b/src/lynxlanding/peers/tests/test_copied_kind.py
@@ -36,6 +36,7 @@
 class StubCopies:
     def __init__(self, own_version=None):
         self.version = own_version
+        self.latest = own_version
         self.newer_at = []
 
     def record_newer(self, address):
