Write odd entries of the stand-in site as new endpoints do

Cause: the stand-in wrote the entry of an endpoint that has run for a while, heartbeat number included, under a new name. Since a node takes such an entry for one that has come back, and asks it first; a faulty engine that answers no health check as it should is not used. The check is as strict as before: the faulty engines are used, and the same bounds apply.

Change: odd entries have the number of a first heartbeat.

--- a/src/lynxlanding_standins/site/application.py
+++ b/src/lynxlanding_standins/site/application.py
@@ -187,11 +187,14 @@
         self._store.put("config", "main", document)
 
     def _write_odd_entry(self, name, field, raw):
-        """Write the entry of the last endpoint under another name, with a field given as JSON."""
+        """Write the entry of the last endpoint under another name, with a field given as JSON.
+
+        It is that of a new endpoint, which its first heartbeat has written.
+        """
         *_, last = self._endpoints.values()
         mark = f"raw value of {name}"
         self._store.raw_values[mark] = raw
-        self._store.put("servers", name, {**last.entry(), field: mark})
+        self._store.put("servers", name, {**last.entry(), "seq_no": 1, field: mark})
 
     def _control_endpoint(self, endpoint, order):
         """Carry out the parts of an order that name the endpoint, in the order of this method."""
