Give up connections only for one that waits

Cause: a listener that accepts several connections in one turn made room for the next one before it knew whether one waited. The connection that took the last place cost up to 16 others theirs; those whose request had not been read yet saw a reset.

Change: at the limit, the loop ends and the next turn polls the listener.

Measured: test_last_connection_gives_none_up got a reset before, passes now.

--- a/src/lynxlanding/gateway/caller_server.py
+++ b/src/lynxlanding/gateway/caller_server.py
@@ -59,10 +59,14 @@
 
     def handle_accept(self):
         """Accept connections, after giving up others if there are too many."""
-        for _ in range(MAX_ACCEPTS_PER_TURN if self._is_busy else 1):
-            if len(self.active_channels) >= self.adj.connection_limit and not self._make_room():
-                self._accept_at = time.monotonic() + ACCEPT_RETRY_S
-                return
+        for index in range(MAX_ACCEPTS_PER_TURN if self._is_busy else 1):
+            if len(self.active_channels) >= self.adj.connection_limit:
+                if index:
+                    # Whether a further connection waits is known in the next turn.
+                    return
+                if not self._make_room():
+                    self._accept_at = time.monotonic() + ACCEPT_RETRY_S
+                    return
             count = len(self.active_channels)
             super().handle_accept()
             if len(self.active_channels) == count:
--- a/src/lynxlanding/gateway/tests/test_caller_limits.py
+++ b/src/lynxlanding/gateway/tests/test_caller_limits.py
@@ -35,6 +35,7 @@
         self.limits = make_limits()
         self.requests = []
         self.answer = None
+        self.delay_s = 0.0
         self.guard = caller_guard.CallerGuard(
             memory_budget.MemoryBudget(BUDGET_BYTES),
             lambda: self.limits,
@@ -58,6 +59,8 @@
 
     def _run(self, environ, start_response):
         body = environ["wsgi.input"].read()
+        if self.delay_s:
+            time.sleep(self.delay_s)
         self.requests.append((environ["PATH_INFO"], len(body)))
         answer = b"%d" % len(body) if self.answer is None else self.answer
         start_response("200 OK", [("Content-Length", str(len(answer)))])
@@ -199,6 +202,23 @@
     running.close()
 
 
+def test_last_connection_gives_none_up():
+    """Guards against callers whose connections are closed although no other one waits."""
+    running = Served(max_descriptors=0)
+    running.delay_s = 0.005
+    request = b"GET /a HTTP/1.1\r\nHost: h\r\n"
+    callers = []
+    for _ in range(http_server.MIN_CONNECTIONS):
+        caller = running.connect()
+        caller.sendall((request + b"\r\n") * 11 + request + b"Connection: close\r\n\r\n")
+        callers.append(caller)
+    for caller in callers:
+        assert read_all(caller).count(b" 200 OK") == 12
+        caller.close()
+    running.close()
+    assert running.guard.total(caller_guard.NO_DESCRIPTOR) == 0
+
+
 def test_exceeded_limits_are_logged_in_few_lines(log_messages):
     """Guards against a line for each request of a crowd."""
     # Eliot hands the lines of earlier tests to the first destination.
