Keep connections whose request has not been read yet

Cause: a connection counts as idle until its first bytes are read, so in a burst of callers at a full listener each new connection gave up those accepted just before, and their callers saw a reset instead of an answer.

Change: before an idle connection is given up, its socket is asked for unread data.

--- a/src/lynxlanding/gateway/caller_channel.py
+++ b/src/lynxlanding/gateway/caller_channel.py
@@ -72,6 +72,13 @@
             return connection_bound.Activity.ARRIVING
         return connection_bound.Activity.IDLE
 
+    def has_unread_data(self):
+        """Return whether data have arrived that the next turn of the event loop receives."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def readable(self):
         """Return whether more data should be received."""
         if self._linger_until is not None:
--- a/src/lynxlanding/gateway/caller_server.py
+++ b/src/lynxlanding/gateway/caller_server.py
@@ -87,6 +87,8 @@
                 state.key.refuse(error, caller_guard.NO_DESCRIPTOR)
                 continue
             if state.activity is connection_bound.Activity.IDLE:
+                if state.key.has_unread_data():
+                    continue
                 self.guard.record(caller_guard.NO_DESCRIPTOR)
             elif state.activity is connection_bound.Activity.UNREAD:
                 self.guard.record(caller_guard.ANSWER_NOT_READ)
--- a/src/lynxlanding/gateway/tests/test_caller_limits.py
+++ b/src/lynxlanding/gateway/tests/test_caller_limits.py
@@ -219,6 +219,23 @@
     assert running.guard.total(caller_guard.NO_DESCRIPTOR) == 0
 
 
+def test_requests_that_wait_to_be_read_are_kept():
+    """Guards against new connections that are closed before their request has been read."""
+    running = Served(max_descriptors=0)
+    running.delay_s = 0.02
+    request = HEAD + b"Content-Length: 2\r\nConnection: close\r\n\r\nxy"
+    callers = []
+    for _ in range(2 * http_server.MIN_CONNECTIONS):
+        caller = running.connect()
+        caller.sendall(request)
+        callers.append(caller)
+    for caller in callers:
+        assert read_all(caller).endswith(b"\r\n\r\n2")
+        caller.close()
+    running.close()
+    assert running.guard.total(caller_guard.NO_DESCRIPTOR) == 0
+
+
 def test_exceeded_limits_are_logged_in_few_lines(log_messages):
     """Guards against a line for each request of a crowd."""
     # Eliot hands the lines of earlier tests to the first destination.
