Let connections that are never idle end with their next answer

Cause: at a full listener only idle connections make room.

Change: while one waits and all are busy, up to 16 connections end with their next answer, announced by Connection: close, and linger 0.2 s.

--- a/src/lynxlanding/gateway/caller_channel.py
+++ b/src/lynxlanding/gateway/caller_channel.py
@@ -17,6 +17,8 @@
 # body of the usual limit.
 LINGER_S = 2.0
 MAX_LINGER_BYTES = 5 << 20
+# An answer that was sent as a whole is given this long to arrive, also if others need the place.
+ANSWER_LINGER_S = 0.2
 LINGER_READ_BYTES = 64 << 10
 # An answer of which nothing could be sent for this long gives its place up if others need it.
 UNREAD_S = 2.0
@@ -47,6 +49,7 @@
 
     _pending = b""
     _is_refused = False
+    _ends_early = False
     _linger_until = None
     _lingered_bytes = 0
     _head_started_at = None
@@ -62,6 +65,9 @@
     def activity(self):
         """``Activity`` of the connection."""
         if self._linger_until is not None:
+            lingered_s = time.monotonic() - (self._linger_until - LINGER_S)
+            if self._ends_early and lingered_s < ANSWER_LINGER_S:
+                return connection_bound.Activity.BUSY
             return connection_bound.Activity.REFUSED
         if self.requests or self.total_outbufs_len or self.close_when_flushed:
             is_quiet = self.total_outbufs_len and self.last_activity == self._seen_activity
@@ -72,6 +78,11 @@
             return connection_bound.Activity.ARRIVING
         return connection_bound.Activity.IDLE
 
+    @property
+    def is_ending(self):
+        """Whether the connection closes after what it still has to send."""
+        return self._linger_until is not None or self.close_when_flushed or self.will_close
+
     def has_unread_data(self):
         """Return whether data have arrived that the next turn of the event loop receives."""
         try:
@@ -211,6 +222,12 @@
         self._add_request(request)
         self._count_input()
 
+    def begin_answer(self):
+        """Return whether the connection ends with the answer that begins now."""
+        if not self._ends_early and self.server.take_end():
+            self._ends_early = True
+        return self._ends_early
+
     def service(self):
         """Run one request."""
         super().service()
@@ -222,7 +239,8 @@
         if self._pending and not self.total_outbufs_len and not is_closing:
             self.received(b"")
             return
-        if self.close_when_flushed and (self._is_refused or self._pending):
+        may_have_unread = self._is_refused or self._ends_early or self._pending
+        if self.close_when_flushed and may_have_unread:
             self._flush_exception(self._flush_some)
             if self.will_close:
                 self.handle_close()
--- a/src/lynxlanding/gateway/caller_server.py
+++ b/src/lynxlanding/gateway/caller_server.py
@@ -9,7 +9,7 @@
 
 CHECK_INTERVAL_S = 1.0
 # Connections that are given up at once when there are too many: finding them takes a pass over
-# all connections.
+# all connections. While all are busy, as many may end with their next answer.
 GIVEN_UP_AT_ONCE = 16
 # While all connections are busy, new ones wait in the backlog until the next attempt.
 ACCEPT_RETRY_S = 0.1
@@ -37,6 +37,19 @@
     _busy_since = None
     _next_check_at = 0.0
     _accept_at = 0.0
+    # Connections that are to end with the next answers.
+    _ends_due = 0
+
+    def take_end(self):
+        """Return whether the connection of an answer that begins now has to end with it.
+
+        A caller that sends its next requests before it has read an answer is never idle, so its
+        connection would otherwise keep its place for as long as the caller likes.
+        """
+        if not self._ends_due:
+            return False
+        self._ends_due -= 1
+        return True
 
     def readable(self):
         """Return whether connections should be accepted; also checks timeouts once a second."""
@@ -66,12 +79,21 @@
                     return
                 if not self._make_room():
                     self._accept_at = time.monotonic() + ACCEPT_RETRY_S
+                    self._ends_due = max(0, GIVEN_UP_AT_ONCE - self._count_ending())
                     return
+            self._ends_due = 0
             count = len(self.active_channels)
             super().handle_accept()
             if len(self.active_channels) == count:
                 return
 
+    def _count_ending(self):
+        count = 0
+        for connection in self.active_channels.values():
+            if connection.is_ending:
+                count += 1
+        return count
+
     def _make_room(self):
         """Give up connections; return whether a new one can be accepted now."""
         states = []
--- a/src/lynxlanding/gateway/strict_parser.py
+++ b/src/lynxlanding/gateway/strict_parser.py
@@ -143,6 +143,12 @@
         environ[RAW_HEADERS_KEY] = self.request.raw_headers
         return environ
 
+    def build_response_header(self):
+        """Return the head, which announces the end of a connection whose place others need."""
+        if self.channel.begin_answer():
+            self.request.headers["CONNECTION"] = "close"
+        return super().build_response_header()
+
     def execute(self):
         """Run the application; a response that breaks off must not look complete."""
         try:
--- a/src/lynxlanding/gateway/tests/test_caller_limits.py
+++ b/src/lynxlanding/gateway/tests/test_caller_limits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from lynxlanding.gateway import caller_guard, http_server
+from lynxlanding.gateway import caller_guard, caller_server, http_server
 from lynxlanding.traffic import limits as caller_limits
 from lynxlanding.transport import memory_budget
 
@@ -236,6 +236,34 @@
     assert running.guard.total(caller_guard.NO_DESCRIPTOR) == 0
 
 
+def test_pipelined_requests_make_room():
+    """Guards against connections that are never idle and keep new callers out."""
+    running = Served(max_descriptors=0)
+    running.delay_s = 0.02
+    request = b"GET /crowd HTTP/1.1\r\nHost: h\r\n"
+    crowd = []
+    for _ in range(http_server.MIN_CONNECTIONS):
+        caller = running.connect()
+        caller.sendall((request + b"\r\n") * 99 + request + b"Connection: close\r\n\r\n")
+        crowd.append(caller)
+    wait_for(lambda: len(running.requests) > 2 * http_server.MIN_CONNECTIONS)
+    answer = running.exchange(HEAD + b"Content-Length: 2\r\nConnection: close\r\n\r\nxy")
+    assert answer.endswith(b"\r\n\r\n2")
+    running.delay_s = 0.0
+    counts = []
+    for caller in crowd:
+        *answers, last = read_all(caller).split(b"HTTP/1.1 ")[1:]
+        caller.close()
+        # The announced end tells the caller that its further requests have not run.
+        assert b"Connection: close" in last
+        assert last.endswith(b"\r\n\r\n0")
+        assert not any(b"Connection: close" in answer for answer in answers)
+        counts.append(len(answers) + 1)
+    running.close()
+    assert sum(counts) == len(running.requests) - 1
+    assert 1 <= sum(count < 100 for count in counts) <= 2 * caller_server.GIVEN_UP_AT_ONCE
+
+
 def test_exceeded_limits_are_logged_in_few_lines(log_messages):
     """Guards against a line for each request of a crowd."""
     # Eliot hands the lines of earlier tests to the first destination.
