Let the copies name their kind and build their message in one place

The change feed took the kind of the configuration beside the copies that know it, and both built the message that replaces all earlier ones. No change of behaviour; tests of peers and node: passed.

--- a/src/lynxlanding/node/vm_node.py
+++ b/src/lynxlanding/node/vm_node.py
@@ -235,7 +235,6 @@
             self._store_access,
             {evacuation_codec.KIND: evacuations.feed_timeout_s} if evacuations.is_on else None,
             self._copies,
-            configuration_codec.KIND,
         )
         self._peer_report_handler = peer_report_handler.PeerReportHandler(
             self._serving,
--- a/src/lynxlanding/peers/change_feed.py
+++ b/src/lynxlanding/peers/change_feed.py
@@ -16,7 +16,6 @@
     fragment_assembler,
     store_access,
 )
-from lynxlanding.store import store_version
 
 SUBSCRIPTION_INTERVAL_S = 0.4
 # Interval at which silence of the store or of a relay is noticed in a large fleet.
@@ -58,10 +57,8 @@
     timeouts_s : dict of str to float, optional
         Used in place of ``FEED_TIMEOUT_S``, by kind of objects, and kept exactly.
     copies : ConfigurationCopies, optional
-        Asks other nodes for the configuration, which is too large for the feed. Without it, the
-        configuration is asked of relays or read from the store.
-    copied_kind : str, optional
-        Kind of the configuration.
+        Asks other nodes for the configuration, which is too large for the feed. Without it, all
+        kinds are asked of relays or read from the store.
     """
 
     def __init__(
@@ -73,7 +70,6 @@
         access=None,
         timeouts_s=None,
         copies=None,
-        copied_kind=None,
     ):
         self._identity = identity
         self._table = table
@@ -82,7 +78,6 @@
         self._access = access
         self._timeouts_s = dict(timeouts_s or {})
         self._copies = copies
-        self._copied_kind = copied_kind
         self._stop = threading.Event()
         self._subscribers = {}
         self._waiting = {}
@@ -185,7 +180,7 @@
         is_substitute = self._access is not None and self._access.is_substitute
         if is_substitute:
             message = dataclasses.replace(message, substitute_address=self._identity.address)
-        if kind == self._copied_kind and self._copies is not None:
+        if self._is_copied(kind):
             message = dataclasses.replace(message, latest=self._copies.latest)
         self._keep(message)
         addresses = self._subscriber_addresses(time.monotonic())
@@ -256,7 +251,7 @@
         What a node has got as a copy it need not read: the changes of a large configuration may be
         more than the store returns in one answer.
         """
-        copied = self._copies.version if self._copies and kind == self._copied_kind else None
+        copied = self._copies.version if self._is_copied(kind) else None
         if copied is None or copied.era != after.era:
             return after
         return max(copied, after)
@@ -296,6 +291,9 @@
             return False
         return self._access.is_relay or self._access.is_substitute
 
+    def _is_copied(self, kind):
+        return self._copies is not None and kind == self._copies.kind
+
     def _is_newer_copy(self, message):
         """Return whether the sender of a message has a newer configuration to copy.
 
@@ -373,13 +371,10 @@
         with self._arrived:
             self._published_at[message.kind] = time.monotonic()
             log = self._logs.get(message.kind)
-            if message.kind == self._copied_kind and message.puts:
+            if self._is_copied(message.kind) and message.puts:
                 # A configuration replaces the earlier ones, each of which has up to 1 MB.
-                first_version = store_version.StoreVersion(message.version.era, 0)
-                message = dataclasses.replace(
-                    message, after=first_version, puts=message.puts[-1:], deletes=()
-                )
-                self._logs[message.kind] = change_log.ChangeLog(first_version)
+                message = feed_message.replace_all(message, message.puts[-1])
+                self._logs[message.kind] = change_log.ChangeLog(message.after)
                 self._logs[message.kind].append(message)
             elif not message.is_complete:
                 # A list has replaced all objects.
--- a/src/lynxlanding/peers/configuration_copies.py
+++ b/src/lynxlanding/peers/configuration_copies.py
@@ -8,7 +8,6 @@
 from lynxlanding.errors import membership as membership_errors
 from lynxlanding.observability import restarting_thread
 from lynxlanding.peers import copy_answer, copy_offers, copy_sources, feed_codec, feed_message
-from lynxlanding.store import store_version
 from lynxlanding.transport import json_document
 
 # Interval at which nodes that could not be asked before are looked at again.
@@ -55,6 +54,11 @@
         self._received_total = 0
         self._sent_total = 0
 
+    @property
+    def kind(self):
+        """Kind of the configuration in the store."""
+        return self._kind
+
     @property
     def number(self):
         """Number of the configuration in force; 0 if there is none."""
@@ -161,10 +165,8 @@
         """Return the encoded configuration in force; None if it cannot be encoded as it was."""
         if self._data is None and json_document.is_readable(self._stored.value):
             version = self._stored.version
-            first_version = store_version.StoreVersion(version.era, 0)
-            self._data = feed_codec.encode_whole(
-                feed_message.FeedMessage(self._stored.kind, first_version, version, (self._stored,))
-            )
+            message = feed_message.FeedMessage(self._kind, version, version)
+            self._data = feed_codec.encode_whole(feed_message.replace_all(message, self._stored))
         return self._data
 
     def _decode(self, data):
--- a/src/lynxlanding/peers/feed_message.py
+++ b/src/lynxlanding/peers/feed_message.py
@@ -77,3 +77,12 @@
     return FeedMessage(
         WAITING, _NO_VERSION, _NO_VERSION, is_complete=False, waiting_kinds=tuple(kinds)
     )
+
+
+def replace_all(message, stored):
+    """Return a message with one object that replaces all earlier ones of its kind.
+
+    It leads from any version of the message's era to that of the message.
+    """
+    first_version = store_version.StoreVersion(message.version.era, 0)
+    return dataclasses.replace(message, after=first_version, puts=(stored,), deletes=())
--- a/src/lynxlanding/peers/tests/test_copied_kind.py
+++ b/src/lynxlanding/peers/tests/test_copied_kind.py
@@ -34,6 +34,8 @@
 
 
 class StubCopies:
+    kind = KIND
+
     def __init__(self, own_version=None):
         self.version = own_version
         self.latest = own_version
@@ -53,7 +55,6 @@
         lambda data, address: sent.append(data),
         access,
         copies=copies,
-        copied_kind=KIND,
     )
 
 
