Count the work of a node once when it changes its gatherer

Seen: after nodes join or stop, the others count the work of up to all nodes twice for up to 2.9 s, so endpoints look busier than they are (test_half_of_the_nodes_stop_at_once with PYTHONHASHSEED=42).

Cause: a former gatherer learns only from silence that a node has left it, and sends no further digest after its last member.

Ruled out: a report or digest that is applied twice.

Change: a gatherer leaves out the work of a node once the digest of another one has a later report of it; a former gatherer sends two digests without members.

--- a/src/lynxlanding/peers/report_exchange.py
+++ b/src/lynxlanding/peers/report_exchange.py
@@ -19,6 +19,9 @@
 
 # A gatherer sends its digests at this interval.
 DIGEST_INTERVAL_S = 0.4
+# Digests that follow the one with the last members, as the work of those that have changed their
+# gatherer would count twice at a node that the first of them does not reach.
+EMPTY_DIGESTS = 2
 # Reports whose work is remembered, so that it can be taken out of the sums of a digest. They cover
 # more than the time in which a report is summed up.
 MAX_OWN_REPORTS = 32
@@ -70,6 +73,7 @@
         self._own_tag = node_key.tag_incarnation(identity.incarnation)
         self._own_reports = collections.OrderedDict()
         self._last_digest_at = 0.0
+        self._empty_digests_left = 0
         self._codec = report_codec.ReportCodec()
         self._digest_codec = digest_codec.DigestCodec()
         self._sequence = 0
@@ -91,11 +95,21 @@
         if plan is not None:
             outgoing.append(self._make_report(state, plan, now))
         is_due = report_schedule.is_over(DIGEST_INTERVAL_S, self._last_digest_at, now)
-        if is_due and self._gatherer.has_members(now):
+        if is_due and self._is_gatherer(now):
             self._last_digest_at = now
             outgoing.append(self._make_digest(now))
         return outgoing
 
+    def _is_gatherer(self, now):
+        """Return whether this node sends digests; called when the next one is due."""
+        if self._gatherer.has_members(now):
+            self._empty_digests_left = EMPTY_DIGESTS
+            return True
+        if not self._empty_digests_left:
+            return False
+        self._empty_digests_left -= 1
+        return True
+
     def receive(self, data, now):
         """Apply a report or a digest of another node.
 
@@ -170,6 +184,8 @@
     def _apply_digest(self, digest, now):
         if not self._table.record_digest(digest, now):
             return
+        if digest.node_id != self._identity.node_id:
+            self._gatherer.leave_out(digest.members)
         self._on_digest(digest, self._find_contribution(digest), now)
         malformed = None
         for forwarded in digest.forwarded:
--- a/src/lynxlanding/peers/report_gatherer.py
+++ b/src/lynxlanding/peers/report_gatherer.py
@@ -21,6 +21,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Member:
+    key: int
     report: peer_report.PeerReport
     heard_at: float
     is_summed_up: bool
@@ -68,7 +69,8 @@
             Arrival, in monotonic seconds.
         """
         is_summed_up = report.gatherers[0] == node_key.hash_node_id(self._identity.node_id)
-        self._members[report.node_id] = _Member(report, now, is_summed_up)
+        key = node_key.hash_node_id(report.node_id)
+        self._members[report.node_id] = _Member(key, report, now, is_summed_up)
         if not is_summed_up:
             return
         for limit in report.limits:
@@ -86,6 +88,25 @@
         if report.prompts != _NO_PROMPTS:
             self._waiting.append((data, now))
 
+    def leave_out(self, members):
+        """Leave the work of nodes that have changed their gatherer out of the next digest.
+
+        Such a node reports to this one no longer, and its work would count twice until it expires
+        here.
+
+        Parameters
+        ----------
+        members : tuple of MemberState
+            Members in the digest of another gatherer.
+        """
+        states = {state.key: state for state in members}
+        for member in list(self._members.values()):
+            state = states.get(member.key)
+            if state is None or state.sequence <= member.report.sequence:
+                continue
+            if state.incarnation_tag == node_key.tag_incarnation(member.report.incarnation):
+                member.is_summed_up = False
+
     def build(self, sequence, now):
         """Return the ``ReportDigest`` of what was recorded since the last one."""
         members = []
@@ -97,13 +118,13 @@
         has_traffic = False
         configuration_version = 0
         holders = []
-        for node_id, member in list(self._members.items()):
-            key = node_key.hash_node_id(node_id)
+        for member in list(self._members.values()):
+            key = member.key
             report = member.report
             if not member.is_summed_up:
                 heard[key] = _age_ms(member.heard_at, now)
                 continue
-            members.append(_make_member_state(key, member, now))
+            members.append(_make_member_state(member, now))
             if report.configuration_version > configuration_version:
                 configuration_version = report.configuration_version
                 holders = []
@@ -179,10 +200,10 @@
     return arrived_at + (cold.cold_ms - cold.age_ms) / 1000
 
 
-def _make_member_state(key, member, now):
+def _make_member_state(member, now):
     report = member.report
     return report_digest.MemberState(
-        key,
+        member.key,
         report.sequence,
         node_key.tag_incarnation(report.incarnation),
         _age_ms(member.heard_at, now),
--- a/src/lynxlanding/peers/tests/test_gathered_reports.py
+++ b/src/lynxlanding/peers/tests/test_gathered_reports.py
@@ -4,11 +4,23 @@
 changed.
 """
 
+import itertools
+
 import pytest
 
 from lynxlanding.crashes import statements
-from lynxlanding.dispatch import cold_statement
-from lynxlanding.peers import gathering, node_key, peer_table, protocol
+from lynxlanding.dispatch import cold_statement, load_tracker
+from lynxlanding.peers import (
+    digest_codec,
+    gathering,
+    node_key,
+    peer_report,
+    peer_table,
+    protocol,
+    report_codec,
+    report_exchange,
+    report_schedule,
+)
 from lynxlanding.peers.tests import exchange_simulation
 
 # What a node may send on average when nothing changes.
@@ -16,6 +28,8 @@
 MAX_BYTES_PER_S = 10_000
 # One in so many views may take a live node for dead while 3% of the datagrams are lost.
 MAX_MISTAKES = 10_000
+# The work of a node that has changed its gatherer counts once after this time.
+SETTLING_S = load_tracker.PEER_REPORT_LIFETIME_S + 2 * report_exchange.DIGEST_INTERVAL_S
 # Time for an urgent fact to reach 95 in 100 nodes, and all of them.
 MOST_S = 0.5
 ALL_S = 1.3
@@ -103,6 +117,57 @@
     assert_counts_are_exact(network)
 
 
+@pytest.mark.parametrize(("node_count", "seed"), [(60, 1), (83, 2), (195, 1)])
+def test_work_of_nodes_that_change_their_gatherer_counts_once(node_count, seed):
+    """Guards against work that counts at two gatherers for seconds after nodes have joined."""
+    network = exchange_simulation.Network(seed, node_count, loss=0.0)
+    network.run(2.5)
+    give_work(network)
+    network.run(1.0)
+    node_ids = list(network.nodes)
+    joining = []
+    for number in itertools.count(node_count):
+        node_id = f"n{number}"
+        if gathering.choose_gatherers(node_id, [*node_ids, node_id])[0] == node_id:
+            joining.append(exchange_simulation.Node(network, number))
+        if len(joining) == 2:
+            break
+    for node in joining:
+        network.add(node)
+    for node in network.running():
+        node.learn_all()
+    network.run(SETTLING_S)
+    for node in joining:
+        assert node.exchange.member_count
+    assert_counts_are_exact(network)
+
+
+def test_former_gatherer_repeats_its_empty_digest():
+    """Guards against work that counts twice where the last digest of a gatherer was lost."""
+    network = exchange_simulation.Network(1, 2)
+    gatherer, member = network.nodes.values()
+    report = peer_report.PeerReport(
+        member.node_id,
+        1,
+        1,
+        member.address,
+        1,
+        {},
+        gatherers=(node_key.hash_node_id(gatherer.node_id), 7),
+    )
+    gatherer.exchange.receive(report_codec.ReportCodec().encode(report), network.now)
+    member_counts = []
+    for tick in range(60):
+        now = network.now + tick * report_schedule.REPORT_INTERVAL_S
+        for outgoing in gatherer.exchange.make_datagrams(gatherer.make_state(), now):
+            if protocol.get_kind(outgoing.data) == digest_codec.KIND:
+                digest = digest_codec.DigestCodec().decode(outgoing.data)
+                member_counts.append(len(digest.members))
+    assert member_counts == sorted(member_counts, reverse=True)
+    assert member_counts.count(0) == report_exchange.EMPTY_DIGESTS
+    assert 1 in member_counts
+
+
 def test_half_of_the_nodes_stop_at_once():
     network = exchange_simulation.Network(1, 83)
     network.run(2.5)
