Connect the callers of the limit tests in one place

Three tests of full listeners had the same loop that connects and sends. It is now Served.connect_all; data, counts and assertions are unchanged. No product code.

--- a/src/lynxlanding/gateway/tests/test_caller_limits.py
+++ b/src/lynxlanding/gateway/tests/test_caller_limits.py
@@ -48,6 +48,15 @@
     def connect(self):
         return socket.create_connection(("127.0.0.1", self._server.effective_port), timeout=8.0)
 
+    def connect_all(self, count, data):
+        """Return callers that have sent the data, one after the other."""
+        callers = []
+        for _ in range(count):
+            caller = self.connect()
+            caller.sendall(data)
+            callers.append(caller)
+        return callers
+
     def exchange(self, data):
         """Return what a caller receives until the end; raises on a reset."""
         with self.connect() as caller:
@@ -207,11 +216,8 @@
     running = Served(max_descriptors=0)
     running.delay_s = 0.005
     request = b"GET /a HTTP/1.1\r\nHost: h\r\n"
-    callers = []
-    for _ in range(http_server.MIN_CONNECTIONS):
-        caller = running.connect()
-        caller.sendall((request + b"\r\n") * 11 + request + b"Connection: close\r\n\r\n")
-        callers.append(caller)
+    data = (request + b"\r\n") * 11 + request + b"Connection: close\r\n\r\n"
+    callers = running.connect_all(http_server.MIN_CONNECTIONS, data)
     for caller in callers:
         assert read_all(caller).count(b" 200 OK") == 12
         caller.close()
@@ -224,11 +230,7 @@
     running = Served(max_descriptors=0)
     running.delay_s = 0.02
     request = HEAD + b"Content-Length: 2\r\nConnection: close\r\n\r\nxy"
-    callers = []
-    for _ in range(2 * http_server.MIN_CONNECTIONS):
-        caller = running.connect()
-        caller.sendall(request)
-        callers.append(caller)
+    callers = running.connect_all(2 * http_server.MIN_CONNECTIONS, request)
     for caller in callers:
         assert read_all(caller).endswith(b"\r\n\r\n2")
         caller.close()
@@ -241,11 +243,8 @@
     running = Served(max_descriptors=0)
     running.delay_s = 0.02
     request = b"GET /crowd HTTP/1.1\r\nHost: h\r\n"
-    crowd = []
-    for _ in range(http_server.MIN_CONNECTIONS):
-        caller = running.connect()
-        caller.sendall((request + b"\r\n") * 99 + request + b"Connection: close\r\n\r\n")
-        crowd.append(caller)
+    data = (request + b"\r\n") * 99 + request + b"Connection: close\r\n\r\n"
+    crowd = running.connect_all(http_server.MIN_CONNECTIONS, data)
     wait_for(lambda: len(running.requests) > 2 * http_server.MIN_CONNECTIONS)
     answer = running.exchange(HEAD + b"Content-Length: 2\r\nConnection: close\r\n\r\nxy")
     assert answer.endswith(b"\r\n\r\n2")
